--- /dev/null
+++ b/internal/encoder/json.go
@@ -0,0 +1,91 @@
+package encoder
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Errors that users of the package can test for.
+var (
+	// ErrMalformed reports input that is not the JSON that was asked for.
+	ErrMalformed = merry.Sentinel("malformed JSON")
+	// ErrTooLarge reports input above the limit.
+	ErrTooLarge = merry.Sentinel("body too large")
+)
+
+// Read reads all of r, up to limit bytes. It returns ErrTooLarge above the
+// limit and ErrMalformed if r ends early.
+func Read(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, merry.Wrap(ErrMalformed, merry.AppendMessagef("truncated after %d bytes: %v", len(data), err))
+	}
+	if int64(len(data)) > limit {
+		return nil, merry.Wrap(ErrTooLarge, merry.AppendMessagef("at most %d bytes are allowed", limit))
+	}
+	return data, nil
+}
+
+// Decode decodes exactly one JSON value into a T. Unknown fields and data
+// after the value are errors (ErrMalformed, with line and column).
+func Decode[T any](data []byte) (T, error) {
+	var value T
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&value); err != nil {
+		return value, malformed(data, decoder.InputOffset(), err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return value, malformed(data, decoder.InputOffset(), errors.New("data after the value"))
+	}
+	return value, nil
+}
+
+// DecodeFrom reads at most limit bytes from r and decodes them.
+func DecodeFrom[T any](r io.Reader, limit int64) (T, error) {
+	data, err := Read(r, limit)
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	return Decode[T](data)
+}
+
+// Encode encodes a value that is known to be encodable.
+func Encode(value any) []byte {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", value, err))
+	}
+	return data
+}
+
+func malformed(data []byte, offset int64, err error) error {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	detail := err.Error()
+	switch {
+	case errors.As(err, &syntax):
+		offset = syntax.Offset
+	case errors.As(err, &kind):
+		offset = kind.Offset
+		detail = fmt.Sprintf("field %q is a %s; want %s", kind.Field, kind.Value, kind.Type)
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
+		offset = int64(len(data))
+		detail = "the text ends before the value does"
+	}
+	line, column := position(data, offset)
+	return merry.Wrap(ErrMalformed, merry.AppendMessagef("line %d, column %d: %s", line, column, detail))
+}
+
+func position(data []byte, offset int64) (line, column int) {
+	before := data[:min(offset, int64(len(data)))]
+	line = bytes.Count(before, []byte("\n")) + 1
+	column = len(before) - bytes.LastIndexByte(before, '\n')
+	return line, column
+}
--- /dev/null
+++ b/internal/filter/admit.go
@@ -0,0 +1,152 @@
+package filter
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// Admission is what the scheduler needs to know of a request.
+type Admission struct {
+	// Model and Adapter are keys; both are empty for service calls.
+	Model   string
+	Adapter string
+	// Service is empty for generations.
+	Service   string
+	Workspace string
+	// Weight is the workspace's weight, above 0.
+	Weight       float64
+	Class        Class
+	Deadline     time.Time
+	PromptTokens int
+	MaxTokens    int
+	// Prefix is a hash of the prompt's start, 0 if there is none.
+	Prefix uint64
+	// Avoid names endpoints that failed the request before.
+	Avoid []string
+}
+
+// SlotResult tells the scheduler how a slot was used.
+type SlotResult struct {
+	// Failed says that the endpoint did not answer as it should.
+	Failed bool
+	// Refused says that the endpoint refused the attempt, so that it did not
+	// run there.
+	Refused bool
+	// FirstToken is the time to the first token, 0 if there was none.
+	FirstToken time.Duration
+	// Tokens is the number of generated tokens.
+	Tokens int
+	// Duration is the time that the slot was held by the attempt.
+	Duration time.Duration
+}
+
+// Scheduler gives requests slots at endpoints.
+type Scheduler interface {
+	// Admit waits for a slot. The error is a Refusal or the context's.
+	Admit(ctx context.Context, admission Admission) (Slot, error)
+	// Release gives a slot back.
+	Release(slot Slot, result SlotResult)
+}
+
+// Admit waits until the request has a slot at an endpoint.
+type Admit struct {
+	View      View
+	Scheduler Scheduler
+}
+
+// Filter implements the Filter interface. The slot is released by the
+// Dispatch filter, which knows how it was used, or here if the request ends
+// before.
+func (f Admit) Filter(ctx context.Context, request *Request) Verdict {
+	waiting, stop := f.whileInForce(ctx, request)
+	defer stop()
+	slot, err := f.Scheduler.Admit(waiting, admission(request))
+	if err != nil {
+		return refusal(waiting, err)
+	}
+	request.Slot = slot
+	return Pass{CleanUp: func(Outcome) {
+		if request.Slot.ID != 0 {
+			f.Scheduler.Release(request.Slot, SlotResult{})
+		}
+	}}
+}
+
+// whileInForce returns a context that ends when the request's model, adapter
+// or route is withdrawn, so that a waiting request does not start then.
+func (f Admit) whileInForce(ctx context.Context, request *Request) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		for {
+			changed := f.View.Changed()
+			if !inForce(f.View.Configuration(), request) {
+				cancel(ErrTargetWithdrawn)
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
+func inForce(configuration *releaser.Configuration, request *Request) bool {
+	if call, ok := request.Work.(Call); ok {
+		_, err := configuration.Route(call.Service, call.Method, call.Path)
+		return err == nil
+	}
+	model := request.Target.Model
+	if _, ok := configuration.Models[releaser.Key(model.Name, model.Version)]; !ok {
+		return false
+	}
+	adapter := request.Target.Adapter
+	if adapter == nil {
+		return true
+	}
+	_, ok := configuration.Adapters[releaser.Key(adapter.Name, adapter.Version)]
+	return ok
+}
+
+// prefixBytes is how much of a prompt decides which cached prefix it shares.
+const prefixBytes = 256
+
+func admission(request *Request) Admission {
+	ask := Admission{
+		Workspace: request.Workspace,
+		Weight:    1,
+		Class:     request.Class,
+		Deadline:  request.Deadline,
+	}
+	if weight := request.Configuration.Workspaces[request.Workspace].Weight; weight > 0 {
+		ask.Weight = weight
+	}
+	switch work := request.Work.(type) {
+	case Call:
+		ask.Service = work.Service
+	case Generation:
+		ask.Model = releaser.Key(request.Target.Model.Name, request.Target.Model.Version)
+		if adapter := request.Target.Adapter; adapter != nil {
+			ask.Adapter = releaser.Key(adapter.Name, adapter.Version)
+		}
+		ask.PromptTokens = work.PromptTokens
+		ask.MaxTokens = work.MaxTokens
+		ask.Prefix = Prefix(work.Prompt)
+	}
+	return ask
+}
+
+// Prefix is the hash of a prompt's start that nodes and engines use to name a
+// cached prefix.
+func Prefix(prompt string) uint64 {
+	if len(prompt) > prefixBytes {
+		prompt = prompt[:prefixBytes]
+	}
+	return xxhash.Sum64String(prompt)
+}
--- /dev/null
+++ b/internal/filter/authenticate.go
@@ -0,0 +1,76 @@
+package filter
+
+import (
+	"context"
+	"crypto/subtle"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// ErrKeyWithdrawn is the cause of a request's context when its key has been
+// withdrawn while it waited or ran.
+var ErrKeyWithdrawn = merry.Sentinel("key withdrawn")
+
+// ErrTargetWithdrawn is the cause of a request's context when its model,
+// adapter or route has been withdrawn while it waited for a slot.
+var ErrTargetWithdrawn = merry.Sentinel("model, adapter or route withdrawn")
+
+// Authenticate finds the workspace of a request's key and ends the request
+// when the key is withdrawn.
+type Authenticate struct {
+	View View
+}
+
+// Filter implements the Filter interface.
+func (f Authenticate) Filter(ctx context.Context, request *Request) Verdict {
+	if request.KeyDigest == "" {
+		if request.open() {
+			return Pass{}
+		}
+		return refuse(MissingKey, "send the workspace's key as \"Authorization: Bearer <key>\"")
+	}
+	if !f.View.Current() {
+		return refuse(NotCurrent, "this node cannot show that its keys are up to date; ask another one")
+	}
+	grant, ok := find(request.Configuration, request.KeyDigest)
+	if !ok {
+		return refuse(UnknownKey, "the key is not granted or has been withdrawn")
+	}
+	request.Workspace = grant.Workspace
+	request.GrantID = grant.ID
+	return f.watch(ctx, request)
+}
+
+// find looks a digest up. The map's lookup compares digests of 256 bits,
+// which a caller cannot choose byte by byte; the constant-time comparison
+// keeps that independent of the map's implementation.
+func find(configuration *releaser.Configuration, digest string) (releaser.Grant, bool) {
+	grant, ok := configuration.Grants[digest]
+	if !ok || subtle.ConstantTimeCompare([]byte(grant.Digest), []byte(digest)) != 1 {
+		return releaser.Grant{}, false
+	}
+	return grant, true
+}
+
+// watch passes the request on with a context that ends when its grant does.
+func (f Authenticate) watch(ctx context.Context, request *Request) Verdict {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		for {
+			changed := f.View.Changed()
+			grant, ok := find(f.View.Configuration(), request.KeyDigest)
+			if !ok || grant.ID != request.GrantID {
+				cancel(ErrKeyWithdrawn)
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return Pass{Context: ctx, CleanUp: func(Outcome) { cancel(context.Canceled) }}
+}
--- /dev/null
+++ b/internal/filter/chain.go
@@ -0,0 +1,50 @@
+package filter
+
+import (
+	"context"
+	"fmt"
+)
+
+// Filter makes one decision about a request.
+type Filter interface {
+	Filter(ctx context.Context, request *Request) Verdict
+}
+
+// Chain is a list of filters in the order in which they decide. The last one
+// never passes.
+type Chain []Filter
+
+// Run takes a request through the chain and returns Accept or Refuse. The
+// clean-ups of the filters that passed the request run in reverse order
+// before Run returns, also when a filter panics.
+func (c Chain) Run(ctx context.Context, request *Request) (verdict Verdict) {
+	// This verdict stands only if a filter panics.
+	verdict = Refuse{Refusal: Refusal{Reason: OutcomeUnknown, Detail: "the node failed internally", Run: Unknown}}
+	for _, filter := range c {
+		switch decided := filter.Filter(ctx, request).(type) {
+		case Pass:
+			if decided.CleanUp != nil {
+				defer func() { decided.CleanUp(outcome(verdict)) }()
+			}
+			if decided.Context != nil {
+				ctx = decided.Context
+			}
+		case Refuse, Accept:
+			return decided
+		default:
+			panic(fmt.Sprintf("filter %T returned %T", filter, decided))
+		}
+	}
+	return refuse(NoEndpoint, "no filter answered the request")
+}
+
+func outcome(verdict Verdict) Outcome {
+	switch verdict := verdict.(type) {
+	case Accept:
+		return Outcome{Used: verdict.Used}
+	case Refuse:
+		return Outcome{Refusal: &verdict.Refusal, Used: verdict.Used}
+	default:
+		return Outcome{}
+	}
+}
--- /dev/null
+++ b/internal/filter/limit.go
@@ -0,0 +1,102 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// CallTokens is what a service call takes from its workspace's limit.
+const CallTokens = 1
+
+// Reservation is a number of tokens set aside for one request.
+type Reservation struct {
+	// ID identifies the reservation at its node; 0 means none.
+	ID        uint64
+	Workspace string
+	Tokens    int
+}
+
+// Limits keeps workspaces within their rate and burst.
+type Limits interface {
+	// Reserve waits for tokens until the deadline or a shorter bound of its
+	// own. The error is a Refusal or the context's.
+	Reserve(ctx context.Context, workspace string, tokens int, deadline time.Time) (Reservation, error)
+	// Confirm says that the tokens are about to be used. It waits for new
+	// tokens if the reservation has expired. The error is a Refusal or the
+	// context's, and then the reservation holds nothing.
+	Confirm(ctx context.Context, reservation Reservation, deadline time.Time) (Reservation, error)
+	// Settle ends a reservation of which used tokens were taken.
+	Settle(reservation Reservation, used int)
+}
+
+// Limit reserves the tokens that a request may take at most.
+type Limit struct {
+	Limits Limits
+}
+
+// Filter implements the Filter interface.
+func (f Limit) Filter(ctx context.Context, request *Request) Verdict {
+	if request.Workspace == "" {
+		return Pass{}
+	}
+	reservation, err := f.Limits.Reserve(ctx, request.Workspace, cost(request.Work), request.Deadline)
+	if err != nil {
+		return refusal(ctx, err)
+	}
+	request.Reservation = reservation
+	return Pass{CleanUp: func(outcome Outcome) {
+		f.Limits.Settle(request.Reservation, outcome.Used)
+	}}
+}
+
+// Confirm makes sure that a request's tokens are still reserved when it gets
+// its slot: a reservation expires, and a request can wait longer than that.
+type Confirm struct {
+	Limits Limits
+}
+
+// Filter implements the Filter interface.
+func (f Confirm) Filter(ctx context.Context, request *Request) Verdict {
+	if request.Workspace == "" {
+		return Pass{}
+	}
+	reservation, err := f.Limits.Confirm(ctx, request.Reservation, request.Deadline)
+	if err != nil {
+		request.Reservation = Reservation{Workspace: request.Workspace}
+		return refusal(ctx, err)
+	}
+	request.Reservation = reservation
+	return Pass{}
+}
+
+// cost is the largest number of tokens that work can take.
+func cost(work Work) int {
+	switch work := work.(type) {
+	case Generation:
+		return work.PromptTokens + work.MaxTokens
+	case Call:
+		return CallTokens
+	default:
+		panic(fmt.Sprintf("unknown work %T", work))
+	}
+}
+
+// refusal turns the error of a controller's front into a verdict for a request
+// that certainly did not run.
+func refusal(ctx context.Context, err error) Verdict {
+	var refused Refusal
+	switch cause := context.Cause(ctx); {
+	case errors.As(err, &refused):
+		return Refuse{Refusal: refused}
+	case errors.Is(cause, ErrKeyWithdrawn):
+		return refuse(KeyWithdrawn, "the key was withdrawn while the request waited")
+	case errors.Is(cause, ErrTargetWithdrawn):
+		return refuse(UnknownModel, "the model, adapter or route was withdrawn while the request waited")
+	case cause != nil:
+		return refuse(DeadlinePassed, "the request ended while it waited")
+	default:
+		return refuse(Overloaded, "%v", err)
+	}
+}
--- /dev/null
+++ b/internal/filter/verdict.go
@@ -0,0 +1,100 @@
+package filter
+
+import (
+	"context"
+	"time"
+)
+
+// Verdict is a filter's decision: Pass, Refuse or Accept.
+type Verdict interface{ isVerdict() }
+
+// Pass hands the request to the next filter.
+type Pass struct {
+	// Context replaces the request's context for the filters that follow,
+	// unless it is nil.
+	Context context.Context
+	// CleanUp, unless nil, runs when the request has ended.
+	CleanUp func(Outcome)
+}
+
+// Refuse ends the request with a refusal.
+type Refuse struct {
+	Refusal Refusal
+	// Used is the number of tokens that the request took before it failed.
+	Used int
+}
+
+// Accept ends the request with an answer. For a generation the answer has
+// been emitted, and Reply is empty.
+type Accept struct {
+	Reply Reply
+	// Used is the number of tokens that the request took.
+	Used int
+}
+
+func (Pass) isVerdict()   {}
+func (Refuse) isVerdict() {}
+func (Accept) isVerdict() {}
+
+// Run says whether a request ran at an endpoint.
+type Run string
+
+// The values of Run.
+const (
+	// NotRun is said only when it is certain.
+	NotRun  Run = "not run"
+	Ran     Run = "ran"
+	Unknown Run = "unknown"
+)
+
+// Reason is the kind of a refusal, as documented in docs/protocols.md.
+type Reason string
+
+// The reasons of refusals.
+const (
+	MalformedRequest    Reason = "malformed-request"
+	MissingKey          Reason = "missing-key"
+	UnknownKey          Reason = "unknown-key"
+	KeyWithdrawn        Reason = "key-withdrawn"
+	UnknownModel        Reason = "unknown-model"
+	UnknownService      Reason = "unknown-service"
+	UnknownRoute        Reason = "unknown-route"
+	TooLarge            Reason = "too-large"
+	IdentityReused      Reason = "identity-reused"
+	MissingIdentity     Reason = "missing-identity"
+	RateLimited         Reason = "rate-limited"
+	Overloaded          Reason = "overloaded"
+	DeadlineUnreachable Reason = "deadline-unreachable"
+	DeadlinePassed      Reason = "deadline-passed"
+	Draining            Reason = "draining"
+	NotCurrent          Reason = "not-current"
+	NoEndpoint          Reason = "no-endpoint"
+	JournalUnavailable  Reason = "journal-unavailable"
+	OutcomeUnknown      Reason = "outcome-unknown"
+	EndpointFailed      Reason = "endpoint-failed"
+	StreamBroken        Reason = "stream-broken"
+)
+
+// Refusal says why a request was not answered and whether it ran.
+type Refusal struct {
+	Reason Reason
+	// Detail says what is wrong and what is allowed, for the caller.
+	Detail string
+	Run    Run
+	// RetryAfter is when asking again may help; 0 means unknown.
+	RetryAfter time.Duration
+}
+
+// Error makes a refusal usable as an error between a controller's front and
+// its filter.
+func (r Refusal) Error() string {
+	return string(r.Reason) + ": " + r.Detail
+}
+
+// Outcome is how a request ended, for clean-ups.
+type Outcome struct {
+	// Refusal is nil if the request was answered.
+	Refusal *Refusal
+	// Used is the number of tokens that the request took.
+	Used int
+}
--- /dev/null
+++ b/internal/runner/task.go
@@ -0,0 +1,269 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+)
+
+// Errors that a caller of a task can test for.
+var (
+	// ErrFull reports that the task's inbox had no room. The message was not
+	// taken and has no effect.
+	ErrFull = merry.Sentinel("inbox is full")
+	// ErrStopped reports that the task has ended. A message that was taken
+	// before may or may not have had an effect.
+	ErrStopped = merry.Sentinel("task has stopped")
+)
+
+// Controller makes the decisions of one task. Implementations open no
+// sockets, start no goroutines and read no clock.
+type Controller[M, E any] interface {
+	// Step handles one message at the given time and returns the effects to
+	// carry out, in order.
+	Step(now time.Time, message M) []E
+	// Wake returns the time at which the controller next needs a tick, or the
+	// zero time if it needs none.
+	Wake() time.Time
+}
+
+// Call identifies a question that waits for an answer. The zero Call belongs
+// to no question.
+type Call uint64
+
+// Settings describes a task.
+type Settings[M, E any] struct {
+	// Name appears in errors and logs.
+	Name string
+	// Clock drives the task's wake-ups.
+	Clock clockwork.Clock
+	// Controller is owned by the task from now on.
+	Controller Controller[M, E]
+	// Tick is the message that the task delivers at the controller's wake
+	// time.
+	Tick M
+	// Perform carries out one effect. It runs on the task's goroutine and
+	// must not block; an effect that uses the network goes through
+	// Hands.Start.
+	Perform func(hands Hands[M], effect E)
+	// Inbox is the number of messages that may wait, at least 1.
+	Inbox int
+}
+
+// Hands is what a Perform function may use of its task.
+type Hands[M any] struct {
+	// Context ends when the task stops.
+	Context context.Context
+	// Answer gives the answer to a call. A call that is unknown or already
+	// answered is ignored. It never blocks.
+	Answer func(call Call, answer any)
+	// Start runs work in a goroutine and delivers the message that it
+	// returns to the controller. The result is never refused for lack of
+	// room, so that a controller always learns the fate of an effect.
+	Start func(work func(ctx context.Context) M)
+}
+
+// Task owns a controller and feeds it messages until its context ends.
+type Task[M, E any] struct {
+	settings Settings[M, E]
+	inbox    chan envelope[M]
+	results  chan envelope[M]
+	done     chan struct{}
+	nextCall atomic.Uint64
+	workers  sync.WaitGroup
+}
+
+// envelope carries a message and, for a question, where its answer goes.
+type envelope[M any] struct {
+	message M
+	call    Call
+	answer  chan any // room for one, so that answering never blocks
+	asked   *question
+	forget  bool // the asker of call has gone
+	silent  bool // there is no message to step
+}
+
+// question is shared by the envelopes of one call. Only the task's goroutine
+// reads and writes its fields. The inbox and the results channel are not
+// ordered with each other, so the news that the asker has gone can come
+// before the question.
+type question struct {
+	seen bool
+	gone bool
+}
+
+// New returns a task. It does nothing until Run is called.
+func New[M, E any](settings Settings[M, E]) *Task[M, E] {
+	return &Task[M, E]{
+		settings: settings,
+		inbox:    make(chan envelope[M], max(1, settings.Inbox)),
+		results:  make(chan envelope[M]),
+		done:     make(chan struct{}),
+	}
+}
+
+// Post delivers a message without waiting for its effects. It returns ErrFull
+// or ErrStopped if the message was not taken.
+func (t *Task[M, E]) Post(message M) error {
+	return t.enqueue(envelope[M]{message: message})
+}
+
+func (t *Task[M, E]) enqueue(e envelope[M]) error {
+	select {
+	case <-t.done:
+		return merry.Wrap(ErrStopped, merry.AppendMessage(t.settings.Name))
+	default:
+	}
+	select {
+	case t.inbox <- e:
+		return nil
+	default:
+		return merry.Wrap(ErrFull, merry.AppendMessage(t.settings.Name))
+	}
+}
+
+// Ask delivers the message that build makes for a new call and waits for the
+// answer. If ctx ends first, Ask returns the context's error and, if cancel is
+// not nil and the controller has seen the question, delivers the message that
+// cancel makes. The controller may have answered by then: it must treat the
+// cancellation of an answered call as giving back what the answer granted. An
+// answer of another type than A is an error.
+func Ask[A, M, E any](ctx context.Context, t *Task[M, E], build, cancel func(Call) M) (A, error) {
+	var zero A
+	call := Call(t.nextCall.Add(1))
+	answer := make(chan any, 1)
+	asked := &question{}
+	if err := t.enqueue(envelope[M]{message: build(call), call: call, answer: answer, asked: asked}); err != nil {
+		return zero, err
+	}
+	select {
+	case got := <-answer:
+		return convert[A](t.settings.Name, got)
+	case <-t.done:
+		return zero, merry.Wrap(ErrStopped, merry.AppendMessage(t.settings.Name))
+	case <-ctx.Done():
+	}
+	t.forget(asked, call, cancel)
+	return zero, merry.Wrap(context.Cause(ctx))
+}
+
+// forget tells the task that the asker has gone. It must arrive even if the
+// inbox is full, since a question without an asker would hold its place for
+// ever.
+func (t *Task[M, E]) forget(asked *question, call Call, cancel func(Call) M) {
+	e := envelope[M]{call: call, asked: asked, forget: true, silent: cancel == nil}
+	if cancel != nil {
+		e.message = cancel(call)
+	}
+	go t.deliver(e)
+}
+
+// deliver hands an envelope to the task, or drops it if the task has ended.
+func (t *Task[M, E]) deliver(e envelope[M]) {
+	select {
+	case t.results <- e:
+	case <-t.done:
+	}
+}
+
+func convert[A any](name string, got any) (A, error) {
+	answer, ok := got.(A)
+	if !ok {
+		return answer, merry.Errorf("task %s answered with %T, want %T", name, got, answer)
+	}
+	return answer, nil
+}
+
+// Run feeds the controller until ctx ends. It waits for the goroutines that
+// effects started, and returns nil.
+func (t *Task[M, E]) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	loop := loop[M, E]{task: t, pending: map[Call]chan any{}}
+	loop.hands = Hands[M]{
+		Context: ctx,
+		Answer:  loop.answer,
+		Start:   func(work func(context.Context) M) { t.start(ctx, work) },
+	}
+	loop.run(ctx)
+	close(t.done)
+	stop()
+	t.workers.Wait()
+	return nil
+}
+
+// start runs work and delivers its result on the unbuffered results channel:
+// the goroutine itself is the room reserved for the result.
+func (t *Task[M, E]) start(ctx context.Context, work func(context.Context) M) {
+	t.workers.Go(func() {
+		t.deliver(envelope[M]{message: work(ctx)})
+	})
+}
+
+// loop is the state of a running task. Only the task's goroutine uses it.
+type loop[M, E any] struct {
+	task    *Task[M, E]
+	hands   Hands[M]
+	pending map[Call]chan any
+}
+
+func (l *loop[M, E]) run(ctx context.Context) {
+	clock := l.task.settings.Clock
+	timer := clock.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		wake := l.task.settings.Controller.Wake()
+		var tick <-chan time.Time
+		if !wake.IsZero() {
+			timer.Reset(wake.Sub(clock.Now()))
+			tick = timer.Chan()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.task.inbox:
+			l.take(e)
+		case e := <-l.task.results:
+			l.take(e)
+		case <-tick:
+			l.step(l.task.settings.Tick)
+		}
+	}
+}
+
+func (l *loop[M, E]) take(e envelope[M]) {
+	switch {
+	case e.forget && !e.asked.seen:
+		e.asked.gone = true
+		return
+	case e.forget:
+		delete(l.pending, e.call)
+	case e.answer != nil && e.asked.gone:
+		return
+	case e.answer != nil:
+		e.asked.seen = true
+		l.pending[e.call] = e.answer
+	}
+	if !e.silent {
+		l.step(e.message)
+	}
+}
+
+func (l *loop[M, E]) step(message M) {
+	now := l.task.settings.Clock.Now()
+	for _, effect := range l.task.settings.Controller.Step(now, message) {
+		l.task.settings.Perform(l.hands, effect)
+	}
+}
+
+func (l *loop[M, E]) answer(call Call, answer any) {
+	waiting, ok := l.pending[call]
+	if !ok {
+		return
+	}
+	delete(l.pending, call)
+	waiting <- answer
+}
--- /dev/null
+++ b/internal/runner/task_test.go
@@ -0,0 +1,149 @@
+package runner_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// counter answers questions at once, or holds them until released.
+type counter struct {
+	Held     []runner.Call
+	Hold     bool
+	Returned int
+	Ticks    int
+	WakeAt   time.Time
+}
+
+type question struct{ Call runner.Call }
+
+type giveBack struct{ Call runner.Call }
+
+type release struct{}
+
+type tick struct{}
+
+type reply struct{ Call runner.Call }
+
+func (c *counter) Wake() time.Time { return c.WakeAt }
+
+func (c *counter) Step(_ time.Time, message any) []reply {
+	switch message := message.(type) {
+	case question:
+		if c.Hold {
+			c.Held = append(c.Held, message.Call)
+			return nil
+		}
+		return []reply{{message.Call}}
+	case giveBack:
+		c.Returned++
+	case tick:
+		c.Ticks++
+		c.WakeAt = time.Time{}
+	case release:
+		var replies []reply
+		for _, call := range c.Held {
+			replies = append(replies, reply{call})
+		}
+		c.Held = nil
+		return replies
+	}
+	return nil
+}
+
+func start(t *testing.T, controller *counter, inbox int) *runner.Task[any, reply] {
+	t.Helper()
+	task := runner.New(runner.Settings[any, reply]{
+		Name:       "counter",
+		Clock:      clockwork.NewRealClock(),
+		Controller: controller,
+		Tick:       tick{},
+		Perform: func(hands runner.Hands[any], effect reply) {
+			hands.Answer(effect.Call, "answered")
+		},
+		Inbox: inbox,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- task.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return task
+}
+
+func ask(ctx context.Context, task *runner.Task[any, reply]) (string, error) {
+	return runner.Ask[string](ctx, task,
+		func(call runner.Call) any { return question{call} },
+		func(call runner.Call) any { return giveBack{call} })
+}
+
+// Guards against answers that get lost or go to another call.
+func TestAskReturnsTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		task := start(t, &counter{}, 4)
+		got, err := ask(t.Context(), task)
+		if err != nil || got != "answered" {
+			t.Fatalf("ask: %q, %v; want %q", got, err, "answered")
+		}
+	})
+}
+
+// Guards against a slot that stays taken because its asker went away before
+// or after the answer was given.
+func TestCancelledAskIsGivenBackOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := &counter{Hold: true}
+		task := start(t, controller, 4)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := ask(ctx, task); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("ask: %v; want %v", err, context.DeadlineExceeded)
+		}
+		synctest.Wait()
+		if err := task.Post(release{}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		if controller.Returned != 1 {
+			t.Errorf("given back %d times; want 1", controller.Returned)
+		}
+	})
+}
+
+// Guards against an inbox that drops messages silently or grows without bound.
+func TestFullInboxIsAnError(t *testing.T) {
+	task := runner.New(runner.Settings[any, reply]{Name: "idle", Clock: clockwork.NewRealClock(), Inbox: 1})
+	if err := task.Post(release{}); err != nil {
+		t.Fatalf("first post: %v", err)
+	}
+	if err := task.Post(release{}); !errors.Is(err, runner.ErrFull) {
+		t.Fatalf("second post: %v; want %v", err, runner.ErrFull)
+	}
+}
+
+// Guards against a missed wake-up and against a task that wakes without being
+// asked to.
+func TestTickAtWakeTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		controller := &counter{WakeAt: time.Now().Add(3 * time.Second)}
+		start(t, controller, 1)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if controller.Ticks != 0 {
+			t.Errorf("%d ticks after 2 s; want 0", controller.Ticks)
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		if controller.Ticks != 1 {
+			t.Errorf("%d ticks after 12 s; want 1", controller.Ticks)
+		}
+	})
+}
--- /dev/null
+++ b/internal/tester/seeds.go
@@ -0,0 +1,30 @@
+package tester
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Check runs a rapid property once for each of the seeds 1 to count, so that
+// every run of the tests tries the same cases. Each seed runs rapid's default
+// number of checks.
+func Check(t *testing.T, count int, property func(*rapid.T)) {
+	t.Helper()
+	set(t, "rapid.nofailfile", "true")
+	for seed := 1; seed <= count; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			set(t, "rapid.seed", fmt.Sprint(seed))
+			rapid.Check(t, property)
+		})
+	}
+}
+
+func set(t *testing.T, name, value string) {
+	t.Helper()
+	if err := flag.Set(name, value); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/pkg/releaser/apply.go
@@ -0,0 +1,143 @@
+package releaser
+
+import "maps"
+
+// Empty returns the configuration before the first change.
+func Empty() *Configuration {
+	return &Configuration{
+		Models:     map[string]Model{},
+		Adapters:   map[string]Adapter{},
+		Newest:     map[string]string{},
+		Services:   map[string]Service{},
+		Workspaces: map[string]Workspace{},
+		Grants:     map[string]Grant{},
+	}
+}
+
+// Apply returns the configuration after a change. It returns ErrConflict or
+// ErrInvalid, and no configuration, if the change cannot be accepted as a
+// whole. The change's Version is set by Apply's caller from the result.
+func Apply(from *Configuration, body Body) (*Configuration, error) {
+	next := from.clone()
+	next.Version++
+	switch body := body.(type) {
+	case ApplyNote:
+		if body.Note.Base != from.NoteVersion {
+			return nil, wrapf(ErrConflict, "note %q was written against note version %d, in force is %d",
+				body.Note.Name, body.Note.Base, from.NoteVersion)
+		}
+		if err := Validate(from, body.Note); err != nil {
+			return nil, err
+		}
+		next.NoteVersion = next.Version
+		next.applyNote(body.Note)
+	case GrantKey:
+		if err := validateGrant(from, body.Grant); err != nil {
+			return nil, err
+		}
+		next.Grants[body.Grant.Digest] = body.Grant
+	case WithdrawKey:
+		digest, ok := from.grantDigest(body.GrantID)
+		if !ok {
+			return nil, wrapf(ErrInvalid, "key %q is not granted", body.GrantID)
+		}
+		delete(next.Grants, digest)
+	default:
+		return nil, wrapf(ErrInvalid, "change of type %T", body)
+	}
+	return next, nil
+}
+
+func (c *Configuration) clone() *Configuration {
+	return &Configuration{
+		Version:     c.Version,
+		NoteVersion: c.NoteVersion,
+		Models:      maps.Clone(c.Models),
+		Adapters:    maps.Clone(c.Adapters),
+		Newest:      maps.Clone(c.Newest),
+		Services:    maps.Clone(c.Services),
+		Workspaces:  maps.Clone(c.Workspaces),
+		Grants:      maps.Clone(c.Grants),
+	}
+}
+
+func (c *Configuration) grantDigest(id string) (string, bool) {
+	for digest, grant := range c.Grants {
+		if grant.ID == id {
+			return digest, true
+		}
+	}
+	return "", false
+}
+
+// applyNote applies a validated note to c, which must be a private copy.
+func (c *Configuration) applyNote(note Note) {
+	for _, entry := range note.Models {
+		key := Key(entry.Name, entry.Version)
+		if entry.Action == Withdraw {
+			delete(c.Models, key)
+			c.dropNewest(entry.Name, key)
+			continue
+		}
+		c.Models[key] = entry.Model
+		if entry.Action == Add {
+			c.Newest[entry.Name] = key
+		}
+	}
+	for _, entry := range note.Adapters {
+		key := Key(entry.Name, entry.Version)
+		if entry.Action == Withdraw {
+			delete(c.Adapters, key)
+			c.dropNewest(entry.Name, key)
+			continue
+		}
+		c.Adapters[key] = entry.Adapter
+		if entry.Action == Add {
+			c.Newest[entry.Name] = key
+		}
+	}
+	for _, entry := range note.Services {
+		put(c.Services, entry.Action, entry.Name, entry.Service)
+	}
+	for _, entry := range note.Workspaces {
+		put(c.Workspaces, entry.Action, entry.Name, entry.Workspace)
+		if entry.Action == Withdraw {
+			c.dropGrants(entry.Name)
+		}
+	}
+}
+
+func put[V any](entries map[string]V, action Action, name string, value V) {
+	if action == Withdraw {
+		delete(entries, name)
+		return
+	}
+	entries[name] = value
+}
+
+// dropNewest makes another version of name the newest after key was
+// withdrawn. Versions are compared as text, the greatest one wins.
+func (c *Configuration) dropNewest(name, key string) {
+	if c.Newest[name] != key {
+		return
+	}
+	delete(c.Newest, name)
+	for other, model := range c.Models {
+		if model.Name == name && other > c.Newest[name] {
+			c.Newest[name] = other
+		}
+	}
+	for other, adapter := range c.Adapters {
+		if adapter.Name == name && other > c.Newest[name] {
+			c.Newest[name] = other
+		}
+	}
+}
+
+func (c *Configuration) dropGrants(workspace string) {
+	for digest, grant := range c.Grants {
+		if grant.Workspace == workspace {
+			delete(c.Grants, digest)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/releaser/validate.go
@@ -0,0 +1,197 @@
+package releaser
+
+import (
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// Bounds of the values in a note.
+const (
+	maxMemoryMB = 8 << 20 // 8 TiB
+	maxReplicas = 10_000
+	maxRate     = 1e9 // tokens/s
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$`)
+	digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]{3,10}$`)
+)
+
+// Validate checks a note as a whole against the configuration in force. It
+// returns nil or an ErrInvalid that lists every mistake, one a line, with its
+// location and what is allowed.
+func Validate(from *Configuration, note Note) error {
+	check := checker{next: from.clone()}
+	check.name("Name", note.Name)
+	check.models(note.Models)
+	check.adapters(note.Adapters)
+	check.services(note.Services)
+	check.workspaces(note.Workspaces)
+	if len(note.Models)+len(note.Adapters)+len(note.Services)+len(note.Workspaces) == 0 {
+		check.mistake("Note", "has no entries; want at least one model, adapter, service or workspace")
+	}
+	check.next.applyNote(note)
+	check.references()
+	if len(check.mistakes) > 0 {
+		return wrapf(ErrInvalid, "%s", strings.Join(check.mistakes, "\n"))
+	}
+	return nil
+}
+
+// checker collects the mistakes of one note.
+type checker struct {
+	next     *Configuration
+	mistakes []string
+}
+
+func (c *checker) mistake(location, format string, arguments ...any) {
+	c.mistakes = append(c.mistakes, location+": "+fmt.Sprintf(format, arguments...))
+}
+
+func (c *checker) name(location, value string) {
+	if !namePattern.MatchString(value) {
+		c.mistake(location, "%q is not a name; want 1 to 100 letters, digits, dots, underscores or hyphens", value)
+	}
+}
+
+// action checks an entry's action against whether its key is in force and
+// whether the note has named it before.
+func (c *checker) action(location string, action Action, key string, inForce bool, seen map[string]bool) {
+	switch {
+	case action != Add && action != Alter && action != Withdraw:
+		c.mistake(location+".Action", "%q is not allowed; want Add, Change or Withdraw", action)
+	case action == Add && inForce:
+		c.mistake(location, "%q is in force already; use Change", key)
+	case action != Add && !inForce:
+		c.mistake(location, "%q is not in force; use Add", key)
+	}
+	if seen[key] {
+		c.mistake(location, "%q stands twice in the note", key)
+	}
+	seen[key] = true
+}
+
+func (c *checker) between(location string, value, low, high float64, unit string) {
+	if !(value >= low && value <= high) {
+		c.mistake(location, "%g is out of range; want %g to %g %s", value, low, high, unit)
+	}
+}
+
+func (c *checker) models(entries []ModelEntry) {
+	seen := map[string]bool{}
+	for i, entry := range entries {
+		location := fmt.Sprintf("Models[%d]", i)
+		c.name(location+".Name", entry.Name)
+		c.name(location+".Version", entry.Version)
+		key := Key(entry.Name, entry.Version)
+		_, inForce := c.next.Models[key]
+		c.action(location, entry.Action, key, inForce, seen)
+		if entry.Action != Withdraw {
+			c.between(location+".MemoryMB", float64(entry.MemoryMB), 1, maxMemoryMB, "MiB")
+			c.between(location+".Replicas", float64(entry.Replicas), 1, maxReplicas, "replicas")
+		}
+	}
+}
+
+func (c *checker) adapters(entries []AdapterEntry) {
+	seen := map[string]bool{}
+	for i, entry := range entries {
+		location := fmt.Sprintf("Adapters[%d]", i)
+		c.name(location+".Name", entry.Name)
+		c.name(location+".Version", entry.Version)
+		key := Key(entry.Name, entry.Version)
+		_, inForce := c.next.Adapters[key]
+		c.action(location, entry.Action, key, inForce, seen)
+		if entry.Action != Withdraw {
+			c.between(location+".MemoryMB", float64(entry.MemoryMB), 1, maxMemoryMB, "MiB")
+		}
+	}
+}
+
+func (c *checker) services(entries []ServiceEntry) {
+	seen := map[string]bool{}
+	for i, entry := range entries {
+		location := fmt.Sprintf("Services[%d]", i)
+		c.name(location+".Name", entry.Name)
+		_, inForce := c.next.Services[entry.Name]
+		c.action(location, entry.Action, entry.Name, inForce, seen)
+		if entry.Action != Withdraw {
+			c.routes(location, entry.Routes)
+		}
+	}
+}
+
+func (c *checker) routes(location string, routes []Route) {
+	if len(routes) == 0 {
+		c.mistake(location+".Routes", "is empty; want at least one route")
+	}
+	seen := map[string]bool{}
+	for i, route := range routes {
+		at := fmt.Sprintf("%s.Routes[%d]", location, i)
+		if !methodPattern.MatchString(route.Method) {
+			c.mistake(at+".Method", "%q is not an HTTP method in upper case", route.Method)
+		}
+		if !strings.HasPrefix(route.Path, "/") {
+			c.mistake(at+".Path", "%q does not start with a slash", route.Path)
+		}
+		key := route.Method + " " + route.Path
+		if seen[key] {
+			c.mistake(at, "%q stands twice in the service", key)
+		}
+		seen[key] = true
+	}
+}
+
+func (c *checker) workspaces(entries []WorkspaceEntry) {
+	seen := map[string]bool{}
+	for i, entry := range entries {
+		location := fmt.Sprintf("Workspaces[%d]", i)
+		c.name(location+".Name", entry.Name)
+		_, inForce := c.next.Workspaces[entry.Name]
+		c.action(location, entry.Action, entry.Name, inForce, seen)
+		if entry.Action != Withdraw {
+			c.between(location+".Rate", entry.Rate, 1, maxRate, "tokens/s")
+			c.between(location+".Burst", entry.Burst, 1, maxRate, "tokens")
+			c.between(location+".Weight", entry.Weight, 0, 1000, "")
+		}
+	}
+}
+
+// references checks the configuration that would result: every adapter needs
+// its model, and a name may not be both a model's and an adapter's.
+func (c *checker) references() {
+	models := map[string]bool{}
+	for _, model := range c.next.Models {
+		models[model.Name] = true
+	}
+	for _, key := range slices.Sorted(maps.Keys(c.next.Adapters)) {
+		adapter := c.next.Adapters[key]
+		model := Key(adapter.Model, adapter.ModelVersion)
+		if _, ok := c.next.Models[model]; !ok {
+			c.mistake("Adapters", "%q extends model %q, which would not be in force", key, model)
+		}
+		if models[adapter.Name] {
+			c.mistake("Adapters", "%q has the name of a model", key)
+		}
+	}
+}
+
+func validateGrant(from *Configuration, grant Grant) error {
+	if _, ok := from.Workspaces[grant.Workspace]; !ok {
+		return wrapf(ErrInvalid, "workspace %q is not in force", grant.Workspace)
+	}
+	if !digestPattern.MatchString(grant.Digest) {
+		return wrapf(ErrInvalid, "digest is not 64 lower-case hexadecimal digits")
+	}
+	if _, ok := from.Grants[grant.Digest]; ok {
+		return wrapf(ErrInvalid, "the key is granted already")
+	}
+	if _, ok := from.grantDigest(grant.ID); ok || grant.ID == "" {
+		return wrapf(ErrInvalid, "grant ID %q is empty or taken", grant.ID)
+	}
+	return nil
+}
