Add the engine and service stand-ins

An engine's decisions (memory, loads, batch, prefix cache, lagged reports) are a controller; its handlers only translate.

--- /dev/null
+++ b/internal/emulator/endpoint_server.go
@@ -0,0 +1,118 @@
+package emulator
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// EndpointHandler is a stand-in that can be told to die.
+type EndpointHandler interface {
+	http.Handler
+	// Died is closed when the stand-in was told to die.
+	Died() <-chan struct{}
+}
+
+// EndpointServer serves an engine or a service on a TCP address, with the
+// faults that concern listeners and connections.
+type EndpointServer struct {
+	// Address is the "IP:port" that it listens on.
+	Address string
+
+	server *http.Server
+	ended  chan struct{}
+}
+
+// endpointHeaderTimeout bounds how long a connection may take to send a
+// header.
+const endpointHeaderTimeout = 10 * time.Second
+
+// ServeEndpoint listens on address and serves until the clean-up function is
+// called or the stand-in dies.
+func ServeEndpoint(address string, handler EndpointHandler) (*EndpointServer, func(), error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, merry.Wrap(err, merry.PrependMessagef("listen on %q", address))
+	}
+	served := &EndpointServer{
+		Address: listener.Addr().String(),
+		server: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: endpointHeaderTimeout,
+			ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+				return context.WithValue(ctx, endpointConnKey{}, conn)
+			},
+		},
+		ended: make(chan struct{}),
+	}
+	go func() {
+		defer close(served.ended)
+		_ = served.server.Serve(endpointListener{listener})
+	}()
+	go served.watch(handler)
+	return served, served.close, nil
+}
+
+// Ended is closed when the server no longer listens.
+func (s *EndpointServer) Ended() <-chan struct{} { return s.ended }
+
+// Shutdown stops listening and waits for the requests in progress.
+func (s *EndpointServer) Shutdown(ctx context.Context) error {
+	return merry.Wrap(s.server.Shutdown(ctx))
+}
+
+func (s *EndpointServer) watch(handler EndpointHandler) {
+	select {
+	case <-handler.Died():
+		s.close()
+	case <-s.ended:
+	}
+}
+
+func (s *EndpointServer) close() {
+	_ = s.server.Close()
+	<-s.ended
+}
+
+type endpointListener struct{ net.Listener }
+
+func (l endpointListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &endpointConn{Conn: conn}, nil
+}
+
+// endpointConn is a connection that can stop delivering data for good, while
+// it stays open and accepts what the other side sends.
+type endpointConn struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+func (c *endpointConn) Write(data []byte) (int, error) {
+	if c.silent.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+type endpointConnKey struct{}
+
+// silenceEndpoint makes a request's connection silent. Without an EndpointServer it
+// holds the request until the other side gives up.
+func silenceEndpoint(r *http.Request) {
+	if conn, ok := r.Context().Value(endpointConnKey{}).(*endpointConn); ok {
+		conn.silent.Store(true)
+		return
+	}
+	<-r.Context().Done()
+}
+
+// cutEndpoint closes a request's connection without a proper end of the answer.
+func cutEndpoint() { panic(http.ErrAbortHandler) }
--- /dev/null
+++ b/internal/emulator/engine.go
@@ -0,0 +1,188 @@
+package emulator
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// Engine is an emulated model engine. It serves the protocol of engines, and
+// the faults and the log of a stand-in.
+type Engine struct {
+	clock clockwork.Clock
+	task  *runner.Task[EngineMessage, EngineEffect]
+	mux   *http.ServeMux
+	seen  endpointLog
+	died  chan struct{}
+	die   func()
+}
+
+const (
+	// engineInbox bounds the messages that wait for an engine's controller.
+	engineInbox = 4096
+	// maxEngineBody bounds the bodies of requests.
+	maxEngineBody = 8 << 20
+)
+
+// NewEngine returns a running engine and a function that stops it.
+func NewEngine(settings EngineSettings, clock clockwork.Clock) (*Engine, func(), error) {
+	if err := settings.check(); err != nil {
+		return nil, nil, err
+	}
+	engine := &Engine{clock: clock, mux: http.NewServeMux(), died: make(chan struct{})}
+	engine.die = sync.OnceFunc(func() { close(engine.died) })
+	hands := newEngineHands(settings.WeightStore, clock)
+	engine.task = runner.New(runner.Settings[EngineMessage, EngineEffect]{
+		Name:       "engine " + settings.Name,
+		Clock:      clock,
+		Controller: NewEngineController(settings),
+		Tick:       EngineTick{},
+		Perform:    hands.perform,
+		Inbox:      engineInbox,
+	})
+	engine.routes()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = engine.task.Run(ctx)
+	}()
+	return engine, func() { cancel(); <-ended; hands.close() }, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.seen.add(r)
+	e.mux.ServeHTTP(w, r)
+}
+
+// Died implements EndpointHandler.
+func (e *Engine) Died() <-chan struct{} { return e.died }
+
+// Seen returns the requests received so far.
+func (e *Engine) Seen() []EndpointRequest { return e.seen.Seen() }
+
+// SetFaults replaces the engine's faults.
+func (e *Engine) SetFaults(ctx context.Context, faults EngineFaults) error {
+	_, err := engineAsk[EngineFaults](ctx, e, func(call runner.Call) EngineMessage {
+		return EngineSetFaults{Call: call, Faults: faults}
+	})
+	if err == nil && faults.Die {
+		e.die()
+	}
+	return err
+}
+
+// Leave makes the engine take no new work.
+func (e *Engine) Leave(ctx context.Context) error {
+	faults, err := e.faults(ctx)
+	if err != nil {
+		return err
+	}
+	faults.Leaving = true
+	return e.SetFaults(ctx, faults)
+}
+
+func (e *Engine) faults(ctx context.Context) (EngineFaults, error) {
+	return engineAsk[EngineFaults](ctx, e, func(call runner.Call) EngineMessage { return EngineAskFaults{Call: call} })
+}
+
+func (e *Engine) routes() {
+	e.mux.HandleFunc("POST /v1/generate", e.generate)
+	e.mux.HandleFunc("DELETE /v1/generate/{Attempt}", e.cancel)
+	e.mux.HandleFunc("GET /v1/load", e.load)
+	e.mux.HandleFunc("GET /v1/events", e.events)
+	e.mux.HandleFunc("POST /v1/orders", e.order)
+	e.mux.HandleFunc("GET /faults", e.getFaults)
+	e.mux.HandleFunc("PUT /faults", e.putFaults)
+	e.mux.HandleFunc("GET /seen", func(w http.ResponseWriter, _ *http.Request) {
+		writeEndpointJSON(w, http.StatusOK, e.Seen())
+	})
+}
+
+// engineAsk asks the controller a question.
+func engineAsk[A any](ctx context.Context, e *Engine, build func(runner.Call) EngineMessage) (A, error) {
+	return runner.Ask[A](ctx, e.task, build, nil)
+}
+
+// respondEndpoint answers a request with a value of the controller, or with 503 if the
+// controller does not answer.
+func respondEndpoint[A any](w http.ResponseWriter, answer A, err error, write func(A)) {
+	if err != nil {
+		writeEndpointJSON(w, http.StatusServiceUnavailable, engineRefusalWire{Error: err.Error()})
+		return
+	}
+	write(answer)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	if err := e.task.Post(EngineCancel{Attempt: r.PathValue("Attempt")}); err != nil {
+		writeEndpointJSON(w, http.StatusServiceUnavailable, engineRefusalWire{Error: err.Error()})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	report, err := engineAsk[EngineReport](r.Context(), e, func(call runner.Call) EngineMessage {
+		return EngineAskReport{Call: call}
+	})
+	respondEndpoint(w, report, err, func(report EngineReport) {
+		writeEndpointJSON(w, http.StatusOK, newReportWire(report.Report, e.clock.Now()))
+	})
+}
+
+func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
+	after := uint64(0)
+	if text := r.URL.Query().Get("After"); text != "" {
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			writeEndpointJSON(w, http.StatusBadRequest, engineRefusalWire{Error: "After is not a sequence"})
+			return
+		}
+		after = number
+	}
+	events, err := engineAsk[EngineEvents](r.Context(), e, func(call runner.Call) EngineMessage {
+		return EngineAskEvents{Call: call, After: after}
+	})
+	respondEndpoint(w, events, err, func(events EngineEvents) { writeEndpointJSON(w, http.StatusOK, newEventsWire(events)) })
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	wire, err := encoder.DecodeFrom[orderWire](r.Body, maxEngineBody)
+	if err != nil {
+		writeEndpointJSON(w, http.StatusBadRequest, engineRefusalWire{Error: err.Error()})
+		return
+	}
+	refusal, err := engineAsk[EngineRefusal](r.Context(), e, func(call runner.Call) EngineMessage {
+		return EngineGiveOrder{Call: call, Token: r.Header.Get("Toucanhitch-Order-Token"), Order: wire.order()}
+	})
+	respondEndpoint(w, refusal, err, func(refusal EngineRefusal) {
+		if refusal.Status != 0 {
+			writeEndpointJSON(w, refusal.Status, engineRefusalWire{Error: refusal.Error, Fence: refusal.Fence})
+			return
+		}
+		w.WriteHeader(http.StatusAccepted)
+	})
+}
+
+func (e *Engine) getFaults(w http.ResponseWriter, r *http.Request) {
+	faults, err := e.faults(r.Context())
+	respondEndpoint(w, faults, err, func(faults EngineFaults) { writeEndpointJSON(w, http.StatusOK, faults) })
+}
+
+func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
+	faults, err := encoder.DecodeFrom[EngineFaults](r.Body, maxEngineBody)
+	if err != nil {
+		writeEndpointJSON(w, http.StatusBadRequest, engineRefusalWire{Error: err.Error()})
+		return
+	}
+	err = e.SetFaults(r.Context(), faults)
+	respondEndpoint(w, faults, err, func(faults EngineFaults) { writeEndpointJSON(w, http.StatusOK, faults) })
+}
--- /dev/null
+++ b/internal/emulator/engine_batch.go
@@ -0,0 +1,202 @@
+package emulator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// The statuses of HTTP that refusals use. Controllers do not import net/http.
+const (
+	engineStatusBadRequest  = 400
+	engineStatusForbidden   = 403
+	engineStatusNotFound    = 404
+	engineStatusConflict    = 409
+	engineStatusUnavailable = 503
+	engineStatusNoMemory    = 507
+)
+
+// submit queues a generation or refuses it.
+func (e *EngineController) submit(now time.Time, message EngineSubmit) {
+	job := message.Job
+	switch {
+	case e.Faults.Refuse != "":
+		e.refuse(message.Call, engineStatusUnavailable, e.Faults.Refuse)
+	case e.Faults.Leaving:
+		e.refuse(message.Call, engineStatusUnavailable, "Leaving")
+	case e.find(job.Attempt) != nil:
+		e.refuse(message.Call, engineStatusBadRequest, "DuplicateAttempt")
+	case !e.serves(job):
+		e.refuse(message.Call, engineStatusNotFound, "NotLoaded")
+	case len(e.Queue) >= e.Settings.Queue:
+		e.refuse(message.Call, engineStatusUnavailable, "Full")
+	default:
+		e.enqueue(now, message)
+	}
+}
+
+// serves says whether the model and the adapter of a job are loaded.
+func (e *EngineController) serves(job EngineJob) bool {
+	model, ok := e.Models[job.Model]
+	if !ok || model.State != tracker.Loaded {
+		return false
+	}
+	if job.Adapter == "" {
+		return true
+	}
+	adapter, ok := model.Adapters[job.Adapter]
+	return ok && adapter.State == tracker.Loaded
+}
+
+func (e *EngineController) enqueue(now time.Time, message EngineSubmit) {
+	run := &EngineRun{
+		EngineJob: message.Job,
+		Seed:      xxhash.Sum64String(message.Job.Prompt),
+		Next:      message.Job.From,
+		QuietAt:   now.Add(engineKeepAlive),
+	}
+	// The search finds the end of the runs of the same priority, so that
+	// equal ones keep their order of arrival.
+	at, _ := slices.BinarySearchFunc(e.Queue, run.Priority+1, func(queued *EngineRun, priority int) int {
+		return cmp.Compare(queued.Priority, priority)
+	})
+	e.Queue = slices.Insert(e.Queue, at, run)
+	e.changed = true
+	fault, after := e.claimFault()
+	e.emit(EngineAccept{
+		Call: message.Call, Attempt: run.Attempt, Lines: e.length(run) - run.From, Fault: fault, After: after,
+	})
+}
+
+// claimFault returns the fault of the next answer and counts it.
+func (e *EngineController) claimFault() (EngineStreamFault, int) {
+	fault, after := e.Faults.Stream, e.Faults.After
+	if e.Faults.Streams > 0 {
+		e.Faults.Streams--
+		if e.Faults.Streams == 0 {
+			e.Faults.Stream, e.Faults.After = "", 0
+		}
+	}
+	return fault, after
+}
+
+func (e *EngineController) find(attempt string) *EngineRun {
+	for _, runs := range [][]*EngineRun{e.Running, e.Queue} {
+		for _, run := range runs {
+			if run.Attempt == attempt {
+				return run
+			}
+		}
+	}
+	return nil
+}
+
+// uses says whether a run needs a model, and the adapter unless it is empty.
+func (e *EngineController) uses(model, adapter string) bool {
+	needs := func(run *EngineRun) bool {
+		return run.Model == model && (adapter == "" || run.Adapter == adapter)
+	}
+	return slices.ContainsFunc(e.Running, needs) || slices.ContainsFunc(e.Queue, needs)
+}
+
+func (e *EngineController) cancel(attempt string) {
+	if e.find(attempt) != nil {
+		e.end(attempt)
+	}
+}
+
+// end removes a run and closes its answer.
+func (e *EngineController) end(attempt string) {
+	gone := func(run *EngineRun) bool { return run.Attempt == attempt }
+	e.Running = slices.DeleteFunc(e.Running, gone)
+	e.Queue = slices.DeleteFunc(e.Queue, gone)
+	e.changed = true
+	e.emit(EngineEnd{Attempt: attempt})
+}
+
+// schedule fills the free slots of the batch from the queue.
+func (e *EngineController) schedule(now time.Time) {
+	for len(e.Queue) > 0 && len(e.Running) < e.Settings.Slots {
+		run := e.Queue[0]
+		e.Queue = slices.Delete(e.Queue, 0, 1)
+		run.ReadyAt = now.Add(e.firstToken(run))
+		e.Running = append(e.Running, run)
+		e.changed = true
+	}
+}
+
+// firstToken is the time until a run's first token. A resumed run computes
+// its earlier tokens again as a part of the prompt.
+func (e *EngineController) firstToken(run *EngineRun) time.Duration {
+	fresh := float64(run.PromptTokens)
+	if e.Prefixes.Has(EngineCachedPrefix{Model: run.Model, Prefix: run.Prefix}) {
+		fresh *= 1 - e.Settings.CachedShare
+	}
+	fresh += float64(run.From)
+	return e.Settings.FirstToken + time.Duration(fresh*float64(e.Settings.PromptToken))
+}
+
+// interval is the time between the tokens of a batch.
+func (e *EngineController) interval(batch int) time.Duration {
+	growth := 1 + e.Settings.BatchGrowth*float64(max(0, batch-1))
+	return time.Duration(float64(e.Settings.Interval) * growth)
+}
+
+// advanceBatch generates the tokens that are due.
+func (e *EngineController) advanceBatch(now time.Time) {
+	step := engineDue(e.StepAt, now)
+	for _, run := range slices.Clone(e.Running) {
+		switch {
+		case run.Decoding && step:
+			e.token(now, run)
+		case !run.Decoding && engineDue(run.ReadyAt, now):
+			run.Decoding = true
+			e.Prefixes.Use(now, EngineCachedPrefix{Model: run.Model, Prefix: run.Prefix})
+			e.token(now, run)
+		}
+	}
+	batch := 0
+	for _, run := range e.Running {
+		if run.Decoding {
+			batch++
+		}
+	}
+	switch {
+	case batch == 0:
+		e.StepAt = time.Time{}
+	case step || e.StepAt.IsZero():
+		e.StepAt = now.Add(e.interval(batch))
+	}
+}
+
+// length is the number of tokens of a run's whole answer.
+func (e *EngineController) length(run *EngineRun) int {
+	length := run.MaxTokens
+	if e.Settings.AnswerTokens > 0 {
+		length = min(length, e.Settings.AnswerTokens)
+	}
+	return max(length, run.From)
+}
+
+func (e *EngineController) token(now time.Time, run *EngineRun) {
+	if run.Next < e.length(run) {
+		e.emit(EngineEmit{Attempt: run.Attempt, Line: EngineToken{Index: run.Next, Text: engineWord(run.Seed, run.Next)}})
+		run.Next++
+		run.QuietAt = now.Add(engineKeepAlive)
+	}
+	if run.Next < e.length(run) {
+		return
+	}
+	reason := "length"
+	if run.Next < run.MaxTokens {
+		reason = "stop"
+	}
+	e.emit(EngineEmit{Attempt: run.Attempt, Line: EngineDone{
+		PromptTokens: run.PromptTokens, CompletionTokens: run.Next, FinishReason: reason,
+	}})
+	e.end(run.Attempt)
+}
--- /dev/null
+++ b/internal/emulator/engine_model.go
@@ -0,0 +1,296 @@
+package emulator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// EngineModel is a model that takes memory of an engine, or a failed one.
+type EngineModel struct {
+	MemoryMB int
+	State    tracker.State
+	// Fence is the fence of the order that caused the state.
+	Fence uint64
+	// ReadyAt is when the load or unload ends; zero during a transfer.
+	ReadyAt time.Time
+	// RetryAt is when a throttled transfer starts again.
+	RetryAt time.Time
+	// Fetch is the number of the transfer in progress, and Tries counts them.
+	Fetch uint64
+	Tries int
+	// Whole says that the checkpoint was loaded completely.
+	Whole    bool
+	Adapters map[string]*EngineAdapter
+}
+
+// EngineAdapter is an adapter beside its model.
+type EngineAdapter struct {
+	MemoryMB int
+	State    tracker.State
+	ReadyAt  time.Time
+}
+
+const (
+	// fetchTries bounds the transfers of one load.
+	fetchTries = 6
+	// fetchRetry is the time before the second transfer; it doubles.
+	fetchRetry = 200 * time.Millisecond
+)
+
+func newEngineModel(memoryMB int, fence uint64) *EngineModel {
+	return &EngineModel{
+		MemoryMB: memoryMB, Fence: fence, State: tracker.Loading, Adapters: map[string]*EngineAdapter{},
+	}
+}
+
+// usedMB is the memory of all models and adapters in whatever state, but for
+// failed ones.
+func (e *EngineController) usedMB() int {
+	used := 0
+	for _, model := range e.Models {
+		if model.State == tracker.Failed {
+			continue
+		}
+		used += model.MemoryMB
+		for _, adapter := range model.Adapters {
+			if adapter.State != tracker.Failed {
+				used += adapter.MemoryMB
+			}
+		}
+	}
+	return used
+}
+
+// order obeys or refuses an order.
+func (e *EngineController) order(now time.Time, message EngineGiveOrder) {
+	fence := message.Order.Fence
+	switch {
+	case e.Faults.RefuseOrders:
+		e.refuse(message.Call, engineStatusUnavailable, "Refusing")
+	case e.Settings.OrderToken != "" && message.Token != e.Settings.OrderToken:
+		e.refuse(message.Call, engineStatusForbidden, "UnknownSender")
+	case e.Settings.HonoursFence && fence < e.Fence:
+		e.emit(EngineRefuse{Call: message.Call, Refusal: EngineRefusal{
+			Status: engineStatusConflict, Error: "StaleFence", Fence: e.Fence,
+		}})
+	case fence != 0 && fence == e.Fence:
+		e.emit(EngineObey{Call: message.Call})
+	default:
+		e.obey(now, message.Call, message.Order)
+	}
+}
+
+func (e *EngineController) obey(now time.Time, call runner.Call, order EngineOrder) {
+	var refusal EngineRefusal
+	switch order.Kind {
+	case EngineLoadModel:
+		refusal = e.loadModel(now, order)
+	case EngineUnloadModel:
+		e.unloadModel(now, order)
+	case EngineLoadAdapter:
+		refusal = e.loadAdapter(now, order)
+	case EngineUnloadAdapter:
+		e.unloadAdapter(now, order)
+	case EngineChangeRole:
+	default:
+		refusal = EngineRefusal{Status: engineStatusBadRequest, Error: "UnknownOrder"}
+	}
+	if refusal.Status != 0 {
+		e.emit(EngineRefuse{Call: call, Refusal: refusal})
+		return
+	}
+	e.Fence = max(e.Fence, order.Fence)
+	e.changed = true
+	e.emit(EngineObey{Call: call})
+}
+
+func (e *EngineController) loadModel(now time.Time, order EngineOrder) EngineRefusal {
+	model, ok := e.Models[order.Model]
+	if ok && model.State != tracker.Failed {
+		model.Fence = order.Fence
+		if model.State == tracker.Unloading && model.Whole {
+			model.State, model.ReadyAt = tracker.Loaded, time.Time{}
+			return EngineRefusal{}
+		}
+		if model.State != tracker.Unloading {
+			return EngineRefusal{}
+		}
+	}
+	taken := 0
+	if ok && model.State == tracker.Unloading {
+		taken = model.MemoryMB
+	}
+	if e.usedMB()-taken+order.MemoryMB > e.Settings.MemoryMB {
+		return EngineRefusal{Status: engineStatusNoMemory, Error: "NoMemory"}
+	}
+	model = newEngineModel(order.MemoryMB, order.Fence)
+	e.Models[order.Model] = model
+	e.load(now, order.Model, model)
+	return EngineRefusal{}
+}
+
+// load starts to load a model from the fastest tier that has it.
+func (e *EngineController) load(now time.Time, key string, model *EngineModel) {
+	cached := func(cache EngineCheckpointCache) bool {
+		return slices.ContainsFunc(cache.Entries, func(entry EngineCheckpoint) bool { return entry.Model == key })
+	}
+	switch {
+	case cached(e.Memory):
+		model.ReadyAt = now.Add(e.slowed(e.Settings.LoadMemory))
+	case cached(e.Disk):
+		model.ReadyAt = now.Add(e.slowed(e.Settings.LoadDisk))
+	case e.Settings.WeightStore == "":
+		model.ReadyAt = now.Add(e.slowed(e.Settings.LoadRemote))
+	default:
+		e.fetch(key, model)
+	}
+}
+
+func (e *EngineController) slowed(duration time.Duration) time.Duration {
+	return time.Duration(float64(duration) * max(1, e.Faults.SlowLoads))
+}
+
+func (e *EngineController) fetch(key string, model *EngineModel) {
+	e.Fetches++
+	model.Fetch = e.Fetches
+	model.Tries++
+	model.RetryAt = time.Time{}
+	e.emit(EngineFetch{Model: key, Fetch: model.Fetch, MemoryMB: model.MemoryMB})
+}
+
+// fetched handles the end of a transfer. The result of an earlier load of the
+// same model is ignored.
+func (e *EngineController) fetched(now time.Time, message EngineFetched) {
+	model, ok := e.Models[message.Model]
+	if !ok || model.State != tracker.Loading || model.Fetch != message.Fetch {
+		return
+	}
+	switch {
+	case message.Result == EngineTransferDone:
+		model.ReadyAt = now.Add(e.slowed(e.Settings.LoadMemory))
+	case message.Result == EngineTransferThrottled && model.Tries < fetchTries:
+		model.RetryAt = now.Add(fetchRetry << (model.Tries - 1))
+	default:
+		model.State, e.changed = tracker.Failed, true
+	}
+}
+
+func (e *EngineController) unloadModel(now time.Time, order EngineOrder) {
+	model, ok := e.Models[order.Model]
+	switch {
+	case !ok:
+	case model.State == tracker.Failed:
+		delete(e.Models, order.Model)
+	case model.State == tracker.Unloading:
+		model.Fence = order.Fence
+	default:
+		model.Fence = order.Fence
+		model.State, model.ReadyAt, model.RetryAt = tracker.Unloading, now.Add(e.Settings.Unload), time.Time{}
+	}
+}
+
+func (e *EngineController) loadAdapter(now time.Time, order EngineOrder) EngineRefusal {
+	model, ok := e.Models[order.Model]
+	if !ok || model.State != tracker.Loaded {
+		return EngineRefusal{Status: engineStatusNotFound, Error: "NotLoaded"}
+	}
+	adapter, ok := model.Adapters[order.Adapter]
+	if ok && adapter.State != tracker.Failed {
+		if adapter.State == tracker.Unloading {
+			adapter.State, adapter.ReadyAt = tracker.Loaded, time.Time{}
+		}
+		return EngineRefusal{}
+	}
+	if e.usedMB()+order.MemoryMB > e.Settings.MemoryMB {
+		return EngineRefusal{Status: engineStatusNoMemory, Error: "NoMemory"}
+	}
+	model.Adapters[order.Adapter] = &EngineAdapter{
+		MemoryMB: order.MemoryMB, State: tracker.Loading, ReadyAt: now.Add(e.slowed(e.Settings.LoadAdapter)),
+	}
+	return EngineRefusal{}
+}
+
+func (e *EngineController) unloadAdapter(now time.Time, order EngineOrder) {
+	model, ok := e.Models[order.Model]
+	if !ok {
+		return
+	}
+	if adapter, ok := model.Adapters[order.Adapter]; ok {
+		adapter.State, adapter.ReadyAt = tracker.Unloading, now.Add(e.Settings.Unload)
+	}
+}
+
+// advanceModel ends the loads, unloads and waits that are due.
+func (e *EngineController) advanceModel(now time.Time, key string, model *EngineModel) {
+	for _, name := range slices.Sorted(maps.Keys(model.Adapters)) {
+		e.advanceAdapter(now, key, name)
+	}
+	switch {
+	case engineDue(model.RetryAt, now):
+		e.fetch(key, model)
+	case !engineDue(model.ReadyAt, now):
+	case model.State == tracker.Loading:
+		e.loaded(key, model)
+	case model.State == tracker.Unloading && !e.uses(key, ""):
+		e.unloaded(now, key, model)
+	}
+}
+
+func (e *EngineController) loaded(key string, model *EngineModel) {
+	model.ReadyAt, e.changed = time.Time{}, true
+	if e.Faults.FailLoads {
+		model.State = tracker.Failed
+		return
+	}
+	model.State, model.Whole = tracker.Loaded, true
+	e.Memory.Take(key)
+	e.Disk.Take(key)
+}
+
+// unloaded frees a model's memory and keeps its checkpoint in the caches.
+func (e *EngineController) unloaded(now time.Time, key string, model *EngineModel) {
+	delete(e.Models, key)
+	e.Prefixes.Drop(now, key)
+	e.changed = true
+	if !model.Whole {
+		return
+	}
+	for _, left := range e.Memory.Add(EngineCheckpoint{Model: key, MemoryMB: model.MemoryMB}) {
+		e.Disk.Add(left)
+	}
+}
+
+func (e *EngineController) advanceAdapter(now time.Time, key, name string) {
+	model := e.Models[key]
+	adapter := model.Adapters[name]
+	switch {
+	case !engineDue(adapter.ReadyAt, now):
+	case adapter.State == tracker.Loading:
+		adapter.State, adapter.ReadyAt, e.changed = tracker.Loaded, time.Time{}, true
+		if e.Faults.FailLoads {
+			adapter.State = tracker.Failed
+		}
+	case adapter.State == tracker.Unloading && !e.uses(key, name):
+		delete(model.Adapters, name)
+		e.changed = true
+	}
+}
+
+// modelWake is when a model or one of its adapters next changes. An unload
+// that waits for runs needs no wake-up: the end of a run is a step of its own.
+func (e *EngineController) modelWake(key string, model *EngineModel) time.Time {
+	wake := model.RetryAt
+	if model.State != tracker.Unloading || !e.uses(key, "") {
+		wake = engineEarlier(wake, model.ReadyAt)
+	}
+	for name, adapter := range model.Adapters {
+		if adapter.State != tracker.Unloading || !e.uses(key, name) {
+			wake = engineEarlier(wake, adapter.ReadyAt)
+		}
+	}
+	return wake
+}
--- /dev/null
+++ b/internal/emulator/engine_stream.go
@@ -0,0 +1,138 @@
+package emulator
+
+import (
+	"net/http"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// generate answers POST /v1/generate.
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	wire, err := encoder.DecodeFrom[generateWire](r.Body, maxEngineBody)
+	if err != nil {
+		writeEndpointJSON(w, http.StatusBadRequest, engineRefusalWire{Error: err.Error()})
+		return
+	}
+	if wire.Attempt == "" || wire.MaxTokens < 0 || wire.From < 0 {
+		writeEndpointJSON(w, http.StatusBadRequest, engineRefusalWire{Error: "Attempt must be set; MaxTokens and From must not be negative"})
+		return
+	}
+	// The answer is a stream or a refusal.
+	answer, err := runner.Ask[any](r.Context(), e.task,
+		func(call runner.Call) EngineMessage { return EngineSubmit{Call: call, Job: wire.job()} },
+		func(runner.Call) EngineMessage { return EngineCancel{Attempt: wire.Attempt} })
+	respondEndpoint(w, answer, err, func(answer any) {
+		switch answer := answer.(type) {
+		case EngineRefusal:
+			writeEndpointJSON(w, answer.Status, engineRefusalWire{Error: answer.Error})
+		case *engineStream:
+			e.stream(w, r, wire.Attempt, answer)
+		}
+	})
+}
+
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, attempt string, stream *engineStream) {
+	// A cancellation of an answer that has ended has no effect. If the inbox
+	// is full the answer ends when its channel is.
+	defer func() { _ = e.task.Post(EngineCancel{Attempt: attempt}) }()
+	newAnswerWriter(w, r, attempt, stream).run()
+}
+
+// answerWriter writes the lines of an answer, with its fault.
+type answerWriter struct {
+	response http.ResponseWriter
+	control  *http.ResponseController
+	request  *http.Request
+	attempt  string
+	stream   *engineStream
+	buffer   []byte
+	// tokens counts the token lines written.
+	tokens int
+	struck bool
+}
+
+func newAnswerWriter(w http.ResponseWriter, r *http.Request, attempt string, stream *engineStream) *answerWriter {
+	return &answerWriter{
+		response: w, control: http.NewResponseController(w), request: r, attempt: attempt, stream: stream,
+	}
+}
+
+func (a *answerWriter) run() {
+	a.strike()
+	a.response.Header().Set("Content-Type", "application/x-ndjson")
+	a.response.WriteHeader(http.StatusOK)
+	if a.control.Flush() != nil {
+		return
+	}
+	for {
+		select {
+		case <-a.request.Context().Done():
+			return
+		case line, ok := <-a.stream.lines:
+			if !ok || !a.write(line) {
+				return
+			}
+		}
+	}
+}
+
+// write writes a line and those that wait behind it, with one flush. It
+// returns false at the end of the answer.
+func (a *answerWriter) write(line EngineLine) bool {
+	a.buffer = a.line(a.buffer[:0], line)
+	for range len(a.stream.lines) {
+		line, ok := <-a.stream.lines
+		if !ok {
+			break
+		}
+		a.buffer = a.line(a.buffer, line)
+	}
+	return a.flush()
+}
+
+func (a *answerWriter) flush() bool {
+	if _, err := a.response.Write(a.buffer); err != nil {
+		return false
+	}
+	a.buffer = a.buffer[:0]
+	return a.control.Flush() == nil
+}
+
+func (a *answerWriter) line(buffer []byte, line EngineLine) []byte {
+	attempt := a.attempt
+	if a.struck && a.stream.fault == EngineCrossed {
+		attempt = "another-" + attempt
+	}
+	token, ok := line.(EngineToken)
+	if !ok {
+		return appendEngineLine(buffer, attempt, line)
+	}
+	a.tokens++
+	gap := a.stream.fault == EngineGap && a.tokens == a.stream.after+1
+	if !gap {
+		buffer = appendEngineLine(buffer, attempt, token)
+	}
+	if a.stream.after > 0 && a.tokens == a.stream.after {
+		a.buffer = buffer
+		a.flush()
+		a.strike()
+		buffer = a.buffer
+	}
+	return buffer
+}
+
+// strike lets the fault of the answer take effect if its time has come.
+func (a *answerWriter) strike() {
+	if a.tokens != a.stream.after {
+		return
+	}
+	a.struck = true
+	switch a.stream.fault {
+	case EngineSilent:
+		silenceEndpoint(a.request)
+	case EngineCut:
+		cutEndpoint()
+	case EngineCrossed, EngineGap:
+	}
+}
--- /dev/null
+++ b/internal/emulator/service_call.go
@@ -0,0 +1,89 @@
+package emulator
+
+import (
+	"net/http"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+type executionsWire struct {
+	Keys     map[string]int
+	Requests map[string]int
+}
+
+type echoWire struct {
+	Attempt     string
+	Workspace   string
+	Key         string
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        string
+	// Executions is how often calls with the same key ran.
+	Executions int
+}
+
+// call answers every path that is not the service's own.
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := encoder.Read(r.Body, maxServiceBody)
+	if err != nil {
+		writeEndpointJSON(w, http.StatusBadRequest, engineRefusalWire{Error: err.Error()})
+		return
+	}
+	plan, err := serviceAsk[ServicePlan](r.Context(), s, func(call runner.Call) ServiceMessage {
+		return ServiceCall{Call: call, Key: r.Header.Get("Idempotency-Key"), Request: r.Method + " " + r.URL.Path}
+	})
+	respondEndpoint(w, plan, err, func(plan ServicePlan) { s.answer(w, r, body, plan) })
+}
+
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, body []byte, plan ServicePlan) {
+	switch plan.Fault {
+	case ServiceCutBefore:
+		cutEndpoint()
+	case ServiceSilentBefore:
+		silenceEndpoint(r)
+	case ServiceNotRun:
+		w.Header().Set("Toucanhitch-Run", "not run")
+		writeEndpointJSON(w, http.StatusServiceUnavailable, engineRefusalWire{Error: "NotRun"})
+		return
+	}
+	if !s.wait(r, plan) {
+		return
+	}
+	switch plan.Fault {
+	case ServiceCutAfter:
+		cutEndpoint()
+	case ServiceSilentAfter:
+		silenceEndpoint(r)
+	}
+	echo := encoder.Encode(newEchoWire(r, body, plan))
+	w.Header().Set("Content-Type", "application/json")
+	if plan.Fault == ServiceCutInBody {
+		_, _ = w.Write(echo[:len(echo)/2])
+		_ = http.NewResponseController(w).Flush()
+		cutEndpoint()
+	}
+	_, _ = w.Write(echo)
+}
+
+// wait lets the time of a call pass, and returns false if the caller leaves.
+func (s *Service) wait(r *http.Request, plan ServicePlan) bool {
+	ctx, cancel := clockwork.WithTimeout(r.Context(), s.clock, plan.Delay)
+	defer cancel()
+	if plan.Delay > 0 {
+		<-ctx.Done()
+	}
+	return r.Context().Err() == nil
+}
+
+func newEchoWire(r *http.Request, body []byte, plan ServicePlan) echoWire {
+	return echoWire{
+		Attempt: r.Header.Get("Toucanhitch-Attempt"), Workspace: r.Header.Get("Toucanhitch-Workspace"),
+		Key: r.Header.Get("Idempotency-Key"), Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
+		ContentType: r.Header.Get("Content-Type"), Body: string(body), Executions: plan.Executions,
+	}
+}
