Add dissemination, configuration and instance tracking controllers

The object API cannot be asked by every node, so relays watch it and the others learn changes along a tree and by pulls. A node counts as current only on evidence dated from before the exchange that brought it.

--- /dev/null
+++ b/internal/configurer/configurer.go
@@ -0,0 +1,238 @@
+package configurer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/spreader"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// Periods of the controller.
+const (
+	// WatchWait is how long one watch of the head waits. Its end without a
+	// change is evidence that nothing changed.
+	WatchWait = 2 * time.Second
+	// PullEvery is how often a node pulls from its parent.
+	PullEvery = time.Second
+	// randomPullEvery is the number of pulls of which one goes to a random
+	// peer instead of the parent.
+	randomPullEvery = 3
+	// directAfter is the age of the last contact with the object API after
+	// which a node that is no relay asks the API itself.
+	directAfter = 5 * time.Second
+	// minBackOff bounds the delay after a failed read from below, the other
+	// two from above: relays come back soon after an outage, and the other
+	// 3,500 nodes stay below 120 reads a second during one.
+	minBackOff      = 500 * time.Millisecond
+	maxRelayBackOff = 2 * time.Second
+	maxBackOff      = 30 * time.Second
+	// maxRecent bounds the changes that a node keeps for its peers.
+	maxRecent = 256
+)
+
+// Configurer is the controller of the configuration in force.
+type Configurer struct {
+	DataCentre Source
+	Relay      bool
+	Parent     *spreader.Peer
+	Local      []spreader.Peer
+	Relays     []spreader.Peer
+	// InForce is the configuration in force. Its version only grows.
+	InForce *releaser.Configuration
+	// Recent holds consecutive changes up to the version in force, for peers.
+	Recent   []releaser.Change
+	Contacts Contacts
+	// ObjectVersion is the platform's version of the newest head read.
+	ObjectVersion uint64
+	// Watching says that a watch or a read of a base is under way.
+	Watching bool
+	// WatchAt is when the next watch may start, BackOff its last delay.
+	WatchAt time.Time
+	BackOff time.Duration
+	// PullAt is when the next pull starts; Pulls counts them.
+	PullAt time.Time
+	Pulls  int
+	// Suspects holds peers that did not answer, with the end of suspicion.
+	Suspects map[string]time.Time
+	Random   *rand.Rand
+}
+
+// suspicion is how long a silent peer is not asked again.
+const suspicion = 5 * time.Second
+
+// New returns a configurer with nothing in force. The seed decides which peers
+// it asks.
+func New(dataCentre string, seed uint64) *Configurer {
+	return &Configurer{
+		DataCentre: Source(dataCentre),
+		InForce:    releaser.Empty(),
+		Suspects:   map[string]time.Time{},
+		Random:     rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// Wake implements runner.Controller.
+func (c *Configurer) Wake() time.Time {
+	wake := c.PullAt
+	if !c.Watching && (wake.IsZero() || c.WatchAt.Before(wake)) {
+		wake = c.WatchAt
+	}
+	return wake
+}
+
+// Step implements runner.Controller.
+func (c *Configurer) Step(now time.Time, message Message) []Effect {
+	var effects []Effect
+	switch message := message.(type) {
+	case PeersChanged:
+		effects = c.peersChanged(now, message)
+	case HeadRead:
+		effects = c.headRead(now, message)
+	case HeadUnchanged:
+		effects = c.confirmed(now, message.Started)
+	case HeadMissing:
+		effects = c.confirmed(now, message.Started)
+	case HeadFailed:
+		c.watchFailed(now)
+	case BaseRead:
+		effects = c.baseRead(now, message)
+	case ChangesPushed:
+		effects = c.adopt(c.replay(message.Changes), message.Changes)
+	case PullAsked:
+		effects = c.answer(now, message)
+	case PullAnswered:
+		effects = c.pulled(message)
+	case PullFailed:
+		c.Suspects[message.Peer] = now.Add(suspicion)
+	case Tick:
+	}
+	effects = append(effects, c.watch(now)...)
+	return append(effects, c.pull(now)...)
+}
+
+func (c *Configurer) peersChanged(now time.Time, message PeersChanged) []Effect {
+	if message.Relay && !c.Relay {
+		c.WatchAt = now
+	}
+	c.Relay = message.Relay
+	c.Parent = message.Parent
+	c.Local = message.Local
+	c.Relays = message.Relays
+	c.Contacts.DataCentres = message.DataCentres
+	return []Effect{PublishContacts{c.Contacts}}
+}
+
+// headRead adopts what a read or watch of the head brought.
+func (c *Configurer) headRead(now time.Time, message HeadRead) []Effect {
+	changes, complete := message.Head.Since(c.InForce.Version)
+	if !complete {
+		c.Watching = true
+		return []Effect{ReadBase{message}}
+	}
+	c.ObjectVersion = max(c.ObjectVersion, message.ObjectVersion)
+	effects := c.adopt(c.replay(changes), changes)
+	return append(effects, c.confirmed(now, message.Started)...)
+}
+
+func (c *Configurer) baseRead(now time.Time, message BaseRead) []Effect {
+	c.ObjectVersion = max(c.ObjectVersion, message.Head.ObjectVersion)
+	configuration, err := releaser.Replay(message.Base, message.Head.Head.Changes)
+	if err != nil {
+		c.watchFailed(now)
+		return nil
+	}
+	effects := c.adopt(configuration, message.Head.Head.Changes)
+	return append(effects, c.confirmed(now, message.Head.Started)...)
+}
+
+// confirmed records that the configuration in force held everything that the
+// object API had when a successful call began.
+func (c *Configurer) confirmed(now, started time.Time) []Effect {
+	c.Watching = false
+	c.WatchAt = now
+	c.BackOff = 0
+	if !c.Relay {
+		c.WatchAt = now.Add(directAfter)
+	}
+	c.Contacts = c.Contacts.merge(started, map[Source]time.Duration{API: 0})
+	return []Effect{PublishContacts{c.Contacts}}
+}
+
+func (c *Configurer) watchFailed(now time.Time) {
+	c.Watching = false
+	longest := maxBackOff
+	if c.Relay {
+		longest = maxRelayBackOff
+	}
+	c.BackOff = min(max(2*c.BackOff, minBackOff), longest)
+	// The jitter keeps nodes that failed together from trying again together.
+	c.WatchAt = now.Add(c.BackOff/2 + time.Duration(c.Random.Int64N(int64(c.BackOff))))
+}
+
+// watch starts a watch if this node is a relay, or if it has heard nothing of
+// the object API for a while.
+func (c *Configurer) watch(now time.Time) []Effect {
+	if c.Watching || now.Before(c.WatchAt) {
+		return nil
+	}
+	if !c.Relay {
+		if at, ok := c.Contacts.At[API]; ok && now.Sub(at) < directAfter {
+			c.WatchAt = at.Add(directAfter)
+			return nil
+		}
+	}
+	c.Watching = true
+	return []Effect{WatchHead{After: c.ObjectVersion}}
+}
+
+// replay returns the configuration after changes, or nil if they do not lead
+// to a newer one.
+func (c *Configurer) replay(changes []releaser.Change) *releaser.Configuration {
+	configuration, err := releaser.Replay(c.InForce, changes)
+	if err != nil {
+		return nil
+	}
+	return configuration
+}
+
+// adopt puts a configuration in force if it is newer, and passes on the
+// changes that were new here.
+func (c *Configurer) adopt(configuration *releaser.Configuration, changes []releaser.Change) []Effect {
+	if configuration == nil || configuration.Version <= c.InForce.Version {
+		return nil
+	}
+	fresh := after(changes, c.InForce.Version)
+	c.remember(fresh, c.InForce.Version, configuration.Version)
+	c.InForce = configuration
+	effects := []Effect{Publish{configuration}}
+	if len(fresh) > 0 {
+		effects = append(effects, PushChanges{fresh})
+	}
+	return effects
+}
+
+func after(changes []releaser.Change, version uint64) []releaser.Change {
+	for i, change := range changes {
+		if change.Version > version {
+			return changes[i:]
+		}
+	}
+	return nil
+}
+
+// remember keeps changes for peers. Recent stays consecutive: if the fresh
+// changes leave a gap to it, it starts anew.
+func (c *Configurer) remember(fresh []releaser.Change, from, to uint64) {
+	if len(fresh) == 0 || fresh[len(fresh)-1].Version != to {
+		c.Recent = nil
+		return
+	}
+	if fresh[0].Version != from+1 {
+		c.Recent = nil
+	}
+	c.Recent = append(c.Recent, fresh...)
+	if extra := len(c.Recent) - maxRecent; extra > 0 {
+		c.Recent = append([]releaser.Change(nil), c.Recent[extra:]...)
+	}
+}
--- /dev/null
+++ b/internal/ranker/ranker_test.go
@@ -0,0 +1,30 @@
+package ranker_test
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"toucanhitch.example/toucanhitch/internal/ranker"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// Guards against orders that differ between nodes and against a removed name
+// that reorders the others, which would move relays and writers needlessly.
+func TestRemovingANameKeepsTheOrderOfTheOthers(t *testing.T) {
+	tester.Check(t, 3, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.StringN(1, 8, -1), 1, 20, rapid.ID).Draw(t, "names")
+		key := rapid.String().Draw(t, "key")
+		ranked := ranker.Rank(key, names)
+		if first := ranker.First(key, names); first != ranked[0] {
+			t.Fatalf("First is %q, Rank starts with %q", first, ranked[0])
+		}
+		gone := rapid.SampledFrom(names).Draw(t, "gone")
+		rest := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == gone })
+		want := slices.DeleteFunc(slices.Clone(ranked), func(name string) bool { return name == gone })
+		if got := ranker.Rank(key, rest); !slices.Equal(got, want) {
+			t.Fatalf("without %q: %q; want %q", gone, got, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,267 @@
+package tracker
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/spreader"
+)
+
+// Periods and bounds of the controller.
+const (
+	// ListWait is how long one watch of the list waits.
+	ListWait = 2 * time.Second
+	// PollEvery is how often an endpoint is asked for its load.
+	PollEvery = 250 * time.Millisecond
+	// publishDelay joins changes that come close together into one view.
+	publishDelay = 20 * time.Millisecond
+	// listRetry is the delay after a failed read of the list.
+	listRetry = time.Second
+	// listSilence is how long a node that is no relay waits for news of the
+	// list before it asks the platform itself, and directEvery how often it
+	// does so.
+	listSilence = 20 * time.Second
+	directEvery = 20 * time.Second
+	// minSuspicion and maxSuspicion bound how long a silent instance gets no
+	// work.
+	minSuspicion = 2 * time.Second
+	maxSuspicion = 30 * time.Second
+)
+
+// Tracker is the controller of what is known of the instances.
+type Tracker struct {
+	Self spreader.Peer
+	// List is the newest list; its version only grows.
+	List InstanceList
+	// ListAt is when the list was last confirmed.
+	ListAt time.Time
+	// Watching says that a watch of the list is under way.
+	Watching bool
+	WatchAt  time.Time
+	// Reports is keyed by endpoint.
+	Reports map[string]Report
+	// Suspicions is keyed by instance.
+	Suspicions map[string]Suspicion
+	// Polls holds the endpoints that this node observes, with the time of
+	// the next poll; a zero time means that a poll is under way.
+	Polls map[string]time.Time
+	Loads map[string]NodeLoad
+	// PublishAt is when the changed view is published; zero if unchanged.
+	PublishAt time.Time
+}
+
+// Suspicion is the evidence against an instance.
+type Suspicion struct {
+	// Until is when the instance may be tried again.
+	Until time.Time
+	// Length doubles with every failure. It is forgotten with an answer, or
+	// when the instance has not failed for as long after Until.
+	Length time.Duration
+	// Ended says that a view was published after Until.
+	Ended bool
+}
+
+// New returns a tracker that knows no instances.
+func New(self spreader.Peer) *Tracker {
+	return &Tracker{
+		Self:       self,
+		Reports:    map[string]Report{},
+		Suspicions: map[string]Suspicion{},
+		Polls:      map[string]time.Time{},
+		Loads:      map[string]NodeLoad{},
+	}
+}
+
+// Wake implements runner.Controller.
+func (t *Tracker) Wake() time.Time {
+	wake := t.PublishAt
+	if !t.Watching {
+		wake = earliest(wake, t.WatchAt)
+	}
+	for _, at := range t.Polls {
+		if !at.IsZero() {
+			wake = earliest(wake, at)
+		}
+	}
+	for _, suspicion := range t.Suspicions {
+		if suspicion.Ended {
+			wake = earliest(wake, suspicion.Until.Add(suspicion.Length))
+		} else {
+			wake = earliest(wake, suspicion.Until)
+		}
+	}
+	return wake
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
+	}
+	return a
+}
+
+// Step implements runner.Controller.
+func (t *Tracker) Step(now time.Time, message Message) []Effect {
+	var effects []Effect
+	switch message := message.(type) {
+	case ListRead:
+		t.Watching = false
+		t.WatchAt = now
+		effects = t.adoptList(now, message.List, true)
+	case ListFailed:
+		t.Watching = false
+		t.WatchAt = now.Add(listRetry)
+	case ListPushed:
+		effects = t.adoptList(now, message.List, false)
+	case ReportRead:
+		effects = t.reportRead(now, message.Report)
+	case ReportFailed:
+		t.pollDone(now, message.Endpoint)
+		t.suspect(now, message.Endpoint)
+	case ReportPushed:
+		t.adoptReport(now, message.Report)
+	case Evidence:
+		t.weigh(now, message.Endpoint, message.Answered)
+	case PeerEvidence:
+		t.weigh(now, message.Node, message.Answered)
+	case LoadPushed:
+		message.Load.Received = now
+		t.Loads[message.Load.Node] = message.Load
+		t.changed(now)
+	case Tick:
+	}
+	effects = append(effects, t.watch(now)...)
+	effects = append(effects, t.poll(now)...)
+	t.endSuspicions(now)
+	return append(effects, t.publish(now)...)
+}
+
+func (t *Tracker) changed(now time.Time) {
+	if t.PublishAt.IsZero() {
+		t.PublishAt = now.Add(publishDelay)
+	}
+}
+
+// adoptList takes a newer list over. A list from the platform is passed on.
+func (t *Tracker) adoptList(now time.Time, list InstanceList, fromPlatform bool) []Effect {
+	t.ListAt = now
+	if list.Version <= t.List.Version {
+		return nil
+	}
+	t.List = list
+	t.forgetAbsent()
+	t.assignPolls(now)
+	t.changed(now)
+	if !fromPlatform {
+		return nil
+	}
+	return []Effect{PushList{list}}
+}
+
+func (t *Tracker) forgetAbsent() {
+	present := map[string]bool{}
+	for _, instance := range t.List.Instances {
+		present[instance.Name] = true
+	}
+	maps.DeleteFunc(t.Reports, func(name string, _ Report) bool { return !present[name] })
+	maps.DeleteFunc(t.Suspicions, func(name string, _ Suspicion) bool { return !present[name] })
+	maps.DeleteFunc(t.Loads, func(name string, _ NodeLoad) bool { return !present[name] })
+}
+
+func (t *Tracker) reportRead(now time.Time, report Report) []Effect {
+	t.pollDone(now, report.Endpoint)
+	t.weigh(now, report.Endpoint, true)
+	t.adoptReport(now, report)
+	return []Effect{PushReport{report}}
+}
+
+// adoptReport keeps the younger of two reports. Sequences are not compared,
+// since they start again with the endpoint.
+func (t *Tracker) adoptReport(now time.Time, report Report) {
+	known, ok := t.Reports[report.Endpoint]
+	if ok && known.Measured.After(report.Measured) {
+		return
+	}
+	t.Reports[report.Endpoint] = report
+	t.changed(now)
+}
+
+func (t *Tracker) weigh(now time.Time, name string, answered bool) {
+	if !answered {
+		t.suspect(now, name)
+		return
+	}
+	if _, ok := t.Suspicions[name]; ok {
+		delete(t.Suspicions, name)
+		t.changed(now)
+	}
+}
+
+func (t *Tracker) suspect(now time.Time, name string) {
+	suspicion := t.Suspicions[name]
+	suspicion.Length = min(max(2*suspicion.Length, minSuspicion), maxSuspicion)
+	suspicion.Until = now.Add(suspicion.Length)
+	suspicion.Ended = false
+	t.Suspicions[name] = suspicion
+	t.changed(now)
+}
+
+// endSuspicions publishes a view when a suspicion ends, and forgets it later.
+func (t *Tracker) endSuspicions(now time.Time) {
+	for name, suspicion := range t.Suspicions {
+		switch {
+		case now.Before(suspicion.Until):
+		case !suspicion.Ended:
+			suspicion.Ended = true
+			t.Suspicions[name] = suspicion
+			t.changed(now)
+		case !now.Before(suspicion.Until.Add(suspicion.Length)):
+			delete(t.Suspicions, name)
+		}
+	}
+}
+
+// watch reads the list if this node is a relay, or has heard no news of it
+// for long.
+func (t *Tracker) watch(now time.Time) []Effect {
+	if t.Watching || now.Before(t.WatchAt) {
+		return nil
+	}
+	if !t.isRelay(now) && !t.ListAt.IsZero() && now.Sub(t.ListAt) < listSilence {
+		t.WatchAt = now.Add(directEvery)
+		return nil
+	}
+	t.Watching = true
+	return []Effect{WatchList{After: t.List.Version}}
+}
+
+func (t *Tracker) publish(now time.Time) []Effect {
+	if t.PublishAt.IsZero() || now.Before(t.PublishAt) {
+		return nil
+	}
+	t.PublishAt = time.Time{}
+	peers := t.peers(now)
+	t.assignPolls(now)
+	return []Effect{PublishFleet{t.fleet()}, PublishPeers{peers}}
+}
+
+func (t *Tracker) fleet() *Fleet {
+	fleet := &Fleet{ListVersion: t.List.Version}
+	for _, instance := range t.List.Instances {
+		if instance.Kind == Entry {
+			fleet.Nodes = append(fleet.Nodes, instance)
+			continue
+		}
+		endpoint := Endpoint{Instance: instance, SuspectUntil: t.Suspicions[instance.Name].Until}
+		if report, ok := t.Reports[instance.Name]; ok {
+			endpoint.Report = &report
+			if report.Leaving {
+				endpoint.Phase = Leaving
+			}
+		}
+		fleet.Endpoints = append(fleet.Endpoints, endpoint)
+	}
+	slices.SortFunc(fleet.Endpoints, func(a, b Endpoint) int { return compare(a.Name, b.Name) })
+	return fleet
+}
--- /dev/null
+++ b/pkg/parser/note.go
@@ -0,0 +1,20 @@
+package parser
+
+import (
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// MaxNoteBytes bounds a release note, so that a change fits into one object
+// of the object API.
+const MaxNoteBytes = 256 << 10
+
+// Note parses a release note. It returns encoder.ErrMalformed or
+// encoder.ErrTooLarge with the place of the mistake. It does not check the
+// note against a configuration; releaser.Validate does.
+func Note(data []byte) (releaser.Note, error) {
+	if len(data) > MaxNoteBytes {
+		return releaser.Note{}, encoder.ErrTooLarge
+	}
+	return encoder.Decode[releaser.Note](data)
+}
--- /dev/null
+++ b/pkg/releaser/head.go
@@ -0,0 +1,74 @@
+package releaser
+
+import "slices"
+
+// Head is the head of the change log: a base configuration, kept in parts
+// that hold the configuration at BaseVersion, and the changes since.
+type Head struct {
+	// Version is the configuration's version after the last change.
+	Version     uint64
+	BaseVersion uint64
+	// Parts names the objects whose joined text is the base's JSON form, in
+	// order. It is empty if BaseVersion is 0.
+	Parts []string
+	// Audit names the objects that hold the compacted changes, in order.
+	Audit []string
+	// Changes have the versions BaseVersion+1 to Version.
+	Changes []Change
+}
+
+// Since returns the changes with versions above version, and false if the
+// head no longer has them all.
+func (h Head) Since(version uint64) ([]Change, bool) {
+	if version < h.BaseVersion {
+		return nil, false
+	}
+	at, _ := slices.BinarySearchFunc(h.Changes, version+1, func(change Change, version uint64) int {
+		return int(int64(change.Version) - int64(version))
+	})
+	return h.Changes[at:], true
+}
+
+// Find returns the change with an ID, by which a writer recognises its own
+// change after a lost reply.
+func (h Head) Find(id string) (Change, bool) {
+	at := slices.IndexFunc(h.Changes, func(change Change) bool { return change.ID == id })
+	if at < 0 {
+		return Change{}, false
+	}
+	return h.Changes[at], true
+}
+
+// Append returns a head with one more change. It returns ErrConflict or
+// ErrInvalid if the change cannot follow current, which must be the
+// configuration at the head's version.
+func (h Head) Append(current *Configuration, change Change) (Head, *Configuration, error) {
+	next, err := Apply(current, change.Body)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	change.Version = next.Version
+	h.Version = next.Version
+	h.Changes = append(slices.Clone(h.Changes), change)
+	return h, next, nil
+}
+
+// Replay applies consecutive changes to a configuration. Changes that the
+// configuration has already are skipped. It returns ErrInvalid for a gap or a
+// change that does not apply.
+func Replay(from *Configuration, changes []Change) (*Configuration, error) {
+	for _, change := range changes {
+		if change.Version <= from.Version {
+			continue
+		}
+		if change.Version != from.Version+1 {
+			return nil, wrapf(ErrInvalid, "change %d does not follow version %d", change.Version, from.Version)
+		}
+		next, err := Apply(from, change.Body)
+		if err != nil {
+			return nil, wrapf(err, "change %d", change.Version)
+		}
+		from = next
+	}
+	return from, nil
+}
