Add the stand-in command for engines and services

An endpoint registers itself in the platform's instance list, marks itself leaving on SIGTERM, refuses new work for a while so that nodes learn of it, finishes its requests and removes its entry.

--- /dev/null
+++ b/internal/emulator/endpoint_process.go
@@ -0,0 +1,145 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// ErrEndpointDied reports that a stand-in was told to die.
+var ErrEndpointDied = merry.Sentinel("the stand-in was told to die")
+
+// LeavingHandler is a stand-in that can leave.
+type LeavingHandler interface {
+	EndpointHandler
+	// Leave makes it take no new work.
+	Leave(ctx context.Context) error
+}
+
+// EndpointProcess runs one endpoint from its registration until it has left.
+type EndpointProcess struct {
+	Clock   clockwork.Clock
+	Handler LeavingHandler
+	// Listen is the address to listen on.
+	Listen string
+	// Platform is the platform's address "IP:port"; empty means that the
+	// endpoint is not registered.
+	Platform string
+	// Instance is the entry of the instance list. Its address and phase are
+	// set by Run.
+	Instance tracker.Instance
+	// Linger is how long a leaving endpoint keeps answering new requests with
+	// a refusal, so that nodes learn that it leaves.
+	Linger time.Duration
+	// Drain bounds the wait for requests in progress.
+	Drain time.Duration
+}
+
+const (
+	registerTries   = 10
+	registerTimeout = 2 * time.Second
+	registerPause   = 500 * time.Millisecond
+)
+
+// Run serves until ctx ends, then leaves. It returns ErrEndpointDied if the
+// endpoint was told to die.
+func (p EndpointProcess) Run(ctx context.Context) error {
+	server, closeServer, err := ServeEndpoint(p.Listen, p.Handler)
+	if err != nil {
+		return err
+	}
+	defer closeServer()
+	p.Instance.Address = server.Address
+	if err := p.register(ctx, tracker.Live); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-server.Ended():
+		return merry.Wrap(ErrEndpointDied)
+	}
+	return p.leave(context.WithoutCancel(ctx), server)
+}
+
+func (p EndpointProcess) leave(ctx context.Context, server *EndpointServer) error {
+	if err := p.Handler.Leave(ctx); err != nil {
+		return err
+	}
+	if err := p.register(ctx, tracker.Leaving); err != nil {
+		return err
+	}
+	<-p.Clock.After(p.Linger)
+	ctx, cancel := clockwork.WithTimeout(ctx, p.Clock, p.Drain)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	if err == nil && p.Platform != "" {
+		err = p.call(context.WithoutCancel(ctx), http.MethodDelete, nil)
+	}
+	return err
+}
+
+// register writes the instance's entry, and tries again while the platform is
+// not available.
+func (p EndpointProcess) register(ctx context.Context, phase tracker.Phase) error {
+	if p.Platform == "" {
+		return nil
+	}
+	p.Instance.Phase = phase
+	body := encoder.Encode(instanceWire(p.Instance))
+	var err error
+	for range registerTries {
+		if err = p.call(ctx, http.MethodPut, body); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return merry.Wrap(context.Cause(ctx))
+		case <-p.Clock.After(registerPause):
+		}
+	}
+	return err
+}
+
+// instanceWire is an entry of the platform's instance list.
+type instanceWire struct {
+	Name         string
+	Kind         tracker.Kind
+	Service      string
+	Address      string
+	PeerAddress  string
+	DataCentre   string
+	Region       string
+	Phase        tracker.Phase
+	MemoryMB     int
+	HonoursFence bool
+	ChecksOrders bool
+}
+
+func (p EndpointProcess) call(ctx context.Context, method string, body []byte) error {
+	ctx, cancel := clockwork.WithTimeout(ctx, p.Clock, registerTimeout)
+	defer cancel()
+	url := "http://" + p.Platform + "/instances/" + p.Instance.Name
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	request.Close = true
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return merry.Wrap(err, merry.PrependMessagef("%s %s", method, url))
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		detail, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		return merry.Errorf("%s %s: %s: %s", method, url, response.Status, detail)
+	}
+	return nil
+}
