Add the dispatcher

Attempts carry whether their call is idempotent, so that the dispatcher can give every other call a connection of its own: net/http sends a request with an Idempotency-Key and no body again when a used connection turns out to be closed. Fault scripts run against the stand-ins over loopback.

--- /dev/null
+++ b/internal/dispatcher/budget.go
@@ -0,0 +1,72 @@
+package dispatcher
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// retryShare is the part of requests that may be retried or hedged.
+	retryShare = 0.1
+	// maxRetrySavings bounds the retries that a quiet time leaves for a bad
+	// one.
+	maxRetrySavings = 100
+	// retryFloor is how often a retry is allowed whatever the requests, so
+	// that a node with few requests can retry at all.
+	retryFloor = time.Second
+
+	// budgetUnit is one retry in the units of the balance.
+	budgetUnit = 1000
+)
+
+// Budget bounds retries and hedges to a part of the requests. It is a token
+// bucket that requests fill. Requests share no lock: the balance is an atomic
+// number.
+type Budget struct {
+	clock   clockwork.Clock
+	started time.Time
+	balance atomic.Int64
+	// floorAt is when the floor next allows a retry, in nanoseconds since
+	// started.
+	floorAt atomic.Int64
+}
+
+// NewBudget returns an empty budget.
+func NewBudget(clock clockwork.Clock) *Budget {
+	return &Budget{clock: clock, started: clock.Now()}
+}
+
+// Attempt counts an attempt. The attempt of a retry counts too; Spend takes
+// that into account, so that the budget is a share of the requests.
+func (b *Budget) Attempt() {
+	for {
+		balance := b.balance.Load()
+		filled := min(balance+int64(retryShare*budgetUnit), maxRetrySavings*budgetUnit)
+		if filled == balance || b.balance.CompareAndSwap(balance, filled) {
+			return
+		}
+	}
+}
+
+// Spend implements filter.Budget. A retry costs one unit and the share that
+// its own attempt adds.
+func (b *Budget) Spend() bool {
+	const cost = budgetUnit + int64(retryShare*budgetUnit)
+	for {
+		balance := b.balance.Load()
+		if balance < cost {
+			return b.spendFloor()
+		}
+		if b.balance.CompareAndSwap(balance, balance-cost) {
+			return true
+		}
+	}
+}
+
+func (b *Budget) spendFloor() bool {
+	now := int64(b.clock.Since(b.started))
+	at := b.floorAt.Load()
+	return now >= at && b.floorAt.CompareAndSwap(at, now+int64(retryFloor))
+}
--- /dev/null
+++ b/internal/dispatcher/call.go
@@ -0,0 +1,138 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"regexp"
+	"strings"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+const (
+	userAgent = "toucanhitch"
+	// maxReplyBytes bounds the answer of a service.
+	maxReplyBytes = 8 << 20
+	// runHeader is where a service states that it did nothing.
+	runHeader = "Toucanhitch-Run"
+)
+
+// Call implements filter.Dispatcher. A call that is not idempotent gets a
+// connection of its own.
+func (d *Dispatcher) Call(ctx context.Context, work filter.Attempt) (filter.Reply, error) {
+	attempt, err := d.begin(ctx, work)
+	if err != nil {
+		return filter.Reply{}, err
+	}
+	transport := d.once
+	if work.Idempotent {
+		transport = attempt.endpoint.transport
+	}
+	ctx, dog, stop := watch(ctx, d.settings.Clock, d.settings.firstByte(work.Slot.Estimate))
+	defer stop()
+	response, err := attempt.roundTrip(ctx, transport, callRequest(work))
+	if err != nil {
+		return filter.Reply{}, attempt.failure(ctx, err)
+	}
+	defer response.Body.Close()
+	dog.start(d.settings.Silence)
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(runHeader) == string(filter.NotRun) {
+		return filter.Reply{}, refused(response)
+	}
+	body, err := encoder.Read(watchedReader{response.Body, dog, d.settings}, maxReplyBytes)
+	if err != nil {
+		return filter.Reply{}, attempt.failure(ctx, err)
+	}
+	return filter.Reply{
+		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body,
+	}, nil
+}
+
+// watchedReader restarts the watchdog with every part of a body.
+type watchedReader struct {
+	io.Reader
+	dog      *watchdog
+	settings Settings
+}
+
+// Read implements io.Reader.
+func (r watchedReader) Read(buffer []byte) (int, error) {
+	r.dog.start(r.settings.Silence)
+	return r.Reader.Read(buffer)
+}
+
+// callRequest builds the request from the call's own parts only, so that no
+// header of the caller can reach a service.
+func callRequest(work filter.Attempt) *http.Request {
+	header := http.Header{
+		"User-Agent":            {userAgent},
+		"Toucanhitch-Workspace": {work.Workspace},
+		"Toucanhitch-Attempt":   {work.ID},
+	}
+	if work.Call.ContentType != "" {
+		header.Set("Content-Type", work.Call.ContentType)
+	}
+	if work.Identity != "" {
+		header.Set("Idempotency-Key", work.Identity)
+	}
+	request := &http.Request{
+		Method: work.Call.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: work.Slot.Address,
+			Path: "/" + strings.TrimPrefix(work.Call.Path, "/"), RawQuery: withoutKeys(work.Call.Query),
+		},
+		Header: header,
+		Body:   http.NoBody,
+	}
+	if len(work.Call.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(work.Call.Body))
+		request.ContentLength = int64(len(work.Call.Body))
+	}
+	return request
+}
+
+// keyPattern matches a workspace key of 32 bytes in base64url.
+var keyPattern = regexp.MustCompile(releaser.KeyPrefix + `[A-Za-z0-9_-]{43}`)
+
+// withoutKeys drops the query parameters that hold a workspace key. The other
+// ones stay as the caller wrote them.
+func withoutKeys(query string) string {
+	if query == "" {
+		return ""
+	}
+	parts := strings.Split(query, "&")
+	kept := parts[:0]
+	for _, part := range parts {
+		plain, err := url.QueryUnescape(part)
+		if err != nil {
+			// A service may read what does not unescape; it is judged as is.
+			plain = part
+		}
+		if !keyPattern.MatchString(plain) {
+			kept = append(kept, part)
+		}
+	}
+	return strings.Join(kept, "&")
+}
+
+// cancel cancels an attempt on a connection of its own, since those in the
+// pool may be silent.
+func (d *Dispatcher) cancel(ctx context.Context, effect Cancel) {
+	ctx, _, stop := watch(ctx, d.settings.Clock, d.settings.Cancel)
+	defer stop()
+	request := (&http.Request{
+		Method: http.MethodDelete,
+		URL:    &url.URL{Scheme: "http", Host: effect.Address, Path: "/v1/generate/" + effect.Attempt},
+		Header: http.Header{"User-Agent": {userAgent}},
+	}).WithContext(ctx)
+	response, err := d.once.RoundTrip(request)
+	if err != nil {
+		return // the endpoint is gone or sees the closed connection
+	}
+	_ = response.Body.Close()
+}
--- /dev/null
+++ b/internal/dispatcher/pool.go
@@ -0,0 +1,211 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// PoolMessage is an input of a Pool.
+type PoolMessage interface{ isPoolMessage() }
+
+// Open asks for the connections to an address. It is answered by Ready.
+type Open struct {
+	Call    runner.Call
+	Address string
+}
+
+// Renew reports that a connection of a generation fell silent. It is answered
+// by Ready when no new attempt will use that generation.
+type Renew struct {
+	Call       runner.Call
+	Address    string
+	Generation uint64
+}
+
+// Abandon asks to cancel an attempt at its endpoint.
+type Abandon struct {
+	Address string
+	Attempt string
+}
+
+// Cancelled reports the end of a cancellation, whatever its result.
+type Cancelled struct{ Attempt string }
+
+// Unused reports addresses that had no attempt since the last sweep.
+type Unused struct{ Addresses []string }
+
+// Tick reports that the wake time has come.
+type Tick struct{}
+
+func (Open) isPoolMessage()      {}
+func (Renew) isPoolMessage()     {}
+func (Abandon) isPoolMessage()   {}
+func (Cancelled) isPoolMessage() {}
+func (Unused) isPoolMessage()    {}
+func (Tick) isPoolMessage()      {}
+
+// PoolEffect is an output of a Pool.
+type PoolEffect interface{ isPoolEffect() }
+
+// Create makes a new set of connections to an address. It replaces the one
+// before, which closes as soon as its attempts have ended.
+type Create struct {
+	Address    string
+	Generation uint64
+}
+
+// Retire removes a set of connections, which closes as soon as its attempts
+// have ended.
+type Retire struct {
+	Address    string
+	Generation uint64
+}
+
+// Ready answers Open and Renew.
+type Ready struct {
+	Call    runner.Call
+	Address string
+}
+
+// Cancel cancels an attempt at its endpoint.
+type Cancel struct {
+	Address string
+	Attempt string
+}
+
+// Sweep looks for addresses without attempts, reported by Unused.
+type Sweep struct{}
+
+func (Create) isPoolEffect() {}
+func (Retire) isPoolEffect() {}
+func (Ready) isPoolEffect()  {}
+func (Cancel) isPoolEffect() {}
+func (Sweep) isPoolEffect()  {}
+
+const (
+	// sweepInterval is how long an address may be unused before its
+	// connections are forgotten.
+	sweepInterval = time.Minute
+	// maxCancelling bounds the cancellations at once.
+	maxCancelling = 32
+	// maxToCancel bounds the cancellations that wait. An attempt that is not
+	// cancelled ends when its endpoint notices the closed connection.
+	maxToCancel = 1024
+)
+
+// Pool decides which sets of connections exist and which cancellations run.
+type Pool struct {
+	// Generations maps an address to the generation of its connections.
+	Generations map[string]uint64
+	// Last is the newest generation of any address, so that an address that
+	// was forgotten does not get an old generation again.
+	Last uint64
+	// SweepAt is the time of the next sweep, zero if there are no addresses.
+	SweepAt time.Time
+	// Cancelling counts the cancellations in progress.
+	Cancelling int
+	ToCancel   []Abandon
+	// Uncancelled counts the cancellations that had no room.
+	Uncancelled uint64
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{Generations: map[string]uint64{}}
+}
+
+// Wake implements runner.Controller.
+func (p *Pool) Wake() time.Time { return p.SweepAt }
+
+// Step implements runner.Controller.
+func (p *Pool) Step(now time.Time, message PoolMessage) []PoolEffect {
+	switch message := message.(type) {
+	case Open:
+		return append(p.open(now, message.Address), Ready{Call: message.Call, Address: message.Address})
+	case Renew:
+		return append(p.renew(message), Ready{Call: message.Call, Address: message.Address})
+	case Abandon:
+		return p.abandon(message)
+	case Cancelled:
+		p.Cancelling--
+		return p.cancel()
+	case Unused:
+		return p.forget(message.Addresses)
+	case Tick:
+		return p.sweep(now)
+	default:
+		return nil
+	}
+}
+
+func (p *Pool) open(now time.Time, address string) []PoolEffect {
+	if _, ok := p.Generations[address]; ok {
+		return nil
+	}
+	if p.SweepAt.IsZero() {
+		p.SweepAt = now.Add(sweepInterval)
+	}
+	return []PoolEffect{p.create(address)}
+}
+
+func (p *Pool) create(address string) Create {
+	p.Last++
+	p.Generations[address] = p.Last
+	return Create{Address: address, Generation: p.Last}
+}
+
+// renew replaces the connections, unless another attempt had them replaced
+// already.
+func (p *Pool) renew(message Renew) []PoolEffect {
+	if p.Generations[message.Address] != message.Generation {
+		return nil
+	}
+	return []PoolEffect{p.create(message.Address)}
+}
+
+func (p *Pool) abandon(message Abandon) []PoolEffect {
+	if len(p.ToCancel) >= maxToCancel {
+		p.Uncancelled++
+		return nil
+	}
+	p.ToCancel = append(p.ToCancel, message)
+	return p.cancel()
+}
+
+func (p *Pool) cancel() []PoolEffect {
+	var effects []PoolEffect
+	for len(p.ToCancel) > 0 && p.Cancelling < maxCancelling {
+		effects = append(effects, Cancel(p.ToCancel[0]))
+		p.ToCancel = slices.Delete(p.ToCancel, 0, 1)
+		p.Cancelling++
+	}
+	return effects
+}
+
+func (p *Pool) sweep(now time.Time) []PoolEffect {
+	if now.Before(p.SweepAt) {
+		return nil
+	}
+	p.SweepAt = now.Add(sweepInterval)
+	return []PoolEffect{Sweep{}}
+}
+
+// forget retires unused connections. An attempt that still gets hold of them
+// works, since retired connections serve until their attempts have ended.
+func (p *Pool) forget(addresses []string) []PoolEffect {
+	var effects []PoolEffect
+	for _, address := range addresses {
+		generation, ok := p.Generations[address]
+		if !ok {
+			continue
+		}
+		delete(p.Generations, address)
+		effects = append(effects, Retire{Address: address, Generation: generation})
+	}
+	if len(p.Generations) == 0 {
+		p.SweepAt = time.Time{}
+	}
+	return effects
+}
--- a/internal/emulator/endpoint_server.go
+++ b/internal/emulator/endpoint_server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -23,8 +22,9 @@
 	// Address is the "IP:port" that it listens on.
 	Address string
 
-	server *http.Server
-	ended  chan struct{}
+	server   *http.Server
+	listener *endpointListener
+	ended    chan struct{}
 }
 
 // endpointHeaderTimeout bounds how long a connection may take to send a
@@ -39,7 +39,8 @@
 		return nil, nil, merry.Wrap(err, merry.PrependMessagef("listen on %q", address))
 	}
 	served := &EndpointServer{
-		Address: listener.Addr().String(),
+		Address:  listener.Addr().String(),
+		listener: newEndpointListener(listener),
 		server: &http.Server{
 			Handler:           handler,
 			ReadHeaderTimeout: endpointHeaderTimeout,
@@ -51,7 +52,7 @@
 	}
 	go func() {
 		defer close(served.ended)
-		_ = served.server.Serve(endpointListener{listener})
+		_ = served.server.Serve(served.listener)
 	}()
 	go served.watch(handler)
 	return served, served.close, nil
@@ -73,46 +74,12 @@
 	}
 }
 
+// SilenceOpen makes all open connections silent for good. New ones work.
+func (s *EndpointServer) SilenceOpen() { s.listener.silenceOpen(nil) }
+
 func (s *EndpointServer) close() {
+	s.listener.closeAll()
 	_ = s.server.Close()
 	<-s.ended
 }
 
-type endpointListener struct{ net.Listener }
-
-func (l endpointListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &endpointConn{Conn: conn}, nil
-}
-
-// endpointConn is a connection that can stop delivering data for good, while
-// it stays open and accepts what the other side sends.
-type endpointConn struct {
-	net.Conn
-	silent atomic.Bool
-}
-
-func (c *endpointConn) Write(data []byte) (int, error) {
-	if c.silent.Load() {
-		return len(data), nil
-	}
-	return c.Conn.Write(data)
-}
-
-type endpointConnKey struct{}
-
-// silenceEndpoint makes a request's connection silent. Without an EndpointServer it
-// holds the request until the other side gives up.
-func silenceEndpoint(r *http.Request) {
-	if conn, ok := r.Context().Value(endpointConnKey{}).(*endpointConn); ok {
-		conn.silent.Store(true)
-		return
-	}
-	<-r.Context().Done()
-}
-
-// cutEndpoint closes a request's connection without a proper end of the answer.
-func cutEndpoint() { panic(http.ErrAbortHandler) }
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -183,6 +183,9 @@
 		writeEndpointJSON(w, http.StatusBadRequest, engineRefusalWire{Error: err.Error()})
 		return
 	}
+	if faults.SilenceOpen {
+		silenceOthers(r)
+	}
 	err = e.SetFaults(r.Context(), faults)
 	respondEndpoint(w, faults, err, func(faults EngineFaults) { writeEndpointJSON(w, http.StatusOK, faults) })
 }
--- a/internal/emulator/engine_settings.go
+++ b/internal/emulator/engine_settings.go
@@ -155,6 +155,9 @@
 	RefuseOrders bool
 	// Leaving makes the engine take no new work.
 	Leaving bool
+	// SilenceOpen makes the connections that are open when it is set by PUT
+	// /faults silent for good. EndpointServer.SilenceOpen does the same.
+	SilenceOpen bool
 	// Die closes the listener and every connection.
 	Die bool
 }
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -148,5 +148,8 @@
 		writeEndpointJSON(w, http.StatusBadRequest, engineRefusalWire{Error: err.Error()})
 		return
 	}
+	if faults.SilenceOpen {
+		silenceOthers(r)
+	}
 	writeEndpointJSON(w, http.StatusOK, faults)
 }
--- a/internal/emulator/service_controller.go
+++ b/internal/emulator/service_controller.go
@@ -46,6 +46,9 @@
 	Delay string
 	// Leaving refuses all calls as not run.
 	Leaving bool
+	// SilenceOpen makes the connections that are open when it is set by PUT
+	// /faults silent for good. EndpointServer.SilenceOpen does the same.
+	SilenceOpen bool
 	// Die closes the listener and every connection.
 	Die bool
 }
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -30,7 +30,9 @@
 	// unless the caller gave one.
 	Workspace string
 	Identity  string
-	Call      Call
+	// Idempotent says that a call may be sent more than once.
+	Idempotent bool
+	Call       Call
 }
 
 // Failure is the error of an attempt.
@@ -298,10 +300,11 @@
 
 func callAttempt(request *Request, call Call) Attempt {
 	attempt := Attempt{
-		ID:        uuid.NewString(),
-		Slot:      request.Slot,
-		Workspace: request.Workspace,
-		Call:      call,
+		ID:         uuid.NewString(),
+		Slot:       request.Slot,
+		Workspace:  request.Workspace,
+		Idempotent: request.Route.Idempotent,
+		Call:       call,
 	}
 	if request.IdentityGiven {
 		attempt.Identity = request.Identity
