--- a/internal/dispatcher/faults_test.go
+++ b/internal/dispatcher/faults_test.go
@@ -198,18 +198,23 @@
 }
 
 // fill opens idle connections to the engine by attempts at the same time. They
-// overlap because each waits for the first token of all.
+// overlap because each waits for the first token of all, and an answer is
+// longer than net/http's buffer, so that its connection is not idle by then.
 func (b *bench) fill(count int) {
 	var all sync.WaitGroup
 	all.Add(count)
 	var ended sync.WaitGroup
 	for range count {
 		attempt := b.attempt("engine")
-		attempt.Model, attempt.Version, attempt.MaxTokens = model, version, 1
+		attempt.Model, attempt.Version, attempt.MaxTokens = model, version, 150
 		ended.Go(func() {
+			first := true
 			_, err := b.dispatcher.Generate(b.t.Context(), attempt, func(filter.Event) error {
-				all.Done()
-				all.Wait()
+				if first {
+					first = false
+					all.Done()
+					all.Wait()
+				}
 				return nil
 			})
 			if err != nil {
@@ -270,15 +275,15 @@
 	if name == "service" {
 		seen = b.service.Seen()
 	}
-	remotes := map[string]bool{}
+	connections := map[uint64]bool{}
 	requests := 0
 	for _, request := range seen {
 		if request.Method != "DELETE" {
-			remotes[request.RemoteAddress] = true
+			connections[request.Connection] = true
 			requests++
 		}
 	}
-	return fmt.Sprintf("%d requests on %d connections", requests, len(remotes))
+	return fmt.Sprintf("%d requests on %d connections", requests, len(connections))
 }
 
 // awaitCancels waits until the engine got a number of cancellations.
--- /dev/null
+++ b/internal/dispatcher/generate_test.go
@@ -0,0 +1,90 @@
+package dispatcher_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/dispatcher"
+	"toucanhitch.example/toucanhitch/internal/emulator"
+	"toucanhitch.example/toucanhitch/internal/filter"
+)
+
+// Guards against a slow caller that counts as a silent endpoint.
+func TestSlownessIsNotSilence(t *testing.T) {
+	b := newBench(t, emulator.EngineSettings{Interval: time.Millisecond})
+	attempt := b.attempt("engine")
+	attempt.Model, attempt.Version, attempt.MaxTokens = model, version, 3
+	_, err := b.dispatcher.Generate(t.Context(), attempt, func(filter.Event) error {
+		time.Sleep(2 * shortTimeout)
+		return nil
+	})
+	if err != nil {
+		t.Errorf("slow caller: %v", err)
+	}
+}
+
+// Guards against an attempt that goes on at the endpoint when its caller has
+// gone, and against blaming the endpoint for it.
+func TestCallerWhoGoesCancelsTheAttempt(t *testing.T) {
+	b := newBench(t, emulator.EngineSettings{Interval: time.Millisecond})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for _, leave := range []func() error{
+		func() error { return errors.New("broken pipe") },
+		func() error { cancel(); return nil },
+	} {
+		attempt := b.attempt("engine")
+		attempt.Model, attempt.Version, attempt.MaxTokens = model, version, 1_000_000
+		_, err := b.dispatcher.Generate(ctx, attempt, func(filter.Event) error { return leave() })
+		var failure filter.Failure
+		if !errors.As(err, &failure) || !failure.Gone || failure.Run != filter.Ran {
+			t.Errorf("got %v; want a failure that ran with a caller who is gone", err)
+		}
+	}
+	if got := b.awaitCancels("2"); got != "2 cancellations" {
+		t.Error(got)
+	}
+}
+
+// fixedEngine answers with a body made beforehand, so that the benchmark
+// measures the dispatcher.
+type fixedEngine struct{ body []byte }
+
+func newFixedEngine(tokens int) fixedEngine {
+	var body bytes.Buffer
+	for index := range tokens {
+		fmt.Fprintf(&body, `{"Attempt":"fixed","Index":%d,"Text":" harbour"}`+"\n", index)
+	}
+	fmt.Fprintf(&body, `{"Attempt":"fixed","Done":true,"PromptTokens":1,"CompletionTokens":%d,"FinishReason":"length"}`+"\n", tokens)
+	return fixedEngine{body.Bytes()}
+}
+
+func (e fixedEngine) ServeHTTP(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(e.body) }
+
+func (fixedEngine) Died() <-chan struct{} { return nil }
+
+func BenchmarkGenerate(b *testing.B) {
+	const tokens = 10_000
+	server, closeServer, err := emulator.ServeEndpoint("127.0.0.1:0", newFixedEngine(tokens))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(closeServer)
+	sent, stop := dispatcher.New(dispatcher.Settings{Clock: clockwork.NewRealClock()})
+	b.Cleanup(stop)
+	attempt := filter.Attempt{ID: "fixed", MaxTokens: tokens, Slot: filter.Slot{Address: server.Address}}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := sent.Generate(b.Context(), attempt, func(filter.Event) error { return nil }); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(tokens)*float64(b.N)/b.Elapsed().Seconds(), "tokens/s")
+}
--- /dev/null
+++ b/internal/dispatcher/hedge_test.go
@@ -0,0 +1,127 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"toucanhitch.example/toucanhitch/internal/dispatcher"
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+func TestHedgeScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[dispatcher.HedgeMessage, dispatcher.HedgeEffect]{
+		Directory: "testdata/hedge",
+		New: func(*testing.T, []byte) tester.Controller[dispatcher.HedgeMessage, dispatcher.HedgeEffect] {
+			return dispatcher.NewHedge()
+		},
+		Messages: []dispatcher.HedgeMessage{
+			dispatcher.HedgeBegin{},
+			dispatcher.HedgeHeard{},
+			dispatcher.HedgeEnded{},
+			dispatcher.HedgeGranted{},
+			dispatcher.HedgeDenied{},
+		},
+		Tick: dispatcher.HedgeTick{},
+	})
+}
+
+// hedgeModel is the simple view of a hedged request: what runs, who was
+// adopted, and whether the request has finished.
+type hedgeModel struct {
+	running  map[int]bool
+	heard    map[int]bool
+	adopted  []int
+	finished []int
+	asking   bool
+	returned int
+	sent     int
+}
+
+// Guards against two attempts that both answer a caller, a request that never
+// finishes or finishes twice, and a slot that is never given back.
+func TestHedgeInvariants(t *testing.T) {
+	tester.Check(t, 5, func(t *rapid.T) {
+		hedge := dispatcher.NewHedge()
+		model := &hedgeModel{running: map[int]bool{}, heard: map[int]bool{}}
+		now := tester.Start
+		granted := 0
+		model.apply(t, hedge.Step(now, dispatcher.HedgeBegin{Slot: filter.Slot{ID: 1, Endpoint: "e1"}, Bound: time.Second}))
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			message := model.draw(t)
+			if _, ok := message.(dispatcher.HedgeGranted); ok {
+				granted++
+			}
+			model.apply(t, hedge.Step(now, message))
+		}
+		model.drain(t, hedge, now)
+		if len(model.finished) != 1 || model.sent+model.returned != granted+1 {
+			t.Fatalf("%+v with %d slots granted", model, granted)
+		}
+	})
+}
+
+// draw returns a message that can come now.
+func (m *hedgeModel) draw(t *rapid.T) dispatcher.HedgeMessage {
+	attempt := rapid.IntRange(0, 1).Draw(t, "attempt")
+	switch kind := rapid.IntRange(0, 5).Draw(t, "message"); {
+	case kind == 0 && m.running[attempt]:
+		m.heard[attempt] = true
+		return dispatcher.HedgeHeard{Attempt: attempt}
+	case kind == 1 && m.running[attempt]:
+		delete(m.running, attempt)
+		return dispatcher.HedgeEnded{Attempt: attempt, Failed: rapid.Bool().Draw(t, "failed")}
+	case kind == 2 && m.asking:
+		m.asking = false
+		return dispatcher.HedgeGranted{Slot: filter.Slot{ID: 2, Endpoint: "e2"}}
+	case kind == 3 && m.asking:
+		m.asking = false
+		return dispatcher.HedgeDenied{}
+	default:
+		return dispatcher.HedgeTick{}
+	}
+}
+
+func (m *hedgeModel) apply(t *rapid.T, effects []dispatcher.HedgeEffect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case dispatcher.HedgeSend:
+			if len(m.adopted) > 0 || len(m.finished) > 0 {
+				t.Fatalf("%+v after an answer was adopted: %+v", effect, m)
+			}
+			m.running[effect.Attempt] = true
+			m.sent++
+		case dispatcher.HedgeAsk:
+			m.asking = true
+		case dispatcher.HedgeAdopt:
+			m.adopted = append(m.adopted, effect.Attempt)
+		case dispatcher.HedgeReturn:
+			m.returned++
+		case dispatcher.HedgeFinish:
+			m.finished = append(m.finished, effect.Attempt)
+		}
+	}
+	if len(m.adopted) > 1 || len(m.finished) > 1 {
+		t.Fatalf("more than one answer: %+v", m)
+	}
+	if len(m.adopted) == 1 && len(m.finished) == 1 && m.adopted[0] != m.finished[0] {
+		t.Fatalf("finished with another attempt than the adopted one: %+v", m)
+	}
+}
+
+// drain ends what still runs.
+func (m *hedgeModel) drain(t *rapid.T, hedge *dispatcher.Hedge, now time.Time) {
+	for attempt := range 2 {
+		if m.running[attempt] {
+			delete(m.running, attempt)
+			m.apply(t, hedge.Step(now, dispatcher.HedgeEnded{Attempt: attempt, Failed: true}))
+		}
+	}
+	if m.asking {
+		m.asking = false
+		m.apply(t, hedge.Step(now, dispatcher.HedgeDenied{}))
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/keys_test.go
@@ -0,0 +1,49 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"toucanhitch.example/toucanhitch/internal/emulator"
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// Guards against a caller's key that reaches an endpoint as a header or as a
+// query parameter, also in escaped form, and against the loss of other
+// parameters.
+func TestNoKeyReachesAService(t *testing.T) {
+	b := newBench(t, emulator.EngineSettings{})
+	key := releaser.NewKey()
+	escaped := strings.ReplaceAll(key, "_", "%5f")
+	for _, once := range []bool{false, true} {
+		attempt := b.attempt("service")
+		attempt.Idempotent = !once
+		attempt.Workspace, attempt.Identity = "rescue", "booking-1"
+		attempt.Call = filter.Call{
+			Method: "POST", Path: "/bookings/7", ContentType: "text/plain", Body: []byte("seat"),
+			Query: "day=2&key=" + key + "&a%20b=%3F&token=" + escaped + "&" + key + "=1&note=thk_you;x",
+		}
+		if _, err := b.dispatcher.Call(t.Context(), attempt); err != nil {
+			t.Fatal(err)
+		}
+	}
+	allowed := map[string]bool{
+		"Accept-Encoding": true, "Connection": true, "Content-Length": true, "Content-Type": true,
+		"Idempotency-Key": true, "Toucanhitch-Attempt": true, "Toucanhitch-Workspace": true, "User-Agent": true,
+	}
+	for _, request := range b.service.Seen() {
+		if strings.Contains(fmt.Sprint(request), strings.TrimPrefix(key, releaser.KeyPrefix)) {
+			t.Errorf("the key is in %+v", request)
+		}
+		if want := "day=2&a%20b=%3F&note=thk_you;x"; request.Query != want {
+			t.Errorf("query %q; want %q", request.Query, want)
+		}
+		for name := range request.Header {
+			if !allowed[name] {
+				t.Errorf("header %s was sent", name)
+			}
+		}
+	}
+}
--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -123,7 +123,7 @@
 func (p *Pool) Step(now time.Time, message PoolMessage) []PoolEffect {
 	switch message := message.(type) {
 	case Open:
-		return append(p.open(now, message.Address), Ready{Call: message.Call, Address: message.Address})
+		return append(p.open(now, message.Address), Ready(message))
 	case Renew:
 		return append(p.renew(message), Ready{Call: message.Call, Address: message.Address})
 	case Abandon:
@@ -159,7 +159,8 @@
 // renew replaces the connections, unless another attempt had them replaced
 // already.
 func (p *Pool) renew(message Renew) []PoolEffect {
-	if p.Generations[message.Address] != message.Generation {
+	generation, ok := p.Generations[message.Address]
+	if !ok || generation != message.Generation {
 		return nil
 	}
 	return []PoolEffect{p.create(message.Address)}
--- /dev/null
+++ b/internal/dispatcher/pool_test.go
@@ -0,0 +1,127 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"toucanhitch.example/toucanhitch/internal/dispatcher"
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+func TestPoolScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[dispatcher.PoolMessage, dispatcher.PoolEffect]{
+		Directory: "testdata/pool",
+		New: func(*testing.T, []byte) tester.Controller[dispatcher.PoolMessage, dispatcher.PoolEffect] {
+			return dispatcher.NewPool()
+		},
+		Messages: []dispatcher.PoolMessage{
+			dispatcher.Open{}, dispatcher.Renew{}, dispatcher.Abandon{}, dispatcher.Cancelled{}, dispatcher.Unused{},
+		},
+		Tick: dispatcher.Tick{},
+	})
+}
+
+// Guards against an attempt that waits for ever for connections, a silent
+// generation that comes back, and cancellations that are lost or unbounded.
+func TestPoolInvariants(t *testing.T) {
+	tester.Check(t, 3, func(t *rapid.T) {
+		pool := dispatcher.NewPool()
+		model := poolModel{silent: map[uint64]bool{}, live: map[string]uint64{}}
+		now := tester.Start
+		for step := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+			model.check(t, model.draw(t, step), pool, now)
+		}
+	})
+}
+
+// poolModel is what must be true of a pool, from its messages and effects.
+type poolModel struct {
+	silent    map[uint64]bool
+	live      map[string]uint64
+	newest    uint64
+	running   int
+	abandoned uint64
+	cancelled uint64
+}
+
+func (m *poolModel) draw(t *rapid.T, step int) dispatcher.PoolMessage {
+	address := fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(1, 3).Draw(t, "address"))
+	call := runner.Call(step + 1)
+	switch rapid.IntRange(0, 5).Draw(t, "message") {
+	case 0:
+		return dispatcher.Open{Call: call, Address: address}
+	case 1:
+		generation := uint64(rapid.IntRange(0, int(m.newest)).Draw(t, "generation"))
+		if generation == m.live[address] {
+			m.silent[generation] = true
+		}
+		return dispatcher.Renew{Call: call, Address: address, Generation: generation}
+	case 2:
+		m.abandoned++
+		return dispatcher.Abandon{Address: address, Attempt: fmt.Sprint(step)}
+	case 3:
+		if m.running == 0 {
+			return dispatcher.Tick{}
+		}
+		m.running--
+		return dispatcher.Cancelled{}
+	case 4:
+		return dispatcher.Unused{Addresses: []string{address}}
+	default:
+		return dispatcher.Tick{}
+	}
+}
+
+func (m *poolModel) check(t *rapid.T, message dispatcher.PoolMessage, pool *dispatcher.Pool, now time.Time) {
+	answered := runner.Call(0)
+	for _, effect := range pool.Step(now, message) {
+		switch effect := effect.(type) {
+		case dispatcher.Create:
+			if effect.Generation <= m.newest {
+				t.Fatalf("generation %d after %d", effect.Generation, m.newest)
+			}
+			m.newest, m.live[effect.Address] = effect.Generation, effect.Generation
+		case dispatcher.Retire:
+			if m.live[effect.Address] != effect.Generation {
+				t.Fatalf("retired generation %d, but %d is live", effect.Generation, m.live[effect.Address])
+			}
+			delete(m.live, effect.Address)
+		case dispatcher.Ready:
+			answered = effect.Call
+			if m.silent[m.live[effect.Address]] && m.live[effect.Address] != 0 {
+				t.Fatalf("a silent generation of %s is ready", effect.Address)
+			}
+		case dispatcher.Cancel:
+			m.running++
+			m.cancelled++
+		}
+	}
+	m.checkAnswer(t, message, answered)
+	if m.running > 32 {
+		t.Fatalf("%d cancellations at once", m.running)
+	}
+	if m.cancelled+uint64(len(pool.ToCancel))+pool.Uncancelled != m.abandoned {
+		t.Fatalf("%d abandoned, %d cancelled, %d wait, %d without room", m.abandoned, m.cancelled, len(pool.ToCancel), pool.Uncancelled)
+	}
+	if len(m.live) > 0 && pool.Wake().IsZero() {
+		t.Fatal("connections without a sweep")
+	}
+}
+
+func (m *poolModel) checkAnswer(t *rapid.T, message dispatcher.PoolMessage, answered runner.Call) {
+	switch message := message.(type) {
+	case dispatcher.Open:
+		if answered != message.Call || m.live[message.Address] == 0 {
+			t.Fatalf("%+v: answered %d, live %v", message, answered, m.live)
+		}
+	case dispatcher.Renew:
+		if answered != message.Call {
+			t.Fatalf("%+v: answered %d", message, answered)
+		}
+	}
+}
--- a/internal/emulator/endpoint_conn.go
+++ b/internal/emulator/endpoint_conn.go
@@ -14,6 +14,7 @@
 type endpointListener struct {
 	net.Listener
 	mutex  sync.Mutex
+	count  uint64
 	open   map[*endpointConn]bool
 	closed bool
 }
@@ -28,9 +29,10 @@
 	if err != nil {
 		return nil, err
 	}
-	accepted := &endpointConn{Conn: conn, listener: l}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	l.count++
+	accepted := &endpointConn{Conn: conn, listener: l, number: l.count}
 	l.open[accepted] = true
 	return accepted, nil
 }
@@ -72,7 +74,10 @@
 type endpointConn struct {
 	net.Conn
 	listener *endpointListener
-	silent   atomic.Bool
+	// number tells the connections of a listener apart, which their ports do
+	// not: a port can be used again.
+	number uint64
+	silent atomic.Bool
 }
 
 // Write implements net.Conn.
--- a/internal/emulator/endpoint_seen.go
+++ b/internal/emulator/endpoint_seen.go
@@ -12,8 +12,8 @@
 	Path   string
 	Query  string
 	Header http.Header
-	// RemoteAddress tells connections apart.
-	RemoteAddress string
+	// Connection tells connections apart. It is 0 without an EndpointServer.
+	Connection uint64
 }
 
 // maxSeenRequests bounds the log; the oldest entries go first.
@@ -28,7 +28,10 @@
 func (l *endpointLog) add(r *http.Request) {
 	seen := EndpointRequest{
 		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery,
-		Header: r.Header.Clone(), RemoteAddress: r.RemoteAddr,
+		Header: r.Header.Clone(),
+	}
+	if conn, ok := r.Context().Value(endpointConnKey{}).(*endpointConn); ok {
+		seen.Connection = conn.number
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
