--- a/internal/filter/record.go
+++ b/internal/filter/record.go
@@ -5,12 +5,17 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"time"
+
+	"github.com/google/uuid"
 )
 
 // Intent names a non-idempotent call.
 type Intent struct {
 	Workspace string
 	Identity  string
+	// Operation is a UUID of this request, which tells its intent from that
+	// of another request with the same identity.
+	Operation string
 	// Digest is the SHA-256 digest of method, path, query and body in
 	// hexadecimal, which tells a repeat from another call.
 	Digest string
@@ -56,6 +61,7 @@
 	if !ok || request.Route.Idempotent {
 		return Pass{}
 	}
+	request.Operation = uuid.NewString()
 	record, err := f.Recorder.Begin(ctx, intent(request, call), request.Deadline)
 	if err != nil {
 		return refusal(ctx, err)
@@ -85,6 +91,7 @@
 	return Intent{
 		Workspace: request.Workspace,
 		Identity:  request.Identity,
+		Operation: request.Operation,
 		Digest:    hex.EncodeToString(hash.Sum(nil)),
 	}
 }
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -55,6 +55,8 @@
 	GrantID string
 	// Reservation holds the tokens of the request.
 	Reservation Reservation
+	// Operation is a UUID of a non-idempotent call's intent.
+	Operation string
 	// Slot is the place at an endpoint.
 	Slot Slot
 }
--- /dev/null
+++ b/internal/messenger/push.go
@@ -0,0 +1,46 @@
+package messenger
+
+import (
+	"context"
+	"net/http"
+
+	"toucanhitch.example/toucanhitch/internal/spreader"
+)
+
+const pushPath = "/peer/v1/push"
+
+type pushRequest struct {
+	Items []pushedItem
+}
+
+type pushedItem struct {
+	Kind    spreader.Kind
+	Name    string `json:",omitempty"`
+	Version uint64
+	Origin  string
+	Scope   spreader.Scope
+	Value   []byte
+}
+
+type empty struct{}
+
+// Push sends items to a peer.
+func (c *Client) Push(ctx context.Context, address string, items []spreader.Item) error {
+	request := pushRequest{Items: make([]pushedItem, 0, len(items))}
+	for _, item := range items {
+		request.Items = append(request.Items, pushedItem(item))
+	}
+	_, err := Exchange[pushRequest, empty](ctx, c, address, pushPath, request)
+	return err
+}
+
+// HandlePush serves pushes.
+func HandlePush(mux *http.ServeMux, receive func([]spreader.Item) error) {
+	mux.Handle("POST "+pushPath, Handle(func(_ context.Context, request pushRequest) (empty, error) {
+		items := make([]spreader.Item, 0, len(request.Items))
+		for _, item := range request.Items {
+			items = append(items, spreader.Item(item))
+		}
+		return empty{}, receive(items)
+	}))
+}
--- /dev/null
+++ b/internal/publisher/publisher.go
@@ -0,0 +1,123 @@
+package publisher
+
+import (
+	"context"
+	"errors"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/configurer"
+	"toucanhitch.example/toucanhitch/internal/storer"
+	"toucanhitch.example/toucanhitch/pkg/parser"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// ErrContended reports that other operators' changes kept winning. Nothing was
+// applied.
+var ErrContended = merry.Sentinel("too many concurrent changes; try again")
+
+// maxTries bounds how often a change is tried again on a newer head.
+const maxTries = 20
+
+// Publisher writes changes on behalf of an operator.
+type Publisher struct {
+	Store storer.Store
+	Clock clockwork.Clock
+	// Actor names the operator in the audit trail.
+	Actor string
+}
+
+// Log is the change log as read at one time.
+type Log struct {
+	// ObjectVersion is the platform's version of the head, 0 if there is
+	// none yet.
+	ObjectVersion uint64
+	Head          releaser.Head
+	// Configuration is the configuration after the last change.
+	Configuration *releaser.Configuration
+}
+
+// Read returns the log. The error is one of package storer's.
+func (p Publisher) Read(ctx context.Context) (Log, error) {
+	object, err := p.Store.Get(ctx, configurer.Head)
+	if errors.Is(err, storer.ErrNotFound) {
+		return Log{Configuration: releaser.Empty()}, nil
+	}
+	if err != nil {
+		return Log{}, err
+	}
+	head, err := parser.DecodeHead(object.Data)
+	if err != nil {
+		return Log{}, err
+	}
+	base, err := configurer.ReadParts(ctx, p.Store, head)
+	if err != nil {
+		return Log{}, err
+	}
+	configuration, err := releaser.Replay(base, head.Changes)
+	if err != nil {
+		return Log{}, err
+	}
+	return Log{ObjectVersion: object.Version, Head: head, Configuration: configuration}, nil
+}
+
+// Submit makes a change. It returns releaser.ErrConflict if another note was
+// accepted first, releaser.ErrInvalid if the change breaks a rule,
+// storer.ErrUncertain if it may have been accepted, and ErrContended or
+// storer.ErrUnavailable if it was not.
+func (p Publisher) Submit(ctx context.Context, body releaser.Body) (releaser.Change, error) {
+	change := releaser.Change{
+		ID:    uuid.NewString(),
+		Actor: p.Actor,
+		Time:  p.Clock.Now().UTC(),
+		Body:  body,
+	}
+	uncertain := false
+	for range maxTries {
+		log, err := p.Read(ctx)
+		if err != nil {
+			return releaser.Change{}, settle(err, uncertain)
+		}
+		if made, ok := log.Head.Find(change.ID); ok {
+			return made, nil
+		}
+		made, err := p.try(ctx, log, change)
+		switch {
+		case err == nil:
+			return made, nil
+		case errors.Is(err, storer.ErrUncertain):
+			// Reading the log again tells whether the change is in it.
+			uncertain = true
+		case !errors.Is(err, storer.ErrConflict):
+			return releaser.Change{}, settle(err, uncertain)
+		}
+	}
+	return releaser.Change{}, settle(ErrContended, uncertain)
+}
+
+// settle returns err, or ErrUncertain if an earlier try may have succeeded.
+// A conflict or a broken rule is certain even then: the log was read, and the
+// change was not in it.
+func settle(err error, uncertain bool) error {
+	if uncertain && !errors.Is(err, releaser.ErrConflict) && !errors.Is(err, releaser.ErrInvalid) {
+		return merry.Wrap(storer.ErrUncertain, merry.AppendMessage(err.Error()))
+	}
+	return err
+}
+
+func (p Publisher) try(ctx context.Context, log Log, change releaser.Change) (releaser.Change, error) {
+	head, _, err := log.Head.Append(log.Configuration, change)
+	if err != nil {
+		return releaser.Change{}, err
+	}
+	if head, err = p.compact(ctx, head); err != nil {
+		return releaser.Change{}, err
+	}
+	if _, err := p.Store.Put(ctx, configurer.Head, log.ObjectVersion, parser.EncodeHead(head)); err != nil {
+		return releaser.Change{}, err
+	}
+	made, _ := head.Find(change.ID)
+	return made, nil
+}
--- /dev/null
+++ b/internal/server/callers.go
@@ -0,0 +1,216 @@
+package server
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// Observer is told of requests, for metrics.
+type Observer interface {
+	// Token counts one token that went to a caller.
+	Token()
+	// Ended counts a request. firstToken and the reason may be empty.
+	Ended(class filter.Class, reason filter.Reason, duration time.Duration)
+}
+
+// CallersSettings is what the callers' side needs.
+type CallersSettings struct {
+	Clock    clockwork.Clock
+	Logger   logrus.FieldLogger
+	Chain    filter.Chain
+	View     filter.View
+	Observer Observer
+	// Addresses answers where an asker should connect.
+	Addresses func(asker string) []tracker.Address
+}
+
+// Callers serves the callers' address.
+type Callers struct {
+	clock     clockwork.Clock
+	logger    logrus.FieldLogger
+	chain     filter.Chain
+	view      filter.View
+	observer  Observer
+	addresses func(string) []tracker.Address
+	mux       *http.ServeMux
+}
+
+// NewCallers returns the handler of the callers' address.
+func NewCallers(settings CallersSettings) *Callers {
+	h := &Callers{
+		clock:     settings.Clock,
+		logger:    settings.Logger,
+		chain:     settings.Chain,
+		view:      settings.View,
+		observer:  settings.Observer,
+		addresses: settings.Addresses,
+		mux:       http.NewServeMux(),
+	}
+	h.mux.HandleFunc("GET /v1/address", h.address)
+	h.mux.HandleFunc("GET /v1/models", h.models)
+	h.mux.HandleFunc("POST /v1/chat/completions", h.chat)
+	h.mux.HandleFunc("/services/{service}/{path...}", h.call)
+	return h
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+// run takes a request through the chain, and logs and counts its end.
+func (h *Callers) run(r *http.Request, request *filter.Request) filter.Verdict {
+	verdict := h.chain.Run(r.Context(), request)
+	refusal := filter.Refusal{}
+	if refused, ok := verdict.(filter.Refuse); ok {
+		refusal = refused.Refusal
+	}
+	h.ended(request, refusal)
+	return verdict
+}
+
+func (h *Callers) ended(request *filter.Request, refusal filter.Refusal) {
+	duration := h.clock.Since(request.Arrived)
+	h.observer.Ended(request.Class, refusal.Reason, duration)
+	entry := h.logger.WithFields(logrus.Fields{
+		"Request":   request.Identity,
+		"Workspace": request.Workspace,
+		"Endpoint":  request.Slot.Endpoint,
+		"Class":     request.Class,
+		"Duration":  duration.String(),
+	})
+	if refusal.Reason == "" {
+		entry.Debug("request answered")
+		return
+	}
+	entry.WithFields(logrus.Fields{"Reason": refusal.Reason, "Run": refusal.Run}).Info("request refused: " + refusal.Detail)
+}
+
+func (h *Callers) refuse(w http.ResponseWriter, request *filter.Request, refusal filter.Refusal) {
+	h.ended(request, refusal)
+	writeProblem(w, request.Identity, refusal)
+}
+
+// addressAnswer tells a caller where to connect.
+type addressAnswer struct {
+	Addresses []tracker.Address
+	// CacheFor is how long the answer may be used.
+	CacheFor string
+}
+
+func (h *Callers) address(w http.ResponseWriter, r *http.Request) {
+	asker, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		asker = r.RemoteAddr
+	}
+	// Callers behind one address can spread themselves by a hint.
+	asker += "/" + r.URL.Query().Get("Caller")
+	addresses := h.addresses(asker)
+	if len(addresses) == 0 {
+		writeProblem(w, "", notRun(filter.NoEndpoint, "no node can serve callers now"))
+		return
+	}
+	writeJSON(w, addressAnswer{Addresses: addresses, CacheFor: tracker.AddressLifetime.String()})
+}
+
+// modelList is the OpenAI list of models.
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (h *Callers) models(w http.ResponseWriter, _ *http.Request) {
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, name := range releaser.Names(h.view.Configuration()) {
+		list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "toucanhitch"})
+	}
+	writeJSON(w, list)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	_, _ = w.Write(encoder.Encode(value))
+}
+
+// call serves a call of a plain service.
+func (h *Callers) call(w http.ResponseWriter, r *http.Request) {
+	request, body, err := readRequest(h.clock, r)
+	if err != nil {
+		h.refuse(w, request, refusalOf(err))
+		return
+	}
+	request.Work = filter.Call{
+		Service:     r.PathValue("service"),
+		Method:      r.Method,
+		Path:        "/" + r.PathValue("path"),
+		Query:       r.URL.RawQuery,
+		ContentType: r.Header.Get("Content-Type"),
+		Body:        body,
+	}
+	switch verdict := h.run(r, request).(type) {
+	case filter.Refuse:
+		writeProblem(w, request.Identity, verdict.Refusal)
+	case filter.Accept:
+		writeReply(w, request, verdict.Reply)
+	}
+}
+
+// replayedHeader marks the recorded answer of an earlier request.
+const replayedHeader = "Idempotency-Replayed"
+
+func writeReply(w http.ResponseWriter, request *filter.Request, reply filter.Reply) {
+	if reply.ContentType != "" {
+		w.Header().Set("Content-Type", reply.ContentType)
+	}
+	w.Header().Set(identityHeader, request.Identity)
+	if reply.Replayed {
+		w.Header().Set(replayedHeader, "true")
+	}
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+}
+
+// Serve serves a handler on a listener until ctx ends, then waits for running
+// requests, at most for the given time.
+func Serve(ctx context.Context, clock clockwork.Clock, listener net.Listener, handler http.Handler, grace time.Duration) error {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	shutdown, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), clock, grace)
+	defer cancel()
+	return server.Shutdown(shutdown)
+}
+
+const (
+	readHeaderTimeout = 10 * time.Second
+	// callerIdleTimeout is short enough that a silent idle connection of a
+	// caller is closed before it is used again.
+	callerIdleTimeout = 30 * time.Second
+)
--- /dev/null
+++ b/internal/server/chat.go
@@ -0,0 +1,195 @@
+package server
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/filter"
+)
+
+const (
+	defaultMaxTokens = 256
+	maxMaxTokens     = 32_768
+	// bytesPerToken estimates the tokens of a prompt, rounded up so that the
+	// reservation does not fall short.
+	bytesPerToken = 3
+)
+
+// chatRequest is the part of the OpenAI chat completion request that is
+// served. The fields of type any are accepted and have no effect.
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	MaxTokens           *int          `json:"max_tokens"`
+	MaxCompletionTokens *int          `json:"max_completion_tokens"`
+	Stream              bool          `json:"stream"`
+	StreamOptions       *struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	N           *int `json:"n"`
+	Temperature any  `json:"temperature"`
+	TopP        any  `json:"top_p"`
+	Seed        any  `json:"seed"`
+	User        any  `json:"user"`
+	Metadata    any  `json:"metadata"`
+	Store       any  `json:"store"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+	Name    string `json:"name,omitempty"`
+}
+
+type chatUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type chatCompletion struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+	Usage   chatUsage    `json:"usage"`
+}
+
+type chatChoice struct {
+	Index        int         `json:"index"`
+	Message      chatMessage `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+// generation turns the wire form into work. It returns a Refusal.
+func (c chatRequest) generation() (filter.Generation, error) {
+	maxTokens := defaultMaxTokens
+	switch {
+	case c.MaxCompletionTokens != nil:
+		maxTokens = *c.MaxCompletionTokens
+	case c.MaxTokens != nil:
+		maxTokens = *c.MaxTokens
+	}
+	switch {
+	case c.Model == "":
+		return filter.Generation{}, notRun(filter.MalformedRequest, "field model is missing")
+	case len(c.Messages) == 0:
+		return filter.Generation{}, notRun(filter.MalformedRequest, "field messages is empty; want at least one message")
+	case c.N != nil && *c.N != 1:
+		return filter.Generation{}, notRun(filter.MalformedRequest, "field n must be 1")
+	case maxTokens < 1 || maxTokens > maxMaxTokens:
+		return filter.Generation{}, notRun(filter.MalformedRequest,
+			fmt.Sprintf("field max_tokens is %d; want 1 to %d", maxTokens, maxMaxTokens))
+	}
+	prompt := c.prompt()
+	return filter.Generation{
+		Model:        c.Model,
+		Prompt:       prompt,
+		PromptTokens: (len(prompt) + bytesPerToken - 1) / bytesPerToken,
+		MaxTokens:    maxTokens,
+	}, nil
+}
+
+func (c chatRequest) prompt() string {
+	var prompt strings.Builder
+	for _, message := range c.Messages {
+		prompt.WriteString(message.Role)
+		prompt.WriteString(": ")
+		prompt.WriteString(message.Content)
+		prompt.WriteByte('\n')
+	}
+	return prompt.String()
+}
+
+func (h *Callers) chat(w http.ResponseWriter, r *http.Request) {
+	request, body, err := readRequest(h.clock, r)
+	if err != nil {
+		h.refuse(w, request, refusalOf(err))
+		return
+	}
+	wire, err := encoder.Decode[chatRequest](body)
+	if err != nil {
+		h.refuse(w, request, notRun(filter.MalformedRequest, err.Error()))
+		return
+	}
+	work, err := wire.generation()
+	if err != nil {
+		h.refuse(w, request, refusalOf(err))
+		return
+	}
+	if wire.Stream {
+		h.stream(w, r, request, work, wire)
+		return
+	}
+	h.complete(w, r, request, work)
+}
+
+// complete answers a request that wants the whole text at once.
+func (h *Callers) complete(w http.ResponseWriter, r *http.Request, request *filter.Request, work filter.Generation) {
+	var text strings.Builder
+	var finish filter.Finish
+	work.Emit = func(event filter.Event) error {
+		switch event := event.(type) {
+		case filter.Token:
+			h.observer.Token()
+			text.WriteString(event.Text)
+		case filter.Finish:
+			finish = event
+		}
+		return r.Context().Err()
+	}
+	request.Work = work
+	switch verdict := h.run(r, request).(type) {
+	case filter.Refuse:
+		writeProblem(w, request.Identity, verdict.Refusal)
+	case filter.Accept:
+		writeJSON(w, h.completion(request, work, text.String(), finish))
+	}
+}
+
+func (h *Callers) completion(request *filter.Request, work filter.Generation, text string, finish filter.Finish) chatCompletion {
+	return chatCompletion{
+		ID:      "chatcmpl-" + request.Identity,
+		Object:  "chat.completion",
+		Created: request.Arrived.Unix(),
+		Model:   work.Model,
+		Choices: []chatChoice{{
+			Message:      chatMessage{Role: "assistant", Content: text},
+			FinishReason: finish.Reason,
+		}},
+		Usage: chatUsage{
+			PromptTokens:     finish.PromptTokens,
+			CompletionTokens: finish.CompletionTokens,
+			TotalTokens:      finish.PromptTokens + finish.CompletionTokens,
+		},
+	}
+}
+
+// stream answers with server-sent events.
+func (h *Callers) stream(w http.ResponseWriter, r *http.Request, request *filter.Request, work filter.Generation, wire chatRequest) {
+	events := newEventWriter(h.clock, w, work.Model)
+	events.includeUsage = wire.StreamOptions != nil && wire.StreamOptions.IncludeUsage
+	work.Emit = func(event filter.Event) error {
+		if _, ok := event.(filter.Token); ok {
+			h.observer.Token()
+		}
+		return events.emit(request, event)
+	}
+	request.Work = work
+	verdict, ok := h.run(r, request).(filter.Refuse)
+	switch {
+	case !ok:
+	case events.begun:
+		events.fail(problemOf(request.Identity, verdict.Refusal))
+	default:
+		writeProblem(w, request.Identity, verdict.Refusal)
+	}
+}
+
+// writeTimeout is how long a caller may take to accept a piece of its answer
+// before it counts as gone.
+const writeTimeout = 10 * time.Second
--- /dev/null
+++ b/internal/server/events.go
@@ -0,0 +1,145 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/filter"
+)
+
+// keepAliveEvery is how long a stream may be quiet before a comment line shows
+// the caller that the connection is alive.
+const keepAliveEvery = 5 * time.Second
+
+// eventWriter writes a generation as OpenAI chat completion chunks. It reuses
+// one buffer, so that a token costs no allocation.
+type eventWriter struct {
+	clock        clockwork.Clock
+	writer       http.ResponseWriter
+	controller   *http.ResponseController
+	model        string
+	includeUsage bool
+	// begun says that the status and header have been sent.
+	begun   bool
+	lastAt  time.Time
+	prefix  []byte
+	buffer  []byte
+	dropped error
+}
+
+func newEventWriter(clock clockwork.Clock, w http.ResponseWriter, model string) *eventWriter {
+	return &eventWriter{clock: clock, writer: w, controller: http.NewResponseController(w), model: model}
+}
+
+// emit writes one event and returns an error if the caller is gone.
+func (e *eventWriter) emit(request *filter.Request, event filter.Event) error {
+	switch event := event.(type) {
+	case filter.Token:
+		e.begin(request)
+		e.buffer = append(e.buffer[:0], e.prefix...)
+		e.buffer = append(e.buffer, `{"index":0,"delta":{"content":`...)
+		e.buffer = appendString(e.buffer, event.Text)
+		e.buffer = append(e.buffer, "},\"finish_reason\":null}]}\n\n"...)
+		return e.flush()
+	case filter.Finish:
+		e.begin(request)
+		e.finish(event)
+		return e.flush()
+	case filter.KeepAlive:
+		if !e.begun || e.clock.Since(e.lastAt) < keepAliveEvery {
+			return nil
+		}
+		e.buffer = append(e.buffer[:0], ": keep-alive\n\n"...)
+		return e.flush()
+	default:
+		return nil
+	}
+}
+
+// begin sends the header and the first chunk, which names the role.
+func (e *eventWriter) begin(request *filter.Request) {
+	if e.begun {
+		return
+	}
+	e.begun = true
+	header := e.writer.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	header.Set(identityHeader, request.Identity)
+	e.writer.WriteHeader(http.StatusOK)
+	e.prefix = append(e.prefix, `data: {"id":"chatcmpl-`...)
+	e.prefix = appendString(e.prefix, request.Identity)
+	e.prefix = trimQuotes(e.prefix, len(`data: {"id":"chatcmpl-`))
+	e.prefix = append(e.prefix, `","object":"chat.completion.chunk","created":`...)
+	e.prefix = strconv.AppendInt(e.prefix, request.Arrived.Unix(), 10)
+	e.prefix = append(e.prefix, `,"model":`...)
+	e.prefix = appendString(e.prefix, e.model)
+	e.prefix = append(e.prefix, `,"choices":[`...)
+	e.buffer = append(e.buffer[:0], e.prefix...)
+	e.buffer = append(e.buffer, "{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":\"\"},\"finish_reason\":null}]}\n\n"...)
+	_, e.dropped = e.writer.Write(e.buffer)
+}
+
+// trimQuotes removes the quotes of the JSON string that starts at an offset.
+func trimQuotes(text []byte, at int) []byte {
+	copy(text[at:], text[at+1:])
+	return text[:len(text)-2]
+}
+
+func (e *eventWriter) finish(finish filter.Finish) {
+	e.buffer = append(e.buffer[:0], e.prefix...)
+	e.buffer = append(e.buffer, `{"index":0,"delta":{},"finish_reason":`...)
+	e.buffer = appendString(e.buffer, finish.Reason)
+	e.buffer = append(e.buffer, "}]}\n\n"...)
+	if e.includeUsage {
+		e.buffer = append(e.buffer, e.prefix...)
+		e.buffer = append(e.buffer, `],"usage":`...)
+		e.buffer = append(e.buffer, encoder.Encode(chatUsage{
+			PromptTokens:     finish.PromptTokens,
+			CompletionTokens: finish.CompletionTokens,
+			TotalTokens:      finish.PromptTokens + finish.CompletionTokens,
+		})...)
+		e.buffer = append(e.buffer, "}\n\n"...)
+	}
+	e.buffer = append(e.buffer, "data: [DONE]\n\n"...)
+}
+
+// fail ends a stream that has begun with an error event.
+func (e *eventWriter) fail(problem problem) {
+	e.buffer = append(e.buffer[:0], "event: error\ndata: "...)
+	e.buffer = append(e.buffer, encoder.Encode(problem)...)
+	e.buffer = append(e.buffer, "\n\n"...)
+	_ = e.flush()
+}
+
+func (e *eventWriter) flush() error {
+	if e.dropped != nil {
+		return e.dropped
+	}
+	now := e.clock.Now()
+	e.lastAt = now
+	_ = e.controller.SetWriteDeadline(now.Add(writeTimeout))
+	if _, err := e.writer.Write(e.buffer); err != nil {
+		return err
+	}
+	return e.controller.Flush()
+}
+
+// appendString appends a JSON string. Text without special characters, which
+// is nearly all of it, is copied without an allocation.
+func appendString(into []byte, text string) []byte {
+	for _, char := range []byte(text) {
+		if char < 0x20 || char >= 0x7f || char == '"' || char == '\\' {
+			quoted, _ := json.Marshal(text) // a string can always be encoded
+			return append(into, quoted...)
+		}
+	}
+	into = append(into, '"')
+	into = append(into, text...)
+	return append(into, '"')
+}
--- /dev/null
+++ b/internal/server/read.go
@@ -0,0 +1,116 @@
+package server
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// Headers of the callers' side.
+const (
+	classHeader    = "Toucanhitch-Class"
+	deadlineHeader = "Toucanhitch-Deadline"
+	identityHeader = "Idempotency-Key"
+)
+
+const (
+	// maxBodyBytes bounds the body of a caller's request.
+	maxBodyBytes = 4 << 20
+	maxKeyBytes  = 256
+	bearer       = "Bearer "
+)
+
+// readRequest reads what all kinds of requests have in common, and the body.
+// It removes the key from the HTTP request.
+func readRequest(clock clockwork.Clock, r *http.Request) (*filter.Request, []byte, error) {
+	request := &filter.Request{
+		Arrived:  clock.Now(),
+		Class:    filter.Class(r.Header.Get(classHeader)),
+		Identity: r.Header.Get(identityHeader),
+	}
+	request.IdentityGiven = len(r.Header.Values(identityHeader)) > 0
+	if text := r.Header.Get(deadlineHeader); text != "" {
+		patience, err := time.ParseDuration(text)
+		if err != nil || patience <= 0 {
+			return request, nil, notRun(filter.MalformedRequest,
+				fmt.Sprintf("header %s: %q is not a positive duration such as 1.5s", deadlineHeader, text))
+		}
+		request.Patience = patience
+	}
+	key, err := takeKey(r)
+	if err != nil {
+		return request, nil, err
+	}
+	body, err := readBody(r)
+	if err != nil {
+		return request, nil, err
+	}
+	if err := checkForKey(r, key, body); err != nil {
+		// The identity may be the key, so it must not be repeated.
+		request.Identity = ""
+		return request, nil, err
+	}
+	if key != "" {
+		request.KeyDigest = releaser.Digest(key)
+	}
+	return request, body, nil
+}
+
+// takeKey removes the key from the request's header and returns it, or "" if
+// there is none.
+func takeKey(r *http.Request) (string, error) {
+	values := r.Header.Values("Authorization")
+	r.Header.Del("Authorization")
+	if len(values) == 0 {
+		return "", nil
+	}
+	key, ok := strings.CutPrefix(values[0], bearer)
+	key = strings.TrimSpace(key)
+	if !ok || len(values) > 1 || key == "" || len(key) > maxKeyBytes {
+		return "", notRun(filter.MissingKey, "header Authorization is malformed; want \"Bearer <key>\", once")
+	}
+	return key, nil
+}
+
+// checkForKey refuses a request that carries a key anywhere but in its
+// Authorization header, since everything else may reach an endpoint or a log.
+func checkForKey(r *http.Request, key string, body []byte) error {
+	for _, text := range []string{r.URL.Path, r.URL.RawQuery, r.Header.Get(identityHeader), r.Header.Get("Content-Type")} {
+		if strings.Contains(text, releaser.KeyPrefix) || (key != "" && strings.Contains(text, key)) {
+			return notRun(filter.MalformedRequest, "a key may stand only in the Authorization header")
+		}
+	}
+	if key != "" && bytes.Contains(body, []byte(key)) {
+		return notRun(filter.MalformedRequest, "the body contains the key; it may stand only in the Authorization header")
+	}
+	return nil
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := encoder.Read(r.Body, maxBodyBytes)
+	switch {
+	case errors.Is(err, encoder.ErrTooLarge):
+		return nil, notRun(filter.TooLarge, fmt.Sprintf("the body is larger than %d bytes", maxBodyBytes))
+	case err != nil:
+		return nil, notRun(filter.MalformedRequest, "the body ends before its announced length")
+	}
+	return body, nil
+}
+
+// refusalOf returns the refusal that an error of this package holds.
+func refusalOf(err error) filter.Refusal {
+	var refusal filter.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return notRun(filter.MalformedRequest, err.Error())
+}
--- a/internal/spreader/message.go
+++ b/internal/spreader/message.go
@@ -53,8 +53,8 @@
 	Region     string
 }
 
-// Message is what a Spreader reacts to: PeersChanged, Publish, Pushed,
-// PushFailed or Tick.
+// Message is what a Spreader reacts to: PeersChanged, Publish, Pushed
+// or Tick.
 type Message interface{ isMessage() }
 
 // PeersChanged replaces the live nodes. Self is not among Peers.
--- /dev/null
+++ b/internal/spreader/task.go
@@ -0,0 +1,52 @@
+package spreader
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+const inbox = 1024
+
+// Task runs a Spreader.
+type Task = runner.Task[Message, Effect]
+
+// TaskSettings is what a spreader's task needs.
+type TaskSettings struct {
+	Clock      clockwork.Clock
+	Controller *Spreader
+	// Push sends items to the peer at an address.
+	Push func(ctx context.Context, address string, items []Item) error
+	// Deliver hands an item that came from a peer to this node's tasks. It
+	// must not block.
+	Deliver func(Item)
+	// Answered is told whether a peer took a push.
+	Answered func(peer string, answered bool)
+}
+
+// NewTask returns the task of a spreader.
+func NewTask(settings TaskSettings) *Task {
+	return runner.New(runner.Settings[Message, Effect]{
+		Name:       "spreader",
+		Clock:      settings.Clock,
+		Controller: settings.Controller,
+		Tick:       Tick{},
+		Perform:    settings.perform,
+		Inbox:      inbox,
+	})
+}
+
+func (s TaskSettings) perform(hands runner.Hands[Message], effect Effect) {
+	switch effect := effect.(type) {
+	case Push:
+		hands.Start(func(ctx context.Context) Message {
+			err := s.Push(ctx, effect.Peer.Address, effect.Items)
+			s.Answered(effect.Peer.Name, err == nil)
+			return Tick{}
+		})
+	case Deliver:
+		s.Deliver(effect.Item)
+	}
+}
--- a/pkg/parser/log.go
+++ b/pkg/parser/log.go
@@ -27,7 +27,6 @@
 	Version     uint64
 	BaseVersion uint64
 	Parts       []string
-	Audit       []string
 	Changes     []change
 }
 
@@ -51,7 +50,6 @@
 		Version:     from.Version,
 		BaseVersion: from.BaseVersion,
 		Parts:       from.Parts,
-		Audit:       from.Audit,
 		Changes:     encodeChanges(from.Changes),
 	})
 }
@@ -71,7 +69,6 @@
 		Version:     wire.Version,
 		BaseVersion: wire.BaseVersion,
 		Parts:       wire.Parts,
-		Audit:       wire.Audit,
 		Changes:     changes,
 	}, nil
 }
@@ -146,3 +143,15 @@
 	}
 	return changes, nil
 }
+
+// EncodePart returns the JSON form of a piece of a configuration's text. The
+// piece may end within a character.
+func EncodePart(piece []byte) []byte {
+	return encoder.Encode(piece)
+}
+
+// DecodePart parses a piece of a configuration's text. It returns
+// encoder.ErrMalformed.
+func DecodePart(data []byte) ([]byte, error) {
+	return encoder.Decode[[]byte](data)
+}
--- a/pkg/releaser/configuration.go
+++ b/pkg/releaser/configuration.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 )
 
@@ -155,3 +157,19 @@
 	return fmt.Sprintf("version %d (note %d): %d models, %d adapters, %d services, %d workspaces, %d grants",
 		c.Version, c.NoteVersion, len(c.Models), len(c.Adapters), len(c.Services), len(c.Workspaces), len(c.Grants))
 }
+
+// Names returns the names that callers can use for models and adapters, bare
+// and with versions, in order.
+func Names(c *Configuration) []string {
+	names := map[string]bool{}
+	for key := range c.Models {
+		names[key] = true
+	}
+	for key := range c.Adapters {
+		names[key] = true
+	}
+	for name := range c.Newest {
+		names[name] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
--- a/pkg/releaser/head.go
+++ b/pkg/releaser/head.go
@@ -11,8 +11,6 @@
 	// Parts names the objects whose joined text is the base's JSON form, in
 	// order. It is empty if BaseVersion is 0.
 	Parts []string
-	// Audit names the objects that hold the compacted changes, in order.
-	Audit []string
 	// Changes have the versions BaseVersion+1 to Version.
 	Changes []Change
 }
