Add the platform stand-in

It serves the object API, the instance list and the weight store of docs/protocols.md over HTTP. A controller holds the state and the faults; the front decodes calls, waits for answers and closes connections whose reply is to be lost. Faults are switched while it runs.

SilenceOpen goes beyond a silent platform: it silences the connections in use for good while new ones work, which is the fault that timeouts and dropped idle connections have to cure.

--- /dev/null
+++ b/internal/emulator/platform_controller.go
@@ -0,0 +1,324 @@
+package emulator
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/storer"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// burstTime is the share of a second's calls that may come at once.
+const burstTime = 100 * time.Millisecond
+
+// PlatformController is the state of a platform stand-in.
+type PlatformController struct {
+	Settings PlatformSettings
+	Faults   PlatformFaults
+	Calls    PlatformCalls
+	// Objects holds the objects that exist.
+	Objects map[storer.ID]PlatformObject
+	// LastVersion is the version of the latest write. It is shared by all
+	// objects, so that an object's versions grow over deletion.
+	LastVersion uint64
+	// Watches holds the calls that wait, of objects and the instance list.
+	Watches map[runner.Call]Watching
+	// SilentConnections says for every connection whether it is silent.
+	SilentConnections map[string]bool
+	List              InstanceRegister
+	Store             WeightStore
+
+	reads  *rate.Limiter
+	writes *rate.Limiter
+}
+
+// Watching is a watch that waits for a change.
+type Watching struct {
+	Origin
+	// Instances says that the watch waits for the instance list, not for ID.
+	Instances bool
+	ID        storer.ID
+	After     uint64
+	Until     time.Time
+}
+
+// NewPlatformController returns a platform without objects and instances.
+func NewPlatformController(settings PlatformSettings) *PlatformController {
+	return &PlatformController{
+		Settings:          settings,
+		Objects:           map[storer.ID]PlatformObject{},
+		Watches:           map[runner.Call]Watching{},
+		SilentConnections: map[string]bool{},
+		List:              InstanceRegister{Visible: map[string]tracker.Instance{}},
+		Store:             NewWeightStore(settings),
+		reads:             limiter(settings.ReadsPerSecond),
+		writes:            limiter(settings.WritesPerSecond),
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond*burstTime.Seconds())))
+}
+
+// Wake returns when the next watch, list change or transfer is due.
+func (p *PlatformController) Wake() time.Time {
+	wake := earlier(p.List.Wake(), p.Store.Wake())
+	for _, watch := range p.Watches {
+		if !p.isSilent(watch.Origin) {
+			wake = earlier(wake, watch.Until)
+		}
+	}
+	return wake
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// Step handles one call.
+func (p *PlatformController) Step(now time.Time, message PlatformMessage) []AnswerPlatformCall {
+	effects := p.advance(now)
+	switch message := message.(type) {
+	case GetObject:
+		p.Calls.Get++
+		return append(effects, p.read(now, message.Origin, func() PlatformAnswer { return p.get(message.ID) })...)
+	case ListObjects:
+		p.Calls.List++
+		return append(effects, p.read(now, message.Origin, func() PlatformAnswer { return p.list(message) })...)
+	case WatchObject:
+		p.Calls.Watch++
+		return append(effects, p.watch(now, Watching{
+			Origin: message.Origin, ID: message.ID, After: message.After, Until: now.Add(message.Wait),
+		})...)
+	case WatchInstances:
+		p.Calls.Instances++
+		return append(effects, p.watch(now, Watching{
+			Origin: message.Origin, Instances: true, After: message.After, Until: now.Add(message.Wait),
+		})...)
+	case PutObject:
+		p.Calls.Put++
+		return append(effects, p.write(now, message.Origin, func() PlatformAnswer { return p.put(message) })...)
+	case DeleteObject:
+		p.Calls.Delete++
+		return append(effects, p.write(now, message.Origin, func() PlatformAnswer { return p.delete(message) })...)
+	case TransferWeights:
+		p.Calls.Transfers++
+		return append(effects, p.transfer(now, message)...)
+	case AbandonPlatformCall:
+		delete(p.Watches, message.Call)
+		p.Store.Abandon(now, message.Call)
+		return effects
+	default:
+		return append(effects, p.control(now, message)...)
+	}
+}
+
+// control handles the calls by which tests and scripts steer the stand-in.
+// Faults do not apply to them.
+func (p *PlatformController) control(now time.Time, message PlatformMessage) []AnswerPlatformCall {
+	switch message := message.(type) {
+	case SetInstance:
+		p.List.Set(now.Add(p.listLag()), message.Instance)
+		return append(p.advance(now), immediate(message.Origin, CallDone{}))
+	case RemoveInstance:
+		p.List.Remove(now.Add(p.listLag()), message.Name)
+		return append(p.advance(now), immediate(message.Origin, CallDone{}))
+	case SetPlatformFaults:
+		p.setFaults(now, message.Faults)
+		return append(p.advance(now), immediate(message.Origin, CallDone{}))
+	case GetPlatformFaults:
+		return []AnswerPlatformCall{immediate(message.Origin, FaultsInForce{p.Faults})}
+	case GetPlatformCalls:
+		return []AnswerPlatformCall{immediate(message.Origin, CallsCounted{p.Calls})}
+	}
+	return nil
+}
+
+func (p *PlatformController) setFaults(now time.Time, faults PlatformFaults) {
+	if faults.SilenceOpen {
+		for connection := range p.SilentConnections {
+			p.SilentConnections[connection] = true
+		}
+	}
+	if faults.Silent {
+		for _, watch := range p.Watches {
+			p.SilentConnections[watch.Connection] = true
+		}
+	}
+	p.Faults = faults
+	p.Store.SetSlowdown(now, faults.StoreSlowdown)
+}
+
+func (p *PlatformController) listLag() time.Duration {
+	return p.Settings.ListLag + p.Faults.ListLag
+}
+
+// advance brings the list, the store and the watches up to now.
+func (p *PlatformController) advance(now time.Time) []AnswerPlatformCall {
+	p.List.Advance(now)
+	var effects []AnswerPlatformCall
+	for _, call := range p.Store.Advance(now) {
+		effects = append(effects, AnswerPlatformCall{Call: call, Answer: WeightsTransferred{}})
+	}
+	for _, call := range slices.Sorted(maps.Keys(p.Watches)) {
+		watch := p.Watches[call]
+		if answer := p.look(now, watch); answer != nil && !p.isSilent(watch.Origin) {
+			delete(p.Watches, call)
+			effects = append(effects, p.delayed(watch.Origin, answer))
+		}
+	}
+	return effects
+}
+
+// look returns the answer to a watch, or nil if it must wait.
+func (p *PlatformController) look(now time.Time, watch Watching) PlatformAnswer {
+	object, exists := p.Objects[watch.ID]
+	switch {
+	case p.Faults.Outage:
+		p.Calls.Unavailable++
+		return CallUnavailable{}
+	case watch.Instances && p.List.Version > watch.After:
+		return InstancesFound{p.List.Snapshot()}
+	case !watch.Instances && exists && object.Version > watch.After:
+		return ObjectFound{object}
+	case !now.Before(watch.Until):
+		return ObjectUnchanged{}
+	}
+	return nil
+}
+
+// admit decides whether a call is handled. If it is not, the effects are its
+// answer, or none if the call stays silent.
+func (p *PlatformController) admit(now time.Time, origin Origin, limit *rate.Limiter) (bool, []AnswerPlatformCall) {
+	if _, known := p.SilentConnections[origin.Connection]; !known {
+		p.SilentConnections[origin.Connection] = false
+	}
+	switch {
+	case p.isSilent(origin):
+		return false, nil
+	case p.Faults.Outage:
+		p.Calls.Unavailable++
+		return false, []AnswerPlatformCall{p.delayed(origin, CallUnavailable{})}
+	case !limit.AllowN(now, 1):
+		p.Calls.Throttled++
+		return false, []AnswerPlatformCall{p.delayed(origin, CallThrottled{})}
+	}
+	return true, nil
+}
+
+func (p *PlatformController) isSilent(origin Origin) bool {
+	return p.Faults.Silent || p.SilentConnections[origin.Connection]
+}
+
+func (p *PlatformController) read(now time.Time, origin Origin, look func() PlatformAnswer) []AnswerPlatformCall {
+	admitted, refusal := p.admit(now, origin, p.reads)
+	if !admitted {
+		return refusal
+	}
+	return []AnswerPlatformCall{p.delayed(origin, look())}
+}
+
+func (p *PlatformController) watch(now time.Time, watch Watching) []AnswerPlatformCall {
+	admitted, refusal := p.admit(now, watch.Origin, p.reads)
+	if !admitted {
+		return refusal
+	}
+	if answer := p.look(now, watch); answer != nil {
+		return []AnswerPlatformCall{p.delayed(watch.Origin, answer)}
+	}
+	p.Watches[watch.Call] = watch
+	return nil
+}
+
+func (p *PlatformController) write(now time.Time, origin Origin, change func() PlatformAnswer) []AnswerPlatformCall {
+	if p.Faults.LoseReplies > 0 && !p.Faults.Outage {
+		return p.loseReply(now, origin, change)
+	}
+	admitted, refusal := p.admit(now, origin, p.writes)
+	if !admitted {
+		return refusal
+	}
+	answer := p.delayed(origin, change())
+	return append(p.advance(now), answer)
+}
+
+func (p *PlatformController) loseReply(now time.Time, origin Origin, change func() PlatformAnswer) []AnswerPlatformCall {
+	p.Faults.LoseReplies--
+	change()
+	if p.isSilent(origin) {
+		return p.advance(now)
+	}
+	return append(p.advance(now), p.delayed(origin, ReplyLost{}))
+}
+
+func (p *PlatformController) transfer(now time.Time, message TransferWeights) []AnswerPlatformCall {
+	if !p.Store.Start(now, message.Call, message.MB) {
+		p.Calls.Throttled++
+		return []AnswerPlatformCall{immediate(message.Origin, CallThrottled{})}
+	}
+	return p.advance(now)
+}
+
+func (p *PlatformController) delayed(origin Origin, answer PlatformAnswer) AnswerPlatformCall {
+	return AnswerPlatformCall{origin.Call, p.Settings.Latency + p.Faults.Latency, answer}
+}
+
+func immediate(origin Origin, answer PlatformAnswer) AnswerPlatformCall {
+	return AnswerPlatformCall{Call: origin.Call, Answer: answer}
+}
+
+func (p *PlatformController) get(id storer.ID) PlatformAnswer {
+	object, exists := p.Objects[id]
+	if !exists {
+		return ObjectMissing{}
+	}
+	return ObjectFound{object}
+}
+
+func (p *PlatformController) list(message ListObjects) PlatformAnswer {
+	found := []PlatformObject{}
+	for id, object := range p.Objects {
+		if id.Kind == message.Kind && strings.HasPrefix(id.Name, message.Prefix) {
+			found = append(found, PlatformObject{ID: id, Version: object.Version})
+		}
+	}
+	slices.SortFunc(found, func(a, b PlatformObject) int { return strings.Compare(a.ID.Name, b.ID.Name) })
+	return ObjectsFound{found}
+}
+
+func (p *PlatformController) put(message PutObject) PlatformAnswer {
+	current := p.Objects[message.ID].Version
+	switch {
+	case len(message.Value) > storer.MaxValueBytes:
+		return ObjectTooLarge{}
+	case current != message.IfVersion:
+		return ObjectConflict{current}
+	}
+	p.LastVersion++
+	p.Objects[message.ID] = PlatformObject{message.ID, p.LastVersion, message.Value}
+	return ObjectWritten{p.LastVersion}
+}
+
+func (p *PlatformController) delete(message DeleteObject) PlatformAnswer {
+	current, exists := p.Objects[message.ID]
+	switch {
+	case !exists:
+		return ObjectMissing{}
+	case current.Version != message.IfVersion:
+		return ObjectConflict{current.Version}
+	}
+	p.LastVersion++
+	delete(p.Objects, message.ID)
+	return CallDone{}
+}
--- /dev/null
+++ b/internal/emulator/platform_message.go
@@ -0,0 +1,198 @@
+package emulator
+
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/storer"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// PlatformMessage is an input of PlatformController.
+type PlatformMessage interface{ isPlatformMessage() }
+
+// Origin says where a call comes from.
+type Origin struct {
+	Call runner.Call
+	// Connection identifies the caller's connection. Connections can go
+	// silent one by one.
+	Connection string
+}
+
+// GetObject reads an object.
+type GetObject struct {
+	Origin
+	ID storer.ID
+}
+
+// PutObject writes an object if it has the version IfVersion, where 0 means
+// that it must not exist.
+type PutObject struct {
+	Origin
+	ID        storer.ID
+	IfVersion uint64
+	Value     []byte
+}
+
+// DeleteObject removes an object if it has the version IfVersion.
+type DeleteObject struct {
+	Origin
+	ID        storer.ID
+	IfVersion uint64
+}
+
+// ListObjects lists the objects of a kind whose names have a prefix.
+type ListObjects struct {
+	Origin
+	Kind   string
+	Prefix string
+}
+
+// WatchObject waits until an object's version is above After.
+type WatchObject struct {
+	Origin
+	ID    storer.ID
+	After uint64
+	Wait  time.Duration
+}
+
+// WatchInstances waits until the instance list's version is above After.
+type WatchInstances struct {
+	Origin
+	After uint64
+	Wait  time.Duration
+}
+
+// SetInstance adds an instance to the list or replaces its entry.
+type SetInstance struct {
+	Origin
+	Instance tracker.Instance
+}
+
+// RemoveInstance removes an instance from the list.
+type RemoveInstance struct {
+	Origin
+	Name string
+}
+
+// TransferWeights copies a checkpoint from the weight store to an engine.
+type TransferWeights struct {
+	Origin
+	Model   string
+	Version string
+	MB      float64
+}
+
+// SetPlatformFaults replaces the faults in force.
+type SetPlatformFaults struct {
+	Origin
+	Faults PlatformFaults
+}
+
+// GetPlatformFaults reads the faults in force.
+type GetPlatformFaults struct{ Origin }
+
+// GetPlatformCalls reads the counters of calls.
+type GetPlatformCalls struct{ Origin }
+
+// AbandonPlatformCall says that the caller of a call has gone.
+type AbandonPlatformCall struct{ Call runner.Call }
+
+// PlatformTick says that the controller's wake time has come.
+type PlatformTick struct{}
+
+func (GetObject) isPlatformMessage()           {}
+func (PutObject) isPlatformMessage()           {}
+func (DeleteObject) isPlatformMessage()        {}
+func (ListObjects) isPlatformMessage()         {}
+func (WatchObject) isPlatformMessage()         {}
+func (WatchInstances) isPlatformMessage()      {}
+func (SetInstance) isPlatformMessage()         {}
+func (RemoveInstance) isPlatformMessage()      {}
+func (TransferWeights) isPlatformMessage()     {}
+func (SetPlatformFaults) isPlatformMessage()   {}
+func (GetPlatformFaults) isPlatformMessage()   {}
+func (GetPlatformCalls) isPlatformMessage()    {}
+func (AbandonPlatformCall) isPlatformMessage() {}
+func (PlatformTick) isPlatformMessage()        {}
+
+// AnswerPlatformCall is the effect of PlatformController: the answer to a
+// call, to be sent after a delay.
+type AnswerPlatformCall struct {
+	Call   runner.Call
+	Delay  time.Duration
+	Answer PlatformAnswer
+}
+
+// PlatformAnswer is the content of an answer.
+type PlatformAnswer interface{ isPlatformAnswer() }
+
+// PlatformObject is a version of an object.
+type PlatformObject struct {
+	ID      storer.ID
+	Version uint64
+	Value   []byte
+}
+
+// ObjectFound answers a read or a watch.
+type ObjectFound struct{ Object PlatformObject }
+
+// ObjectsFound answers a listing.
+type ObjectsFound struct{ Objects []PlatformObject }
+
+// InstancesFound answers a watch of the instance list.
+type InstancesFound struct{ List tracker.InstanceList }
+
+// ObjectWritten answers a write that took effect.
+type ObjectWritten struct{ Version uint64 }
+
+// CallDone answers a call that returns nothing.
+type CallDone struct{}
+
+// WeightsTransferred answers a transfer when it is complete.
+type WeightsTransferred struct{}
+
+// ObjectMissing says that the object does not exist.
+type ObjectMissing struct{}
+
+// ObjectConflict says that the object has another version, 0 if it does not
+// exist.
+type ObjectConflict struct{ Version uint64 }
+
+// ObjectTooLarge says that the value is above the limit.
+type ObjectTooLarge struct{}
+
+// ObjectUnchanged ends a watch without a change.
+type ObjectUnchanged struct{}
+
+// CallThrottled says that the call is above the rate and had no effect.
+type CallThrottled struct{}
+
+// CallUnavailable says that the platform is down and the call had no effect.
+type CallUnavailable struct{}
+
+// ReplyLost says that the call took effect and that its connection is closed
+// without an answer.
+type ReplyLost struct{}
+
+// FaultsInForce answers GetPlatformFaults.
+type FaultsInForce struct{ Faults PlatformFaults }
+
+// CallsCounted answers GetPlatformCalls.
+type CallsCounted struct{ Calls PlatformCalls }
+
+func (ObjectFound) isPlatformAnswer()        {}
+func (ObjectsFound) isPlatformAnswer()       {}
+func (InstancesFound) isPlatformAnswer()     {}
+func (ObjectWritten) isPlatformAnswer()      {}
+func (CallDone) isPlatformAnswer()           {}
+func (WeightsTransferred) isPlatformAnswer() {}
+func (ObjectMissing) isPlatformAnswer()      {}
+func (ObjectConflict) isPlatformAnswer()     {}
+func (ObjectTooLarge) isPlatformAnswer()     {}
+func (ObjectUnchanged) isPlatformAnswer()    {}
+func (CallThrottled) isPlatformAnswer()      {}
+func (CallUnavailable) isPlatformAnswer()    {}
+func (ReplyLost) isPlatformAnswer()          {}
+func (FaultsInForce) isPlatformAnswer()      {}
+func (CallsCounted) isPlatformAnswer()       {}
--- /dev/null
+++ b/internal/emulator/platform_store.go
@@ -0,0 +1,107 @@
+package emulator
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// WeightStore is a store of checkpoints whose transfers share its speed.
+type WeightStore struct {
+	// MBPerSecond is the speed of one transfer.
+	MBPerSecond float64
+	// FullSpeed is the number of transfers that have that speed at once.
+	FullSpeed int
+	// Slowdown divides the speed.
+	Slowdown float64
+	// RemainingMB holds what is left of each transfer as of At.
+	RemainingMB map[runner.Call]float64
+	At          time.Time
+
+	starts *rate.Limiter
+}
+
+// doneMB is the rest below which a transfer counts as complete. It covers
+// the rounding of wake times to nanoseconds.
+const doneMB = 1e-3
+
+// NewWeightStore returns a store without transfers.
+func NewWeightStore(settings PlatformSettings) WeightStore {
+	starts := rate.NewLimiter(rate.Inf, 0)
+	if settings.TransfersPerSecond > 0 {
+		// One second's transfers may start at once.
+		starts = rate.NewLimiter(rate.Limit(settings.TransfersPerSecond), max(1, int(settings.TransfersPerSecond)))
+	}
+	return WeightStore{
+		MBPerSecond: settings.TransferMBPerSecond,
+		FullSpeed:   settings.FullSpeedTransfers,
+		Slowdown:    1,
+		RemainingMB: map[runner.Call]float64{},
+		starts:      starts,
+	}
+}
+
+// Start begins a transfer. It returns false above the store's rate.
+func (s *WeightStore) Start(now time.Time, call runner.Call, mb float64) bool {
+	s.progress(now)
+	if !s.starts.AllowN(now, 1) {
+		return false
+	}
+	s.RemainingMB[call] = mb
+	return true
+}
+
+// Abandon ends a transfer that nobody waits for.
+func (s *WeightStore) Abandon(now time.Time, call runner.Call) {
+	s.progress(now)
+	delete(s.RemainingMB, call)
+}
+
+// SetSlowdown changes the speed from now on; 0 means the full speed.
+func (s *WeightStore) SetSlowdown(now time.Time, slowdown float64) {
+	s.progress(now)
+	s.Slowdown = slowdown
+	if slowdown <= 0 {
+		s.Slowdown = 1
+	}
+}
+
+// Advance returns the calls whose transfers are complete, in order.
+func (s *WeightStore) Advance(now time.Time) []runner.Call {
+	s.progress(now)
+	var done []runner.Call
+	for _, call := range slices.Sorted(maps.Keys(s.RemainingMB)) {
+		if s.RemainingMB[call] <= doneMB {
+			delete(s.RemainingMB, call)
+			done = append(done, call)
+		}
+	}
+	return done
+}
+
+// Wake returns when the next transfer will be complete at the present speed.
+func (s *WeightStore) Wake() time.Time {
+	if len(s.RemainingMB) == 0 {
+		return time.Time{}
+	}
+	least := slices.Min(slices.Collect(maps.Values(s.RemainingMB)))
+	return s.At.Add(time.Duration(max(0, least) / s.speed() * float64(time.Second)))
+}
+
+func (s *WeightStore) progress(now time.Time) {
+	moved := now.Sub(s.At).Seconds() * s.speed()
+	for call := range s.RemainingMB {
+		s.RemainingMB[call] -= moved
+	}
+	s.At = now
+}
+
+// speed is the speed of each transfer in MB per second.
+func (s *WeightStore) speed() float64 {
+	shared := min(1, float64(s.FullSpeed)/float64(max(1, len(s.RemainingMB))))
+	return s.MBPerSecond * shared / s.Slowdown
+}
--- /dev/null
+++ b/internal/emulator/platform_test.go
@@ -0,0 +1,162 @@
+package emulator_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/emulator"
+)
+
+// platform is a stand-in behind a real listener.
+type platform struct {
+	t      *testing.T
+	url    string
+	client *http.Client
+}
+
+func startPlatform(t *testing.T, change func(*emulator.PlatformSettings)) platform {
+	t.Helper()
+	settings := emulator.PlatformSettings{TransferMBPerSecond: 1000, FullSpeedTransfers: 2}
+	if change != nil {
+		change(&settings)
+	}
+	handler, stop, err := emulator.NewPlatform(settings, clockwork.NewRealClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		stop()
+		server.Close()
+	})
+	return platform{t, server.URL, server.Client()}
+}
+
+// call returns the status, 0 if there was no answer, and the body.
+func (p platform) call(method, path, body string) (int, string) {
+	p.t.Helper()
+	ctx, cancel := context.WithTimeout(p.t.Context(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, p.url+path, strings.NewReader(body))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, strings.TrimSpace(string(text))
+}
+
+func (p platform) want(method, path, body string, status int, text string) {
+	p.t.Helper()
+	gotStatus, gotText := p.call(method, path, body)
+	if gotStatus != status || text != "" && gotText != text {
+		p.t.Errorf("%s %s %s: %d %s; want %d %s", method, path, body, gotStatus, gotText, status, text)
+	}
+}
+
+// Guards against writes that ignore the version and against versions that
+// start again after a deletion.
+func TestConditionalWrites(t *testing.T) {
+	p := startPlatform(t, nil)
+	p.want("GET", "/objects/Lease/a", "", 404, "")
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":0,"Value":{"N":1}}`, 200, `{"Version":1}`)
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":0,"Value":{"N":2}}`, 409, `{"Version":1}`)
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":1,"Value":{"N":2}}`, 200, `{"Version":2}`)
+	p.want("DELETE", "/objects/Lease/a?IfVersion=1", "", 409, `{"Version":2}`)
+	p.want("DELETE", "/objects/Lease/a?IfVersion=2", "", 204, "")
+	p.want("DELETE", "/objects/Lease/a?IfVersion=2", "", 404, "")
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":2,"Value":1}`, 409, `{"Version":0}`)
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":0,"Value":1}`, 200, `{"Version":4}`)
+	p.want("GET", "/objects/Lease/a", "", 200, `{"Kind":"Lease","Name":"a","Version":4,"Value":1}`)
+	p.want("GET", "/objects/Lease?Prefix=a", "", 200, `{"Objects":[{"Kind":"Lease","Name":"a","Version":4}]}`)
+	p.want("GET", "/objects/Lease?Prefix=b", "", 200, `{"Objects":[]}`)
+}
+
+// Guards against bad input that is taken in part.
+func TestBadInputIsRefused(t *testing.T) {
+	p := startPlatform(t, nil)
+	large := `{"IfVersion":0,"Value":"` + strings.Repeat("x", 1<<20) + `"}`
+	p.want("PUT", "/objects/Lease/a", large, 413, "")
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":0,"Valeu":1}`, 400, "")
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":0}`, 400, "")
+	p.want("PUT", "/objects/Lease/a%20b", `{"IfVersion":0,"Value":1}`, 400, "")
+	p.want("GET", "/objects/Lease/a?After=x", "", 400, "")
+	p.want("PUT", "/faults", `{"Latency":"5"}`, 400, "")
+	p.want("GET", "/objects/Lease/a", "", 404, "")
+}
+
+// Guards against a watch that misses a write or ends early.
+func TestWatch(t *testing.T) {
+	p := startPlatform(t, nil)
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":0,"Value":1}`, 200, `{"Version":1}`)
+	p.want("GET", "/objects/Lease/a?After=0&Wait=1s", "", 200, `{"Kind":"Lease","Name":"a","Version":1,"Value":1}`)
+	p.want("GET", "/objects/Lease/a?After=1&Wait=20ms", "", 304, "")
+	done := make(chan string, 1)
+	go func() {
+		_, text := p.call("GET", "/objects/Lease/a?After=1&Wait=900ms", "")
+		done <- text
+	}()
+	time.Sleep(20 * time.Millisecond)
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":1,"Value":2}`, 200, `{"Version":2}`)
+	if got, want := <-done, `{"Kind":"Lease","Name":"a","Version":2,"Value":2}`; got != want {
+		t.Errorf("watch: %q; want %q", got, want)
+	}
+}
+
+// Guards against an instance list without its lag.
+func TestInstanceListLags(t *testing.T) {
+	p := startPlatform(t, func(s *emulator.PlatformSettings) { s.ListLag = 100 * time.Millisecond })
+	p.want("PUT", "/instances/e1", `{"Name":"e1","Kind":"Engine","Phase":"Live","MemoryMB":10}`, 204, "")
+	p.want("GET", "/instances?After=0&Wait=10ms", "", 304, "")
+	p.want("GET", "/instances?After=0&Wait=900ms", "", 200,
+		`{"Version":1,"Instances":[{"Name":"e1","Kind":"Engine","Address":"","DataCentre":"","Region":"","Phase":"Live",`+
+			`"MemoryMB":10,"HonoursFence":false,"ChecksOrders":false}]}`)
+	p.want("DELETE", "/instances/e1", "", 204, "")
+	p.want("GET", "/instances?After=1&Wait=900ms", "", 200, `{"Version":2,"Instances":[]}`)
+}
+
+// Guards against limits that throttle too late or count a refused call as
+// handled.
+func TestThrottling(t *testing.T) {
+	p := startPlatform(t, func(s *emulator.PlatformSettings) { s.WritesPerSecond = 1 })
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":0,"Value":1}`, 200, "")
+	p.want("PUT", "/objects/Lease/b", `{"IfVersion":0,"Value":1}`, 429, "")
+	p.want("GET", "/objects/Lease/b", "", 404, "")
+	p.want("GET", "/calls", "", 200,
+		`{"Get":1,"Put":2,"Delete":0,"List":0,"Watch":0,"Instances":0,"Transfers":0,"Throttled":1,"Unavailable":0}`)
+}
+
+// Guards against faults that have another effect than they announce.
+func TestFaults(t *testing.T) {
+	p := startPlatform(t, nil)
+	p.want("PUT", "/faults", `{"Outage":true}`, 204, "")
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":0,"Value":1}`, 503, "")
+	p.want("PUT", "/faults", `{"LoseReplies":1}`, 204, "")
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":0,"Value":1}`, 0, "")
+	p.want("GET", "/objects/Lease/a", "", 200, `{"Kind":"Lease","Name":"a","Version":1,"Value":1}`)
+	p.want("PUT", "/faults", `{"Silent":true}`, 204, "")
+	p.want("PUT", "/objects/Lease/a", `{"IfVersion":1,"Value":2}`, 0, "")
+	p.want("PUT", "/faults", `{}`, 204, "")
+	p.want("GET", "/objects/Lease/a", "", 200, `{"Kind":"Lease","Name":"a","Version":1,"Value":1}`)
+	p.want("PUT", "/faults", `{"SilenceOpen":true}`, 204, "")
+	p.want("GET", "/objects/Lease/a", "", 0, "")
+	p.client.CloseIdleConnections()
+	p.want("GET", "/objects/Lease/a", "", 200, `{"Kind":"Lease","Name":"a","Version":1,"Value":1}`)
+	p.want("GET", "/faults", "", 200,
+		`{"Outage":false,"Latency":"0s","LoseReplies":0,"Silent":false,"SilenceOpen":true,"ListLag":"0s","StoreSlowdown":0}`)
+}
