Add the store client and an in-memory store

The client settles a write whose reply was lost: it reads the object back and looks for its write ID. An object at the old version proves nothing, because the write may still be on its way; the same write is then sent again, and of two copies conditional on one version only one succeeds.

A call that never got a connection had no effect and is ErrUnavailable; a timeout closes the idle connections, so that the next call opens a new one. Delete can also return ErrUncertain.

--- /dev/null
+++ b/internal/storer/client.go
@@ -0,0 +1,178 @@
+package storer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+const (
+	// callTimeout is far above the platform's usual milliseconds, and short
+	// enough that a lease survives one silent connection.
+	callTimeout = 2 * time.Second
+	// watchGrace is how much later than its wait the answer to a watch may
+	// come.
+	watchGrace = time.Second
+	// idleTimeout closes connections before a stateful device on the path
+	// forgets them.
+	idleTimeout = 5 * time.Second
+	// maxIdleConnections is above the number of calls that a node makes at
+	// once.
+	maxIdleConnections = 8
+)
+
+// Client is a Store that calls the platform over HTTP.
+type Client struct {
+	address   string
+	clock     clockwork.Clock
+	transport *http.Transport
+}
+
+var _ Store = (*Client)(nil)
+
+// New returns a client for the platform at an address ("IP:port") and a
+// function that closes its idle connections.
+func New(address string, clock clockwork.Clock) (*Client, func()) {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: callTimeout}).DialContext,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: maxIdleConnections,
+	}
+	client := &Client{address: address, clock: clock, transport: transport}
+	return client, transport.CloseIdleConnections
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, id ID) (Object, error) {
+	answer, err := c.call(ctx, callTimeout, http.MethodGet, objectPath(id), nil)
+	if err != nil {
+		return Object{}, err
+	}
+	switch answer.status {
+	case http.StatusOK:
+		return decodeObject(answer.body)
+	case http.StatusNotFound:
+		return Object{}, merry.Wrap(ErrNotFound, merry.AppendMessage(id.String()))
+	}
+	return Object{}, answer.refused()
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, id ID, ifVersion uint64, data []byte) (Object, error) {
+	object := Object{ID: id, WriteID: uuid.NewString(), Data: data}
+	put := write{object: object, ifVersion: ifVersion}
+	written, err := c.put(ctx, put)
+	if isUncertain(err) {
+		return c.settlePut(ctx, put)
+	}
+	return written, err
+}
+
+// put sends a write once.
+func (c *Client) put(ctx context.Context, put write) (Object, error) {
+	answer, err := c.call(ctx, callTimeout, http.MethodPut, objectPath(put.object.ID), put.encode())
+	if err != nil {
+		return Object{}, err
+	}
+	switch answer.status {
+	case http.StatusOK:
+		version, err := encoder.Decode[wireVersion](answer.body)
+		if err != nil {
+			return Object{}, merry.Wrap(ErrUncertain, merry.AppendMessagef("answer to the write: %v", err))
+		}
+		put.object.Version = version.Version
+		return put.object, nil
+	case http.StatusConflict:
+		return Object{}, merry.Wrap(ErrConflict, merry.AppendMessagef("%s is not at version %d", put.object.ID, put.ifVersion))
+	case http.StatusRequestEntityTooLarge:
+		return Object{}, merry.Wrap(ErrTooLarge, merry.AppendMessagef("%s: %d bytes", put.object.ID, len(put.object.Data)))
+	}
+	return Object{}, answer.refused()
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, id ID, ifVersion uint64) error {
+	err := c.delete(ctx, id, ifVersion)
+	if isUncertain(err) {
+		return c.settleDelete(ctx, id, ifVersion)
+	}
+	return err
+}
+
+// delete sends a deletion once.
+func (c *Client) delete(ctx context.Context, id ID, ifVersion uint64) error {
+	path := fmt.Sprintf("%s?IfVersion=%d", objectPath(id), ifVersion)
+	answer, err := c.call(ctx, callTimeout, http.MethodDelete, path, nil)
+	if err != nil {
+		return err
+	}
+	switch answer.status {
+	case http.StatusNoContent, http.StatusNotFound:
+		return nil
+	case http.StatusConflict:
+		return merry.Wrap(ErrConflict, merry.AppendMessagef("%s is not at version %d", id, ifVersion))
+	}
+	return answer.refused()
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, kind, prefix string) ([]Object, error) {
+	path := "/objects/" + kind + "?Prefix=" + url.QueryEscape(prefix)
+	answer, err := c.call(ctx, callTimeout, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if answer.status != http.StatusOK {
+		return nil, answer.refused()
+	}
+	return decodeObjects(answer.body)
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, id ID, after uint64, wait time.Duration) (Object, error) {
+	path := fmt.Sprintf("%s?After=%d&Wait=%s", objectPath(id), after, wait)
+	answer, err := c.call(ctx, wait+watchGrace, http.MethodGet, path, nil)
+	if err != nil {
+		return Object{}, err
+	}
+	switch answer.status {
+	case http.StatusOK:
+		return decodeObject(answer.body)
+	case http.StatusNotModified:
+		return Object{}, merry.Wrap(ErrUnchanged, merry.AppendMessage(id.String()))
+	}
+	return Object{}, answer.refused()
+}
+
+// Instances implements Store.
+func (c *Client) Instances(ctx context.Context, after uint64, wait time.Duration) (tracker.InstanceList, error) {
+	path := fmt.Sprintf("/instances?After=%d&Wait=%s", after, wait)
+	answer, err := c.call(ctx, wait+watchGrace, http.MethodGet, path, nil)
+	if err != nil {
+		return tracker.InstanceList{}, err
+	}
+	switch answer.status {
+	case http.StatusOK:
+		return decodeInstances(answer.body)
+	case http.StatusNotModified:
+		return tracker.InstanceList{Version: after}, nil
+	}
+	return tracker.InstanceList{}, answer.refused()
+}
+
+// String returns the ID as "Kind/Name".
+func (id ID) String() string { return id.Kind + "/" + id.Name }
+
+func objectPath(id ID) string {
+	return "/objects/" + url.PathEscape(id.Kind) + "/" + url.PathEscape(id.Name)
+}
--- /dev/null
+++ b/internal/storer/memory.go
@@ -0,0 +1,264 @@
+package storer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// MemoryFaults are the faults of a Memory store.
+type MemoryFaults struct {
+	// Outage makes every call return ErrUnavailable and ends watches.
+	Outage bool
+	// LoseReplies is the number of coming writes that take effect and return
+	// ErrUncertain.
+	LoseReplies int
+	// Conflicts is the number of coming writes that return ErrConflict
+	// without effect.
+	Conflicts int
+	// Latency is the time that a call takes. A write takes effect after half
+	// of it.
+	Latency time.Duration
+}
+
+// Memory is a Store in memory, for tests. Its faults can be switched while
+// calls wait.
+type Memory struct {
+	clock clockwork.Clock
+
+	mutex   sync.Mutex
+	faults  MemoryFaults
+	objects map[ID]Object
+	version uint64
+	list    tracker.InstanceList
+	calls   int
+	// changed is closed and replaced at every change of the fields above.
+	changed chan struct{}
+}
+
+var _ Store = (*Memory)(nil)
+
+// NewMemory returns an empty store that waits on the given clock.
+func NewMemory(clock clockwork.Clock) *Memory {
+	return &Memory{clock: clock, objects: map[ID]Object{}, changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults in force.
+func (m *Memory) SetFaults(faults MemoryFaults) {
+	m.change(func() { m.faults = faults })
+}
+
+// SetInstances replaces the instance list.
+func (m *Memory) SetInstances(instances ...tracker.Instance) {
+	m.change(func() {
+		m.list = tracker.InstanceList{Version: m.list.Version + 1, Instances: slices.Clone(instances)}
+	})
+}
+
+// Calls returns the number of calls so far, a watch counting as one.
+func (m *Memory) Calls() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.calls
+}
+
+func (m *Memory) change(apply func()) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	apply()
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Get implements Store.
+func (m *Memory) Get(ctx context.Context, id ID) (Object, error) {
+	if err := m.pause(ctx, ErrUnavailable); err != nil {
+		return Object{}, err
+	}
+	object, err := m.look(id)
+	if err != nil {
+		return Object{}, err
+	}
+	return object, m.pause(ctx, ErrUnavailable)
+}
+
+func (m *Memory) look(id ID) (Object, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.calls++
+	object, exists := m.objects[id]
+	switch {
+	case m.faults.Outage:
+		return Object{}, merry.Wrap(ErrUnavailable)
+	case !exists:
+		return Object{}, merry.Wrap(ErrNotFound, merry.AppendMessage(id.String()))
+	}
+	return object, nil
+}
+
+// Put implements Store.
+func (m *Memory) Put(ctx context.Context, id ID, ifVersion uint64, data []byte) (Object, error) {
+	if len(data) > MaxValueBytes {
+		return Object{}, merry.Wrap(ErrTooLarge, merry.AppendMessage(id.String()))
+	}
+	object := Object{ID: id, WriteID: uuid.NewString(), Data: slices.Clone(data)}
+	err := m.write(ctx, id, ifVersion, func() {
+		object.Version = m.version
+		m.objects[id] = object
+	})
+	if err != nil {
+		return Object{}, err
+	}
+	return object, nil
+}
+
+// Delete implements Store.
+func (m *Memory) Delete(ctx context.Context, id ID, ifVersion uint64) error {
+	_, err := m.look(id)
+	if errors.Is(err, ErrNotFound) {
+		return nil
+	}
+	return m.write(ctx, id, ifVersion, func() { delete(m.objects, id) })
+}
+
+func (m *Memory) write(ctx context.Context, id ID, ifVersion uint64, apply func()) error {
+	if err := m.pause(ctx, ErrUncertain); err != nil {
+		return err
+	}
+	var err error
+	m.change(func() { err = m.writeNow(id, ifVersion, apply) })
+	if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrConflict) {
+		return err
+	}
+	return cmp.Or(err, m.pause(ctx, ErrUncertain))
+}
+
+func (m *Memory) writeNow(id ID, ifVersion uint64, apply func()) error {
+	m.calls++
+	switch {
+	case m.faults.Outage:
+		return merry.Wrap(ErrUnavailable)
+	case m.faults.Conflicts > 0:
+		m.faults.Conflicts--
+		return merry.Wrap(ErrConflict, merry.AppendMessage(id.String()))
+	case m.objects[id].Version != ifVersion:
+		return merry.Wrap(ErrConflict, merry.AppendMessage(id.String()))
+	}
+	m.version++
+	apply()
+	if m.faults.LoseReplies > 0 {
+		m.faults.LoseReplies--
+		return merry.Wrap(ErrUncertain, merry.AppendMessage(id.String()))
+	}
+	return nil
+}
+
+// List implements Store.
+func (m *Memory) List(ctx context.Context, kind, prefix string) ([]Object, error) {
+	if err := m.pause(ctx, ErrUnavailable); err != nil {
+		return nil, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.calls++
+	if m.faults.Outage {
+		return nil, merry.Wrap(ErrUnavailable)
+	}
+	var found []Object
+	for object := range maps.Values(m.objects) {
+		if object.Kind == kind && strings.HasPrefix(object.Name, prefix) {
+			found = append(found, Object{ID: object.ID, Version: object.Version})
+		}
+	}
+	slices.SortFunc(found, func(a, b Object) int { return cmp.Compare(a.Name, b.Name) })
+	return found, nil
+}
+
+// Watch implements Store.
+func (m *Memory) Watch(ctx context.Context, id ID, after uint64, wait time.Duration) (Object, error) {
+	var object Object
+	found, err := m.await(ctx, wait, func() bool {
+		object = m.objects[id]
+		return object.Version > after
+	})
+	switch {
+	case err != nil:
+		return Object{}, err
+	case !found:
+		return Object{}, merry.Wrap(ErrUnchanged, merry.AppendMessage(id.String()))
+	}
+	return object, nil
+}
+
+// Instances implements Store.
+func (m *Memory) Instances(ctx context.Context, after uint64, wait time.Duration) (tracker.InstanceList, error) {
+	var list tracker.InstanceList
+	found, err := m.await(ctx, wait, func() bool {
+		list = m.list
+		return list.Version > after
+	})
+	if err != nil || !found {
+		return tracker.InstanceList{Version: after}, err
+	}
+	return list, nil
+}
+
+// await waits until ready returns true, and returns false after wait.
+func (m *Memory) await(ctx context.Context, wait time.Duration, ready func() bool) (bool, error) {
+	if err := m.pause(ctx, ErrUnavailable); err != nil {
+		return false, err
+	}
+	timer := m.clock.NewTimer(wait)
+	defer timer.Stop()
+	m.mutex.Lock()
+	m.calls++
+	m.mutex.Unlock()
+	for {
+		m.mutex.Lock()
+		outage, done, changed := m.faults.Outage, ready(), m.changed
+		m.mutex.Unlock()
+		switch {
+		case outage:
+			return false, merry.Wrap(ErrUnavailable)
+		case done:
+			return true, m.pause(ctx, ErrUnavailable)
+		}
+		select {
+		case <-changed:
+		case <-timer.Chan():
+			return false, nil
+		case <-ctx.Done():
+			return false, merry.Wrap(ErrUnavailable, merry.AppendMessagef("%v", ctx.Err()))
+		}
+	}
+}
+
+// pause waits for half of the latency. If ctx ends first it returns an error
+// of the given kind.
+func (m *Memory) pause(ctx context.Context, kind error) error {
+	m.mutex.Lock()
+	latency := m.faults.Latency
+	m.mutex.Unlock()
+	if latency <= 0 {
+		return nil
+	}
+	timer := m.clock.NewTimer(latency / 2)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return nil
+	case <-ctx.Done():
+		return merry.Wrap(kind, merry.AppendMessagef("%v", ctx.Err()))
+	}
+}
--- /dev/null
+++ b/internal/storer/memory_test.go
@@ -0,0 +1,53 @@
+package storer_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/storer"
+)
+
+// Guards against faults of the in-memory store that leak into later calls or
+// have another effect than they announce.
+func TestMemoryFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := storer.NewMemory(clockwork.NewRealClock())
+		memory.SetFaults(storer.MemoryFaults{Outage: true})
+		_, err := memory.Put(t.Context(), lease, 0, []byte(`1`))
+		wantError(t, "outage", err, storer.ErrUnavailable)
+		memory.SetFaults(storer.MemoryFaults{LoseReplies: 1, Conflicts: 1})
+		_, err = memory.Put(t.Context(), lease, 0, []byte(`1`))
+		wantError(t, "conflict", err, storer.ErrConflict)
+		_, err = memory.Put(t.Context(), lease, 0, []byte(`1`))
+		wantError(t, "lost reply", err, storer.ErrUncertain)
+		_, err = memory.Put(t.Context(), lease, 1, []byte(`2`))
+		wantError(t, "after the faults", err, nil)
+	})
+}
+
+// Guards against latency that a caller's timeout cannot cut, and against a
+// watch that an outage leaves waiting.
+func TestMemoryWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := storer.NewMemory(clockwork.NewRealClock())
+		memory.SetFaults(storer.MemoryFaults{Latency: 4 * time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		_, err := memory.Put(ctx, lease, 0, []byte(`1`))
+		wantError(t, "slow put", err, storer.ErrUncertain)
+		memory.SetFaults(storer.MemoryFaults{})
+		_, err = memory.Get(t.Context(), lease)
+		wantError(t, "get", err, nil)
+		time.AfterFunc(time.Second, func() { memory.SetFaults(storer.MemoryFaults{Outage: true}) })
+		start := time.Now()
+		_, err = memory.Watch(t.Context(), lease, 1, time.Minute)
+		wantError(t, "watch", err, storer.ErrUnavailable)
+		if waited := time.Since(start); waited != time.Second {
+			t.Errorf("watch ended after %s; want 1s", waited)
+		}
+	})
+}
--- a/internal/storer/store.go
+++ b/internal/storer/store.go
@@ -57,7 +57,8 @@
 	// back. Errors: ErrConflict, ErrTooLarge, ErrUnavailable, ErrUncertain.
 	Put(ctx context.Context, id ID, ifVersion uint64, data []byte) (Object, error)
 	// Delete removes an object if it has the version ifVersion. Deleting an
-	// object that is gone succeeds. Errors: ErrConflict, ErrUnavailable.
+	// object that is gone succeeds. Errors: ErrConflict, ErrUnavailable,
+	// ErrUncertain.
 	Delete(ctx context.Context, id ID, ifVersion uint64) error
 	// List returns the objects of a kind whose names have a prefix, without
 	// their data. Errors: ErrUnavailable.
--- /dev/null
+++ b/internal/storer/store_test.go
@@ -0,0 +1,202 @@
+package storer_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/emulator"
+	"toucanhitch.example/toucanhitch/internal/storer"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+var lease = storer.ID{Kind: "Lease", Name: "a"}
+
+// platform is a stand-in and a client of it.
+type platform struct {
+	*storer.Client
+	t   *testing.T
+	url string
+}
+
+func startPlatform(t *testing.T) platform {
+	t.Helper()
+	settings := emulator.PlatformSettings{TransferMBPerSecond: 1000, FullSpeedTransfers: 2}
+	handler, stop, err := emulator.NewPlatform(settings, clockwork.NewRealClock())
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(handler)
+	client, closeClient := storer.New(strings.TrimPrefix(server.URL, "http://"), clockwork.NewRealClock())
+	t.Cleanup(func() {
+		closeClient()
+		server.CloseClientConnections()
+		stop()
+		server.Close()
+	})
+	return platform{client, t, server.URL}
+}
+
+func (p platform) control(path, body string) {
+	p.t.Helper()
+	request, err := http.NewRequestWithContext(p.t.Context(), http.MethodPut, p.url+path, strings.NewReader(body))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	if err != nil || response.StatusCode != http.StatusNoContent {
+		p.t.Fatalf("PUT %s: %v, %v", path, response, err)
+	}
+	_ = response.Body.Close()
+}
+
+func wantError(t *testing.T, what string, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) || want == nil && got != nil {
+		t.Errorf("%s: error %v; want %v", what, got, want)
+	}
+}
+
+// contract is what every Store promises without faults.
+func contract(t *testing.T, store storer.Store) {
+	ctx := t.Context()
+	_, err := store.Get(ctx, lease)
+	wantError(t, "get before create", err, storer.ErrNotFound)
+	first, err := store.Put(ctx, lease, 0, []byte(`{"N":1}`))
+	wantError(t, "create", err, nil)
+	_, err = store.Put(ctx, lease, 0, []byte(`{"N":2}`))
+	wantError(t, "create again", err, storer.ErrConflict)
+	second, err := store.Put(ctx, lease, first.Version, []byte(`{"N":2}`))
+	wantError(t, "update", err, nil)
+	got, err := store.Get(ctx, lease)
+	wantError(t, "get", err, nil)
+	if got.Version != second.Version || got.WriteID != second.WriteID || string(got.Data) != `{"N":2}` || second.Version <= first.Version {
+		t.Errorf("got %+v after writing %+v and %+v", got, first, second)
+	}
+	_, err = store.Watch(ctx, lease, second.Version, 10*time.Millisecond)
+	wantError(t, "watch without change", err, storer.ErrUnchanged)
+	got, err = store.Watch(ctx, lease, first.Version, time.Second)
+	if err != nil || got.Version != second.Version {
+		t.Errorf("watch: %+v, %v; want version %d", got, err, second.Version)
+	}
+	listed, err := store.List(ctx, "Lease", "a")
+	if err != nil || len(listed) != 1 || listed[0].ID != lease || listed[0].Version != second.Version {
+		t.Errorf("list: %+v, %v", listed, err)
+	}
+	wantError(t, "delete an old version", store.Delete(ctx, lease, first.Version), storer.ErrConflict)
+	wantError(t, "delete", store.Delete(ctx, lease, second.Version), nil)
+	wantError(t, "delete again", store.Delete(ctx, lease, second.Version), nil)
+	third, err := store.Put(ctx, lease, 0, []byte(`{}`))
+	if err != nil || third.Version <= second.Version {
+		t.Errorf("create after deletion: %+v, %v; want a version above %d", third, err, second.Version)
+	}
+	_, err = store.Put(ctx, lease, third.Version, []byte(`"`+strings.Repeat("x", storer.MaxValueBytes)+`"`))
+	wantError(t, "too large", err, storer.ErrTooLarge)
+}
+
+// Guards against stores that differ, so that a test with Memory says nothing
+// about the platform.
+func TestContract(t *testing.T) {
+	t.Run("client", func(t *testing.T) { contract(t, startPlatform(t)) })
+	t.Run("memory", func(t *testing.T) { contract(t, storer.NewMemory(clockwork.NewRealClock())) })
+}
+
+// Guards against a list that loses fields on the way.
+func TestInstances(t *testing.T) {
+	p := startPlatform(t)
+	p.control("/instances/e1", `{"Name":"e1","Kind":"Engine","Address":"127.0.0.1:1","Phase":"Leaving","MemoryMB":7}`)
+	list, err := p.Instances(t.Context(), 0, time.Second)
+	want := tracker.Instance{Name: "e1", Kind: tracker.Engine, Address: "127.0.0.1:1", Phase: tracker.Leaving, MemoryMB: 7}
+	if err != nil || list.Version != 1 || len(list.Instances) != 1 || list.Instances[0] != want {
+		t.Errorf("instances: %+v, %v; want %+v", list, err, want)
+	}
+	list, err = p.Instances(t.Context(), 1, 10*time.Millisecond)
+	if err != nil || list.Version != 1 || list.Instances != nil {
+		t.Errorf("unchanged instances: %+v, %v; want version 1 without instances", list, err)
+	}
+}
+
+// Guards against a write whose lost reply is taken for a failure, twice in a
+// row.
+func TestLostReplyIsSettled(t *testing.T) {
+	p := startPlatform(t)
+	version := uint64(0)
+	for range 2 {
+		p.control("/faults", `{"LoseReplies":1}`)
+		written, err := p.Put(t.Context(), lease, version, []byte(`1`))
+		if err != nil || written.Version <= version {
+			t.Fatalf("put with a lost reply: %+v, %v", written, err)
+		}
+		version = written.Version
+	}
+	p.control("/faults", `{"LoseReplies":1}`)
+	wantError(t, "delete with a lost reply", p.Delete(t.Context(), lease, version), nil)
+	_, err := p.Get(t.Context(), lease)
+	wantError(t, "get", err, storer.ErrNotFound)
+}
+
+// Guards against refused calls that are reported as uncertain.
+func TestOutageIsUnavailable(t *testing.T) {
+	p := startPlatform(t)
+	_, err := p.Put(t.Context(), lease, 0, []byte(`1`))
+	wantError(t, "put", err, nil)
+	p.control("/faults", `{"Outage":true}`)
+	_, err = p.Put(t.Context(), lease, 1, []byte(`2`))
+	wantError(t, "put in an outage", err, storer.ErrUnavailable)
+	wantError(t, "delete in an outage", p.Delete(t.Context(), lease, 1), storer.ErrUnavailable)
+	_, err = p.Watch(t.Context(), lease, 1, time.Second)
+	wantError(t, "watch in an outage", err, storer.ErrUnavailable)
+}
+
+// Guards against a client that keeps using a silent connection: the first
+// call times out and the calls after it work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
+	p := startPlatform(t)
+	for version := range uint64(2) {
+		_, _ = p.Get(t.Context(), lease)
+		p.control("/faults", `{"SilenceOpen":true}`)
+		written, err := p.Put(t.Context(), lease, version, []byte(`1`))
+		if err != nil || written.Version != version+1 {
+			t.Errorf("put %d on a silent connection: %+v, %v", version, written, err)
+		}
+	}
+}
+
+// Guards against a watch that waits for ever on a silent connection.
+func TestSilentWatchEnds(t *testing.T) {
+	t.Parallel()
+	p := startPlatform(t)
+	_, _ = p.Get(t.Context(), lease)
+	p.control("/faults", `{"SilenceOpen":true}`)
+	_, err := p.Watch(t.Context(), lease, 0, 100*time.Millisecond)
+	wantError(t, "silent watch", err, storer.ErrUnavailable)
+	_, err = p.Watch(t.Context(), lease, 0, 100*time.Millisecond)
+	wantError(t, "watch after it", err, storer.ErrUnchanged)
+}
+
+// Guards against a write that took effect without an answer of any kind and
+// is reported as certain.
+func TestSilentPlatformLeavesWritesUncertain(t *testing.T) {
+	t.Parallel()
+	p := startPlatform(t)
+	p.control("/faults", `{"Silent":true,"LoseReplies":1}`)
+	_, err := p.Put(t.Context(), lease, 0, []byte(`1`))
+	wantError(t, "put", err, storer.ErrUncertain)
+	p.control("/faults", `{}`)
+	_, err = p.Get(t.Context(), lease)
+	wantError(t, "get", err, nil)
+}
+
+// Guards against an unreachable platform that looks uncertain.
+func TestUnreachableIsUnavailable(t *testing.T) {
+	client, closeClient := storer.New("127.0.0.1:1", clockwork.NewRealClock())
+	defer closeClient()
+	_, err := client.Put(t.Context(), lease, 0, []byte(`1`))
+	wantError(t, "put", err, storer.ErrUnavailable)
+}
