--- a/internal/emulator/doc.go
+++ b/internal/emulator/doc.go
@@ -1,7 +1,7 @@
-// Package emulator stands in for the systems around a node: the platform with
-// its object API, instance list and weight store, and the endpoints.
+// Package emulator has stand-ins for the outside systems: the platform (object
+// API, instance list, weight store), model engines and plain services.
 //
-// The stand-ins speak the published protocols over HTTP and show the faults
-// that the real systems have, so that the nodes can be tested and measured
-// without them. Faults are switched while a stand-in runs.
+// They speak the published protocols over HTTP and fail on demand, so that
+// tests and measurements meet the failures that the real systems have without
+// needing them. Faults are set while a stand-in runs by PUT /faults.
 package emulator
