--- /dev/null
+++ b/internal/recorder/recorder.go
@@ -0,0 +1,145 @@
+package recorder
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/ranker"
+)
+
+// ErrUnrecorded reports that an outcome was not recorded, so that a repeat of
+// the call is told that its outcome is unknown.
+var ErrUnrecorded = merry.Sentinel("outcome was not recorded")
+
+const (
+	// writersToTry is the number of nodes that are asked for one operation.
+	// Two writers of a bucket do no harm.
+	writersToTry = 2
+	// operateTimeout bounds the operation at one writer: a read, a write and
+	// the wait for the write before it.
+	operateTimeout = 3 * time.Second
+)
+
+// Recorder sends operations to the writers of their buckets. It implements
+// filter.Recorder.
+type Recorder struct {
+	Clock clockwork.Clock
+	// Self is this node's name.
+	Self string
+	// Nodes returns the addresses of the live nodes by name, with this one.
+	Nodes func() map[string]string
+	// Local carries out an operation at this node's writer, Remote at the
+	// node with an address.
+	Local  func(ctx context.Context, operation Operation) (Result, error)
+	Remote func(ctx context.Context, address string, operation Operation) (Result, error)
+}
+
+// Begin implements filter.Recorder.
+func (r Recorder) Begin(ctx context.Context, intent filter.Intent, deadline time.Time) (filter.Record, error) {
+	ctx, cancel := clockwork.WithDeadline(ctx, r.Clock, deadline)
+	defer cancel()
+	operation := operationOf(intent, Begin{})
+	switch result := r.operate(ctx, operation).(type) {
+	case Done:
+		return result.Record, nil
+	case Mismatch:
+		return nil, filter.Refusal{
+			Reason: filter.IdentityReused,
+			Detail: "this Idempotency-Key was used for a call with other content",
+			Run:    filter.NotRun,
+		}
+	case Failed:
+		// The intent may be recorded all the same. This node does not send
+		// the call, so the record can go.
+		r.abandonLater(intent)
+		return nil, filter.Refusal{
+			Reason: filter.JournalUnavailable,
+			Detail: "the call cannot be recorded now, so it was not sent: " + result.Detail,
+			Run:    filter.NotRun,
+		}
+	default:
+		return nil, merry.Errorf("unexpected result %T", result)
+	}
+}
+
+func (r Recorder) abandonLater(intent filter.Intent) {
+	go func() {
+		ctx, cancel := clockwork.WithTimeout(context.Background(), r.Clock, operateTimeout)
+		defer cancel()
+		_ = r.Abandon(ctx, intent)
+	}()
+}
+
+// Finish implements filter.Recorder. It returns ErrUnrecorded.
+func (r Recorder) Finish(ctx context.Context, intent filter.Intent, reply filter.Reply) error {
+	if len(reply.Body) > MaxBodyBytes {
+		reply.Body, reply.ContentType = nil, ""
+	}
+	return r.confirm(ctx, operationOf(intent, Finish{Reply: reply}))
+}
+
+// Abandon implements filter.Recorder. It returns ErrUnrecorded.
+func (r Recorder) Abandon(ctx context.Context, intent filter.Intent) error {
+	return r.confirm(ctx, operationOf(intent, Abandon{}))
+}
+
+func (r Recorder) confirm(ctx context.Context, operation Operation) error {
+	result := r.operate(ctx, operation)
+	if failed, ok := result.(Failed); ok {
+		return merry.Wrap(ErrUnrecorded, merry.AppendMessage(failed.Detail))
+	}
+	return nil
+}
+
+// operate asks the writers of the operation's bucket, best first.
+func (r Recorder) operate(ctx context.Context, operation Operation) Result {
+	nodes := r.Nodes()
+	names := make([]string, 0, len(nodes))
+	for name := range nodes {
+		names = append(names, name)
+	}
+	key := bucketKind + "/" + strconv.Itoa(BucketOf(operation.Key))
+	detail := "no node can be reached"
+	for _, name := range ranker.Rank(key, names)[:min(writersToTry, len(names))] {
+		result, err := r.operateAt(ctx, name, nodes[name], operation)
+		if err != nil {
+			detail = err.Error()
+			continue
+		}
+		failed, ok := result.(Failed)
+		if !ok {
+			return result
+		}
+		detail = failed.Detail
+	}
+	return Failed{Detail: detail}
+}
+
+func (r Recorder) operateAt(ctx context.Context, name, address string, operation Operation) (Result, error) {
+	ctx, cancel := clockwork.WithTimeout(ctx, r.Clock, operateTimeout)
+	defer cancel()
+	if name == r.Self {
+		return r.Local(ctx, operation)
+	}
+	return r.Remote(ctx, address, operation)
+}
+
+func operationOf(intent filter.Intent, action Action) Operation {
+	hash := sha256.New()
+	hash.Write([]byte(intent.Workspace))
+	hash.Write([]byte{0})
+	hash.Write([]byte(intent.Identity))
+	return Operation{
+		Key:    Key(hex.EncodeToString(hash.Sum(nil)[:16])),
+		ID:     intent.Operation,
+		Digest: intent.Digest[:16],
+		Action: action,
+	}
+}
