Add the lease controller, its task and scripts

A holder renews every second and counts validity from before the write was sent, less 10%. A candidate takes the lease when it has seen one version for the duration plus 10%, at once when it was released. A write with an unknown outcome is settled by reading; validity then counts from the earliest copy, because that copy may be the one that took effect. A tenure that ended never resumes: the same run takes the lease again under a new epoch.

Scripts can now deliver a line without the ticks before it, as after a pause of the whole process.

--- /dev/null
+++ b/internal/leaser/lease.go
@@ -0,0 +1,71 @@
+package leaser
+
+import "time"
+
+const (
+	// Duration is how long a lease lasts without a renewal. It bounds the
+	// time without a holder after a crash, and it must leave room for a
+	// second renewal after one that timed out.
+	Duration = 3 * time.Second
+	// renewInterval is the time from one renewal to the next.
+	renewInterval = time.Second
+	// pollInterval is the time from one read of a candidate to the next.
+	pollInterval = time.Second
+	// retryDelay is the pause of a holder after a call that had no effect.
+	retryDelay = 250 * time.Millisecond
+	// driftDivisor makes the margin for clock drift: 1/10 of the duration on
+	// either side is safe if every clock's rate is within 10% of real time.
+	driftDivisor = 10
+	// candidateCount is the number of nodes that read a lease. Two may fail
+	// at the same time as the holder.
+	candidateCount = 3
+)
+
+// Lease is the content of a lease object.
+type Lease struct {
+	// Holder is the node that holds the lease, empty if it was released.
+	Holder string
+	// Run identifies one run of the holder's process, so that a restarted
+	// node does not take its former lease for valid.
+	Run string
+	// Epoch grows with every tenure.
+	Epoch    uint64
+	Duration time.Duration
+	// Handover is what a holder that released the lease left for the next.
+	Handover []byte
+}
+
+// Validity is how long a holder may rely on a lease, from before it sent the
+// write that made or renewed it.
+func (l Lease) Validity() time.Duration { return l.Duration - l.Duration/driftDivisor }
+
+// Patience is how long a candidate must have seen one version of the lease
+// before it takes it.
+func (l Lease) Patience() time.Duration { return l.Duration + l.Duration/driftDivisor }
+
+// Event tells other controllers about a lease: Held or Lost.
+type Event interface{ isEvent() }
+
+// Held says that this node holds a lease. It is published at the start of a
+// tenure and after every renewal.
+type Held struct {
+	Name string
+	// Epoch is the tenure's epoch, the base of fencing tokens.
+	Epoch uint64
+	// Until is when the tenure ends if no renewal follows, on this node's
+	// clock. Whoever acts on the lease compares it with the clock at that
+	// moment, because Lost may come late.
+	Until time.Time
+	// Data is what the previous holder handed over, nil if it did not.
+	Data []byte
+}
+
+// Valid says whether the lease is held at the given time.
+func (h Held) Valid(now time.Time) bool { return now.Before(h.Until) }
+
+// Lost says that this node no longer holds a lease. The next tenure has
+// another epoch.
+type Lost struct{ Name string }
+
+func (Held) isEvent() {}
+func (Lost) isEvent() {}
--- /dev/null
+++ b/internal/leaser/result.go
@@ -0,0 +1,114 @@
+package leaser
+
+import "time"
+
+// readDone handles what a read found.
+func (c *Controller) readDone(now time.Time, entry *Entry, message ReadDone) []Effect {
+	entry.Busy = false
+	if message.Outcome == Unavailable {
+		entry.postpone(now)
+		return nil
+	}
+	entry.MustRead = false
+	entry.DueAt = entry.SentAt.Add(pollInterval)
+	changed := entry.see(now, message.Version, message.Lease)
+	sentAt := entry.Unsettled
+	if changed {
+		entry.Unsettled = time.Time{}
+	}
+	switch {
+	case entry.Leave != nil:
+		entry.DueAt = now
+	case entry.Tenure != nil:
+		return c.confirm(now, entry, changed, sentAt)
+	case changed && entry.isOf(c.Run) && entry.tookOver() && !sentAt.IsZero():
+		return entry.begin(now, sentAt)
+	}
+	return nil
+}
+
+// confirm compares the tenure with the object that was read.
+func (c *Controller) confirm(now time.Time, entry *Entry, changed bool, sentAt time.Time) []Effect {
+	switch {
+	case !entry.isOf(c.Run) || entry.Lease.Epoch != entry.Tenure.Epoch:
+		return []Effect{entry.lose()}
+	case changed && !sentAt.IsZero():
+		return entry.extend(now, sentAt)
+	}
+	entry.DueAt = now
+	return nil
+}
+
+// tookOver says whether the object is what the latest takeover wrote.
+func (e *Entry) tookOver() bool {
+	return e.Writing.Purpose == Takeover && e.Writing.Lease.Epoch == e.Lease.Epoch
+}
+
+// writeDone handles the result of a write.
+func (c *Controller) writeDone(now time.Time, entry *Entry, message WriteDone) []Effect {
+	entry.Busy = false
+	switch message.Outcome {
+	case Done:
+		entry.Unsettled = time.Time{}
+		entry.see(now, message.Version, entry.Writing.Lease)
+		return c.written(now, entry)
+	case Unavailable:
+		entry.postpone(now)
+		entry.MustRead = entry.MustRead || entry.Writing.Purpose == Takeover
+		return nil
+	case Uncertain:
+		entry.Unsettled = earlier(entry.Unsettled, entry.SentAt)
+	}
+	entry.MustRead = true
+	entry.DueAt = now
+	return nil
+}
+
+// written handles a write that took effect.
+func (c *Controller) written(now time.Time, entry *Entry) []Effect {
+	switch entry.Writing.Purpose {
+	case Takeover:
+		return entry.begin(now, entry.SentAt)
+	case Renewal:
+		if entry.Tenure != nil {
+			return entry.extend(now, entry.SentAt)
+		}
+	}
+	entry.DueAt = now
+	return nil
+}
+
+// begin starts the tenure of a takeover that was sent at the given time. If
+// its validity has passed already, the run takes the lease again.
+func (e *Entry) begin(now, sentAt time.Time) []Effect {
+	until := sentAt.Add(e.Lease.Validity())
+	switch {
+	case e.Leave != nil:
+		e.DueAt = now
+		return nil
+	case !now.Before(until):
+		return nil
+	}
+	e.Tenure = &Tenure{Epoch: e.Lease.Epoch, Until: until, Data: e.Inherited}
+	e.DueAt = sentAt.Add(renewInterval)
+	return []Effect{e.held()}
+}
+
+// extend prolongs the tenure by a renewal that was sent at the given time.
+func (e *Entry) extend(now, sentAt time.Time) []Effect {
+	e.DueAt = sentAt.Add(renewInterval)
+	until := sentAt.Add(e.Lease.Validity())
+	if !until.After(e.Tenure.Until) {
+		return nil
+	}
+	e.Tenure.Until = until
+	return []Effect{e.held()}
+}
+
+// postpone sets when to try again after a call that had no effect.
+func (e *Entry) postpone(now time.Time) {
+	e.DueAt = e.SentAt.Add(pollInterval)
+	if e.Tenure != nil || e.Leave != nil {
+		e.DueAt = now.Add(retryDelay)
+	}
+}
--- /dev/null
+++ b/internal/leaser/task.go
@@ -0,0 +1,133 @@
+package leaser
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/storer"
+)
+
+const (
+	// Kind is the kind of lease objects.
+	Kind = "Lease"
+	// callTimeout leaves time for a read and a renewal on a new connection
+	// before the lease expires, after a renewal on a silent one.
+	callTimeout = 1200 * time.Millisecond
+	// inbox is far above the messages that come between two steps.
+	inbox = 64
+)
+
+// Settings describes a node's task for leases.
+type Settings struct {
+	Node string
+	// Names are the leases that the node may hold.
+	Names []string
+	Store storer.Store
+	Clock clockwork.Clock
+	// Publish receives events in order, on the task's goroutine. It must not
+	// block.
+	Publish func(Event)
+}
+
+// Task holds and renews a node's leases.
+type Task struct {
+	settings Settings
+	task     *runner.Task[Message, Effect]
+}
+
+// New returns a task. It does nothing until Run is called.
+func New(settings Settings) *Task {
+	t := &Task{settings: settings}
+	t.task = runner.New(runner.Settings[Message, Effect]{
+		Name:       "leaser",
+		Clock:      settings.Clock,
+		Controller: NewController(settings.Node, uuid.NewString(), settings.Names),
+		Tick:       Tick{},
+		Perform:    t.perform,
+		Inbox:      inbox,
+	})
+	return t
+}
+
+// Run works until ctx ends. It does not release leases.
+func (t *Task) Run(ctx context.Context) error { return t.task.Run(ctx) }
+
+// SetNodes replaces the nodes that may be candidates: those that are live and
+// not suspected.
+func (t *Task) SetNodes(names []string) error {
+	return t.task.Post(SetNodes{slices.Clone(names)})
+}
+
+// Release hands a lease over to whichever candidate comes first, with data
+// for it, and ends this node's candidacy. The caller must have stopped acting
+// on the lease. It returns false if the lease was not held or could not be
+// released before it expired.
+func (t *Task) Release(ctx context.Context, name string, data []byte) (bool, error) {
+	return runner.Ask[bool](ctx, t.task,
+		func(call runner.Call) Message { return Release{Call: call, Name: name, Data: data} }, nil)
+}
+
+func (t *Task) perform(hands runner.Hands[Message], effect Effect) {
+	switch effect := effect.(type) {
+	case Read:
+		hands.Start(func(ctx context.Context) Message { return t.read(ctx, effect) })
+	case Write:
+		hands.Start(func(ctx context.Context) Message { return t.write(ctx, effect) })
+	case Held:
+		t.settings.Publish(effect)
+	case Lost:
+		t.settings.Publish(effect)
+	case AnswerRelease:
+		hands.Answer(effect.Call, effect.Released)
+	}
+}
+
+func (t *Task) read(ctx context.Context, effect Read) Message {
+	ctx, cancel := clockwork.WithTimeout(ctx, t.settings.Clock, callTimeout)
+	defer cancel()
+	object, err := t.settings.Store.Get(ctx, objectID(effect.Name))
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		return ReadDone{Name: effect.Name, Outcome: Missing}
+	case err != nil:
+		return ReadDone{Name: effect.Name, Outcome: Unavailable}
+	}
+	lease, err := decodeLease(object.Data)
+	if err != nil {
+		// Nobody may act on a lease that cannot be read.
+		return ReadDone{Name: effect.Name, Outcome: Unavailable}
+	}
+	return ReadDone{effect.Name, Done, object.Version, lease}
+}
+
+func (t *Task) write(ctx context.Context, effect Write) Message {
+	ctx, cancel := clockwork.WithTimeout(ctx, t.settings.Clock, callTimeout)
+	defer cancel()
+	object, err := t.settings.Store.Put(ctx, objectID(effect.Name), effect.IfVersion, encodeLease(effect.Lease))
+	return WriteDone{effect.Name, outcome(err), object.Version}
+}
+
+func outcome(err error) Outcome {
+	switch {
+	case err == nil:
+		return Done
+	case errors.Is(err, storer.ErrConflict):
+		return Conflict
+	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, storer.ErrTooLarge):
+		return Unavailable
+	}
+	return Uncertain
+}
+
+// objectID returns the object of a lease. Object names have no slash, which
+// the names of regional leases contain.
+func objectID(name string) storer.ID {
+	return storer.ID{Kind: Kind, Name: strings.ReplaceAll(name, "/", "@")}
+}
--- a/internal/tester/replay.go
+++ b/internal/tester/replay.go
@@ -39,8 +39,9 @@
 // Replay runs every script of the suite as a subtest and compares its trace
 // with the golden file of the same name. Each line of a script reads
 // "<offset> <MessageType> [<JSON>]", where the offset is a duration since
-// Start that never decreases. Lines that start with # are comments and go to
-// the trace.
+// Start that never decreases. An offset with a ! in front delivers no ticks
+// before its line, as after a pause of the whole process. Lines that start
+// with # are comments and go to the trace.
 func Replay[M, E any](t *testing.T, suite Suite[M, E]) {
 	t.Helper()
 	paths, err := filepath.Glob(filepath.Join(suite.Directory, "*.txtar"))
@@ -71,11 +72,14 @@
 		case strings.HasPrefix(line, "#"):
 			fmt.Fprintln(&run.trace, line)
 		default:
+			line, paused := strings.CutPrefix(line, "!")
 			at, message, err := s.parse(line)
 			if err != nil {
 				t.Fatalf("script line %d: %v", number+1, err)
 			}
-			run.advance(at)
+			if !paused {
+				run.advance(at)
+			}
 			run.step(at, message)
 		}
 	}
