--- /dev/null
+++ b/internal/router/chooser.go
@@ -0,0 +1,60 @@
+package router
+
+import "time"
+
+// Limits of the set of good candidates. The set is wide enough that nodes
+// with slightly different views do not all pick the same endpoint, and
+// excludes engines of an older, slower generation while faster ones are free.
+const (
+	goodFactor = 1.5
+	goodMargin = 10 * time.Millisecond
+)
+
+// Choose returns the index of the better of two random picks among the good
+// candidates, or -1 if there are none.
+func Choose(estimates []Estimate, source *Source) int {
+	best := Best(estimates)
+	if best < 0 {
+		return -1
+	}
+	bound := scale(estimates[best].FirstToken, goodFactor) + goodMargin
+	good := 0
+	for _, estimate := range estimates {
+		if estimate.FirstToken <= bound {
+			good++
+		}
+	}
+	first, second := source.Below(good), source.Below(good)
+	return better(estimates, nth(estimates, bound, first), nth(estimates, bound, second))
+}
+
+// Best returns the index of the lowest estimate, or -1 if there are none.
+func Best(estimates []Estimate) int {
+	best := -1
+	for index := range estimates {
+		if best < 0 || estimates[index].FirstToken < estimates[best].FirstToken {
+			best = index
+		}
+	}
+	return best
+}
+
+func nth(estimates []Estimate, bound time.Duration, rank int) int {
+	for index, estimate := range estimates {
+		if estimate.FirstToken > bound {
+			continue
+		}
+		if rank == 0 {
+			return index
+		}
+		rank--
+	}
+	return -1
+}
+
+func better(estimates []Estimate, a, b int) int {
+	if estimates[b].FirstToken < estimates[a].FirstToken {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/router/share.go
@@ -0,0 +1,65 @@
+package router
+
+// maxGain bounds the part of the free slots that one of several nodes takes
+// between two reports. At 1/2 a single busy node has 94% of an idle endpoint
+// after four reports at full gain.
+const maxGain = 0.5
+
+// Share is the part of an endpoint's slots that this node may use.
+type Share struct {
+	// Limit is the number of slots. It may fall below the number in use; then
+	// slots that become free are not used again.
+	Limit int
+	// Gain is the part of the free slots that the node takes on a report.
+	Gain float64
+}
+
+// Pressure is what a share is adapted to when a report arrives.
+type Pressure struct {
+	// Slots and Queued are reported by the endpoint.
+	Slots  int
+	Queued int
+	// Own is the number of own requests there now, and Others the expected
+	// number of other nodes' requests.
+	Own    int
+	Others float64
+	// Nodes is the number of nodes that may send, at least 1.
+	Nodes int
+	// Wanted says that requests waited for more slots than the limit gave.
+	Wanted bool
+}
+
+// Adapt returns the share after a report. A queue at the endpoint means that
+// the nodes together send too much: those above the equal share give back.
+// Otherwise a node takes a part of the free slots that doubles with every
+// report while it needs them, from 1/nodes, so that together the nodes take
+// about what is free, and a single busy node soon nearly everything. The
+// equal share stays open to every node. Fractions are rounded at random:
+// with more nodes than slots only some of them send at a time.
+func (s Share) Adapt(pressure Pressure, source *Source) Share {
+	slots, nodes := float64(pressure.Slots), float64(max(1, pressure.Nodes))
+	own := float64(pressure.Own)
+	free := slots - pressure.Others - own
+	equal := slots / nodes
+	s.Gain = gain(s.Gain, pressure, nodes)
+	limit := own + s.Gain*max(0, free)
+	if pressure.Queued > 0 {
+		limit = own * slots / max(slots, pressure.Others+own)
+	}
+	s.Limit = min(pressure.Slots, source.Round(max(limit, equal)))
+	if free >= 1 {
+		// An idle endpoint serves a first request at once, however many
+		// nodes there are.
+		s.Limit = max(s.Limit, 1)
+	}
+	return s
+}
+
+func gain(last float64, pressure Pressure, nodes float64) float64 {
+	least, most := 1/nodes, max(maxGain, 1/nodes)
+	next := last / 2
+	if pressure.Queued == 0 && pressure.Wanted {
+		next = last * 2
+	}
+	return min(max(next, least), most)
+}
--- /dev/null
+++ b/internal/router/source.go
@@ -0,0 +1,37 @@
+package router
+
+// Source is a seeded source of random numbers. It is part of a controller's
+// state, so that the same messages give the same decisions.
+type Source struct {
+	State uint64
+}
+
+// Next returns the next 64 random bits (SplitMix64).
+func (s *Source) Next() uint64 {
+	s.State += 0x9e3779b97f4a7c15
+	bits := s.State
+	bits = (bits ^ bits>>30) * 0xbf58476d1ce4e5b9
+	bits = (bits ^ bits>>27) * 0x94d049bb133111eb
+	return bits ^ bits>>31
+}
+
+// Below returns a number from 0 to n-1. The bias of the remainder is below
+// 2^-32 for the list lengths that occur.
+func (s *Source) Below(n int) int {
+	return int(s.Next() % uint64(n))
+}
+
+// Fraction returns a number in [0, 1).
+func (s *Source) Fraction() float64 {
+	return float64(s.Next()>>11) / (1 << 53)
+}
+
+// Round rounds a number that is not negative up or down, so that its expected
+// value is kept.
+func (s *Source) Round(x float64) int {
+	whole := int(x)
+	if s.Fraction() < x-float64(whole) {
+		whole++
+	}
+	return whole
+}
