--- /dev/null
+++ b/internal/scheduler/endpoint.go
@@ -0,0 +1,166 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/router"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// serviceSlots is the number of calls that this node sends to one plain
+// service endpoint at a time. Services report no load; the bound keeps a slow
+// one from collecting all requests of the node.
+const serviceSlots = 32
+
+// Times without new work after an endpoint's answers.
+const (
+	firstSuspicion   = 2 * time.Second
+	longestSuspicion = 30 * time.Second
+	// refusedPause is a report interval: the next report says why.
+	refusedPause = 250 * time.Millisecond
+	// closedPause is how long a share of 0 slots stands without a report.
+	closedPause = time.Second
+)
+
+// Endpoint is what the scheduler knows of an endpoint.
+type Endpoint struct {
+	tracker.Endpoint
+	// Gone says that the fleet no longer lists the endpoint; it is kept while
+	// slots are in use.
+	Gone  bool
+	InUse int
+	Share router.Share
+	// Wanted says that the share was used up since the last report.
+	Wanted   bool
+	Speed    router.Speed
+	History  router.History
+	Others   router.Others
+	Locality router.Locality
+	// Failures counts failed attempts since the last success.
+	Failures int
+	// HoldUntil ends a pause after failed or refused attempts of this node.
+	HoldUntil time.Time
+	// ResumeAt is when the endpoint is looked at again.
+	ResumeAt time.Time
+
+	members    []member
+	queues     []*Queue // in the order of the report's models
+	turn       int
+	inResume   int
+	generation uint64
+}
+
+// member is an endpoint's place in a pool.
+type member struct {
+	pool  *Pool
+	index int // in pool.Open, or -1
+}
+
+func (e *Endpoint) before(other *Endpoint) bool {
+	if !e.ResumeAt.Equal(other.ResumeAt) {
+		return e.ResumeAt.Before(other.ResumeAt)
+	}
+	return e.Name < other.Name
+}
+
+func (e *Endpoint) place(index int) { e.inResume = index }
+
+// leaving says that the endpoint must not get new work any more.
+func (e *Endpoint) leaving() bool {
+	return e.Gone || e.Phase != tracker.Live || e.Report != nil && e.Report.Leaving
+}
+
+// heldUntil is when the endpoint may get new work again.
+func (e *Endpoint) heldUntil() time.Time {
+	if e.SuspectUntil.After(e.HoldUntil) {
+		return e.SuspectUntil
+	}
+	return e.HoldUntil
+}
+
+func (e *Endpoint) open(now time.Time) bool {
+	return !e.leaving() && !now.Before(e.heldUntil()) && e.InUse < e.Share.Limit
+}
+
+func (e *Endpoint) slots() int {
+	if e.Kind == tracker.Service {
+		return serviceSlots
+	}
+	if e.Report == nil {
+		return 0
+	}
+	return e.Report.Slots
+}
+
+// spare says whether a quarter of the slots stays free for prompt requests
+// when a deferred request takes one.
+func (e *Endpoint) spare(now time.Time) bool {
+	slots := e.slots()
+	free := float64(slots-e.InUse) - e.Others.Expect(now)
+	return free >= float64(1+slots/4)
+}
+
+// hold stops new work to the endpoint until a time.
+func (e *Endpoint) hold(until time.Time) {
+	if until.After(e.HoldUntil) {
+		e.HoldUntil = until
+	}
+}
+
+// failed notes that an attempt did not get the answer it should. Requests
+// that fail together count once.
+func (e *Endpoint) failed(now time.Time) {
+	if now.Before(e.HoldUntil) {
+		return
+	}
+	pause := firstSuspicion << min(e.Failures, 4)
+	e.Failures++
+	e.hold(now.Add(min(pause, longestSuspicion)))
+}
+
+// refused notes that the endpoint took an attempt not to run it: the share
+// was too large, or it has lost the model.
+func (e *Endpoint) refused(now time.Time) {
+	e.hold(now.Add(refusedPause))
+	if e.Kind == tracker.Engine {
+		e.Share.Limit = min(e.Share.Limit, e.InUse)
+		e.Share.Gain /= 2
+	}
+}
+
+// targets lists what the endpoint serves.
+func (e *Endpoint) targets() []Target {
+	if e.Gone {
+		return nil
+	}
+	if e.Kind == tracker.Service {
+		return []Target{{Service: e.Service}}
+	}
+	if e.Report == nil {
+		return nil
+	}
+	var targets []Target
+	for _, model := range e.Report.Models {
+		if model.State != tracker.Loaded {
+			continue
+		}
+		targets = append(targets, Target{Model: model.Model})
+		for _, adapter := range model.Adapters {
+			if adapter.State == tracker.Loaded {
+				targets = append(targets, Target{Model: model.Model, Adapter: adapter.Adapter})
+			}
+		}
+	}
+	return targets
+}
+
+// sameModels says whether two reports name the same models and adapters.
+func sameModels(a, b *tracker.Report) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return slices.EqualFunc(a.Models, b.Models, func(x, y tracker.ModelState) bool {
+		return x.Model == y.Model && x.State == y.State && slices.Equal(x.Adapters, y.Adapters)
+	})
+}
--- /dev/null
+++ b/internal/scheduler/fair_queue_test.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// naiveQueue is start-time fair queueing without any index: it looks at every
+// waiting request for every decision.
+type naiveQueue struct {
+	virtual float64
+	finish  map[string]float64
+	tags    map[string]float64 // by lane and workspace, while backlogged
+	turns   map[string]int
+	waiting []*Waiting
+}
+
+func flowName(w *Waiting) string {
+	return fmt.Sprint(laneKey(w.Admission), w.Admission.Workspace)
+}
+
+func (q *naiveQueue) push(w *Waiting) {
+	name := flowName(w)
+	if _, ok := q.tags[name]; !ok {
+		q.tags[name] = max(q.virtual, q.finish[w.Admission.Workspace])
+	}
+	q.waiting = append(q.waiting, w)
+}
+
+func (q *naiveQueue) remove(w *Waiting) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(other *Waiting) bool { return other == w })
+	if !slices.ContainsFunc(q.waiting, func(other *Waiting) bool { return flowName(other) == flowName(w) }) {
+		delete(q.tags, flowName(w))
+		delete(q.turns, flowName(w))
+	}
+}
+
+func (q *naiveQueue) tag(w *Waiting) float64 {
+	return max(q.tags[flowName(w)], q.finish[w.Admission.Workspace])
+}
+
+// first returns the request of a flow that goes next.
+func (q *naiveQueue) first(name string) *Waiting {
+	assuredFirst := q.turns[name]%assuredTurn == assuredTurn-1
+	var first *Waiting
+	for _, w := range q.waiting {
+		if flowName(w) != name {
+			continue
+		}
+		preferred := (w.Admission.Class == filter.Assured) == assuredFirst
+		if first == nil || preferred && (first.Admission.Class == filter.Assured) != assuredFirst {
+			first = w
+		}
+	}
+	return first
+}
+
+func (q *naiveQueue) next(ready map[LaneKey]bool) *Waiting {
+	var best *Waiting
+	for _, w := range q.waiting {
+		if !ready[laneKey(w.Admission)] || q.first(flowName(w)) != w {
+			continue
+		}
+		if best == nil || q.tag(w) < q.tag(best) || q.tag(w) == q.tag(best) && w.Number < best.Number {
+			best = w
+		}
+	}
+	return best
+}
+
+func (q *naiveQueue) take(w *Waiting) {
+	start := q.tag(w)
+	q.virtual = max(q.virtual, start)
+	q.finish[w.Admission.Workspace] = start + w.Cost/w.Admission.Weight
+	q.tags[flowName(w)] = q.finish[w.Admission.Workspace]
+	q.turns[flowName(w)]++
+	q.remove(w)
+}
+
+// Guards against a fast fair queue that decides otherwise than the definition
+// of start-time fair queueing.
+func TestFairQueueDecidesLikeNaiveQueue(t *testing.T) {
+	tester.Check(t, 10, func(t *rapid.T) {
+		fast := NewFairQueue()
+		naive := &naiveQueue{finish: map[string]float64{}, tags: map[string]float64{}, turns: map[string]int{}}
+		number := uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				for range rapid.IntRange(1, 4).Draw(t, "count") {
+					number++
+					w := drawWaiting(t, number)
+					fast.Push(w, nil)
+					naive.push(w)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(naive.waiting) == 0 {
+					t.Skip("empty")
+				}
+				w := rapid.SampledFrom(naive.waiting).Draw(t, "which")
+				fast.Remove(w)
+				naive.remove(w)
+			},
+			"take": func(t *rapid.T) { takeBoth(t, fast, naive) },
+			"drain": func(t *rapid.T) {
+				for range rapid.IntRange(1, 4).Draw(t, "count") {
+					takeBoth(t, fast, naive)
+				}
+			},
+		})
+	})
+}
+
+func drawWaiting(t *rapid.T, number uint64) *Waiting {
+	workspace := rapid.IntRange(0, 4).Draw(t, "workspace")
+	return &Waiting{Number: number, Cost: float64(rapid.IntRange(1, 8).Draw(t, "cost")), Admission: filter.Admission{
+		Workspace: fmt.Sprint("w", workspace),
+		Weight:    float64(1 + workspace%3),
+		Class:     rapid.SampledFrom([]filter.Class{filter.Interactive, filter.Assured}).Draw(t, "class"),
+		Adapter:   rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "adapter"),
+	}}
+}
+
+func takeBoth(t *rapid.T, fast *FairQueue, naive *naiveQueue) {
+	ready := map[LaneKey]bool{}
+	for _, adapter := range []string{"", "a", "b"} {
+		ready[LaneKey{Adapter: adapter}] = rapid.IntRange(0, 3).Draw(t, "ready") > 0
+	}
+	got := fast.Next(func(lane *Lane) bool { return ready[lane.Key] })
+	want := naive.next(ready)
+	if got != want {
+		t.Fatalf("next is %+v; want %+v", got, want)
+	}
+	if got == nil {
+		return
+	}
+	fast.Take(got)
+	naive.take(want)
+	if fast.Waiting != len(naive.waiting) {
+		t.Fatalf("%d wait; want %d", fast.Waiting, len(naive.waiting))
+	}
+}
