Add the placer, the keep-alive policies and the demand message

The placer decides which endpoint holds which model and adapter while its node holds the region's lease. Every order goes out once, after the conditional update that names its fence. Load reports now count the requests per model and adapter, because idle models cannot be told from busy ones by the endpoint's totals.

--- /dev/null
+++ b/internal/messenger/demand.go
@@ -0,0 +1,109 @@
+package messenger
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/placer"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// DemandPath is the path of demand messages at the peer address.
+const DemandPath = "/peer/v1/demand"
+
+// demandRequest carries the demands of one node. Deadlines travel as the time
+// left, because clocks of different nodes are never compared.
+type demandRequest struct {
+	Node    string
+	Demands []demandItem
+}
+
+type demandItem struct {
+	Model   string
+	Version string
+	Adapter string `json:",omitempty"`
+	// AdapterVersion is set with Adapter.
+	AdapterVersion string `json:",omitempty"`
+	Class          string
+	Waiting        int
+	// Left is the time until the earliest deadline, "1.5s".
+	Left string
+}
+
+type demandAnswer struct{}
+
+// SendDemand tells the placer's node at address which models requests wait
+// for at this node.
+func SendDemand(ctx context.Context, c *Client, address, node string, demands []placer.Demand) error {
+	request := demandRequest{Node: node, Demands: []demandItem{}}
+	for _, demand := range demands {
+		request.Demands = append(request.Demands, encodeDemand(c.clock.Now(), demand))
+	}
+	_, err := Exchange[demandRequest, demandAnswer](ctx, c, address, DemandPath, request)
+	return err
+}
+
+// HandleDemand makes a handler that delivers each demand. An error of deliver
+// is answered with 503, and the sender repeats its demand a second later.
+func HandleDemand(clock clockwork.Clock, deliver func(placer.Demand) error) http.Handler {
+	return Handle(func(_ context.Context, request demandRequest) (demandAnswer, error) {
+		demands, err := decodeDemands(clock.Now(), request)
+		if err != nil {
+			return demandAnswer{}, err
+		}
+		for _, demand := range demands {
+			if err := deliver(demand); err != nil {
+				return demandAnswer{}, err
+			}
+		}
+		return demandAnswer{}, nil
+	})
+}
+
+func encodeDemand(now time.Time, demand placer.Demand) demandItem {
+	item := demandItem{
+		Class:   string(demand.Class),
+		Waiting: demand.Waiting,
+		Left:    demand.EarliestDeadline.Sub(now).String(),
+	}
+	item.Model, item.Version = releaser.SplitKey(demand.Model)
+	item.Adapter, item.AdapterVersion = releaser.SplitKey(demand.Adapter)
+	return item
+}
+
+// decodeDemands checks all items before any is delivered.
+func decodeDemands(now time.Time, request demandRequest) ([]placer.Demand, error) {
+	var demands []placer.Demand
+	for at, item := range request.Demands {
+		left, err := time.ParseDuration(item.Left)
+		if err != nil {
+			return nil, merry.Errorf("Demands[%d].Left: %w", at, err)
+		}
+		class := filter.Class(item.Class)
+		switch class {
+		case filter.Interactive, filter.Assured, filter.Deferred:
+		default:
+			return nil, merry.Errorf("Demands[%d].Class: %q is none of interactive, assured, deferred", at, item.Class)
+		}
+		if item.Model == "" || item.Version == "" || item.Waiting < 0 {
+			return nil, merry.Errorf("Demands[%d]: Model and Version are required, Waiting is at least 0", at)
+		}
+		demand := placer.Demand{
+			Node:             request.Node,
+			Model:            releaser.Key(item.Model, item.Version),
+			Class:            class,
+			Waiting:          item.Waiting,
+			EarliestDeadline: now.Add(left),
+		}
+		if item.Adapter != "" {
+			demand.Adapter = releaser.Key(item.Adapter, item.AdapterVersion)
+		}
+		demands = append(demands, demand)
+	}
+	return demands, nil
+}
--- /dev/null
+++ b/internal/placer/candidate.go
@@ -0,0 +1,117 @@
+package placer
+
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// candidates are the endpoints that may take a model.
+func (d *plan) candidates(key Key) []Candidate {
+	need := d.memoryOf(key)
+	remoteWait := d.Permits.Wait(d.now, d.Settings.StoreRate)
+	var result []Candidate
+	for _, name := range d.Names {
+		endpoint := d.Endpoints[name]
+		if endpoint.MemoryMB < need || !d.usable(endpoint, key) {
+			continue
+		}
+		candidate := Candidate{
+			Endpoint: name,
+			FreeMB:   d.free(endpoint),
+			Tier:     tier(endpoint.Report, key.Model),
+			Queue:    d.queue(endpoint),
+		}
+		candidate.Load = loadTime(need, d.Settings.Speeds[candidate.Tier])
+		if candidate.Tier == tracker.Remote {
+			candidate.Queue += remoteWait
+		}
+		result = append(result, candidate)
+	}
+	return result
+}
+
+// maxReportAge is the age above which a report shows that an endpoint may be
+// gone: twenty missed reports.
+const maxReportAge = 5 * time.Second
+
+// usable says whether an endpoint can take a new entry.
+func (d *plan) usable(endpoint tracker.Endpoint, key Key) bool {
+	report := endpoint.Report
+	switch {
+	case report == nil || report.Leaving || endpoint.Phase != tracker.Live:
+	case d.now.Before(endpoint.SuspectUntil):
+	case d.now.Sub(report.Measured) > maxReportAge:
+	case report.Fence > Fence(d.Epoch, d.Sequence):
+		// A stranger used a fence above all of ours; no order would be taken.
+	case d.avoided(d.now, key, endpoint.Name):
+	default:
+		_, taken := d.next.Endpoints[endpoint.Name].Find(key)
+		return !taken
+	}
+	return false
+}
+
+// free is the memory of an endpoint that neither entries nor claims nor
+// anything that the report shows beyond them need.
+func (d *plan) free(endpoint tracker.Endpoint) int {
+	decided := d.next.Endpoints[endpoint.Name]
+	free := endpoint.MemoryMB - decided.ReservedMB() - excess(endpoint.Report, decided)
+	for _, claim := range d.Claims {
+		if claim.Endpoint == endpoint.Name {
+			free -= claim.MemoryMB
+		}
+	}
+	return free
+}
+
+// excess is the used memory that the entries do not explain.
+func excess(report *tracker.Report, decided EndpointPlacement) int {
+	if report == nil {
+		return 0
+	}
+	used := report.UsedMB
+	for _, entry := range decided.Entries {
+		state := shown(report, entry.Key)
+		if state != "" && state != tracker.Failed {
+			used -= entry.MemoryMB
+		}
+	}
+	return max(0, used)
+}
+
+func tier(report *tracker.Report, model string) tracker.Tier {
+	best := tracker.Remote
+	for _, cached := range report.Cached {
+		if cached.Model != model {
+			continue
+		}
+		if cached.Tier == tracker.Memory {
+			return tracker.Memory
+		}
+		best = cached.Tier
+	}
+	return best
+}
+
+// queuedTime is what one queued request adds to the time to ready, divided by
+// the endpoint's slots.
+const queuedTime = 500 * time.Millisecond
+
+// queue is the time before a load can start, behind the loads in progress,
+// and before the first request runs.
+func (d *plan) queue(endpoint tracker.Endpoint) time.Duration {
+	wait := queuedTime * time.Duration(endpoint.Report.Queued) / time.Duration(max(1, endpoint.Report.Slots))
+	for _, entry := range d.next.Endpoints[endpoint.Name].Entries {
+		if entry.State != tracker.Loading || entry.Adapter != "" {
+			continue
+		}
+		whole := loadTime(entry.MemoryMB, d.Settings.Speeds[entry.Tier])
+		elapsed := time.Duration(0)
+		if sent := d.record(Place{endpoint.Name, entry.Key}).SentAt; !sent.IsZero() {
+			elapsed = d.now.Sub(sent)
+		}
+		wait += max(0, whole-elapsed)
+	}
+	return wait
+}
--- /dev/null
+++ b/internal/placer/choice.go
@@ -0,0 +1,109 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// Candidate is an endpoint that could take a model.
+type Candidate struct {
+	Endpoint string
+	// FreeMB is the memory that nothing reserves. It can be negative.
+	FreeMB int
+	Tier   tracker.Tier
+	// Load is the expected time of the load itself, and Queue the time that
+	// passes before it can start and before a request is served.
+	Load  time.Duration
+	Queue time.Duration
+}
+
+// Evictable is a loaded model that may be unloaded to make room.
+type Evictable struct {
+	Key      Key
+	MemoryMB int
+	// Rank is the policy's: the lowest goes first.
+	Rank float64
+}
+
+// Choice is the endpoint chosen for a load.
+type Choice struct {
+	Endpoint string
+	Tier     tracker.Tier
+	// Evict names the models to unload first.
+	Evict []Key
+	// Ready is the estimated time until the model can serve.
+	Ready time.Duration
+}
+
+// evictionCost is what each eviction adds to the estimate: the unload itself
+// and the risk that the evicted model is needed again soon.
+const evictionCost = 5 * time.Second
+
+// Choose returns the candidate with the earliest estimated time to ready, and
+// false if none can make room. evictable is asked only for candidates that
+// can still win.
+func Choose(candidates []Candidate, needMB int, evictable func(endpoint string) []Evictable) (Choice, bool) {
+	var best Choice
+	found := false
+	for _, candidate := range candidates {
+		choice := Choice{
+			Endpoint: candidate.Endpoint,
+			Tier:     candidate.Tier,
+			Ready:    candidate.Load + candidate.Queue,
+		}
+		missing := needMB - candidate.FreeMB
+		if missing > 0 {
+			choice.Ready += evictionCost
+		}
+		if found && compareChoices(choice, best) >= 0 {
+			continue
+		}
+		if missing > 0 {
+			evict, ok := evictions(evictable(candidate.Endpoint), missing)
+			if !ok {
+				continue
+			}
+			choice.Evict = evict
+			choice.Ready += time.Duration(len(evict)-1) * evictionCost
+		}
+		if !found || compareChoices(choice, best) < 0 {
+			best, found = choice, true
+		}
+	}
+	return best, found
+}
+
+func compareChoices(a, b Choice) int {
+	return cmp.Or(
+		cmp.Compare(a.Ready, b.Ready),
+		cmp.Compare(a.Endpoint, b.Endpoint),
+	)
+}
+
+// evictions returns the models with the lowest ranks that free the missing
+// memory, without those that turn out not to be needed.
+func evictions(from []Evictable, missingMB int) ([]Key, bool) {
+	slices.SortFunc(from, func(a, b Evictable) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), compareKeys(a.Key, b.Key))
+	})
+	freed, count := 0, 0
+	for count < len(from) && freed < missingMB {
+		freed += from[count].MemoryMB
+		count++
+	}
+	if freed < missingMB {
+		return nil, false
+	}
+	var chosen []Key
+	for _, model := range slices.Backward(from[:count]) {
+		if freed-model.MemoryMB >= missingMB {
+			freed -= model.MemoryMB
+			continue
+		}
+		chosen = append(chosen, model.Key)
+	}
+	return chosen, true
+}
--- /dev/null
+++ b/internal/placer/evict.go
@@ -0,0 +1,61 @@
+package placer
+
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+const (
+	// evictionIdle protects a model whose requests were just released from
+	// the queue, or are between two reports.
+	evictionIdle = 2 * time.Second
+	// spareEvictionIdle is how long a model must be idle before a deferred
+	// request may evict it.
+	spareEvictionIdle = time.Minute
+)
+
+// evictable are the models of an endpoint that a load may push out.
+func (d *plan) evictable(name string, urgency Urgency) []Evictable {
+	least := evictionIdle
+	if urgency == Spare {
+		least = spareEvictionIdle
+	}
+	report := d.Endpoints[name].Report
+	entries := d.next.Endpoints[name].Entries
+	var result []Evictable
+	for _, entry := range entries {
+		if entry.Adapter != "" || entry.State != tracker.Loaded {
+			continue
+		}
+		idle := d.now.Sub(d.activity(entry.Key).LastUse)
+		if idle < least || busy(report, entry.Key) || d.wanted(entry.Key) {
+			continue
+		}
+		result = append(result, Evictable{
+			Key:      entry.Key,
+			MemoryMB: withAdapters(entries, entry.Model),
+			Rank:     d.rank(entry.Model),
+		})
+	}
+	return result
+}
+
+func withAdapters(entries []Entry, model string) int {
+	sum := 0
+	for _, entry := range entries {
+		if entry.Model == model {
+			sum += entry.MemoryMB
+		}
+	}
+	return sum
+}
+
+func (d *plan) rank(model string) float64 {
+	rank, ok := d.ranks[model]
+	if !ok {
+		rank = d.advice(model, d.activity(Key{Model: model})).Rank
+		d.ranks[model] = rank
+	}
+	return rank
+}
--- /dev/null
+++ b/internal/placer/observe.go
@@ -0,0 +1,178 @@
+package placer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/predictor"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+func (p *Placer) configurationChanged(now time.Time, next *releaser.Configuration) {
+	if p.Configuration != nil && next.Version <= p.Configuration.Version {
+		return
+	}
+	p.Configuration = next
+	p.Shares = make(map[string]int, len(next.Models))
+	for key, model := range next.Models {
+		p.Shares[key] = Share(model, p.Settings.Regions, p.Settings.Region)
+	}
+	for key := range p.Activities {
+		if !p.inForce(key) {
+			delete(p.Activities, key)
+		}
+	}
+	p.PlanAt = now
+}
+
+// fleetChanged takes a view of the fleet that is not older than the last.
+func (p *Placer) fleetChanged(now time.Time, fleet tracker.Fleet) {
+	if fleet.ListVersion < p.ListVersion {
+		return
+	}
+	next := make(map[string]tracker.Endpoint, len(p.Endpoints))
+	for _, endpoint := range fleet.Endpoints {
+		if endpoint.Kind != tracker.Engine || endpoint.Region != p.Settings.Region {
+			continue
+		}
+		next[endpoint.Name] = p.sight(now, endpoint)
+	}
+	for name := range p.Seen {
+		if _, ok := next[name]; !ok {
+			delete(p.Seen, name)
+		}
+	}
+	if fleet.ListVersion > p.ListVersion || len(next) != len(p.Names) {
+		p.Names = slices.Sorted(maps.Keys(next))
+	}
+	p.ListVersion, p.Endpoints = fleet.ListVersion, next
+	p.observeUse(now)
+	if soon := now.Add(planInterval); p.PlanAt.After(soon) {
+		p.PlanAt = soon
+	}
+}
+
+// sight follows the sequence of an endpoint's reports. A lower sequence in a
+// later report means that the endpoint restarted; in an earlier report it
+// means that the report was overtaken, and the newer one is kept.
+func (p *Placer) sight(now time.Time, endpoint tracker.Endpoint) tracker.Endpoint {
+	report := endpoint.Report
+	if report == nil {
+		return endpoint
+	}
+	seen, known := p.Seen[endpoint.Name]
+	if known && report.Measured.Before(seen.Measured) {
+		endpoint.Report = p.Endpoints[endpoint.Name].Report
+		return endpoint
+	}
+	if known && report.Sequence < seen.Sequence {
+		seen.Restarted = now
+	}
+	seen.Sequence, seen.Measured = report.Sequence, report.Measured
+	p.Seen[endpoint.Name] = seen
+	return endpoint
+}
+
+// observeUse records which models and adapters were used since the reports
+// before.
+func (p *Placer) observeUse(now time.Time) {
+	for _, name := range p.Names {
+		report := p.Endpoints[name].Report
+		if report == nil {
+			continue
+		}
+		for _, model := range report.Models {
+			key := Key{Model: model.Model}
+			p.observePlace(now, Place{name, key}, model.Served, busy(report, key))
+			for _, adapter := range model.Adapters {
+				key := Key{Model: model.Model, Adapter: adapter.Adapter}
+				p.observePlace(now, Place{name, key}, adapter.Served, adapter.Running > 0)
+			}
+		}
+	}
+}
+
+func (p *Placer) observePlace(now time.Time, place Place, served uint64, running bool) {
+	record, ok := p.Records[place]
+	if running || (ok && served > record.Served) {
+		p.activity(place.Key).Observe(now)
+	}
+	if ok {
+		record.Served = served
+	}
+}
+
+// busy says whether a model has requests at an endpoint. An endpoint that
+// counts requests only as a whole has all its models busy.
+func busy(report *tracker.Report, key Key) bool {
+	if report == nil {
+		return true
+	}
+	counted := false
+	for _, model := range report.Models {
+		if model.Running == 0 {
+			continue
+		}
+		counted = true
+		if model.Model == key.Model {
+			return key.Adapter == "" || adapterBusy(model, key.Adapter)
+		}
+	}
+	return !counted && report.Running+report.Queued > 0
+}
+
+func adapterBusy(model tracker.ModelState, adapter string) bool {
+	for _, state := range model.Adapters {
+		if state.Adapter == adapter {
+			return state.Running > 0
+		}
+	}
+	return false
+}
+
+func (p *Placer) activity(key Key) *predictor.Activity {
+	activity, ok := p.Activities[key]
+	if !ok {
+		activity = &predictor.Activity{}
+		p.Activities[key] = activity
+	}
+	return activity
+}
+
+// shown returns what a report says of a model or adapter: its state, or ""
+// if the report does not show it, and the fence of the model's state.
+func shown(report *tracker.Report, key Key) tracker.State {
+	for _, model := range report.Models {
+		if model.Model != key.Model {
+			continue
+		}
+		if key.Adapter == "" {
+			return model.State
+		}
+		for _, adapter := range model.Adapters {
+			if adapter.Adapter == key.Adapter {
+				return adapter.State
+			}
+		}
+	}
+	return ""
+}
+
+// orderAnswered notes the result of the latest order for an entry.
+func (p *Placer) orderAnswered(now time.Time, answered OrderAnswered) {
+	record, ok := p.Records[Place{answered.Endpoint, answered.Key}]
+	if !ok || record.Fence != answered.Fence {
+		return
+	}
+	record.Outcome, record.AnsweredAt = answered.Outcome, now
+	if answered.Outcome != Accepted {
+		text := "order " + string(answered.Outcome)
+		if answered.Detail != "" {
+			text += ": " + answered.Detail
+		}
+		p.trouble(now, answered.Endpoint, answered.Key, text)
+	}
+	p.PlanAt = now
+}
--- /dev/null
+++ b/internal/placer/placer.go
@@ -0,0 +1,275 @@
+package placer
+
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/predictor"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// Placer decides for one region while its node holds the region's lease.
+//
+// Invariants: an order goes out only for an entry whose fence was written by
+// a conditional update, under a lease that is still valid; the entries of a
+// model never exceed the region's share of its replicas by a decision of the
+// placer; the memory of the entries, of planned loads, and of what a report
+// shows beyond them, never exceeds the endpoint's memory by a decision of
+// the placer.
+type Placer struct {
+	Settings Settings
+
+	// Epoch and Until describe the lease; Until is zero without one.
+	Epoch uint64
+	Until time.Time
+	// Sequence is the last one used in a fence of this epoch.
+	Sequence uint32
+
+	// Phase says what the placer does with the object.
+	Phase Phase
+	// Ticket identifies the latest read or write; answers to earlier ones
+	// are ignored.
+	Ticket uint64
+	// Adopted is when the decided state was last read.
+	Adopted time.Time
+	// Version and Decided are the object as last read or written.
+	Version uint64
+	Decided Placement
+	// Next and Orders wait for the write in progress.
+	Next   Placement
+	Orders []Order
+	// RetryAt is when a failed read or write is tried again.
+	RetryAt time.Time
+
+	Configuration *releaser.Configuration
+	// Shares are the replicas that the region may hold, by model.
+	Shares      map[string]int
+	ListVersion uint64
+	// Endpoints are the region's engines, and Names their sorted names.
+	Endpoints map[string]tracker.Endpoint
+	Names     []string
+	Seen      map[string]Sighting
+
+	// Records hold what this node knows of entries beyond the object.
+	Records map[Place]*Record
+	Demands map[Key]*KeyDemand
+	Claims  map[Key]Claim
+	Retries map[Key]*Retry
+	// Activities are kept per model and per adapter.
+	Activities map[Key]*predictor.Activity
+	// Withdrawn is when a decided model or adapter was first seen to be out
+	// of force.
+	Withdrawn map[Key]time.Time
+	Permits   Bucket
+
+	Troubles []Trouble
+	// PlanAt is when the next plan is due.
+	PlanAt time.Time
+	// Lapsed says that the lease was found to have expired; the placer then
+	// waits for a message.
+	Lapsed bool
+	// Published says that operators see the current state.
+	Published bool
+}
+
+// Phase is what a placer does with the object.
+type Phase int
+
+// The phases of a placer.
+const (
+	// Idle placers do not hold the lease.
+	Idle Phase = iota
+	// Unread placers hold the lease and must read the object.
+	Unread
+	// Reading placers wait for the object.
+	Reading
+	// Ready placers know the object and may write it.
+	Ready
+	// Writing placers wait for a write.
+	Writing
+)
+
+// Place is an entry's place: its endpoint and key.
+type Place struct {
+	Endpoint string
+	Key
+}
+
+// Record is what a holder knows of an entry beyond the object.
+type Record struct {
+	// Fence is the fence of the order that this holder sent last, 0 if none.
+	Fence  uint64
+	SentAt time.Time
+	// Outcome is empty while the order is on its way.
+	Outcome    Outcome
+	AnsweredAt time.Time
+	// Overdue is when the order should have had its effect.
+	Overdue time.Time
+	// QuietAt is when no earlier load order can arrive any more.
+	QuietAt time.Time
+	// Attempts counts the orders for the present state.
+	Attempts int
+	// Served is the report's count when it was last looked at.
+	Served uint64
+}
+
+// Sighting follows an endpoint's reports.
+type Sighting struct {
+	Sequence uint64
+	Measured time.Time
+	// Restarted is when a lower sequence showed that the endpoint restarted.
+	Restarted time.Time
+}
+
+// Claim reserves memory at an endpoint for a load that waits for evictions.
+type Claim struct {
+	Endpoint string
+	MemoryMB int
+	Until    time.Time
+}
+
+// Retry delays the loads of a model that failed.
+type Retry struct {
+	Failures  int
+	NotBefore time.Time
+	// Avoid names endpoints where a load failed, until when.
+	Avoid map[string]time.Time
+}
+
+// New returns a placer that does not hold its lease.
+func New(settings Settings) *Placer {
+	return &Placer{
+		Settings:   settings,
+		Decided:    Placement{Endpoints: map[string]EndpointPlacement{}},
+		Endpoints:  map[string]tracker.Endpoint{},
+		Seen:       map[string]Sighting{},
+		Records:    map[Place]*Record{},
+		Demands:    map[Key]*KeyDemand{},
+		Claims:     map[Key]Claim{},
+		Retries:    map[Key]*Retry{},
+		Activities: map[Key]*predictor.Activity{},
+		Withdrawn:  map[Key]time.Time{},
+		Permits:    Bucket{Tokens: 1},
+		Lapsed:     true,
+	}
+}
+
+const (
+	// planInterval bounds the processor time of planning: at most four plans
+	// a second, except for the first demand of a model.
+	planInterval = 250 * time.Millisecond
+	// idleInterval is how often a placer without work looks at idle models.
+	idleInterval = time.Second
+	// retryInterval follows a failed call of the object API.
+	retryInterval = 500 * time.Millisecond
+)
+
+// Step implements runner.Controller.
+func (p *Placer) Step(now time.Time, message Message) []Effect {
+	var effects []Effect
+	switch message := message.(type) {
+	case LeaseHeld:
+		p.leaseHeld(now, message)
+	case LeaseLost:
+		p.leaseLost()
+	case ObjectRead:
+		p.objectRead(now, message)
+	case ReadFailed:
+		p.readFailed(now, message)
+	case ObjectWritten:
+		effects = p.objectWritten(now, message)
+	case WriteFailed:
+		p.writeFailed(now, message)
+	case WriteUncertain:
+		p.reread(now, message.Ticket, message.Detail)
+	case ConfigurationChanged:
+		p.configurationChanged(now, message.Configuration)
+	case FleetChanged:
+		p.fleetChanged(now, message.Fleet)
+	case Demand:
+		p.demanded(now, message)
+	case OrderAnswered:
+		p.orderAnswered(now, message)
+	case Tick:
+	}
+	return append(effects, p.proceed(now)...)
+}
+
+// proceed does what is due: read, plan, publish.
+func (p *Placer) proceed(now time.Time) []Effect {
+	var effects []Effect
+	if lapsed := !p.valid(now); lapsed != p.Lapsed {
+		p.Lapsed, p.Published = lapsed, false
+	}
+	switch {
+	case p.Lapsed || now.Before(p.RetryAt):
+	case p.Phase == Unread:
+		p.Phase = Reading
+		p.Ticket++
+		effects = append(effects, ReadObject{Ticket: p.Ticket})
+	case p.Phase == Ready && !now.Before(p.PlanAt) && p.informed():
+		effects = p.plan(now)
+	}
+	if !p.Published {
+		p.Published = true
+		effects = append(effects, Publish{View: p.view(now)})
+	}
+	return effects
+}
+
+// valid says whether the lease is held at a time.
+func (p *Placer) valid(now time.Time) bool {
+	return now.Before(p.Until)
+}
+
+// informed says whether the placer knows at least what the former holders
+// knew: with an older configuration or instance list it would undo their
+// decisions.
+func (p *Placer) informed() bool {
+	return p.Configuration != nil &&
+		p.Configuration.Version >= p.Decided.Configuration &&
+		p.ListVersion > 0 && p.ListVersion >= p.Decided.ListVersion
+}
+
+// Wake implements runner.Controller.
+func (p *Placer) Wake() time.Time {
+	if p.Lapsed {
+		return time.Time{}
+	}
+	switch p.Phase {
+	case Unread:
+		return p.RetryAt
+	case Ready:
+		if !p.informed() {
+			return time.Time{}
+		}
+		if p.RetryAt.After(p.PlanAt) {
+			return p.RetryAt
+		}
+		return p.PlanAt
+	default:
+		return time.Time{}
+	}
+}
+
+func (p *Placer) view(now time.Time) View {
+	return View{
+		Region:    p.Settings.Region,
+		Leading:   p.valid(now),
+		Epoch:     p.Epoch,
+		Version:   p.Version,
+		Placement: p.Decided,
+		Troubles:  append([]Trouble(nil), p.Troubles...),
+	}
+}
+
+// maxTroubles bounds the list for operators.
+const maxTroubles = 50
+
+func (p *Placer) trouble(now time.Time, endpoint string, key Key, text string) {
+	p.Troubles = append(p.Troubles, Trouble{Endpoint: endpoint, Key: key, Text: text, At: now})
+	if len(p.Troubles) > maxTroubles {
+		p.Troubles = p.Troubles[len(p.Troubles)-maxTroubles:]
+	}
+	p.Published = false
+}
--- /dev/null
+++ b/internal/placer/plan.go
@@ -0,0 +1,204 @@
+package placer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// plan is a change of the decided state in the making. It copies what it
+// changes, because the state as last written stays in use until the write is
+// confirmed.
+type plan struct {
+	*Placer
+	now     time.Time
+	next    Placement
+	changed bool
+	copied  map[string]bool
+	orders  []Order
+	// replicas counts the entries of each model in next.
+	replicas map[string]int
+	// remote and adapters count the loads in progress.
+	remote   int
+	adapters int
+	// ranks caches the policy's ranks.
+	ranks map[string]float64
+	// pending says that something waits for the next plan.
+	pending bool
+}
+
+// plan decides what is due and asks for the decision to be written.
+func (p *Placer) plan(now time.Time) []Effect {
+	p.expireDemand(now)
+	d := p.draft(now)
+	d.dropGone()
+	d.review()
+	d.retire()
+	d.place()
+	d.prewarm()
+	p.PlanAt = now.Add(idleInterval)
+	if d.pending || d.changed || len(p.Demands) > 0 || len(p.Claims) > 0 {
+		p.PlanAt = now.Add(planInterval)
+	}
+	if !d.changed {
+		return nil
+	}
+	d.next.Epoch = p.Epoch
+	d.next.ListVersion = p.ListVersion
+	d.next.Configuration = p.Configuration.Version
+	p.Next, p.Orders = d.next, d.orders
+	p.Phase = Writing
+	p.Ticket++
+	return []Effect{WriteObject{Ticket: p.Ticket, IfVersion: p.Version, Placement: d.next}}
+}
+
+func (p *Placer) draft(now time.Time) *plan {
+	d := &plan{
+		Placer:   p,
+		now:      now,
+		next:     p.Decided,
+		copied:   map[string]bool{},
+		replicas: map[string]int{},
+		ranks:    map[string]float64{},
+	}
+	for _, endpoint := range p.Decided.Endpoints {
+		for _, entry := range endpoint.Entries {
+			d.count(entry, 1)
+		}
+	}
+	return d
+}
+
+// count keeps the sums over all entries up to date.
+func (d *plan) count(entry Entry, by int) {
+	if entry.Adapter == "" {
+		d.replicas[entry.Model] += by
+	}
+	if entry.State != tracker.Loading {
+		return
+	}
+	if entry.Adapter != "" {
+		d.adapters += by
+	} else if entry.Tier == tracker.Remote {
+		d.remote += by
+	}
+}
+
+// own copies an endpoint's entries before the first change.
+func (d *plan) own(name string) EndpointPlacement {
+	if !d.changed {
+		d.changed = true
+		d.next.Endpoints = maps.Clone(d.next.Endpoints)
+	}
+	endpoint := d.next.Endpoints[name]
+	if !d.copied[name] {
+		d.copied[name] = true
+		endpoint.Entries = slices.Clone(endpoint.Entries)
+	}
+	return endpoint
+}
+
+// set adds or replaces an entry.
+func (d *plan) set(name string, entry Entry) {
+	endpoint := d.own(name)
+	at, ok := search(endpoint.Entries, entry.Key)
+	if ok {
+		d.count(endpoint.Entries[at], -1)
+		endpoint.Entries[at] = entry
+	} else {
+		endpoint.Entries = slices.Insert(endpoint.Entries, at, entry)
+	}
+	d.count(entry, 1)
+	if known, ok := d.Endpoints[name]; ok {
+		endpoint.MemoryMB = known.MemoryMB
+	}
+	d.next.Endpoints[name] = endpoint
+}
+
+// remove ends a reservation. Only the rules in review allow it.
+func (d *plan) remove(name string, key Key) {
+	endpoint := d.own(name)
+	at, ok := search(endpoint.Entries, key)
+	if !ok {
+		return
+	}
+	d.count(endpoint.Entries[at], -1)
+	endpoint.Entries = slices.Delete(endpoint.Entries, at, at+1)
+	d.next.Endpoints[name] = endpoint
+	if len(endpoint.Entries) == 0 {
+		delete(d.next.Endpoints, name)
+	}
+	delete(d.Records, Place{name, key})
+}
+
+// order gives an entry a new fence and state and queues the order for after
+// the write.
+func (d *plan) order(name string, entry Entry, state tracker.State) {
+	d.Sequence++
+	entry.Fence = Fence(d.Epoch, d.Sequence)
+	entry.State, entry.Since = state, d.now
+	d.set(name, entry)
+	d.orders = append(d.orders, Order{
+		Kind:     orderKind(entry.Key, state),
+		Endpoint: name,
+		Address:  d.Endpoints[name].Address,
+		Key:      entry.Key,
+		MemoryMB: entry.MemoryMB,
+		Fence:    entry.Fence,
+	})
+}
+
+func orderKind(key Key, state tracker.State) OrderKind {
+	switch {
+	case state == tracker.Loading && key.Adapter == "":
+		return LoadModel
+	case state == tracker.Loading:
+		return LoadAdapter
+	case key.Adapter == "":
+		return UnloadModel
+	default:
+		return UnloadAdapter
+	}
+}
+
+// unload decides that an entry goes. The adapters of a model go with it,
+// without orders of their own.
+func (d *plan) unload(name string, entry Entry) {
+	d.restart(name, entry)
+	d.order(name, entry, tracker.Unloading)
+	if entry.Adapter != "" {
+		return
+	}
+	for _, other := range slices.Clone(d.next.Endpoints[name].Entries) {
+		if other.Model == entry.Model && other.Adapter != "" && other.State != tracker.Unloading {
+			other.State, other.Since = tracker.Unloading, d.now
+			d.set(name, other)
+		}
+	}
+}
+
+// restart begins to count the orders of an entry anew.
+func (d *plan) restart(name string, entry Entry) {
+	if entry.State != tracker.Unloading {
+		d.record(Place{name, entry.Key}).Attempts = 0
+	}
+}
+
+// each calls visit for every entry of the region's endpoints, in order. The
+// visitor may change the plan.
+func (d *plan) each(visit func(name string, entry Entry)) {
+	for _, name := range d.Names {
+		entries := d.next.Endpoints[name].Entries
+		if d.copied[name] {
+			entries = slices.Clone(entries)
+		}
+		for _, entry := range entries {
+			current, ok := d.next.Endpoints[name].Find(entry.Key)
+			if ok {
+				visit(name, current)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/placer/sender.go
@@ -0,0 +1,139 @@
+package placer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// Sender sends orders to endpoints.
+type Sender interface {
+	// Send sends an order once, unless its lease has ended, and returns what
+	// is known of its result.
+	Send(ctx context.Context, order Order) OrderAnswered
+}
+
+// tokenHeader carries the shared secret by which endpoints know the sender.
+const tokenHeader = "Toucanhitch-Order-Token"
+
+// maxAnswerBytes bounds an endpoint's answer to an order.
+const maxAnswerBytes = 4 << 10
+
+// HTTPSender sends orders to engines over HTTP.
+type HTTPSender struct {
+	clock     clockwork.Clock
+	transport *http.Transport
+	token     string
+	timeout   time.Duration
+}
+
+// NewHTTPSender returns a sender and a function that closes its connections.
+// The token is empty if the endpoints do not check senders.
+func NewHTTPSender(clock clockwork.Clock, token string, timeout time.Duration) (*HTTPSender, func()) {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		IdleConnTimeout:     5 * time.Second,
+		MaxIdleConnsPerHost: 1,
+	}
+	sender := &HTTPSender{clock: clock, transport: transport, token: token, timeout: timeout}
+	return sender, transport.CloseIdleConnections
+}
+
+type orderRequest struct {
+	Order          string
+	Model          string
+	Version        string
+	Adapter        string `json:",omitempty"`
+	AdapterVersion string `json:",omitempty"`
+	MemoryMB       int
+	Fence          uint64
+}
+
+type orderRefusal struct {
+	Error string
+	Fence uint64
+}
+
+// Send implements Sender. The request ends with the order's lease, so that a
+// process that was paused does not go on sending.
+func (s *HTTPSender) Send(ctx context.Context, order Order) OrderAnswered {
+	answered := OrderAnswered{Endpoint: order.Endpoint, Key: order.Key, Fence: order.Fence}
+	left := order.Until.Sub(s.clock.Now())
+	if left <= 0 {
+		answered.Outcome, answered.Detail = NotSent, "the lease ended before the order was sent"
+		return answered
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, min(left, s.timeout))
+	defer cancel()
+	request, err := s.request(ctx, order)
+	if err != nil {
+		answered.Outcome, answered.Detail = NotSent, err.Error()
+		return answered
+	}
+	response, err := s.transport.RoundTrip(request)
+	if err != nil {
+		s.transport.CloseIdleConnections()
+		answered.Outcome, answered.Detail = outcomeOf(err), err.Error()
+		return answered
+	}
+	defer response.Body.Close()
+	return answer(answered, response)
+}
+
+func (s *HTTPSender) request(ctx context.Context, order Order) (*http.Request, error) {
+	body := orderRequest{Order: string(order.Kind), MemoryMB: order.MemoryMB, Fence: order.Fence}
+	body.Model, body.Version = releaser.SplitKey(order.Key.Model)
+	body.Adapter, body.AdapterVersion = releaser.SplitKey(order.Key.Adapter)
+	url := "http://" + order.Address + "/v1/orders"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(encoder.Encode(body)))
+	if err != nil {
+		return nil, err
+	}
+	// An order must go out once: without GetBody the transport cannot send
+	// it again on another connection by itself.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", "application/json")
+	if s.token != "" {
+		request.Header.Set(tokenHeader, s.token)
+	}
+	return request, nil
+}
+
+// outcomeOf tells an order that was certainly not sent from one that may have
+// arrived.
+func outcomeOf(err error) Outcome {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return NotSent
+	}
+	return Uncertain
+}
+
+func answer(answered OrderAnswered, response *http.Response) OrderAnswered {
+	refusal, err := encoder.DecodeFrom[orderRefusal](response.Body, maxAnswerBytes)
+	answered.Detail = response.Status
+	if err == nil && refusal.Error != "" {
+		answered.Detail += ": " + refusal.Error
+	}
+	switch {
+	case response.StatusCode == http.StatusAccepted:
+		answered.Outcome, answered.Detail = Accepted, ""
+	case response.StatusCode == http.StatusConflict:
+		answered.Outcome, answered.Current = StaleFence, refusal.Fence
+	case response.StatusCode == http.StatusInsufficientStorage:
+		answered.Outcome = NoMemory
+	case response.StatusCode < http.StatusInternalServerError:
+		answered.Outcome = Refused
+	default:
+		answered.Outcome = Uncertain
+	}
+	return answered
+}
--- /dev/null
+++ b/internal/placer/settings.go
@@ -0,0 +1,108 @@
+package placer
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/predictor"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// Settings are fixed while a placer runs.
+type Settings struct {
+	Region string
+	// Regions are all regions of the deployment. Each may hold only its
+	// share of a model's replicas, so that placers need no agreement.
+	Regions []string
+	// StoreRate is how many loads from the weight store may start a second,
+	// and StoreAtOnce how many may be in progress, in this region.
+	StoreRate   float64
+	StoreAtOnce int
+	// AdaptersAtOnce is how many adapter loads may be in flight.
+	AdaptersAtOnce int
+	// OrderTimeout is the longest time that an order is on its way.
+	OrderTimeout time.Duration
+	// LeaseDuration is the duration of the region's lease.
+	LeaseDuration time.Duration
+	// DriftMargin covers differences in the speed of the nodes' clocks.
+	DriftMargin time.Duration
+	// DrainTime is how long a withdrawn model or adapter stays loaded.
+	DrainTime time.Duration
+	// ScaleAfter is how long demand must wait beside loaded replicas before
+	// one more replica is loaded.
+	ScaleAfter time.Duration
+	// Policy decides on idle models.
+	Policy predictor.Policy
+	// Speeds are the expected speeds of loads by tier, in MiB a second.
+	Speeds map[tracker.Tier]float64
+}
+
+// DefaultPolicy is the keep-alive policy of the product; docs/placement.md
+// has the comparison.
+var DefaultPolicy predictor.Policy = predictor.FixedTime{Keep: 10 * time.Minute}
+
+// DefaultSettings returns the settings for one region of one deployment with
+// a weight store that allows rate loads a second.
+func DefaultSettings(region string, rate float64) Settings {
+	return Settings{
+		Region:         region,
+		Regions:        []string{region},
+		StoreRate:      rate,
+		StoreAtOnce:    4,
+		AdaptersAtOnce: 30,
+		OrderTimeout:   2 * time.Second,
+		LeaseDuration:  3 * time.Second,
+		DriftMargin:    time.Second,
+		DrainTime:      30 * time.Second,
+		ScaleAfter:     5 * time.Second,
+		Policy:         DefaultPolicy,
+		Speeds: map[tracker.Tier]float64{
+			tracker.Memory: 8000,
+			tracker.Disk:   2000,
+			tracker.Remote: 500,
+		},
+	}
+}
+
+// inFlight is the longest time for which an order given before now, by this
+// or an earlier holder, can still reach an endpoint.
+func (s Settings) inFlight() time.Duration {
+	return s.OrderTimeout + s.LeaseDuration + s.DriftMargin
+}
+
+// Share is the number of a model's replicas that a region may hold. The
+// shares of all regions sum to the model's replicas; the remainder goes to
+// regions in an order that differs between models.
+func Share(model releaser.Model, regions []string, region string) int {
+	if len(regions) <= 1 {
+		return model.Replicas
+	}
+	share := model.Replicas / len(regions)
+	key := releaser.Key(model.Name, model.Version)
+	ranked := slices.Clone(regions)
+	slices.SortFunc(ranked, func(a, b string) int {
+		first, second := weight(key, a), weight(key, b)
+		switch {
+		case first > second:
+			return -1
+		case first < second:
+			return 1
+		default:
+			return 0
+		}
+	})
+	if slices.Index(ranked, region) < model.Replicas%len(regions) {
+		share++
+	}
+	return share
+}
+
+func weight(key, region string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(key))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(region))
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/predictor/histogram.go
@@ -0,0 +1,58 @@
+package predictor
+
+import "time"
+
+func (p IdleHistogram) advise(activity *Activity, now time.Time, load time.Duration) Advice {
+	idle := now.Sub(activity.LastUse)
+	advice := Advice{Rank: -activity.remaining(idle).Seconds()}
+	if activity.Samples < p.MinSamples {
+		advice.Keep = idle < p.Fallback
+		return advice
+	}
+	from, until := p.window(activity, load)
+	advice.Keep = idle < p.Grace || (idle >= from && idle < until)
+	advice.Prewarm = idle >= from && idle < until
+	return advice
+}
+
+// window returns the idle times between which the model should be loaded. A
+// model whose typical idle time is beyond the histogram is kept for the
+// fallback time and not prewarmed.
+func (p IdleHistogram) window(activity *Activity, load time.Duration) (from, until time.Duration) {
+	head, _ := activity.percentile(p.Head)
+	tail, bounded := activity.percentile(p.Tail)
+	until = time.Duration(float64(time.Duration(tail+1)*binWidth) * (1 + p.Margin))
+	if !bounded {
+		middle, inside := activity.percentile(0.5)
+		if !inside {
+			return 0, p.Fallback
+		}
+		until = max(p.Fallback, time.Duration(middle+1)*binWidth)
+	}
+	from = time.Duration(float64(time.Duration(head)*binWidth)*(1-p.Margin)) - load
+	if from < p.Grace+load {
+		from = 0
+	}
+	return from, until
+}
+
+// remaining is the median time until the next use, given the idle time so
+// far. Without samples it grows with the idle time.
+func (a *Activity) remaining(idle time.Duration) time.Duration {
+	begin := bin(idle)
+	total := uint32(0)
+	for _, count := range a.Idle[begin:] {
+		total += count
+	}
+	if total == 0 {
+		return time.Duration(bins)*binWidth + idle
+	}
+	sum := uint32(0)
+	for at, count := range a.Idle[begin:] {
+		sum += count
+		if 2*sum >= total {
+			return time.Duration(at) * binWidth
+		}
+	}
+	return time.Duration(bins) * binWidth
+}
--- a/internal/tracker/instance.go
+++ b/internal/tracker/instance.go
@@ -99,7 +99,11 @@
 	Model string
 	State State
 	// Fence is the fence of the order that caused the state.
-	Fence    uint64
+	Fence uint64
+	// Running is the number of requests that run or wait for the model.
+	Running int
+	// Served counts the requests accepted for the model since it was loaded.
+	Served   uint64
 	Adapters []AdapterState
 }
 
@@ -108,6 +112,9 @@
 	// Adapter is the adapter's key, "name@version".
 	Adapter string
 	State   State
+	// Running and Served count requests as in ModelState.
+	Running int
+	Served  uint64
 }
 
 // CachedModel is a checkpoint that an endpoint can load without the store.
--- a/pkg/releaser/configuration.go
+++ b/pkg/releaser/configuration.go
@@ -93,6 +93,12 @@
 	return name + "@" + version
 }
 
+// SplitKey is the inverse of Key.
+func SplitKey(key string) (name, version string) {
+	name, version, _ = strings.Cut(key, "@")
+	return name, version
+}
+
 // Target is what a caller's model name means.
 type Target struct {
 	Model Model
