--- a/internal/scheduler/fuzz_test.go
+++ b/internal/scheduler/fuzz_test.go
@@ -57,6 +57,9 @@
 	if waiting := len(o.controller.Calls); waiting != len(o.deadlines) {
 		t.Fatalf("%d calls wait; want %d", waiting, len(o.deadlines))
 	}
+	if inUse := len(o.controller.Slots); inUse != len(o.slots) {
+		t.Fatalf("%d slots are in use; want %d", inUse, len(o.slots))
+	}
 	if len(o.controller.Calls) > o.controller.Bound {
 		t.Fatalf("%d calls wait above the bound", len(o.controller.Calls))
 	}
@@ -237,17 +240,14 @@
 
 // empty ends everything and checks that nothing is left behind.
 func (o *oracle) empty(t *rapid.T) {
-	for id := range o.controller.LastSlot {
-		if _, ok := o.slots[id+1]; ok {
-			o.free(id + 1)
-		}
-		o.step(t, Release{SlotID: id + 1})
-	}
 	o.fleet = tracker.Fleet{}
 	o.step(t, FleetChanged{})
 	o.now = o.now.Add(time.Hour)
 	o.step(t, Tick{})
 	for id := range o.controller.LastSlot {
+		if _, ok := o.slots[id+1]; ok {
+			o.free(id + 1)
+		}
 		o.step(t, Release{SlotID: id + 1})
 	}
 	c := o.controller
