--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -1,86 +1,177 @@
-package limiter
+package scheduler
 
-import "time"
+import (
+	"time"
 
-// reports says whether the pool has something to tell the owner.
-func (p *Pool) reports(now time.Time, epoch uint64) bool {
-	if len(p.Refunds) > 0 || p.Overdrawn > 0 || p.Pledged {
-		return true
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// retryAfter is what a caller is told when asking again elsewhere may help.
+const retryAfter = time.Second
+
+func (c *Controller) admit(now time.Time, message Admit) {
+	admission := message.Admission
+	if !(admission.Weight > 0) {
+		admission.Weight = 1
 	}
-	for _, held := range p.Held {
-		if held.Epoch == epoch && held.use() != held.Sent {
-			return true
-		}
+	switch {
+	case !admission.Deadline.After(now):
+		c.refuse(message.Call, filter.DeadlinePassed, 0, "the deadline passed before the request could wait for an endpoint")
+		return
+	case c.Draining && (len(admission.Avoid) == 0 || c.drained(now)):
+		c.refuse(message.Call, filter.Draining, retryAfter, "this node is shutting down; ask another one")
+		return
+	}
+	w := &Waiting{Call: message.Call, Admission: admission, Arrived: now, Cost: cost(admission)}
+	if c.refuseEarly(now, w) || c.refuseFull(w) {
+		return
 	}
-	free, soon := p.free(), p.Demand.within(now, aheadTime)
-	if p.Short {
-		return free > soon
+	c.enqueue(now, w)
+	c.dispatch(now, w.queue)
+	if _, waits := c.Calls[w.Call]; waits {
+		c.firstDemand(now, w.demand)
 	}
-	return free < soon/2
 }
 
-// account returns the pool's part of an exchange.
-func (p *Pool) account(now time.Time, epoch uint64) (Account, bool) {
-	account := Account{Workspace: p.Workspace, Refunds: p.Refunds, Overdrawn: p.Overdrawn}
-	account.Donated = p.surplus(now)
-	account.Need, account.Waiting = p.waitingFor()
-	account.Ahead = p.ahead(now)
-	for _, held := range p.Held {
-		if held.Epoch == epoch && held.use() != held.Sent {
-			held.Sent = held.use()
-			account.Grants = append(account.Grants, held.Sent)
-		}
+// refuseEarly refuses an interactive request whose estimated start is after
+// its deadline.
+func (c *Controller) refuseEarly(now time.Time, w *Waiting) bool {
+	if w.Admission.Class != filter.Interactive {
+		return false
 	}
-	withdraws := p.Pledged && account.Waiting == 0
-	p.Refunds, p.Overdrawn, p.Pledged = nil, 0, account.Need > 0
-	wanted := withdraws || account.Waiting+account.Ahead+account.Donated+account.Overdrawn > 0
-	return account, wanted || len(account.Grants)+len(account.Refunds) > 0
+	wait, known := c.estimateWait(now, w)
+	if !known || !now.Add(wait).After(w.Admission.Deadline) {
+		return false
+	}
+	c.refuse(w.Call, filter.DeadlineUnreachable, retryAfter,
+		"the request would start in about %s, after its deadline in %s",
+		wait.Round(time.Millisecond), w.Admission.Deadline.Sub(now).Round(time.Millisecond))
+	return true
 }
 
-// known notes that the owner has handled the last exchange.
-func (p *Pool) known() {
-	for _, held := range p.Held {
-		held.Known = held.Sent
+// estimateWait estimates how long a new request waits here for a slot.
+func (c *Controller) estimateWait(now time.Time, w *Waiting) (time.Duration, bool) {
+	target := target(w.Admission)
+	if pool, ok := c.Pools[target.queue()]; target.Model != "" && (!ok || pool.Replicas == 0) {
+		return c.Cold.remaining(now, target.Model)
+	}
+	queue, ok := c.Queues[target.queue()]
+	if !ok || queue.Prompt.Waiting == 0 || queue.Pace.TokensPerSecond <= 0 {
+		return 0, false
 	}
+	ahead := queue.Prompt.ahead(w)
+	return time.Duration(ahead / queue.Pace.TokensPerSecond * float64(time.Second)), true
 }
 
-// unknown notes that the owner may not have handled the last exchange. What
-// became of grants is told again; refunds, donations and overdrafts are not,
-// since they must not count twice.
-func (p *Pool) unknown() {
-	for _, held := range p.Held {
-		held.Sent = held.Known
+// ahead estimates the tokens that go before a new request: what its workspace
+// has waiting, and meanwhile the share of the others, but no more than all.
+func (q *FairQueue) ahead(w *Waiting) float64 {
+	lane, ok := q.Lanes[laneKey(w.Admission)]
+	if !ok {
+		return 0
+	}
+	flow, ok := lane.Workspaces[w.Admission.Workspace]
+	if !ok {
+		return 0
 	}
+	return min(q.Tokens, flow.Tokens*q.Weight/flow.Weight)
 }
 
-// receive takes a grant. Its life counts from before the holder asked.
-func (p *Pool) receive(now time.Time, l *Link, grant Grant) {
-	if grant.RetryAfter > 0 {
-		p.RetryAt = now.Add(grant.RetryAfter)
+// refuseFull makes room for a request when the bound is reached, or refuses
+// it.
+func (c *Controller) refuseFull(w *Waiting) bool {
+	if len(c.Calls) < c.Bound {
+		return false
+	}
+	victim := c.backlogs.victim(w.Admission)
+	if victim == nil {
+		c.refuse(w.Call, filter.Overloaded, retryAfter, "%d requests wait at this node, which is its bound", c.Bound)
+		return true
 	}
-	if grant.Tokens <= 0 {
+	c.dequeue(victim)
+	c.refuse(victim.Call, filter.Overloaded, retryAfter, "%d requests wait at this node, and others go first", c.Bound)
+	return false
+}
+
+func (c *Controller) enqueue(now time.Time, w *Waiting) {
+	c.LastNumber++
+	w.Number = c.LastNumber
+	target := target(w.Admission)
+	pool := c.pool(target)
+	w.queue = c.queue(target.queue())
+	w.queue.Pace.begin(now)
+	w.queue.of(w.Admission.Class).Push(w, pool)
+	c.addDemand(now, pool, w)
+	c.backlogs.add(w)
+	c.Calls[w.Call] = w
+}
+
+// dequeue removes a request that gets no slot.
+func (c *Controller) dequeue(w *Waiting) {
+	w.queue.of(w.Admission.Class).Remove(w)
+	c.unlink(w)
+	if w.queue.waiting() == 0 {
+		w.queue.Pace.From = time.Time{}
+	}
+}
+
+func (c *Controller) unlink(w *Waiting) {
+	delete(c.Calls, w.Call)
+	c.backlogs.remove(w)
+	c.removeDemand(w)
+	c.dropQueue(w.queue)
+}
+
+// cancel forgets a call whose asker has gone.
+func (c *Controller) cancel(now time.Time, call runner.Call) {
+	if w, ok := c.Calls[call]; ok {
+		c.dequeue(w)
 		return
 	}
-	held := &Held{
-		Sequence: l.Sequence,
-		Epoch:    l.Epoch,
-		Stamp:    l.Stamp,
-		Expires:  l.SentAt.Add(heldLifetime),
-		Tokens:   grant.Tokens,
-		Free:     grant.Tokens,
+	if id, ok := c.Granted[call]; ok {
+		c.release(now, Release{SlotID: id})
 	}
-	held.Sent, held.Known = held.use(), held.use()
-	p.Held = append(p.Held, held)
 }
 
-// refilled estimates when the standing share covers the first waiter.
-func (p *Pool) refilled(now time.Time) (time.Time, bool) {
-	if p.Standing == nil || p.Standing.Rate <= 0 {
-		return time.Time{}, false
+// expire refuses the requests whose deadline has come.
+func (c *Controller) expire(now time.Time) {
+	for len(c.Deadlines) > 0 {
+		w := c.Deadlines[0].Waiting[0]
+		if w.Admission.Deadline.After(now) {
+			break
+		}
+		c.dequeue(w)
+		c.refuse(w.Call, filter.DeadlinePassed, 0, "no endpoint became free before the deadline")
+	}
+	if c.drained(now) {
+		c.refuseAll()
 	}
-	lacking := p.missing(p.Waiting[0].Reservation) - p.free()
-	if lacking > p.Standing.headroom() {
-		return time.Time{}, false
+}
+
+func (c *Controller) drain(now time.Time, until time.Time) {
+	c.Draining, c.DrainUntil = true, until
+	if c.drained(now) {
+		c.refuseAll()
+	}
+}
+
+func (c *Controller) drainAt() time.Time {
+	if !c.Draining {
+		return time.Time{}
+	}
+	return c.DrainUntil
+}
+
+func (c *Controller) drained(now time.Time) bool {
+	at := c.drainAt()
+	return !at.IsZero() && !at.After(now)
+}
+
+func (c *Controller) refuseAll() {
+	for len(c.Deadlines) > 0 {
+		w := c.Deadlines[0].Waiting[0]
+		c.dequeue(w)
+		c.refuse(w.Call, filter.Draining, retryAfter, "this node is shutting down; ask another one")
 	}
-	return now.Add(max(time.Millisecond, seconds(lacking/p.Standing.Rate))), true
 }
