--- /dev/null
+++ b/internal/commander/command.go
@@ -0,0 +1,154 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alexflint/go-arg"
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/publisher"
+	"toucanhitch.example/toucanhitch/internal/storer"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// Exit codes of the command line.
+const (
+	ExitDone = 0
+	// ExitFailed is any failure without a code of its own.
+	ExitFailed = 1
+	// ExitInvalid is a wrong argument, setting or release note.
+	ExitInvalid = 2
+	// ExitConflict is a release note that came after another one.
+	ExitConflict = 3
+	// ExitUncertain is a change that may have been accepted.
+	ExitUncertain = 4
+	// ExitUnavailable is a platform or node that cannot be reached, or a
+	// change that is not in force everywhere in time.
+	ExitUnavailable = 5
+)
+
+// Errors of the command line.
+var (
+	// ErrSettings reports settings that are not allowed.
+	ErrSettings = merry.Sentinel("settings are not allowed")
+	// ErrNotInForce reports a change that is not in force everywhere in time.
+	ErrNotInForce = merry.Sentinel("not in force everywhere")
+)
+
+// Arguments are the commands of toucanhitch.
+type Arguments struct {
+	Node     *NodeCommand     `arg:"subcommand:node" help:"run a node on an entry instance"`
+	Check    *CheckCommand    `arg:"subcommand:check" help:"check a release note and show what it would change"`
+	Apply    *ApplyCommand    `arg:"subcommand:apply" help:"put a release note in force"`
+	Follow   *FollowCommand   `arg:"subcommand:follow" help:"wait until a change is in force on every node"`
+	Grant    *GrantCommand    `arg:"subcommand:grant" help:"make a key for a workspace and print it once"`
+	Withdraw *WithdrawCommand `arg:"subcommand:withdraw" help:"withdraw a key"`
+	Keys     *KeysCommand     `arg:"subcommand:keys" help:"list the keys in force"`
+	State    *StateCommand    `arg:"subcommand:state" help:"show nodes, endpoints and what is loaded where"`
+	Audit    *AuditCommand    `arg:"subcommand:audit" help:"list who changed what and when"`
+}
+
+// Description implements go-arg's described interface.
+func (Arguments) Description() string {
+	return "toucanhitch serves rarely used models. Operators steer it by release notes and workspace keys."
+}
+
+// Epilogue implements go-arg's epilogued interface.
+func (Arguments) Epilogue() string {
+	return "Every flag can be set by the environment variable that its help names. " +
+		"Exit codes: 0 done, 1 failed, 2 invalid input, 3 conflict with another release note, " +
+		"4 may have been accepted, 5 platform or node not available. See docs/operations.md."
+}
+
+// Platform is the setting of commands that read or write the change log.
+type Platform struct {
+	Platform string `arg:"--platform,env:TOUCANHITCH_PLATFORM" help:"IP:port of the platform's object API" placeholder:"IP:PORT"`
+	Actor    string `arg:"--actor,env:TOUCANHITCH_ACTOR" help:"your name in the audit trail" placeholder:"NAME"`
+}
+
+// environment is what commands use of the outside world.
+type environment struct {
+	ctx    context.Context
+	clock  clockwork.Clock
+	output io.Writer
+	// errors receives progress and problems.
+	errors io.Writer
+}
+
+// command is a parsed command.
+type command interface {
+	run(environment) error
+}
+
+// Main parses the arguments, runs the command until it ends or ctx does, and
+// returns the exit code.
+func Main(ctx context.Context, arguments []string, output, problems io.Writer) int {
+	var parsed Arguments
+	parser, err := arg.NewParser(arg.Config{Program: "toucanhitch", Out: problems}, &parsed)
+	if err != nil {
+		fmt.Fprintln(problems, err)
+		return ExitFailed
+	}
+	err = parser.Parse(arguments)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(output, parser.SubcommandNames()...)
+		return ExitDone
+	case err != nil:
+		_ = parser.WriteUsageForSubcommand(problems, parser.SubcommandNames()...)
+		fmt.Fprintln(problems, "toucanhitch:", err)
+		return ExitInvalid
+	}
+	chosen, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.WriteHelp(problems)
+		return ExitInvalid
+	}
+	env := environment{ctx: ctx, clock: clockwork.NewRealClock(), output: output, errors: problems}
+	return exitCode(chosen.run(env), problems)
+}
+
+func exitCode(err error, problems io.Writer) int {
+	if err == nil {
+		return ExitDone
+	}
+	fmt.Fprintln(problems, "toucanhitch:", err)
+	if hint := hintFor(err); hint != "" {
+		fmt.Fprintln(problems, hint)
+	}
+	switch {
+	case errors.Is(err, releaser.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, storer.ErrUncertain):
+		return ExitUncertain
+	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, publisher.ErrContended), errors.Is(err, ErrNotInForce):
+		return ExitUnavailable
+	case errors.Is(err, ErrSettings), errors.Is(err, releaser.ErrInvalid), errors.Is(err, releaser.ErrUnknown),
+		errors.Is(err, encoder.ErrMalformed), errors.Is(err, encoder.ErrTooLarge), errors.Is(err, os.ErrNotExist):
+		return ExitInvalid
+	default:
+		return ExitFailed
+	}
+}
+
+// hintFor says what to do next.
+func hintFor(err error) string {
+	switch {
+	case errors.Is(err, releaser.ErrConflict):
+		return "Read what was accepted with \"toucanhitch audit\", adjust the note, and set its Base to the note version in force."
+	case errors.Is(err, storer.ErrUncertain):
+		return "The change may have been accepted. Look for it with \"toucanhitch audit\" before trying again."
+	case errors.Is(err, storer.ErrUnavailable):
+		return "Nothing was changed. Check --platform and try again."
+	case errors.Is(err, ErrNotInForce):
+		return "The change is accepted and will come into force on the nodes named above once they can be reached; until then they refuse keyed requests."
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,94 @@
+// Package meter counts what a node does, for monitoring.
+//
+// It keeps the OpenTelemetry instruments in one place, so that names and
+// units are the same everywhere, and no instrument carries a key or a caller's
+// text.
+package meter
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+)
+
+// Meter holds the instruments of a node.
+type Meter struct {
+	registry *prometheus.Registry
+	meter    metric.Meter
+	requests metric.Int64Counter
+	tokens   metric.Int64Counter
+	duration metric.Float64Histogram
+}
+
+// durationBounds are the bounds of the request duration histogram in seconds.
+var durationBounds = []float64{0.01, 0.03, 0.1, 0.31, 1, 3, 10, 30, 100, 300}
+
+// New returns a meter and a function that ends it.
+func New() (*Meter, func(), error) {
+	registry := prometheus.NewRegistry()
+	reader, err := exporter.New(exporter.WithRegisterer(registry))
+	if err != nil {
+		return nil, nil, merry.Wrap(err, merry.PrependMessage("metrics exporter"))
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(reader))
+	m := &Meter{registry: registry, meter: provider.Meter("toucanhitch")}
+	if err := m.create(); err != nil {
+		return nil, nil, err
+	}
+	return m, func() { _ = provider.Shutdown(context.Background()) }, nil
+}
+
+func (m *Meter) create() error {
+	var err error
+	if m.requests, err = m.meter.Int64Counter("toucanhitch.requests",
+		metric.WithDescription("Requests that ended, by class and reason of refusal.")); err != nil {
+		return merry.Wrap(err)
+	}
+	if m.tokens, err = m.meter.Int64Counter("toucanhitch.tokens",
+		metric.WithDescription("Generated tokens that went to callers.")); err != nil {
+		return merry.Wrap(err)
+	}
+	m.duration, err = m.meter.Float64Histogram("toucanhitch.request.duration",
+		metric.WithDescription("Time from a request's arrival to its end."),
+		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(durationBounds...))
+	return merry.Wrap(err)
+}
+
+// Token implements server.Observer.
+func (m *Meter) Token() { m.tokens.Add(context.Background(), 1) }
+
+// Ended implements server.Observer.
+func (m *Meter) Ended(class filter.Class, reason filter.Reason, duration time.Duration) {
+	if reason == "" {
+		reason = "answered"
+	}
+	attributes := metric.WithAttributes(
+		attribute.String("class", string(class)), attribute.String("reason", string(reason)))
+	m.requests.Add(context.Background(), 1, attributes)
+	m.duration.Record(context.Background(), duration.Seconds(), attributes)
+}
+
+// Gauge adds a gauge whose value is read when it is asked for.
+func (m *Meter) Gauge(name, description string, read func() float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, observer metric.Float64Observer) error {
+			observer.Observe(read())
+			return nil
+		}))
+	return merry.Wrap(err)
+}
+
+// Handler serves the metrics in Prometheus's text format.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- /dev/null
+++ b/internal/supervisor/items.go
@@ -0,0 +1,159 @@
+package supervisor
+
+import (
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"toucanhitch.example/toucanhitch/internal/configurer"
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/placer"
+	"toucanhitch.example/toucanhitch/internal/scheduler"
+	"toucanhitch.example/toucanhitch/internal/spreader"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/parser"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// reportItem is a load report on its way between nodes. Measured is replaced
+// by an age, since clocks are not compared.
+type reportItem struct {
+	Report tracker.Report
+	AgeMS  int64
+}
+
+// leaseholderItem names the node that holds a lease.
+type leaseholderItem struct {
+	Node    string
+	Address string
+	Epoch   uint64
+}
+
+// placementItem lists the loads in progress of a region.
+type placementItem struct{ Loads []loadItem }
+
+type loadItem struct {
+	Model    string
+	Endpoint string
+	AgeMS    int64
+}
+
+// spread publishes an item of this node. The version of an item that has no
+// version of its own is the node's wall clock, which orders the items of one
+// publisher.
+func (n *Node) spread(kind spreader.Kind, name string, version uint64, scope spreader.Scope, value []byte) {
+	if version == 0 {
+		version = uint64(n.clock.Now().UnixNano())
+	}
+	item := spreader.Item{Kind: kind, Name: name, Version: version, Scope: scope, Value: value}
+	n.post("spreader", n.spreader.Post(spreader.Publish{Item: item}))
+}
+
+// post logs a message that a task did not take. All messages that go through
+// it are repeated or made good by a later one.
+func (n *Node) post(task string, err error) {
+	if err != nil {
+		n.logger.WithError(err).WithField("Task", task).Warn("message was not taken")
+	}
+}
+
+func (n *Node) pushChanges(version uint64, changes []releaser.Change) {
+	item := configurer.PushedItem(version, changes)
+	n.post("spreader", n.spreader.Post(spreader.Publish{Item: item}))
+}
+
+func (n *Node) pushList(list tracker.InstanceList) {
+	n.spread(spreader.List, "", list.Version, spreader.DataCentre, encoder.Encode(list))
+}
+
+func (n *Node) pushReport(report tracker.Report) {
+	item := reportItem{Report: report, AgeMS: n.clock.Since(report.Measured).Milliseconds()}
+	item.Report.Measured = time.Time{}
+	n.spread(spreader.Report, report.Endpoint, 0, spreader.Region, encoder.Encode(item))
+}
+
+func (n *Node) pushPlacement(view placer.View) {
+	if !view.Leading {
+		return
+	}
+	item := placementItem{Loads: []loadItem{}}
+	for endpoint, placement := range view.Placement.Endpoints {
+		for _, entry := range placement.Entries {
+			if entry.State == tracker.Loading && entry.Adapter == "" {
+				age := n.clock.Since(entry.Since).Milliseconds()
+				item.Loads = append(item.Loads, loadItem{Model: entry.Model, Endpoint: endpoint, AgeMS: max(age, 0)})
+			}
+		}
+	}
+	n.adoptPlacement(item)
+	n.spread(spreader.Placement, n.settings.Region, 0, spreader.Region, encoder.Encode(item))
+}
+
+func (n *Node) adoptPlacement(item placementItem) {
+	now := n.clock.Now()
+	var loads []scheduler.Load
+	for _, load := range item.Loads {
+		since := now.Add(-time.Duration(load.AgeMS) * time.Millisecond)
+		loads = append(loads, scheduler.Load{Model: load.Model, Endpoint: load.Endpoint, Since: since})
+	}
+	n.post("scheduler", n.scheduler.Post(scheduler.PlacementChanged{Loads: loads}))
+}
+
+// deliver hands an item from another node to the task that uses it.
+func (n *Node) deliver(item spreader.Item) {
+	if err := n.deliverItem(item); err != nil {
+		n.logger.WithError(err).WithFields(logrus.Fields{
+			"Kind": item.Kind, "Name": item.Name, "Origin": item.Origin,
+		}).Warn("item was not delivered")
+	}
+}
+
+func (n *Node) deliverItem(item spreader.Item) error {
+	switch item.Kind {
+	case spreader.Changes:
+		changes, err := parser.DecodeChanges(item.Value)
+		if err != nil {
+			return err
+		}
+		return n.configurer.Post(configurer.ChangesPushed{Changes: changes})
+	case spreader.List:
+		return deliverDecoded(item, func(list tracker.InstanceList) error {
+			return n.tracker.Post(tracker.ListPushed{List: list})
+		})
+	case spreader.Report:
+		return deliverDecoded(item, n.deliverReport)
+	case spreader.Load:
+		return deliverDecoded(item, func(load tracker.NodeLoad) error {
+			return n.tracker.Post(tracker.LoadPushed{Load: load})
+		})
+	case spreader.Leaseholder:
+		return deliverDecoded(item, func(holder leaseholderItem) error {
+			n.holderChanged(item.Name, holder)
+			return nil
+		})
+	case spreader.Placement:
+		return deliverDecoded(item, func(placement placementItem) error {
+			if item.Name == n.settings.Region {
+				n.adoptPlacement(placement)
+			}
+			return nil
+		})
+	default:
+		return merry.Errorf("kind %q is not known", item.Kind)
+	}
+}
+
+func deliverDecoded[T any](item spreader.Item, deliver func(T) error) error {
+	value, err := encoder.Decode[T](item.Value)
+	if err != nil {
+		return err
+	}
+	return deliver(value)
+}
+
+func (n *Node) deliverReport(item reportItem) error {
+	report := item.Report
+	report.Measured = n.clock.Now().Add(-time.Duration(item.AgeMS) * time.Millisecond)
+	return n.tracker.Post(tracker.ReportPushed{Report: report})
+}
--- /dev/null
+++ b/internal/supervisor/node.go
@@ -0,0 +1,347 @@
+package supervisor
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"toucanhitch.example/toucanhitch/internal/configurer"
+	"toucanhitch.example/toucanhitch/internal/dispatcher"
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/leaser"
+	"toucanhitch.example/toucanhitch/internal/messenger"
+	"toucanhitch.example/toucanhitch/internal/meter"
+	"toucanhitch.example/toucanhitch/internal/placer"
+	"toucanhitch.example/toucanhitch/internal/poller"
+	"toucanhitch.example/toucanhitch/internal/recorder"
+	"toucanhitch.example/toucanhitch/internal/router"
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/scheduler"
+	"toucanhitch.example/toucanhitch/internal/server"
+	"toucanhitch.example/toucanhitch/internal/spreader"
+	"toucanhitch.example/toucanhitch/internal/storer"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// ErrSettings reports that a node cannot run with its settings.
+var ErrSettings = merry.Sentinel("node cannot start")
+
+// Node is a toucanhitch process: everything between callers and endpoints on
+// one entry instance.
+type Node struct {
+	settings Settings
+	clock    clockwork.Clock
+	logger   logrus.FieldLogger
+
+	callerListener net.Listener
+	peerListener   net.Listener
+
+	store     *storer.Client
+	messenger *messenger.Client
+	poller    *poller.Poller
+	meter     *meter.Meter
+	budget    *dispatcher.Budget
+	sender    *placer.HTTPSender
+
+	view       *configurer.View
+	configurer *configurer.Task
+	spreader   *spreader.Task
+	tracker    *tracker.Task
+	leaser     *leaser.Task
+	scheduler  *scheduler.Front
+	recorder   *recorder.Task
+	placer     *placer.Task
+	dispatcher *dispatcher.Dispatcher
+	limits     *limits
+	demands    *runner.Task[demandMessage, demandEffect]
+
+	fleet atomic.Pointer[tracker.Fleet]
+	peers atomic.Pointer[tracker.Peers]
+	// load is what the scheduler last said of this node.
+	load      atomic.Pointer[scheduler.Publish]
+	placement atomic.Pointer[placer.View]
+	// draining is set when the node begins to leave.
+	draining atomic.Bool
+	// held holds the leases of this node; only the leaser's task writes it.
+	held atomic.Pointer[map[string]leaser.Held]
+}
+
+// New returns a node that listens on its addresses, and a function that frees
+// what it holds. The error is ErrSettings.
+func New(settings Settings) (*Node, func(), error) {
+	n := &Node{settings: settings, clock: settings.Clock, logger: settings.Logger}
+	n.fleet.Store(&tracker.Fleet{})
+	n.peers.Store(&tracker.Peers{Self: n.self()})
+	n.load.Store(&scheduler.Publish{})
+	n.placement.Store(&placer.View{})
+	n.held.Store(&map[string]leaser.Held{})
+	var cleanUps cleanUps
+	if err := n.listen(&cleanUps); err != nil {
+		cleanUps.run()
+		return nil, nil, err
+	}
+	if err := n.connect(&cleanUps); err != nil {
+		cleanUps.run()
+		return nil, nil, err
+	}
+	n.createTasks()
+	return n, cleanUps.run, nil
+}
+
+// cleanUps collects clean-up functions and runs them last in, first out.
+type cleanUps []func()
+
+func (c *cleanUps) add(cleanUp func()) { *c = append(*c, cleanUp) }
+
+func (c *cleanUps) run() {
+	for i := len(*c) - 1; i >= 0; i-- {
+		(*c)[i]()
+	}
+}
+
+func (n *Node) self() spreader.Peer {
+	return spreader.Peer{
+		Name:       n.settings.Name,
+		Address:    n.settings.PeerAddress,
+		DataCentre: n.settings.DataCentre,
+		Region:     n.settings.Region,
+	}
+}
+
+func (n *Node) listen(cleanUps *cleanUps) error {
+	var err error
+	if n.callerListener, err = net.Listen("tcp", n.settings.CallerAddress); err != nil {
+		return merry.Wrap(ErrSettings, merry.AppendMessagef("caller address: %v", err))
+	}
+	cleanUps.add(func() { _ = n.callerListener.Close() })
+	if n.peerListener, err = net.Listen("tcp", n.settings.PeerAddress); err != nil {
+		return merry.Wrap(ErrSettings, merry.AppendMessagef("peer address: %v", err))
+	}
+	cleanUps.add(func() { _ = n.peerListener.Close() })
+	return nil
+}
+
+// connect creates what owns the node's outgoing connections.
+func (n *Node) connect(cleanUps *cleanUps) error {
+	var cleanUp func()
+	n.store, cleanUp = storer.New(n.settings.PlatformAddress, n.clock)
+	cleanUps.add(cleanUp)
+	n.messenger, cleanUp = messenger.NewClient(n.clock)
+	cleanUps.add(cleanUp)
+	n.poller, cleanUp = poller.New(n.clock)
+	cleanUps.add(cleanUp)
+	n.budget = dispatcher.NewBudget(n.clock)
+	n.dispatcher, cleanUp = dispatcher.New(dispatcher.Settings{Clock: n.clock, Budget: n.budget})
+	cleanUps.add(cleanUp)
+	n.sender, cleanUp = placer.NewHTTPSender(n.clock, n.settings.OrderToken, n.placerSettings().OrderTimeout)
+	cleanUps.add(cleanUp)
+	var err error
+	n.meter, cleanUp, err = meter.New()
+	if err != nil {
+		return merry.Wrap(ErrSettings, merry.AppendMessage(err.Error()))
+	}
+	cleanUps.add(cleanUp)
+	return n.createGauges()
+}
+
+func (n *Node) createGauges() error {
+	gauges := []struct {
+		name, description string
+		read              func() float64
+	}{
+		{"toucanhitch.configuration.version", "Version of the configuration in force.", func() float64 {
+			return float64(n.view.Configuration().Version)
+		}},
+		{"toucanhitch.current", "1 if the node can show that its configuration is up to date.", func() float64 {
+			if n.view.Current() {
+				return 1
+			}
+			return 0
+		}},
+		{"toucanhitch.requests.waiting", "Requests that wait for a slot.", func() float64 {
+			return float64(n.load.Load().Waiting)
+		}},
+		{"toucanhitch.requests.running", "Requests that have a slot.", func() float64 {
+			return float64(n.load.Load().InUse)
+		}},
+		{"toucanhitch.leases", "Leases that the node holds.", func() float64 {
+			return float64(len(n.validLeases()))
+		}},
+	}
+	for _, gauge := range gauges {
+		if err := n.meter.Gauge(gauge.name, gauge.description, gauge.read); err != nil {
+			return merry.Wrap(ErrSettings, merry.AppendMessage(err.Error()))
+		}
+	}
+	return nil
+}
+
+// createTasks creates the tasks. The functions that they call post to other
+// tasks, so none of them may run before all exist.
+func (n *Node) createTasks() {
+	seed := xxhash.Sum64String(n.settings.Name)
+	n.view = configurer.NewView(n.clock)
+	n.configurer = configurer.NewTask(configurer.TaskSettings{
+		Clock:      n.clock,
+		Controller: configurer.New(n.settings.DataCentre, seed),
+		Store:      n.store,
+		View:       n.view,
+		Pull:       n.pull,
+		Pushed:     n.pushChanges,
+		InForce:    n.inForce,
+	})
+	n.spreader = spreader.NewTask(spreader.TaskSettings{
+		Clock:      n.clock,
+		Controller: spreader.New(n.self()),
+		Push:       n.messenger.Push,
+		Deliver:    n.deliver,
+		Answered:   n.peerAnswered,
+	})
+	n.tracker = tracker.NewTask(tracker.TaskSettings{
+		Clock:        n.clock,
+		Controller:   tracker.New(n.self()),
+		Lister:       n.store,
+		Poll:         n.poller.Poll,
+		PushList:     n.pushList,
+		PushReport:   n.pushReport,
+		PublishFleet: n.fleetChanged,
+		PublishPeers: n.peersChanged,
+	})
+	n.leaser = leaser.New(leaser.Settings{
+		Node:    n.settings.Name,
+		Names:   []string{limitsLease, n.placementLease()},
+		Store:   n.store,
+		Clock:   n.clock,
+		Publish: n.leaseChanged,
+	})
+	n.scheduler = scheduler.NewAt(
+		router.Place{Region: n.settings.Region, DataCentre: n.settings.DataCentre}, seed,
+		scheduler.Settings{
+			Clock:   n.clock,
+			Want:    n.want,
+			Publish: func(load scheduler.Publish) { n.load.Store(&load) },
+		})
+	n.recorder = recorder.NewTask(n.clock, n.store, recorder.NewWriter(n.settings.Name))
+	n.placer = placer.NewTask(placer.TaskSettings{
+		Clock:     n.clock,
+		Placer:    n.placerSettings(),
+		Store:     n.store,
+		Sender:    n.sender,
+		Published: n.placementChanged,
+	})
+	n.demands = n.newDemandTask()
+	n.limits = n.newLimits()
+}
+
+func (n *Node) placerSettings() placer.Settings {
+	settings := placer.DefaultSettings(n.settings.Region, n.settings.StoreRate)
+	settings.Regions = n.settings.Regions
+	settings.StoreAtOnce = n.settings.StoreAtOnce
+	return settings
+}
+
+// chain is the order of decisions about a request.
+func (n *Node) chain() filter.Chain {
+	records := recorder.Recorder{
+		Clock: n.clock,
+		Self:  n.settings.Name,
+		Nodes: n.nodeAddresses,
+		Local: func(ctx context.Context, operation recorder.Operation) (recorder.Result, error) {
+			return recorder.Operate(ctx, n.recorder, operation)
+		},
+		Remote: n.messenger.Operate,
+	}
+	observed := observedDispatcher{Dispatcher: n.dispatcher, answered: n.endpointAnswered}
+	return filter.Chain{
+		filter.Identify{Clock: n.clock},
+		filter.Resolve{View: n.view},
+		filter.Authenticate{View: n.view},
+		filter.Limit{Limits: n.limits.front},
+		filter.Admit{View: n.view, Scheduler: n.scheduler},
+		filter.Confirm{Limits: n.limits.front},
+		filter.RecordIntent{Recorder: records},
+		filter.Dispatch{
+			Clock:      n.clock,
+			Scheduler:  n.scheduler,
+			Dispatcher: observed,
+			Recorder:   records,
+			Budget:     n.budget,
+		},
+	}
+}
+
+func (n *Node) callers() http.Handler {
+	return server.NewCallers(server.CallersSettings{
+		Clock:     n.clock,
+		Logger:    n.logger,
+		Chain:     n.chain(),
+		View:      n.view,
+		Observer:  n.meter,
+		Addresses: n.addresses,
+	})
+}
+
+func (n *Node) addresses(asker string) []tracker.Address {
+	return tracker.Addresses(n.clock.Now(), n.fleet.Load(), *n.peers.Load(), asker)
+}
+
+func (n *Node) pull(ctx context.Context, address string, version uint64) (configurer.Answer, error) {
+	return n.messenger.Pull(ctx, address, version)
+}
+
+func (n *Node) inForce(configuration *releaser.Configuration) {
+	n.logger.WithField("Version", configuration.Version).Info("configuration in force: " + configuration.String())
+	n.post("placer", n.placer.Post(placer.ConfigurationChanged{Configuration: configuration}))
+	n.limits.configurationChanged(configuration)
+}
+
+// nodeAddresses returns the peer addresses of the live nodes by name.
+func (n *Node) nodeAddresses() map[string]string {
+	peers := n.peers.Load()
+	addresses := map[string]string{peers.Self.Name: peers.Self.Address}
+	for _, peer := range peers.Alive {
+		addresses[peer.Name] = peer.Address
+	}
+	return addresses
+}
+
+// observedDispatcher tells the tracker how endpoints answered.
+type observedDispatcher struct {
+	filter.Dispatcher
+	answered func(endpoint string, answered bool)
+}
+
+// Generate implements filter.Dispatcher.
+func (d observedDispatcher) Generate(ctx context.Context, attempt filter.Attempt, emit func(filter.Event) error) (filter.Finish, error) {
+	finish, err := d.Dispatcher.Generate(ctx, attempt, emit)
+	d.observe(ctx, attempt, err)
+	return finish, err
+}
+
+// Call implements filter.Dispatcher.
+func (d observedDispatcher) Call(ctx context.Context, attempt filter.Attempt) (filter.Reply, error) {
+	reply, err := d.Dispatcher.Call(ctx, attempt)
+	d.observe(ctx, attempt, err)
+	return reply, err
+}
+
+// observe counts a failure against the endpoint, unless the caller went away
+// or the endpoint answered with a refusal.
+func (d observedDispatcher) observe(ctx context.Context, attempt filter.Attempt, err error) {
+	var failure filter.Failure
+	switch {
+	case err == nil:
+		d.answered(attempt.Slot.Endpoint, true)
+	case ctx.Err() != nil:
+	case merry.As(err, &failure) && (failure.Gone || failure.Refused):
+	default:
+		d.answered(attempt.Slot.Endpoint, false)
+	}
+}
--- /dev/null
+++ b/internal/supervisor/peers.go
@@ -0,0 +1,159 @@
+package supervisor
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/configurer"
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/messenger"
+	"toucanhitch.example/toucanhitch/internal/placer"
+	"toucanhitch.example/toucanhitch/internal/recorder"
+	"toucanhitch.example/toucanhitch/internal/spreader"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+func (n *Node) handlePeers(mux *http.ServeMux) {
+	messenger.HandlePush(mux, func(items []spreader.Item) error {
+		return n.spreader.Post(spreader.Pushed{Items: items})
+	})
+	messenger.HandlePull(mux, func(ctx context.Context, version uint64) (configurer.Answer, error) {
+		return configurer.Ask(ctx, n.configurer, version)
+	})
+	messenger.HandleIntents(mux, func(ctx context.Context, operation recorder.Operation) (recorder.Result, error) {
+		return recorder.Operate(ctx, n.recorder, operation)
+	})
+	mux.Handle("POST "+messenger.DemandPath, messenger.HandleDemand(n.clock, func(demand placer.Demand) error {
+		return n.placer.Post(demand)
+	}))
+	n.limits.handle(mux)
+}
+
+// ready says whether callers can be sent to this node.
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case n.draining.Load():
+		http.Error(w, "the node is leaving", http.StatusServiceUnavailable)
+	case !n.view.Current():
+		http.Error(w, "the node cannot show that its configuration is up to date", http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+// nodeState is what operators see of a node.
+type nodeState struct {
+	Node        string
+	DataCentre  string
+	Region      string
+	Version     uint64
+	NoteVersion uint64
+	Current     bool
+	Draining    bool
+	Relay       bool
+	Leases      []string
+	Waiting     int
+	Running     int
+	// Contacts says how long ago the node had evidence from each source.
+	Contacts  map[configurer.Source]string
+	Peers     []peerState
+	Endpoints []endpointState
+}
+
+type peerState struct {
+	Node        string
+	DataCentre  string
+	Version     uint64
+	NoteVersion uint64
+	Current     bool
+	Draining    bool
+	// Age says how old the peer's numbers are; empty if it has sent none.
+	Age string
+}
+
+type endpointState struct {
+	Endpoint   string
+	Kind       tracker.Kind
+	DataCentre string
+	Phase      tracker.Phase
+	Suspected  bool
+	Age        string
+	Queued     int
+	Running    int
+	Slots      int
+	UsedMB     int
+	MemoryMB   int
+	Models     []tracker.ModelState
+}
+
+func (n *Node) state(w http.ResponseWriter, _ *http.Request) {
+	now := n.clock.Now()
+	peers := n.peers.Load()
+	load := n.load.Load()
+	configuration := n.view.Configuration()
+	leases := n.validLeases()
+	slices.Sort(leases)
+	state := nodeState{
+		Node:        n.settings.Name,
+		DataCentre:  n.settings.DataCentre,
+		Region:      n.settings.Region,
+		Version:     configuration.Version,
+		NoteVersion: configuration.NoteVersion,
+		Current:     n.view.Current(),
+		Draining:    n.draining.Load(),
+		Relay:       peers.Relay,
+		Leases:      leases,
+		Waiting:     load.Waiting,
+		Running:     load.InUse,
+		Contacts:    map[configurer.Source]string{},
+	}
+	for source, at := range n.view.Contacts().At {
+		state.Contacts[source] = age(now, at)
+	}
+	for _, peer := range peers.Alive {
+		state.Peers = append(state.Peers, describePeer(now, peer, peers.Loads))
+	}
+	for _, endpoint := range n.fleet.Load().Endpoints {
+		state.Endpoints = append(state.Endpoints, describeEndpoint(now, endpoint))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(encoder.Encode(state))
+}
+
+func age(now, at time.Time) string {
+	return now.Sub(at).Round(time.Millisecond).String()
+}
+
+func describePeer(now time.Time, peer spreader.Peer, loads map[string]tracker.NodeLoad) peerState {
+	state := peerState{Node: peer.Name, DataCentre: peer.DataCentre}
+	if load, ok := loads[peer.Name]; ok {
+		state.Version = load.Version
+		state.NoteVersion = load.NoteVersion
+		state.Current = load.Current
+		state.Draining = load.Draining
+		state.Age = age(now, load.Received)
+	}
+	return state
+}
+
+func describeEndpoint(now time.Time, endpoint tracker.Endpoint) endpointState {
+	state := endpointState{
+		Endpoint:   endpoint.Name,
+		Kind:       endpoint.Kind,
+		DataCentre: endpoint.DataCentre,
+		Phase:      endpoint.Phase,
+		Suspected:  now.Before(endpoint.SuspectUntil),
+		MemoryMB:   endpoint.MemoryMB,
+	}
+	if report := endpoint.Report; report != nil {
+		state.Age = age(now, report.Measured)
+		state.Queued = report.Queued
+		state.Running = report.Running
+		state.Slots = report.Slots
+		state.UsedMB = report.UsedMB
+		state.Models = report.Models
+	}
+	return state
+}
--- /dev/null
+++ b/internal/supervisor/settings.go
@@ -0,0 +1,37 @@
+package supervisor
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+)
+
+// Settings describes a node.
+type Settings struct {
+	// Name is the node's name in the platform's instance list.
+	Name       string
+	DataCentre string
+	Region     string
+	// CallerAddress and PeerAddress are "IP:port" to listen on, as other
+	// processes reach them.
+	CallerAddress string
+	PeerAddress   string
+	// PlatformAddress is "IP:port" of the object API and the instance list.
+	PlatformAddress string
+	// OrderToken is sent with orders to endpoints that check it.
+	OrderToken string
+	// Regions are all regions of the deployment.
+	Regions []string
+	// StoreRate and StoreAtOnce are the region's part of the weight store:
+	// loads a second, and loads in progress.
+	StoreRate   float64
+	StoreAtOnce int
+	// LimitSlots is the number of standing shares of every workspace, at
+	// least the number of entry instances.
+	LimitSlots int
+	// DrainGrace bounds the wait for running requests of a leaving node.
+	DrainGrace time.Duration
+	Clock      clockwork.Clock
+	Logger     logrus.FieldLogger
+}
