--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -40,6 +40,11 @@
 	switch {
 	case errors.Is(err, errGone) || a.caller.Err() != nil:
 		failure.Gone = true
+		if errors.Is(context.Cause(a.caller), errLost) && !a.answered {
+			// The silence was too short to blame the endpoint, but long
+			// enough to distrust its idle connections.
+			a.dispatcher.renew(a.endpoint)
+		}
 	case errors.Is(context.Cause(ctx), ErrSilent):
 		failure.Err = merry.Wrap(ErrSilent, merry.AppendMessage(a.Slot.Address))
 		a.dispatcher.renew(a.endpoint)
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -26,6 +26,8 @@
 	PromptTokens   int
 	// MaxTokens bounds the answer, counted from index 0.
 	MaxTokens int
+	// Admission is what a second slot for the same generation needs.
+	Admission Admission
 	// Workspace and Identity are set for service calls. Identity is empty
 	// unless the caller gave one.
 	Workspace string
@@ -43,6 +45,8 @@
 	Refused bool
 	// Gone says that the caller went away.
 	Gone bool
+	// Hedged names the endpoint that failed if it is not the attempt's own.
+	Hedged string
 	// Err is the cause.
 	Err error
 }
@@ -125,18 +129,32 @@
 		attempt := generationAttempt(request, work, progress.next)
 		progress.started, progress.first = f.Clock.Now(), 0
 		begun := progress.next
+		attempt.Admission.Avoid = avoid
 		finish, err := f.Dispatcher.Generate(ctx, attempt, progress.event)
-		f.release(request, progress, begun, err)
+		hedged := hedgedEndpoint(finish, err)
+		f.release(request, progress, begun, hedged, err)
 		if err == nil {
 			return f.finished(work, finish)
 		}
 		avoid = append(avoid, attempt.Slot.Endpoint)
+		if hedged != "" {
+			avoid = append(avoid, hedged)
+		}
 		if !f.mayRetry(ctx, err, count) || !f.readmit(ctx, request, avoid) {
 			return broken(ctx, err, progress.next, work.PromptTokens)
 		}
 	}
 }
 
+// hedgedEndpoint names the endpoint of a second attempt whose result was used.
+func hedgedEndpoint(finish Finish, err error) string {
+	var failure Failure
+	if errors.As(err, &failure) {
+		return failure.Hedged
+	}
+	return finish.Hedged
+}
+
 func (f Dispatch) finished(work Generation, finish Finish) Verdict {
 	used := finish.PromptTokens + finish.CompletionTokens
 	if err := work.Emit(finish); err != nil {
@@ -145,7 +163,13 @@
 	return Accept{Used: used}
 }
 
-func (f Dispatch) release(request *Request, progress *progress, begun int, err error) {
+// release gives the slot of an attempt back. The tokens of a hedged attempt
+// came from another slot, which the hedge releases.
+func (f Dispatch) release(request *Request, progress *progress, begun int, hedged string, err error) {
+	if hedged != "" {
+		f.releaseSlot(request, SlotResult{Duration: f.Clock.Since(progress.started)}, nil)
+		return
+	}
 	result := SlotResult{
 		FirstToken: progress.first,
 		Tokens:     progress.next - begun,
@@ -236,6 +260,7 @@
 		Prompt:       work.Prompt,
 		PromptTokens: work.PromptTokens,
 		MaxTokens:    work.MaxTokens,
+		Admission:    admission(request),
 	}
 	if adapter := request.Target.Adapter; adapter != nil {
 		attempt.Adapter, attempt.AdapterVersion = adapter.Name, adapter.Version
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -108,6 +108,8 @@
 	CompletionTokens int
 	// Reason is "stop" or "length".
 	Reason string
+	// Hedged names the endpoint that answered if it is not the attempt's own.
+	Hedged string
 }
 
 // KeepAlive shows the caller that the connection is alive.
