--- a/internal/dispatcher/faults_test.go
+++ b/internal/dispatcher/faults_test.go
@@ -194,7 +194,8 @@
 	if err != nil {
 		return emitted + describeFailure(err)
 	}
-	return emitted + fmt.Sprintf("%+v", finish)
+	return emitted + fmt.Sprintf("{PromptTokens:%d CompletionTokens:%d Reason:%s}",
+		finish.PromptTokens, finish.CompletionTokens, finish.Reason)
 }
 
 // fill opens idle connections to the engine by attempts at the same time. They
@@ -208,13 +209,11 @@
 		attempt := b.attempt("engine")
 		attempt.Model, attempt.Version, attempt.MaxTokens = model, version, 150
 		ended.Go(func() {
-			first := true
+			begun := sync.OnceFunc(all.Done)
+			defer begun() // an attempt that fails must not hold up the others
 			_, err := b.dispatcher.Generate(b.t.Context(), attempt, func(filter.Event) error {
-				if first {
-					first = false
-					all.Done()
-					all.Wait()
-				}
+				begun()
+				all.Wait()
 				return nil
 			})
 			if err != nil {
