Add the client library for callers

A call that is not idempotent uses a connection of its own, and is sent again only if the answer or the lack of a connection shows that it did not run. The identity stays the same over repetitions.

--- /dev/null
+++ b/pkg/caller/service.go
@@ -0,0 +1,141 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+)
+
+// Class says how a request is treated under load.
+type Class string
+
+// The classes of requests.
+const (
+	Interactive Class = "interactive"
+	Assured     Class = "assured"
+	Deferred    Class = "deferred"
+)
+
+// Options are what all requests can say.
+type Options struct {
+	Class Class
+	// Deadline counts from the arrival at a node; 0 means the class's default.
+	Deadline time.Duration
+	// Identity is the Idempotency-Key. It is made if it is empty, and stays
+	// the same over repetitions. To ask for the outcome of a request that
+	// failed with Unknown, send it again with the failure's identity.
+	Identity string
+}
+
+func (o Options) header(identity string) http.Header {
+	header := http.Header{"Idempotency-Key": {identity}}
+	if o.Class != "" {
+		header.Set("Toucanhitch-Class", string(o.Class))
+	}
+	if o.Deadline > 0 {
+		header.Set("Toucanhitch-Deadline", o.Deadline.String())
+	}
+	return header
+}
+
+// bound is the time until an answer must begin.
+func (c *Client) bound(options Options) time.Duration {
+	if options.Deadline > 0 {
+		return options.Deadline + c.settings.Silence
+	}
+	return c.settings.Answer
+}
+
+// ServiceCall is a call of a plain service.
+type ServiceCall struct {
+	Options
+	Service     string
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        []byte
+	// Idempotent says that the call may run more than once.
+	Idempotent bool
+}
+
+// Reply is the answer of a plain service.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Replayed says that the answer is the recorded outcome of an earlier
+	// request with the same identity.
+	Replayed bool
+}
+
+// Call calls a plain service. Its errors are Failures.
+func (c *Client) Call(ctx context.Context, call ServiceCall) (Reply, error) {
+	var reply Reply
+	identity := newIdentity(call.Identity)
+	err := c.do(ctx, request{
+		identity:   identity,
+		idempotent: call.Idempotent,
+		send: func(ctx context.Context, address string) (err error) {
+			reply, err = c.call(ctx, address, call, identity)
+			return err
+		},
+	})
+	return reply, err
+}
+
+func (c *Client) call(ctx context.Context, address string, call ServiceCall, identity string) (Reply, error) {
+	exchange := c.open(ctx, address, c.bound(call.Options))
+	defer exchange.stop()
+	transport := c.once
+	if call.Idempotent {
+		transport = c.transport
+	}
+	response, err := exchange.send(transport, callRequest(address, call, identity))
+	if err != nil {
+		return Reply{}, err
+	}
+	defer response.Body.Close()
+	body, err := encoder.Read(watchedBody{response.Body, exchange}, maxAnswerBytes)
+	if err != nil {
+		return Reply{}, exchange.broken(err)
+	}
+	return Reply{
+		Status:      response.StatusCode,
+		ContentType: response.Header.Get("Content-Type"),
+		Body:        body,
+		Replayed:    response.Header.Get("Idempotency-Replayed") == "true",
+	}, nil
+}
+
+func callRequest(address string, call ServiceCall, identity string) *http.Request {
+	header := call.header(identity)
+	if call.ContentType != "" {
+		header.Set("Content-Type", call.ContentType)
+	}
+	return &http.Request{
+		Method: call.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: address,
+			Path:     "/services/" + call.Service + "/" + strings.TrimPrefix(call.Path, "/"),
+			RawQuery: call.Query,
+		},
+		Header:        header,
+		Body:          body(call.Body),
+		ContentLength: int64(len(call.Body)),
+	}
+}
+
+// body is a request's body that net/http cannot read a second time.
+func body(data []byte) io.ReadCloser {
+	if len(data) == 0 {
+		return http.NoBody
+	}
+	return io.NopCloser(bytes.NewReader(data))
+}
