--- /dev/null
+++ b/internal/limiter/account.go
@@ -0,0 +1,86 @@
+package limiter
+
+import "time"
+
+// reports says whether the pool has something to tell the owner.
+func (p *Pool) reports(now time.Time, epoch uint64) bool {
+	if len(p.Refunds) > 0 || p.Overdrawn > 0 || p.Pledged {
+		return true
+	}
+	for _, held := range p.Held {
+		if held.Epoch == epoch && held.use() != held.Sent {
+			return true
+		}
+	}
+	free, soon := p.free(), p.Demand.within(now, aheadTime)
+	if p.Short {
+		return free > soon
+	}
+	return free < soon/2
+}
+
+// account returns the pool's part of an exchange.
+func (p *Pool) account(now time.Time, epoch uint64) (Account, bool) {
+	account := Account{Workspace: p.Workspace, Refunds: p.Refunds, Overdrawn: p.Overdrawn}
+	account.Donated = p.surplus(now)
+	account.Need, account.Waiting = p.waitingFor()
+	account.Ahead = p.ahead(now)
+	for _, held := range p.Held {
+		if held.Epoch == epoch && held.use() != held.Sent {
+			held.Sent = held.use()
+			account.Grants = append(account.Grants, held.Sent)
+		}
+	}
+	withdraws := p.Pledged && account.Waiting == 0
+	p.Refunds, p.Overdrawn, p.Pledged = nil, 0, account.Need > 0
+	wanted := withdraws || account.Waiting+account.Ahead+account.Donated+account.Overdrawn > 0
+	return account, wanted || len(account.Grants)+len(account.Refunds) > 0
+}
+
+// known notes that the owner has handled the last exchange.
+func (p *Pool) known() {
+	for _, held := range p.Held {
+		held.Known = held.Sent
+	}
+}
+
+// unknown notes that the owner may not have handled the last exchange. What
+// became of grants is told again; refunds, donations and overdrafts are not,
+// since they must not count twice.
+func (p *Pool) unknown() {
+	for _, held := range p.Held {
+		held.Sent = held.Known
+	}
+}
+
+// receive takes a grant. Its life counts from before the holder asked.
+func (p *Pool) receive(now time.Time, l *Link, grant Grant) {
+	if grant.RetryAfter > 0 {
+		p.RetryAt = now.Add(grant.RetryAfter)
+	}
+	if grant.Tokens <= 0 {
+		return
+	}
+	held := &Held{
+		Sequence: l.Sequence,
+		Epoch:    l.Epoch,
+		Stamp:    l.Stamp,
+		Expires:  l.SentAt.Add(heldLifetime),
+		Tokens:   grant.Tokens,
+		Free:     grant.Tokens,
+	}
+	held.Sent, held.Known = held.use(), held.use()
+	p.Held = append(p.Held, held)
+}
+
+// refilled estimates when the standing share covers the first waiter.
+func (p *Pool) refilled(now time.Time) (time.Time, bool) {
+	if p.Standing == nil || p.Standing.Rate <= 0 {
+		return time.Time{}, false
+	}
+	lacking := p.missing(p.Waiting[0].Reservation) - p.free()
+	if lacking > p.Standing.headroom() {
+		return time.Time{}, false
+	}
+	return now.Add(max(time.Millisecond, seconds(lacking/p.Standing.Rate))), true
+}
--- /dev/null
+++ b/internal/limiter/holder.go
@@ -0,0 +1,390 @@
+package limiter
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+const (
+	// MaxWait bounds the wait for tokens before a refusal.
+	MaxWait = 2 * time.Second
+	// maxWaiting bounds the waiting requests of a workspace at one node.
+	maxWaiting = 1000
+)
+
+// Holder reserves tokens for the requests of one node: first from the node's
+// standing share, then from grants of the owner.
+type Holder struct {
+	// Node and Session identify this run of the node to the owner.
+	Node      string
+	Session   uint64
+	SlotCount int
+	Owner     OwnerChanged
+	// Standing says that the node has a standing share.
+	Standing bool
+	// Pools holds the workspaces by name; Names is sorted.
+	Pools        map[string]*Pool
+	Names        []string
+	Reservations map[uint64]*Reservation
+	LastID       uint64
+	// Calls gives the reservation that the answer to a call granted last.
+	Calls map[runner.Call]uint64
+	Link  Link
+	// Origin is the origin of the standing buckets' times.
+	Origin time.Time
+	// WakeAt is not after the next time at which something is due.
+	WakeAt time.Time
+}
+
+// Reservation is a number of tokens that are set aside for a request.
+type Reservation struct {
+	ID        uint64
+	Call      runner.Call
+	Workspace string
+	Tokens    float64
+	Confirmed bool
+	// Unreported says that no exchange since the confirmation has told the
+	// owner of the spending.
+	Unreported bool
+	Parts      []Part
+}
+
+// Part is the part of a reservation from one source: a grant or a standing
+// bucket.
+type Part struct {
+	Held     *Held
+	Standing *Bucket
+	Tokens   float64
+	// Since is the latest time on the source's own clock at which the tokens
+	// were certainly still outstanding, negative if it is not known. A refund
+	// dates from it.
+	Since time.Duration
+}
+
+// NewHolder returns a holder without limits and without an owner.
+func NewHolder(node string, session uint64, slotCount int) *Holder {
+	return &Holder{
+		Node:         node,
+		Session:      session,
+		SlotCount:    max(1, slotCount),
+		Pools:        map[string]*Pool{},
+		Reservations: map[uint64]*Reservation{},
+		Calls:        map[runner.Call]uint64{},
+	}
+}
+
+// Wake implements runner.Controller.
+func (h *Holder) Wake() time.Time { return h.WakeAt }
+
+// wake asks for a tick at a time.
+func (h *Holder) wake(at time.Time) {
+	if h.WakeAt.IsZero() || at.Before(h.WakeAt) {
+		h.WakeAt = at
+	}
+}
+
+// Step implements runner.Controller.
+func (h *Holder) Step(now time.Time, message HolderMessage) []HolderEffect {
+	if h.Origin.IsZero() {
+		h.Origin = now
+	}
+	var effects []HolderEffect
+	switch message := message.(type) {
+	case ReserveAsked:
+		effects = h.reserve(now, message)
+	case ConfirmAsked:
+		effects = h.confirm(now, message)
+	case Settled:
+		effects = h.settle(now, message)
+	case Cancelled:
+		effects = h.cancel(now, message.Call)
+	case OwnerChanged:
+		h.changeOwner(now, message)
+	case WorkspacesChanged:
+		effects = h.configure(now, message.Limits)
+	case ExchangeReturned:
+		effects = h.returned(now, message)
+	case ExchangeFailed:
+		if h.Link.Busy && message.Sequence == h.Link.Sequence {
+			h.fail(now)
+		}
+	case HolderTick:
+		effects = h.tick(now)
+	}
+	return h.send(now, effects)
+}
+
+// tick does everything that time makes due.
+func (h *Holder) tick(now time.Time) []HolderEffect {
+	var effects []HolderEffect
+	h.WakeAt = time.Time{}
+	for _, name := range h.Names {
+		effects = append(effects, h.refresh(now, h.Pools[name])...)
+	}
+	return effects
+}
+
+// refresh brings a pool up to date, answers who can be answered, and asks for
+// the next tick and exchange.
+func (h *Holder) refresh(now time.Time, p *Pool) []HolderEffect {
+	p.advance(now, h.Origin)
+	effects := h.serve(now, p)
+	if len(p.Waiting) > 0 && !now.Before(p.TimeoutAt) {
+		effects = append(effects, h.expire(now, p)...)
+		effects = append(effects, h.serve(now, p)...)
+	}
+	h.plan(now, p)
+	return effects
+}
+
+// serve covers waiters in their order. A waiter that is not covered holds back
+// those behind it, so that it gets its turn, unless it needs the owner and the
+// owner cannot be reached.
+func (h *Holder) serve(now time.Time, p *Pool) []HolderEffect {
+	var effects []HolderEffect
+	for i := 0; i < len(p.Waiting); {
+		w := p.Waiting[i]
+		if p.cover(now, w) {
+			p.Waiting = slices.Delete(p.Waiting, i, i+1)
+			effects = append(effects, h.grant(w))
+			continue
+		}
+		if h.reachable() || p.standingCovers(w) {
+			break
+		}
+		i++
+	}
+	return effects
+}
+
+// expire refuses the waiters whose time is over.
+func (h *Holder) expire(now time.Time, p *Pool) []HolderEffect {
+	var effects []HolderEffect
+	var kept []*Waiter
+	for _, w := range p.Waiting {
+		if now.Before(w.Until) {
+			kept = append(kept, w)
+			continue
+		}
+		effects = append(effects, h.refuse(now, p, w))
+	}
+	p.Waiting = kept
+	p.setTimeout()
+	return effects
+}
+
+func (h *Holder) reserve(now time.Time, message ReserveAsked) []HolderEffect {
+	p := h.Pools[message.Workspace]
+	if p == nil {
+		return []HolderEffect{Refused{Call: message.Call, Reason: NoWorkspace, RetryAfter: time.Second}}
+	}
+	p.advance(now, h.Origin)
+	if largest := p.largest(); message.Tokens > largest {
+		return []HolderEffect{Refused{Call: message.Call, Reason: TooLarge, Largest: largest}}
+	}
+	if len(p.Waiting) >= maxWaiting {
+		return []HolderEffect{Refused{Call: message.Call, Reason: QueueFull, RetryAfter: p.retryAfter(message.Tokens)}}
+	}
+	p.Demand.add(now, message.Tokens)
+	p.enqueue(len(p.Waiting), &Waiter{
+		Call:        message.Call,
+		Until:       earlier(message.Deadline, now.Add(MaxWait)),
+		Reservation: &Reservation{Workspace: message.Workspace, Tokens: message.Tokens},
+	})
+	return h.refresh(now, p)
+}
+
+// confirm spends a reservation's tokens. Tokens that have expired are reserved
+// again, ahead of requests that have none yet.
+func (h *Holder) confirm(now time.Time, message ConfirmAsked) []HolderEffect {
+	r := h.Reservations[message.ID]
+	if r == nil || r.Confirmed || h.Pools[r.Workspace] == nil {
+		return []HolderEffect{Refused{Call: message.Call, Reason: NoReservation, RetryAfter: time.Second}}
+	}
+	p := h.Pools[r.Workspace]
+	p.advance(now, h.Origin)
+	w := &Waiter{
+		Call:        message.Call,
+		Until:       earlier(message.Deadline, now.Add(MaxWait)),
+		Reservation: r,
+		Confirms:    true,
+	}
+	if p.missing(r) <= dust {
+		effects := []HolderEffect{h.grant(w)}
+		h.plan(now, p)
+		return effects
+	}
+	place := 0
+	for place < len(p.Waiting) && p.Waiting[place].Confirms {
+		place++
+	}
+	p.enqueue(place, w)
+	return h.refresh(now, p)
+}
+
+// grant answers a waiter whose reservation is covered.
+func (h *Holder) grant(w *Waiter) HolderEffect {
+	r := w.Reservation
+	if r.ID == 0 {
+		h.LastID++
+		r.ID = h.LastID
+		h.Reservations[r.ID] = r
+	}
+	delete(h.Calls, r.Call)
+	r.Call = w.Call
+	h.Calls[r.Call] = r.ID
+	if w.Confirms {
+		h.spend(r)
+	}
+	return Reserved{Call: w.Call, ID: r.ID}
+}
+
+// spend notes that a reservation's tokens are being used.
+func (h *Holder) spend(r *Reservation) {
+	r.Confirmed, r.Unreported = true, true
+	for i := range r.Parts {
+		part := &r.Parts[i]
+		if part.Standing != nil {
+			part.Standing.spend(part.Tokens)
+			part.Since = part.Standing.Mark
+			continue
+		}
+		part.Held.Spent += part.Tokens
+		part.Since = h.Link.stamp(part.Held.Epoch)
+	}
+	h.Link.Unreported = append(h.Link.Unreported, r)
+}
+
+func (h *Holder) refuse(now time.Time, p *Pool, w *Waiter) HolderEffect {
+	if w.Confirms {
+		h.end(now, p, w.Reservation, 0)
+	}
+	return Refused{Call: w.Call, Reason: NoTokens, RetryAfter: p.retryAfter(w.Reservation.Tokens)}
+}
+
+func (h *Holder) settle(now time.Time, message Settled) []HolderEffect {
+	r := h.Reservations[message.ID]
+	if r == nil {
+		return nil
+	}
+	p := h.Pools[r.Workspace]
+	if p == nil {
+		h.forget(r)
+		return nil
+	}
+	p.advance(now, h.Origin)
+	if message.Used > 0 && !r.Confirmed {
+		p.dropExpired(r)
+		h.spend(r)
+	}
+	h.end(now, p, r, message.Used)
+	return h.refresh(now, p)
+}
+
+// end gives back what a reservation did not use.
+func (h *Holder) end(now time.Time, p *Pool, r *Reservation, used float64) {
+	h.forget(r)
+	if !r.Confirmed {
+		p.release(r)
+		return
+	}
+	unused := -used
+	for _, part := range r.Parts {
+		unused += part.Tokens
+	}
+	p.Overdrawn += max(0, -unused)
+	for _, part := range r.Parts {
+		tokens := min(unused, part.Tokens)
+		unused -= tokens
+		h.refund(now, p, r, part, tokens)
+	}
+}
+
+// refund gives unused tokens back to where they came from. Tokens of which the
+// owner does not know yet that they were spent have stayed within its burst
+// all the time, so they go back to their grant.
+func (h *Holder) refund(now time.Time, p *Pool, r *Reservation, part Part, tokens float64) {
+	switch {
+	case tokens <= 0:
+	case part.Standing != nil:
+		if part.Standing == p.Standing {
+			part.Standing.refund(part.Since, tokens)
+		}
+	case r.Unreported:
+		part.Held.unspend(now, tokens)
+	case part.Since >= 0 && part.Held.Epoch == h.Owner.Epoch:
+		p.addRefund(Refund{Since: part.Since, Tokens: tokens})
+	}
+}
+
+func (h *Holder) forget(r *Reservation) {
+	delete(h.Reservations, r.ID)
+	delete(h.Calls, r.Call)
+}
+
+func (h *Holder) cancel(now time.Time, call runner.Call) []HolderEffect {
+	if id, ok := h.Calls[call]; ok {
+		return h.settle(now, Settled{ID: id})
+	}
+	for _, name := range h.Names {
+		p := h.Pools[name]
+		for i, w := range p.Waiting {
+			if w.Call != call {
+				continue
+			}
+			p.Waiting = slices.Delete(p.Waiting, i, i+1)
+			if w.Confirms {
+				h.end(now, p, w.Reservation, 0)
+			}
+			return h.refresh(now, p)
+		}
+	}
+	return nil
+}
+
+// configure puts limits in force and refuses what waits for a workspace that
+// is gone.
+func (h *Holder) configure(now time.Time, limits []Limit) []HolderEffect {
+	var effects []HolderEffect
+	kept := map[string]*Pool{}
+	h.Names = nil
+	for _, limit := range limits {
+		p := h.Pools[limit.Workspace]
+		if p == nil {
+			p = &Pool{}
+		}
+		p.Limit = limit
+		p.Slots = h.SlotCount
+		kept[limit.Workspace] = p
+		h.Names = append(h.Names, limit.Workspace)
+	}
+	slices.Sort(h.Names)
+	for _, name := range slices.Sorted(maps.Keys(h.Pools)) {
+		if kept[name] == nil {
+			for _, w := range h.Pools[name].Waiting {
+				effects = append(effects, Refused{Call: w.Call, Reason: NoWorkspace, RetryAfter: time.Second})
+			}
+		}
+	}
+	h.Pools = kept
+	for _, name := range h.Names {
+		h.Pools[name].resize(now, h.Origin, h.Standing)
+	}
+	return append(effects, h.tick(now)...)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// seconds converts a number of seconds, bounded at an hour.
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(s, 3600) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/limiter/holder_messages.go
@@ -0,0 +1,113 @@
+package limiter
+
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// HolderMessage is what a Holder handles.
+type HolderMessage interface{ isHolderMessage() }
+
+// ReserveAsked asks for tokens for a new request.
+type ReserveAsked struct {
+	Call      runner.Call
+	Workspace string
+	Tokens    float64
+	Deadline  time.Time
+}
+
+// ConfirmAsked says that a reservation is about to be used. It is answered
+// like ReserveAsked, with the same ID.
+type ConfirmAsked struct {
+	Call     runner.Call
+	ID       uint64
+	Deadline time.Time
+}
+
+// Settled ends a reservation.
+type Settled struct {
+	ID   uint64
+	Used float64
+}
+
+// Cancelled says that nobody waits for the answer to a call. If the call was
+// answered, its reservation ends unused.
+type Cancelled struct{ Call runner.Call }
+
+// OwnerChanged says which node is the owner.
+type OwnerChanged struct {
+	Node    string
+	Address string
+	Epoch   uint64
+}
+
+// ExchangeReturned is the answer to an exchange.
+type ExchangeReturned struct {
+	Sequence uint64
+	Answer   Answer
+}
+
+// ExchangeFailed says that an exchange got no answer in time.
+type ExchangeFailed struct{ Sequence uint64 }
+
+// HolderTick is delivered at the holder's wake time.
+type HolderTick struct{}
+
+func (ReserveAsked) isHolderMessage()      {}
+func (ConfirmAsked) isHolderMessage()      {}
+func (Settled) isHolderMessage()           {}
+func (Cancelled) isHolderMessage()         {}
+func (OwnerChanged) isHolderMessage()      {}
+func (WorkspacesChanged) isHolderMessage() {}
+func (ExchangeReturned) isHolderMessage()  {}
+func (ExchangeFailed) isHolderMessage()    {}
+func (HolderTick) isHolderMessage()        {}
+
+// HolderEffect is what a Holder decides.
+type HolderEffect interface{ isHolderEffect() }
+
+// Reserved answers a call: the tokens are set aside.
+type Reserved struct {
+	Call runner.Call
+	ID   uint64
+}
+
+// Refused answers a call: no tokens are set aside, and a reservation that was
+// to be confirmed has ended.
+type Refused struct {
+	Call   runner.Call
+	Reason Reason
+	// Largest is the largest reservation that the node can make, if the
+	// reason is TooLarge.
+	Largest float64
+	// RetryAfter is when asking again may help.
+	RetryAfter time.Duration
+}
+
+// SendExchange asks for an exchange with the owner.
+type SendExchange struct {
+	Address  string
+	Exchange Exchange
+}
+
+func (Reserved) isHolderEffect()     {}
+func (Refused) isHolderEffect()      {}
+func (SendExchange) isHolderEffect() {}
+
+// Reason says why tokens were refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	// TooLarge is a request that no wait can serve.
+	TooLarge Reason = "TooLarge"
+	// NoTokens is a request that waited in vain.
+	NoTokens Reason = "NoTokens"
+	// QueueFull is a request that found too many waiting.
+	QueueFull Reason = "QueueFull"
+	// NoWorkspace is a request for a workspace without limits.
+	NoWorkspace Reason = "NoWorkspace"
+	// NoReservation is a confirmation of a reservation that has ended.
+	NoReservation Reason = "NoReservation"
+)
--- /dev/null
+++ b/internal/limiter/ledger.go
@@ -0,0 +1,239 @@
+package limiter
+
+import "time"
+
+const (
+	// pledgeLifetime is how long a holder that waits for tokens keeps its
+	// place without asking again. It is several times maxRetryAfter, so that
+	// a lost exchange does not cost the place.
+	pledgeLifetime = 500 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound when a holder asks again.
+	minRetryAfter = 10 * time.Millisecond
+	maxRetryAfter = 100 * time.Millisecond
+	// shortLifetime is how long a workspace counts as short after a need that
+	// the level did not cover.
+	shortLifetime = time.Second
+	// aheadPart is the part of a level that one holder may get in advance.
+	aheadPart = 1.0 / 8
+	// dust is an amount that only rounding can cause.
+	dust = 1e-6
+)
+
+// Ledger is the owner's state of one workspace: its bucket, the grants that
+// are out, and who waits for tokens.
+type Ledger struct {
+	Bucket
+	// Former are the outstanding tokens of earlier owners, whose grants this
+	// owner does not know. They are gone at FormerUntil.
+	Former      float64
+	FormerUntil time.Duration
+	// Unknown says that Former is a guess, which is always the whole burst.
+	Unknown bool
+	Grants  map[grantKey]*lent
+	// Expiring holds the keys of grants by their end; grants that ended early
+	// are still in it.
+	Expiring []expiry
+	// Pledges are the needs of waiting holders in the order of arrival.
+	Pledges    []Pledge
+	ShortUntil time.Time
+}
+
+type grantKey struct {
+	Holder   string
+	Sequence uint64
+}
+
+type lent struct {
+	Tokens, Spent, Returned float64
+}
+
+type expiry struct {
+	Key grantKey
+	At  time.Duration
+}
+
+// Pledge keeps tokens for a holder that could not get them at once.
+type Pledge struct {
+	Holder string
+	Need   float64
+	Until  time.Duration
+}
+
+// newLedger returns the ledger of a workspace whose tokens may all be out.
+func newLedger(now time.Duration, rate, burst float64) *Ledger {
+	l := &Ledger{
+		Former:      burst,
+		FormerUntil: now + GrantLifetime,
+		Unknown:     true,
+		Grants:      map[grantKey]*lent{},
+	}
+	l.Bucket = newBucket(now, rate, burst)
+	l.Outstanding = burst
+	l.record()
+	return l
+}
+
+// takeOver replaces the guess of a new ledger by what the former owner said.
+func (l *Ledger) takeOver(balance Balance) {
+	l.Unknown = false
+	l.Former, l.Outstanding = balance.Outstanding, balance.Outstanding
+	l.Level = min(balance.Level, max(0, l.Burst-l.Outstanding))
+	l.record()
+}
+
+// resize changes rate and burst. While earlier grants are unknown, they may
+// come to the new burst: an earlier owner may have known it first.
+func (l *Ledger) resize(rate, burst float64) {
+	if l.Unknown && burst > l.Former {
+		l.Outstanding += burst - l.Former
+		l.Former = burst
+	}
+	l.set(rate, burst)
+}
+
+// advance brings the ledger up to date: grants end, the level refills.
+func (l *Ledger) advance(now time.Duration) {
+	if l.Former > 0 && now >= l.FormerUntil {
+		l.end(l.FormerUntil, l.Former)
+		l.Former, l.Unknown = 0, false
+	}
+	ended := 0
+	for ended < len(l.Expiring) && l.Expiring[ended].At <= now {
+		next := l.Expiring[ended]
+		if grant, ok := l.Grants[next.Key]; ok {
+			l.end(next.At, grant.remaining())
+			delete(l.Grants, next.Key)
+		}
+		ended++
+	}
+	l.Expiring = l.Expiring[ended:]
+	l.Bucket.advance(now)
+}
+
+// end lets outstanding tokens expire at a time. The headroom before it belongs
+// to the moment before, so that a refund that dates from the end is not
+// limited by it.
+func (l *Ledger) end(at time.Duration, tokens float64) {
+	l.Bucket.advance(at - 1)
+	l.spend(tokens)
+}
+
+func (g *lent) remaining() float64 {
+	return max(0, g.Tokens-g.Spent-g.Returned)
+}
+
+// use applies what a holder says of its grants. Grants that have ended are
+// ignored: their tokens count as spent since their end.
+func (l *Ledger) use(holder string, uses []GrantUse) {
+	spent, returned := 0.0, 0.0
+	for _, use := range uses {
+		key := grantKey{holder, use.Grant}
+		grant := l.Grants[key]
+		if grant == nil {
+			continue
+		}
+		more := min(max(0, use.Spent-grant.Spent), grant.remaining())
+		grant.Spent += more
+		spent += more
+		back := min(max(0, use.Returned-grant.Returned), grant.remaining())
+		grant.Returned += back
+		returned += back
+		if grant.remaining() < dust {
+			spent += grant.remaining()
+			delete(l.Grants, key)
+		}
+	}
+	l.spend(spent)
+	if returned > 0 {
+		l.giveBack(returned)
+	}
+}
+
+// takeBack undoes a grant that its holder never used.
+func (l *Ledger) takeBack(key grantKey) {
+	if grant := l.Grants[key]; grant != nil {
+		l.giveBack(grant.remaining())
+		delete(l.Grants, key)
+	}
+}
+
+// lend grants tokens to a holder. A need that is not covered gets a place in
+// the order of arrival, and later needs get only what is left, so that a large
+// request is not overtaken for ever by small ones of other nodes.
+func (l *Ledger) lend(now time.Time, key grantKey, account Account) (tokens float64, retryAfter time.Duration) {
+	before, others := l.pledged(key.Holder)
+	if account.Need > 0 && l.Level-before < account.Need-dust {
+		l.pledge(key.Holder, account.Need)
+		l.ShortUntil = now.Add(shortLifetime)
+		return 0, l.retryAfter(before + account.Need - l.Level)
+	}
+	l.withdraw(key.Holder)
+	tokens = account.Need
+	rest := max(0, l.Level-others-tokens)
+	more := min(rest, max(0, account.Waiting-account.Need))
+	if account.Waiting > account.Need+more+dust {
+		l.ShortUntil = now.Add(shortLifetime)
+		retryAfter = minRetryAfter
+	}
+	tokens += more + min((rest-more)*aheadPart, account.Ahead)
+	tokens = min(tokens, max(0, l.Level))
+	if tokens < dust {
+		return 0, retryAfter
+	}
+	l.promise(tokens)
+	l.Grants[key] = &lent{Tokens: tokens}
+	l.Expiring = append(l.Expiring, expiry{Key: key, At: l.Mark + GrantLifetime})
+	return tokens, retryAfter
+}
+
+func (l *Ledger) retryAfter(lacking float64) time.Duration {
+	if l.Rate <= 0 {
+		return maxRetryAfter
+	}
+	wait := time.Duration(lacking / l.Rate * float64(time.Second))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// pledged returns the needs of holders that came before one, and those of all
+// others.
+func (l *Ledger) pledged(holder string) (before, others float64) {
+	kept := l.Pledges[:0]
+	seen := false
+	for _, pledge := range l.Pledges {
+		if pledge.Until < l.Updated {
+			continue
+		}
+		kept = append(kept, pledge)
+		if pledge.Holder == holder {
+			seen = true
+			continue
+		}
+		others += pledge.Need
+		if !seen {
+			before += pledge.Need
+		}
+	}
+	l.Pledges = kept
+	return before, others
+}
+
+func (l *Ledger) pledge(holder string, need float64) {
+	until := l.Updated + pledgeLifetime
+	for i := range l.Pledges {
+		if l.Pledges[i].Holder == holder {
+			l.Pledges[i].Need, l.Pledges[i].Until = need, until
+			return
+		}
+	}
+	l.Pledges = append(l.Pledges, Pledge{Holder: holder, Need: need, Until: until})
+}
+
+// withdraw gives up a holder's place.
+func (l *Ledger) withdraw(holder string) {
+	for i, pledge := range l.Pledges {
+		if pledge.Holder == holder {
+			l.Pledges = append(l.Pledges[:i], l.Pledges[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/limiter/owner.go
@@ -0,0 +1,152 @@
+package limiter
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Owner lends the tokens of all workspaces while its node holds the lease.
+//
+// For each workspace Level + Outstanding <= Burst holds at every moment, where
+// Burst is the owner's part of the workspace's burst.
+type Owner struct {
+	// SlotCount is the number of standing shares, the same at all nodes.
+	SlotCount int
+	Epoch     uint64
+	// Since is when this node took the lease.
+	Since time.Time
+	// Until is when the lease ends; nothing is granted from then on.
+	Until time.Time
+	// HandedOver says that the balances were given to the next owner.
+	HandedOver bool
+	// Stamp is the time of the last exchange since Since. It grows by at least
+	// two nanoseconds with each, one for the state before and one for the
+	// state after it.
+	Stamp   time.Duration
+	Limits  []Limit
+	Ledgers map[string]*Ledger
+	Peers   map[string]*Peer
+	Slots   SlotTable
+}
+
+// NewOwner returns an owner without a lease.
+func NewOwner(slotCount int) *Owner {
+	return &Owner{SlotCount: max(1, slotCount), Ledgers: map[string]*Ledger{}, Peers: map[string]*Peer{}}
+}
+
+// Wake implements runner.Controller. Everything that time changes is brought
+// up to date when an exchange needs it.
+func (o *Owner) Wake() time.Time { return time.Time{} }
+
+// Step implements runner.Controller.
+func (o *Owner) Step(now time.Time, message OwnerMessage) []OwnerEffect {
+	switch message := message.(type) {
+	case LeaseHeld:
+		return o.held(now, message)
+	case LeaseLost:
+		o.Until = time.Time{}
+	case LeaseDataStored:
+		if message.Epoch == o.Epoch {
+			o.Slots.stored(message.Revision)
+		}
+	case WorkspacesChanged:
+		o.configure(now, message.Limits)
+	case InstancesListed:
+		return o.listed(now, message.Names)
+	case ExchangeReceived:
+		return o.answer(now, message)
+	case HandOverAsked:
+		return []OwnerEffect{HandedOver{Call: message.Call, Data: o.handOver(now)}}
+	}
+	return nil
+}
+
+// answer answers an exchange, with a refusal if it has no effect.
+func (o *Owner) answer(now time.Time, message ExchangeReceived) []OwnerEffect {
+	answer, effects := o.exchange(now, message.Exchange)
+	return append(effects, ExchangeAnswered{Call: message.Call, Answer: answer})
+}
+
+// owns says whether this node may grant tokens.
+func (o *Owner) owns(now time.Time) bool {
+	return now.Before(o.Until) && !o.HandedOver
+}
+
+// held takes a lease or notes its renewal.
+func (o *Owner) held(now time.Time, message LeaseHeld) []OwnerEffect {
+	if message.Epoch < o.Epoch {
+		return nil
+	}
+	if message.Epoch == o.Epoch {
+		o.Until = message.Until
+		return nil
+	}
+	o.Epoch, o.Since, o.Until, o.HandedOver, o.Stamp = message.Epoch, now, message.Until, false, 0
+	o.Peers = map[string]*Peer{}
+	o.Slots = newSlotTable(now, o.SlotCount, message.Data.Slots, o.Slots)
+	o.Ledgers = map[string]*Ledger{}
+	for _, limit := range o.Limits {
+		rate, burst := o.part(limit)
+		o.Ledgers[limit.Workspace] = newLedger(0, rate, burst)
+	}
+	if message.Data.HandedOver && message.Data.Epoch+1 == message.Epoch {
+		for _, balance := range message.Data.Balances {
+			if ledger := o.Ledgers[balance.Workspace]; ledger != nil {
+				ledger.takeOver(balance)
+			}
+		}
+	}
+	return []OwnerEffect{o.store()}
+}
+
+// part returns the owner's own rate and burst of a workspace: all but the
+// standing shares of the nodes that have or may have one.
+func (o *Owner) part(limit Limit) (rate, burst float64) {
+	rate, burst = limit.share(o.Slots.taken(), o.SlotCount)
+	return limit.Rate - rate, limit.Burst - burst
+}
+
+// configure puts limits in force at once. A ledger that is new in the middle
+// of an epoch begins like one after a crash: the workspace may have been
+// withdrawn and added again while its grants were out.
+func (o *Owner) configure(now time.Time, limits []Limit) {
+	o.Limits = slices.Clone(limits)
+	slices.SortFunc(o.Limits, func(a, b Limit) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	kept := map[string]*Ledger{}
+	for _, limit := range o.Limits {
+		rate, burst := o.part(limit)
+		ledger := o.Ledgers[limit.Workspace]
+		if ledger == nil {
+			ledger = newLedger(now.Sub(o.Since), rate, burst)
+		}
+		ledger.advance(now.Sub(o.Since))
+		ledger.resize(rate, burst)
+		kept[limit.Workspace] = ledger
+	}
+	o.Ledgers = kept
+}
+
+// handOver ends the owner's part of this epoch.
+func (o *Owner) handOver(now time.Time) LeaseData {
+	data := LeaseData{Epoch: o.Epoch, Revision: o.Slots.Revision, Slots: o.Slots.names()}
+	if !o.owns(now) {
+		return data
+	}
+	o.HandedOver = true
+	data.HandedOver = true
+	for _, limit := range o.Limits {
+		ledger := o.Ledgers[limit.Workspace]
+		ledger.advance(now.Sub(o.Since))
+		data.Balances = append(data.Balances, Balance{
+			Workspace:   limit.Workspace,
+			Level:       ledger.Level,
+			Outstanding: ledger.Outstanding,
+		})
+	}
+	return data
+}
+
+func (o *Owner) store() OwnerEffect {
+	return StoreLeaseData{Data: LeaseData{Epoch: o.Epoch, Revision: o.Slots.Revision, Slots: o.Slots.names()}}
+}
--- /dev/null
+++ b/internal/limiter/owner_exchange.go
@@ -0,0 +1,145 @@
+package limiter
+
+import (
+	"slices"
+	"time"
+)
+
+// peerMemory is far longer than a message can be delayed.
+const peerMemory = 10 * time.Minute
+
+// Peer is what an owner knows of a holder.
+type Peer struct {
+	Session  uint64
+	Sequence uint64
+	// Granted names the workspaces of the grants of the last exchange.
+	Granted []string
+	Seen    time.Time
+}
+
+// exchange answers a holder. An exchange that is repeated, late or meant for
+// another epoch has no effect.
+func (o *Owner) exchange(now time.Time, exchange Exchange) (Answer, []OwnerEffect) {
+	peer := o.peer(now, exchange)
+	if peer == nil {
+		return Answer{Refused: true, Epoch: o.Epoch}, nil
+	}
+	effects := o.reslot(now, exchange.Holder)
+	o.Stamp = max(o.Stamp+1, now.Sub(o.Since))
+	o.takeBack(exchange, peer)
+	for _, account := range exchange.Accounts {
+		o.settle(exchange, account)
+	}
+	o.Stamp++
+	answer := Answer{Epoch: o.Epoch, Stamp: o.Stamp, Standing: o.Slots.standing(now, exchange.Holder)}
+	peer.Sequence, peer.Granted, peer.Seen = exchange.Sequence, nil, now
+	for _, account := range exchange.Accounts {
+		if grant, ok := o.grant(now, exchange, account); ok {
+			answer.Grants = append(answer.Grants, grant)
+			peer.Granted = append(peer.Granted, account.Workspace)
+		}
+	}
+	answer.Short = o.short(now)
+	return answer, effects
+}
+
+// peer returns the record of an exchange's holder, or nil if the exchange must
+// not be answered.
+func (o *Owner) peer(now time.Time, exchange Exchange) *Peer {
+	if !o.owns(now) || exchange.Epoch != o.Epoch {
+		return nil
+	}
+	peer := o.Peers[exchange.Holder]
+	if peer == nil || exchange.Session > peer.Session {
+		peer = &Peer{Session: exchange.Session}
+		o.Peers[exchange.Holder] = peer
+	}
+	if exchange.Session < peer.Session || exchange.Sequence <= peer.Sequence {
+		return nil
+	}
+	return peer
+}
+
+// reslot frees and assigns standing shares.
+func (o *Owner) reslot(now time.Time, holder string) []OwnerEffect {
+	freed := o.Slots.free(now)
+	assigned := holder != "" && o.Slots.assign(now, holder)
+	if !freed && !assigned {
+		return nil
+	}
+	o.configure(now, o.Limits)
+	return []OwnerEffect{o.store()}
+}
+
+// takeBack returns the grants of an answer that the holder did not use. As a
+// holder has one exchange under way, only the last answer can be unused.
+func (o *Owner) takeBack(exchange Exchange, peer *Peer) {
+	if peer.Sequence <= exchange.Received {
+		return
+	}
+	for _, workspace := range peer.Granted {
+		if ledger := o.Ledgers[workspace]; ledger != nil {
+			ledger.advance(o.Stamp)
+			ledger.takeBack(grantKey{exchange.Holder, peer.Sequence})
+		}
+	}
+}
+
+// settle applies a holder's report. The spending comes first: refunds date
+// from after it.
+func (o *Owner) settle(exchange Exchange, account Account) {
+	ledger := o.Ledgers[account.Workspace]
+	if ledger == nil {
+		return
+	}
+	ledger.advance(o.Stamp)
+	ledger.use(exchange.Holder, account.Grants)
+	if account.Overdrawn > 0 {
+		ledger.charge(account.Overdrawn)
+	}
+	for _, refund := range account.Refunds {
+		ledger.refund(refund.Since, refund.Tokens)
+	}
+	if account.Donated > 0 {
+		ledger.add(account.Donated)
+	}
+}
+
+func (o *Owner) grant(now time.Time, exchange Exchange, account Account) (Grant, bool) {
+	ledger := o.Ledgers[account.Workspace]
+	if ledger == nil {
+		return Grant{}, false
+	}
+	ledger.advance(o.Stamp)
+	if account.Waiting+account.Ahead <= 0 {
+		ledger.withdraw(exchange.Holder)
+		return Grant{}, false
+	}
+	tokens, retryAfter := ledger.lend(now, grantKey{exchange.Holder, exchange.Sequence}, account)
+	return Grant{Workspace: account.Workspace, Tokens: tokens, RetryAfter: retryAfter}, tokens > 0 || retryAfter > 0
+}
+
+// short names the workspaces in which a need was not covered lately.
+func (o *Owner) short(now time.Time) []string {
+	var names []string
+	for _, limit := range o.Limits {
+		if now.Before(o.Ledgers[limit.Workspace].ShortUntil) {
+			names = append(names, limit.Workspace)
+		}
+	}
+	return names
+}
+
+// listed notes which instances exist and forgets holders that are gone.
+func (o *Owner) listed(now time.Time, names []string) []OwnerEffect {
+	o.Slots.listed(now, names)
+	for name, peer := range o.Peers {
+		if !slices.Contains(names, name) && now.Sub(peer.Seen) > peerMemory {
+			delete(o.Peers, name)
+		}
+	}
+	if !o.owns(now) {
+		return nil
+	}
+	return o.reslot(now, "")
+}
--- /dev/null
+++ b/internal/limiter/pool.go
@@ -0,0 +1,339 @@
+package limiter
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+const (
+	// aheadTime is for how long a holder keeps tokens ahead of its demand: a
+	// few exchanges.
+	aheadTime = 200 * time.Millisecond
+	// maxRefunds bounds the refunds of a workspace in one exchange. Above it
+	// a refund is dated like an older one.
+	maxRefunds = 16
+	// maxOwnPart is the part of a burst that the owner has at least.
+	maxOwnPart = 1 - standingPart
+)
+
+// Pool is a holder's state of one workspace.
+type Pool struct {
+	Limit
+	// Slots is the number of standing shares in the fleet.
+	Slots int
+	// Standing is the node's own share, nil if it has none. Reserved tokens
+	// are its Outstanding.
+	Standing *Bucket
+	// Held are the grants from the oldest to the newest, also ended ones of
+	// which the owner still has to learn.
+	Held    []*Held
+	Waiting []*Waiter
+	// TimeoutAt is not after the first Until of a waiter.
+	TimeoutAt time.Time
+	Demand    Demand
+	// Refunds are for the present owner, sorted by Since.
+	Refunds   []Refund
+	Overdrawn float64
+	// RetryAt is when the owner may have tokens for the first waiter.
+	RetryAt time.Time
+	// Short says that the owner reported the workspace as short.
+	Short bool
+	// Pledged says that the owner may keep a place for this node.
+	Pledged bool
+}
+
+// Waiter is a request that waits for tokens.
+type Waiter struct {
+	Call        runner.Call
+	Until       time.Time
+	Reservation *Reservation
+	// Confirms says that the tokens are used as soon as they are there.
+	Confirms bool
+}
+
+// Held is a grant at its holder.
+type Held struct {
+	// Sequence is that of the exchange that the grant answered.
+	Sequence uint64
+	Epoch    uint64
+	// Stamp is that of the answer.
+	Stamp time.Duration
+	// Expires is when the holder must stop using it.
+	Expires time.Time
+	Tokens  float64
+	// Free is the part that nobody has reserved.
+	Free     float64
+	Spent    float64
+	Returned float64
+	// Closed says that everything not spent is returned.
+	Closed bool
+	// Sent and Known are the use as of the last exchange sent and answered.
+	Sent  GrantUse
+	Known GrantUse
+}
+
+func (g *Held) use() GrantUse {
+	return GrantUse{Grant: g.Sequence, Spent: g.Spent, Returned: g.Returned}
+}
+
+// close returns everything that is not spent, also reserved tokens.
+func (g *Held) close() {
+	g.Closed = true
+	g.Free = 0
+	g.Returned = max(g.Returned, g.Tokens-g.Spent)
+}
+
+// unspend takes back tokens that were spent and not used.
+func (g *Held) unspend(now time.Time, tokens float64) {
+	g.Spent -= tokens
+	if g.Closed || !now.Before(g.Expires) {
+		g.close()
+		return
+	}
+	g.Free += tokens
+}
+
+// advance brings grants and the standing share up to date.
+func (p *Pool) advance(now, origin time.Time) {
+	for _, held := range p.Held {
+		if !held.Closed && !now.Before(held.Expires) {
+			held.close()
+		}
+	}
+	p.Held = slices.DeleteFunc(p.Held, func(held *Held) bool {
+		return held.Closed && (held.use() == held.Known || now.Sub(held.Expires) > GrantLifetime)
+	})
+	if p.Standing != nil {
+		p.Standing.advance(now.Sub(origin))
+	}
+}
+
+// resize gives or takes the standing share, or changes its size.
+func (p *Pool) resize(now, origin time.Time, standing bool) {
+	rate, burst := p.share(1, p.Slots)
+	switch {
+	case !standing:
+		p.Standing = nil
+	case p.Standing == nil:
+		bucket := newBucket(now.Sub(origin), rate, burst)
+		p.Standing = &bucket
+	default:
+		p.Standing.advance(now.Sub(origin))
+		p.Standing.set(rate, burst)
+	}
+}
+
+// largest is the largest reservation that can ever be covered.
+func (p *Pool) largest() float64 {
+	largest := p.Burst * maxOwnPart
+	if p.Standing != nil {
+		largest += p.Standing.Burst
+	}
+	return largest
+}
+
+func (p *Pool) standingLevel() float64 {
+	if p.Standing == nil {
+		return 0
+	}
+	return max(0, p.Standing.Level)
+}
+
+// free is the number of tokens that can be reserved now.
+func (p *Pool) free() float64 {
+	tokens := p.standingLevel()
+	for _, held := range p.Held {
+		tokens += held.Free
+	}
+	return tokens
+}
+
+// missing is what a reservation lacks. Parts from grants that have ended and
+// from a standing share that was taken away do not count.
+func (p *Pool) missing(r *Reservation) float64 {
+	tokens := r.Tokens
+	for _, part := range r.Parts {
+		if p.valid(part) {
+			tokens -= part.Tokens
+		}
+	}
+	return max(0, tokens)
+}
+
+func (p *Pool) valid(part Part) bool {
+	if part.Held != nil {
+		return !part.Held.Closed
+	}
+	return part.Standing == p.Standing
+}
+
+func (p *Pool) dropExpired(r *Reservation) {
+	r.Parts = slices.DeleteFunc(r.Parts, func(part Part) bool { return !p.valid(part) })
+}
+
+// enqueue adds a waiter at a place in the order.
+func (p *Pool) enqueue(place int, w *Waiter) {
+	if len(p.Waiting) == 0 || w.Until.Before(p.TimeoutAt) {
+		p.TimeoutAt = w.Until
+	}
+	p.Waiting = slices.Insert(p.Waiting, place, w)
+}
+
+func (p *Pool) setTimeout() {
+	for i, w := range p.Waiting {
+		if i == 0 || w.Until.Before(p.TimeoutAt) {
+			p.TimeoutAt = w.Until
+		}
+	}
+}
+
+// cover reserves what a waiter lacks if there is enough and its time is not
+// over.
+func (p *Pool) cover(now time.Time, w *Waiter) bool {
+	missing := p.missing(w.Reservation)
+	if p.free() < missing-dust || missing > 0 && now.After(w.Until) {
+		return false
+	}
+	p.dropExpired(w.Reservation)
+	w.Reservation.Parts = append(w.Reservation.Parts, p.take(missing)...)
+	return true
+}
+
+// standingCovers says whether a waiter can be covered without the owner.
+func (p *Pool) standingCovers(w *Waiter) bool {
+	return p.Standing != nil && p.missing(w.Reservation) <= p.Standing.Burst
+}
+
+// take reserves tokens that are there: standing ones first, then those of the
+// oldest grants.
+func (p *Pool) take(tokens float64) []Part {
+	var parts []Part
+	if level := min(p.standingLevel(), tokens); level > 0 {
+		p.Standing.promise(level)
+		tokens -= level
+		parts = append(parts, Part{Standing: p.Standing, Tokens: level})
+	}
+	for _, held := range p.Held {
+		part := min(held.Free, tokens)
+		if part <= 0 {
+			continue
+		}
+		held.Free -= part
+		tokens -= part
+		parts = append(parts, Part{Held: held, Tokens: part})
+	}
+	return parts
+}
+
+// release gives back a reservation that was not confirmed.
+func (p *Pool) release(r *Reservation) {
+	for _, part := range r.Parts {
+		switch {
+		case !p.valid(part):
+		case part.Standing != nil:
+			part.Standing.giveBack(part.Tokens)
+		default:
+			part.Held.Free += part.Tokens
+		}
+	}
+}
+
+// addRefund keeps a refund for the next exchange.
+func (p *Pool) addRefund(refund Refund) {
+	at, same := slices.BinarySearchFunc(p.Refunds, refund.Since, func(r Refund, since time.Duration) int {
+		return int(r.Since - since)
+	})
+	switch {
+	case same:
+		p.Refunds[at].Tokens += refund.Tokens
+	case len(p.Refunds) < maxRefunds:
+		p.Refunds = slices.Insert(p.Refunds, at, refund)
+	case at > 0:
+		p.Refunds[at-1].Tokens += refund.Tokens
+	default:
+		p.Refunds[0].Since = refund.Since
+		p.Refunds[0].Tokens += refund.Tokens
+	}
+}
+
+// waitingFor returns what the first waiter and all waiters lack.
+func (p *Pool) waitingFor() (need, waiting float64) {
+	if len(p.Waiting) == 0 {
+		return 0, 0
+	}
+	free := p.free()
+	for _, w := range p.Waiting {
+		waiting += p.missing(w.Reservation)
+	}
+	need = max(0, p.missing(p.Waiting[0].Reservation)-free)
+	return min(need, p.Burst*maxOwnPart), min(max(waiting-free, need), p.Burst)
+}
+
+// ahead is what the pool lacks for the demand of the near future.
+func (p *Pool) ahead(now time.Time) float64 {
+	if p.Short {
+		return 0
+	}
+	return max(0, p.Demand.within(now, aheadTime)-p.free())
+}
+
+// surplus takes out what the near future does not need while the workspace is
+// short elsewhere: tokens of grants are returned, standing ones are donated.
+func (p *Pool) surplus(now time.Time) (donated float64) {
+	if !p.Short || len(p.Waiting) > 0 {
+		return 0
+	}
+	keep := p.Demand.within(now, aheadTime)
+	for _, held := range slices.Backward(p.Held) {
+		back := min(held.Free, max(0, p.free()-keep))
+		held.Free -= back
+		held.Returned += back
+	}
+	if donated = min(p.standingLevel(), max(0, p.free()-keep)); donated > 0 {
+		p.Standing.charge(donated)
+	}
+	return donated
+}
+
+// retryAfter estimates when a reservation could be covered.
+func (p *Pool) retryAfter(tokens float64) time.Duration {
+	if p.Rate <= 0 {
+		return time.Minute
+	}
+	_, waiting := p.waitingFor()
+	wait := seconds(max(0, waiting+tokens-p.free()) / p.Rate)
+	return min(max(wait, 100*time.Millisecond), time.Minute)
+}
+
+// Demand is a moving average of the tokens that requests asked for.
+type Demand struct {
+	Tokens float64
+	At     time.Time
+}
+
+// demandTime is the time constant of the average.
+const demandTime = time.Second
+
+func (d *Demand) decay(now time.Time) {
+	if now.After(d.At) {
+		d.Tokens *= math.Exp(-now.Sub(d.At).Seconds() / demandTime.Seconds())
+		d.At = now
+	}
+}
+
+func (d *Demand) add(now time.Time, tokens float64) {
+	d.decay(now)
+	d.Tokens += tokens
+}
+
+// within is the demand to expect within a time.
+func (d *Demand) within(now time.Time, period time.Duration) float64 {
+	d.decay(now)
+	if d.Tokens < 1 {
+		return 0
+	}
+	return d.Tokens * period.Seconds() / demandTime.Seconds()
+}
