--- /dev/null
+++ b/internal/limiter/fleet_test.go
@@ -0,0 +1,206 @@
+package limiter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"toucanhitch.example/toucanhitch/internal/benchmarker"
+	"toucanhitch.example/toucanhitch/internal/limiter"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// use is one confirmed request, at the time of its confirmation and with the
+// tokens that it really took.
+type use struct {
+	At     time.Duration
+	Tokens float64
+}
+
+// exceeds says whether there are two times between which more than
+// rate x window + burst was used. It runs a bucket that empties at the rate.
+func exceeds(uses []use, limit limiter.Limit) (time.Duration, float64) {
+	level, last := 0.0, time.Duration(0)
+	for _, u := range uses {
+		level = max(0, level-limit.Rate*(u.At-last).Seconds()) + u.Tokens
+		last = u.At
+		if level > limit.Burst+1e-3 {
+			return u.At, level - limit.Burst
+		}
+	}
+	return 0, 0
+}
+
+// fleet is a LimitsFleet with requests and the record of what they used.
+type fleet struct {
+	*benchmarker.LimitsFleet
+	limits  map[string]limiter.Limit
+	uses    map[string][]*use
+	load    load
+	random  *rand.Rand
+	granted int
+	refused int
+}
+
+// request reserves, waits, confirms, runs and settles.
+func (f *fleet) request(node int, workspace string, tokens, used float64, wait, run time.Duration) {
+	f.Reserve(node, workspace, tokens, 10*time.Second, func(effect limiter.HolderEffect) {
+		reserved, ok := effect.(limiter.Reserved)
+		if !ok {
+			f.refused++
+			return
+		}
+		f.granted++
+		f.After(wait, func() { f.start(node, workspace, reserved.ID, tokens, used, run) })
+	})
+}
+
+func (f *fleet) start(node int, workspace string, id uint64, tokens, used float64, run time.Duration) {
+	f.Confirm(node, id, 10*time.Second, func(effect limiter.HolderEffect) {
+		if _, ok := effect.(limiter.Reserved); !ok {
+			return
+		}
+		u := &use{At: f.Now(), Tokens: tokens}
+		f.uses[workspace] = append(f.uses[workspace], u)
+		f.After(run, func() {
+			u.Tokens = used
+			f.Settle(node, id, used)
+		})
+	})
+}
+
+// check compares everything used so far with the bound. Requests that run
+// count with their whole reservation, so it is exact at the end only: a
+// reservation that was refunded may have been used again meanwhile.
+func (f *fleet) check(t *rapid.T) {
+	for workspace, limit := range f.limits {
+		var uses []use
+		for _, u := range f.uses[workspace] {
+			uses = append(uses, *u)
+		}
+		if at, excess := exceeds(uses, limit); excess > 0 {
+			t.Fatalf("workspace %s used %.1f tokens more than rate and burst allow, seen at %s", workspace, excess, at)
+		}
+	}
+}
+
+const fuzzNodes = 4
+
+// load is what the generator sends: every 10 ms a number of requests.
+type load struct {
+	Count   int
+	Largest float64
+	// Used is the smallest part of a reservation that a request uses.
+	Used float64
+	Wait time.Duration
+	Run  time.Duration
+	// Node is the only node that gets requests, or -1 for all.
+	Node int
+}
+
+func newFleet(t *rapid.T) *fleet {
+	limits := []limiter.Limit{
+		{Workspace: "large", Rate: 1000, Burst: 4000},
+		{Workspace: "small", Rate: 50, Burst: 30},
+	}
+	f := &fleet{
+		LimitsFleet: benchmarker.NewLimitsFleet(fuzzNodes, 3, limits),
+		limits:      map[string]limiter.Limit{"large": limits[0], "small": limits[1]},
+		uses:        map[string][]*use{},
+		random:      rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "network"), 1)),
+	}
+	faults := rapid.IntRange(0, 100).Draw(t, "faults")
+	f.Lost = func() bool { return f.random.IntN(1000) < faults }
+	f.Duplicated = func() bool { return f.random.IntN(1000) < faults }
+	f.Delay = func() time.Duration {
+		if f.random.IntN(1000) < faults {
+			return time.Duration(f.random.Int64N(int64(4 * time.Second)))
+		}
+		return time.Duration(f.random.Int64N(int64(5 * time.Millisecond)))
+	}
+	for _, node := range f.Nodes {
+		node.Offset = time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "offset"))
+	}
+	f.generate()
+	return f
+}
+
+// generate sends the requests of the present load, for ever.
+func (f *fleet) generate() {
+	f.After(10*time.Millisecond, f.generate)
+	for range f.load.Count {
+		node := f.load.Node
+		if node < 0 {
+			node = f.random.IntN(fuzzNodes)
+		}
+		tokens := f.load.Largest * (0.05 + 0.95*f.random.Float64())
+		used := f.load.Used + (1-f.load.Used)*f.random.Float64()
+		wait := time.Duration(f.random.Float64() * float64(f.load.Wait))
+		run := time.Duration(f.random.Float64() * float64(f.load.Run))
+		f.request(node, "large", tokens, tokens*used, wait, run)
+		f.request(node, "small", tokens/100, tokens/100*used, wait, run)
+	}
+}
+
+func duration(t *rapid.T, name string, limit time.Duration) time.Duration {
+	return time.Duration(rapid.Int64Range(0, int64(limit)).Draw(t, name))
+}
+
+func (f *fleet) changeLoad(t *rapid.T) {
+	f.load = load{
+		Count:   rapid.SampledFrom([]int{0, 1, 1, 3}).Draw(t, "count"),
+		Largest: rapid.SampledFrom([]float64{20, 200, 1200}).Draw(t, "largest"),
+		Used:    rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "used"),
+		Wait:    rapid.SampledFrom([]time.Duration{0, 0, 3 * time.Second}).Draw(t, "wait"),
+		Run:     rapid.SampledFrom([]time.Duration{20 * time.Millisecond, time.Second, 10 * time.Second}).Draw(t, "run"),
+		Node:    rapid.IntRange(-1, fuzzNodes-1).Draw(t, "node"),
+	}
+}
+
+func (f *fleet) actions() map[string]func(*rapid.T) {
+	node := func(t *rapid.T) int { return rapid.IntRange(0, fuzzNodes-1).Draw(t, "node") }
+	advance := func(t *rapid.T) { f.Run(f.Now() + duration(t, "time", 4*time.Second)) }
+	return map[string]func(*rapid.T){
+		"load":          f.changeLoad,
+		"load again":    f.changeLoad,
+		"advance":       advance,
+		"advance again": advance,
+		"pause": func(t *rapid.T) {
+			f.Nodes[node(t)].PausedUntil = f.Now() + duration(t, "pause", 6*time.Second)
+		},
+		"pause owner": func(t *rapid.T) {
+			f.Nodes[f.OwnerIndex()].PausedUntil = f.Now() + duration(t, "pause", 6*time.Second)
+		},
+		"kill": func(t *rapid.T) {
+			index := node(t)
+			f.Kill(index)
+			f.Run(f.Now() + duration(t, "down", 4*time.Second))
+			f.Revive(index)
+		},
+		"hand over":  func(*rapid.T) { f.HandOver() },
+		"toggle API": func(*rapid.T) { f.APIDown = !f.APIDown },
+	}
+}
+
+// Guards against a workspace that gets more than rate x window + burst in any
+// window, whatever the network, the clocks and the nodes do (I7).
+func TestFleetStaysWithinRateAndBurst(t *testing.T) {
+	granted, refused := 0, 0
+	tester.Check(t, 6, func(t *rapid.T) {
+		f := newFleet(t)
+		f.Run(10 * time.Second)
+		t.Repeat(f.actions())
+		f.APIDown = false
+		f.load.Count = 0
+		f.Run(f.Now() + 20*time.Second)
+		f.check(t)
+		granted += f.granted
+		refused += f.refused
+	})
+	t.Logf("%d granted, %d refused", granted, refused)
+	if granted == 0 || refused == 0 {
+		t.Fatalf("%d requests granted and %d refused; want some of both", granted, refused)
+	}
+}
