--- a/internal/benchmarker/limits_fleet.go
+++ b/internal/benchmarker/limits_fleet.go
@@ -193,7 +193,7 @@
 	node := f.Nodes[index]
 	call := node.call(done)
 	f.deliver(node, func() {
-		deadline := f.clock(node).Add(patience)
+		deadline := f.Clock(node).Add(patience)
 		f.holder(node, limiter.ReserveAsked{Call: call, Workspace: workspace, Tokens: tokens, Deadline: deadline})
 	})
 }
@@ -203,7 +203,7 @@
 	node := f.Nodes[index]
 	call := node.call(done)
 	f.deliver(node, func() {
-		f.holder(node, limiter.ConfirmAsked{Call: call, ID: id, Deadline: f.clock(node).Add(patience)})
+		f.holder(node, limiter.ConfirmAsked{Call: call, ID: id, Deadline: f.Clock(node).Add(patience)})
 	})
 }
 
@@ -230,13 +230,14 @@
 	}
 }
 
-func (f *LimitsFleet) clock(node *LimitsNode) time.Time {
+// Clock returns the time on a node's clock.
+func (f *LimitsFleet) Clock(node *LimitsNode) time.Time {
 	return limitsStart.Add(f.now + node.Offset)
 }
 
 // holder steps a node's holder and carries out its effects.
 func (f *LimitsFleet) holder(node *LimitsNode, message limiter.HolderMessage) {
-	for _, effect := range node.Holder.Step(f.clock(node), message) {
+	for _, effect := range node.Holder.Step(f.Clock(node), message) {
 		switch effect := effect.(type) {
 		case limiter.Reserved:
 			node.answer(effect.Call, effect)
@@ -270,7 +271,7 @@
 	f.After(at-f.now, func() {
 		f.deliver(node, func() {
 			wake := node.Holder.Wake()
-			if !wake.IsZero() && !wake.After(f.clock(node)) {
+			if !wake.IsZero() && !wake.After(f.Clock(node)) {
 				f.holder(node, limiter.HolderTick{})
 				return
 			}
@@ -325,7 +326,7 @@
 
 // owner steps a node's owner and notes what it wants in the lease object.
 func (f *LimitsFleet) owner(node *LimitsNode, message limiter.OwnerMessage) []limiter.OwnerEffect {
-	effects := node.Owner.Step(f.clock(node), message)
+	effects := node.Owner.Step(f.Clock(node), message)
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case limiter.StoreLeaseData:
@@ -354,7 +355,7 @@
 	case !node.Dead && f.now >= node.PausedUntil:
 		f.lease.renewed = f.now
 		f.lease.data = f.lease.wanted
-		until := f.clock(node).Add(limitsLeaseValid)
+		until := f.Clock(node).Add(limitsLeaseValid)
 		f.owner(node, limiter.LeaseHeld{Epoch: f.lease.epoch, Until: until})
 		f.owner(node, limiter.LeaseDataStored{Epoch: f.lease.epoch, Revision: f.lease.data.Revision})
 	}
@@ -369,7 +370,7 @@
 		}
 		f.lease.holder, f.lease.run, f.lease.renewed = index, node, f.now
 		f.lease.epoch++
-		until := f.clock(node).Add(limitsLeaseValid)
+		until := f.Clock(node).Add(limitsLeaseValid)
 		f.owner(node, limiter.LeaseHeld{Epoch: f.lease.epoch, Until: until, Data: f.lease.data})
 		for _, other := range f.Nodes {
 			f.announce(other)
--- a/internal/limiter/fleet_test.go
+++ b/internal/limiter/fleet_test.go
@@ -71,6 +71,52 @@
 	})
 }
 
+// spendable is the number of tokens of a workspace that could be used at this
+// moment without any further refill. It must never be more than the burst: that
+// is what bounds the use in every window, and it shows a fault long before a
+// load happens to use it.
+func (f *fleet) spendable(workspace string) float64 {
+	sum := 0.0
+	for _, node := range f.Nodes {
+		if node.Dead {
+			continue
+		}
+		now := f.Clock(node)
+		if o := node.Owner; now.Before(o.Until) && !o.HandedOver {
+			sum += max(0, o.Ledgers[workspace].Level)
+		}
+		p := node.Holder.Pools[workspace]
+		usable := func(held *limiter.Held) bool { return !held.Closed && now.Before(held.Expires) }
+		if p.Standing != nil {
+			sum += max(0, p.Standing.Level)
+		}
+		for _, held := range p.Held {
+			if usable(held) {
+				sum += held.Free
+			}
+		}
+		for _, r := range node.Holder.Reservations {
+			for _, part := range r.Parts {
+				current := part.Held == nil && part.Standing == p.Standing || part.Held != nil && usable(part.Held)
+				if r.Workspace == workspace && !r.Confirmed && current {
+					sum += part.Tokens
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// watch checks the spendable tokens every few milliseconds.
+func (f *fleet) watch(t *rapid.T) {
+	f.After(7*time.Millisecond, func() { f.watch(t) })
+	for workspace, limit := range f.limits {
+		if sum := f.spendable(workspace); sum > limit.Burst+1e-3 {
+			t.Fatalf("%s: workspace %s can spend %.1f tokens; its burst is %.1f", f.Now(), workspace, sum, limit.Burst)
+		}
+	}
+}
+
 // check compares everything used so far with the bound. Requests that run
 // count with their whole reservation, so it is exact at the end only: a
 // reservation that was refunded may have been used again meanwhile.
@@ -124,6 +170,7 @@
 		node.Offset = time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "offset"))
 	}
 	f.generate()
+	f.watch(t)
 	return f
 }
 
