--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -260,9 +260,7 @@
 }
 
 func (h *Holder) refuse(now time.Time, p *Pool, w *Waiter) HolderEffect {
-	if w.Confirms {
-		h.end(now, p, w.Reservation, 0)
-	}
+	h.end(now, p, w.Reservation, 0)
 	return Refused{Call: w.Call, Reason: NoTokens, RetryAfter: p.retryAfter(w.Reservation.Tokens)}
 }
 
@@ -285,9 +283,13 @@
 	return h.refresh(now, p)
 }
 
-// end gives back what a reservation did not use.
+// end gives back what a reservation did not use, once.
 func (h *Holder) end(now time.Time, p *Pool, r *Reservation, used float64) {
+	if h.Reservations[r.ID] != r {
+		return
+	}
 	h.forget(r)
+	p.Waiting = slices.DeleteFunc(p.Waiting, func(w *Waiter) bool { return w.Reservation == r })
 	if !r.Confirmed {
 		p.release(r)
 		return
@@ -337,9 +339,7 @@
 				continue
 			}
 			p.Waiting = slices.Delete(p.Waiting, i, i+1)
-			if w.Confirms {
-				h.end(now, p, w.Reservation, 0)
-			}
+			h.end(now, p, w.Reservation, 0)
 			return h.refresh(now, p)
 		}
 	}
--- /dev/null
+++ b/internal/limiter/limits.go
@@ -0,0 +1,150 @@
+package limiter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// inbox bounds the messages that wait for a task: with several thousand
+// requests a second at a node, about a second's.
+const inbox = 4096
+
+// settleRetry is longer than a task needs for a full inbox.
+const settleRetry = 10 * time.Millisecond
+
+// Send carries an exchange to the owner at an address. It must end within the
+// exchange timeout.
+type Send func(ctx context.Context, address string, exchange Exchange) (Answer, error)
+
+// Limits reserves tokens for the requests of one node. It runs a Holder and
+// implements filter.Limits.
+type Limits struct {
+	task  *runner.Task[HolderMessage, HolderEffect]
+	clock clockwork.Clock
+	send  Send
+}
+
+var _ filter.Limits = (*Limits)(nil)
+
+// New returns the limits of a node, to be run as a task. The session of the
+// holder is the time at which it starts, so that a later run of the node has a
+// larger one.
+func New(node string, slotCount int, clock clockwork.Clock, send Send) *Limits {
+	l := &Limits{clock: clock, send: send}
+	l.task = runner.New(runner.Settings[HolderMessage, HolderEffect]{
+		Name:       "limits",
+		Clock:      clock,
+		Controller: NewHolder(node, uint64(clock.Now().UnixNano()), slotCount),
+		Tick:       HolderTick{},
+		Perform:    l.perform,
+		Inbox:      inbox,
+	})
+	return l
+}
+
+// Run implements runner.Runnable.
+func (l *Limits) Run(ctx context.Context) error { return l.task.Run(ctx) }
+
+// Post delivers OwnerChanged and WorkspacesChanged.
+func (l *Limits) Post(message HolderMessage) error { return l.task.Post(message) }
+
+func (l *Limits) perform(hands runner.Hands[HolderMessage], effect HolderEffect) {
+	switch effect := effect.(type) {
+	case Reserved:
+		hands.Answer(effect.Call, effect)
+	case Refused:
+		hands.Answer(effect.Call, effect)
+	case SendExchange:
+		hands.Start(func(ctx context.Context) HolderMessage {
+			answer, err := l.send(ctx, effect.Address, effect.Exchange)
+			if err != nil {
+				return ExchangeFailed{Sequence: effect.Exchange.Sequence}
+			}
+			return ExchangeReturned{Sequence: effect.Exchange.Sequence, Answer: answer}
+		})
+	}
+}
+
+// Reserve implements filter.Limits.
+func (l *Limits) Reserve(ctx context.Context, workspace string, tokens int, deadline time.Time) (filter.Reservation, error) {
+	id, err := l.ask(ctx, workspace, func(call runner.Call) HolderMessage {
+		return ReserveAsked{Call: call, Workspace: workspace, Tokens: float64(tokens), Deadline: deadline}
+	})
+	if err != nil {
+		return filter.Reservation{}, err
+	}
+	return filter.Reservation{ID: id, Workspace: workspace, Tokens: tokens}, nil
+}
+
+// Confirm implements filter.Limits.
+func (l *Limits) Confirm(ctx context.Context, reservation filter.Reservation, deadline time.Time) (filter.Reservation, error) {
+	_, err := l.ask(ctx, reservation.Workspace, func(call runner.Call) HolderMessage {
+		return ConfirmAsked{Call: call, ID: reservation.ID, Deadline: deadline}
+	})
+	if err != nil {
+		// The question may not have reached the holder.
+		l.Settle(reservation, 0)
+		return filter.Reservation{}, err
+	}
+	return reservation, nil
+}
+
+// Settle implements filter.Limits. When the inbox is full it tries again in
+// the background until the task takes the message or ends: a reservation that
+// nobody ends would stay for ever. The goroutines are bounded by the requests.
+func (l *Limits) Settle(reservation filter.Reservation, used int) {
+	if reservation.ID == 0 {
+		return
+	}
+	message := Settled{ID: reservation.ID, Used: float64(used)}
+	if err := l.task.Post(message); !errors.Is(err, runner.ErrFull) {
+		return
+	}
+	go func() {
+		for errors.Is(l.task.Post(message), runner.ErrFull) {
+			<-l.clock.After(settleRetry)
+		}
+	}()
+}
+
+// ask puts a question whose answer is Reserved or Refused.
+func (l *Limits) ask(ctx context.Context, workspace string, build func(runner.Call) HolderMessage) (uint64, error) {
+	cancel := func(call runner.Call) HolderMessage { return Cancelled{Call: call} }
+	effect, err := runner.Ask[HolderEffect](ctx, l.task, build, cancel)
+	if err != nil {
+		return 0, err
+	}
+	switch effect := effect.(type) {
+	case Reserved:
+		return effect.ID, nil
+	case Refused:
+		return 0, refusal(workspace, effect)
+	default:
+		panic(fmt.Sprintf("unknown answer %T", effect))
+	}
+}
+
+func refusal(workspace string, refused Refused) filter.Refusal {
+	r := filter.Refusal{Reason: filter.RateLimited, Run: filter.NotRun, RetryAfter: refused.RetryAfter}
+	switch refused.Reason {
+	case TooLarge:
+		r.Reason = filter.TooLarge
+		r.Detail = fmt.Sprintf("a request of workspace %q may take at most %d tokens here, prompt and answer together", workspace, int(refused.Largest))
+	case QueueFull:
+		r.Detail = fmt.Sprintf("too many requests of workspace %q wait for tokens", workspace)
+	case NoWorkspace:
+		r.Detail = fmt.Sprintf("the limits of workspace %q are not known here", workspace)
+	case NoReservation:
+		r.Detail = "the reservation has ended"
+	default:
+		r.Detail = fmt.Sprintf("workspace %q is above its rate and burst", workspace)
+	}
+	return r
+}
