--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -163,17 +163,20 @@
 
 // expire refuses the waiters whose time is over.
 func (h *Holder) expire(now time.Time, p *Pool) []HolderEffect {
-	var effects []HolderEffect
-	var kept []*Waiter
+	var kept, expired []*Waiter
 	for _, w := range p.Waiting {
 		if now.Before(w.Until) {
 			kept = append(kept, w)
-			continue
+		} else {
+			expired = append(expired, w)
 		}
-		effects = append(effects, h.refuse(now, p, w))
 	}
 	p.Waiting = kept
 	p.setTimeout()
+	var effects []HolderEffect
+	for _, w := range expired {
+		effects = append(effects, h.refuse(now, p, w))
+	}
 	return effects
 }
 
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -35,37 +35,48 @@
 	return &Owner{SlotCount: max(1, slotCount), Ledgers: map[string]*Ledger{}, Peers: map[string]*Peer{}}
 }
 
-// Wake implements runner.Controller. Everything that time changes is brought
-// up to date when an exchange needs it.
-func (o *Owner) Wake() time.Time { return time.Time{} }
+// Wake implements runner.Controller. Only the table of standing shares needs
+// ticks; buckets are brought up to date when an exchange needs them.
+func (o *Owner) Wake() time.Time { return o.Slots.RetryAt }
 
 // Step implements runner.Controller.
 func (o *Owner) Step(now time.Time, message OwnerMessage) []OwnerEffect {
 	switch message := message.(type) {
 	case LeaseHeld:
-		return o.held(now, message)
+		o.held(now, message)
 	case LeaseLost:
 		o.Until = time.Time{}
-	case LeaseDataStored:
+	case TableRead:
+		o.tableRead(now, message)
+	case TableWritten:
 		if message.Epoch == o.Epoch {
-			o.Slots.stored(message.Revision)
+			o.Slots.written(message)
+		}
+	case TableFailed:
+		if message.Epoch == o.Epoch {
+			o.Slots.failed(now)
 		}
 	case WorkspacesChanged:
 		o.configure(now, message.Limits)
 	case InstancesListed:
-		return o.listed(now, message.Names)
+		o.listed(now, message.Names)
 	case ExchangeReceived:
-		return o.answer(now, message)
+		return o.store(now, ExchangeAnswered{Call: message.Call, Answer: o.exchange(now, message.Exchange)})
 	case HandOverAsked:
 		return []OwnerEffect{HandedOver{Call: message.Call, Data: o.handOver(now)}}
+	case OwnerTick:
+		o.Slots.RetryAt = time.Time{}
 	}
-	return nil
+	return o.store(now)
 }
 
-// answer answers an exchange, with a refusal if it has no effect.
-func (o *Owner) answer(now time.Time, message ExchangeReceived) []OwnerEffect {
-	answer, effects := o.exchange(now, message.Exchange)
-	return append(effects, ExchangeAnswered{Call: message.Call, Answer: answer})
+// store adds what the table of standing shares needs to the effects.
+func (o *Owner) store(now time.Time, effects ...OwnerEffect) []OwnerEffect {
+	if !o.owns(now) {
+		o.Slots.RetryAt = time.Time{}
+		return effects
+	}
+	return append(effects, o.Slots.next(o.Epoch)...)
 }
 
 // owns says whether this node may grant tokens.
@@ -74,30 +85,44 @@
 }
 
 // held takes a lease or notes its renewal.
-func (o *Owner) held(now time.Time, message LeaseHeld) []OwnerEffect {
+func (o *Owner) held(now time.Time, message LeaseHeld) {
 	if message.Epoch < o.Epoch {
-		return nil
+		return
 	}
 	if message.Epoch == o.Epoch {
 		o.Until = message.Until
-		return nil
+		return
 	}
 	o.Epoch, o.Since, o.Until, o.HandedOver, o.Stamp = message.Epoch, now, message.Until, false, 0
 	o.Peers = map[string]*Peer{}
-	o.Slots = newSlotTable(now, o.SlotCount, message.Data.Slots, o.Slots)
 	o.Ledgers = map[string]*Ledger{}
-	for _, limit := range o.Limits {
-		rate, burst := o.part(limit)
-		o.Ledgers[limit.Workspace] = newLedger(0, rate, burst)
+	o.Slots = newSlotTable(o.SlotCount, o.Slots)
+	handedOver := message.Data.Epoch > 0 && message.Data.Epoch+1 == message.Epoch
+	if handedOver {
+		o.Slots.load(now, message.Data.Nodes)
+	}
+	o.configure(now, o.Limits)
+	if !handedOver {
+		return
 	}
-	if message.Data.HandedOver && message.Data.Epoch+1 == message.Epoch {
-		for _, balance := range message.Data.Balances {
-			if ledger := o.Ledgers[balance.Workspace]; ledger != nil {
-				ledger.takeOver(balance)
-			}
+	for _, balance := range message.Data.Balances {
+		if ledger := o.Ledgers[balance.Workspace]; ledger != nil {
+			ledger.takeOver(balance)
 		}
 	}
-	return []OwnerEffect{o.store()}
+}
+
+// tableRead learns the stored table. Only the first reading of an epoch counts:
+// what an earlier owner wrote later was never announced.
+func (o *Owner) tableRead(now time.Time, message TableRead) {
+	if message.Epoch != o.Epoch {
+		return
+	}
+	o.Slots.read(message.Version)
+	if !o.Slots.Loaded {
+		o.Slots.load(now, message.Nodes)
+		o.configure(now, o.Limits)
+	}
 }
 
 // part returns the owner's own rate and burst of a workspace: all but the
@@ -128,13 +153,12 @@
 }
 
 // handOver ends the owner's part of this epoch.
-func (o *Owner) handOver(now time.Time) LeaseData {
-	data := LeaseData{Epoch: o.Epoch, Revision: o.Slots.Revision, Slots: o.Slots.names()}
-	if !o.owns(now) {
-		return data
+func (o *Owner) handOver(now time.Time) Handover {
+	if !o.owns(now) || !o.Slots.Loaded {
+		return Handover{}
 	}
 	o.HandedOver = true
-	data.HandedOver = true
+	data := Handover{Epoch: o.Epoch, Nodes: o.Slots.stored()}
 	for _, limit := range o.Limits {
 		ledger := o.Ledgers[limit.Workspace]
 		ledger.advance(now.Sub(o.Since))
@@ -146,7 +170,3 @@
 	}
 	return data
 }
-
-func (o *Owner) store() OwnerEffect {
-	return StoreLeaseData{Data: LeaseData{Epoch: o.Epoch, Revision: o.Slots.Revision, Slots: o.Slots.names()}}
-}
--- a/internal/limiter/owner_exchange.go
+++ b/internal/limiter/owner_exchange.go
@@ -19,12 +19,12 @@
 
 // exchange answers a holder. An exchange that is repeated, late or meant for
 // another epoch has no effect.
-func (o *Owner) exchange(now time.Time, exchange Exchange) (Answer, []OwnerEffect) {
+func (o *Owner) exchange(now time.Time, exchange Exchange) Answer {
 	peer := o.peer(now, exchange)
 	if peer == nil {
-		return Answer{Refused: true, Epoch: o.Epoch}, nil
+		return Answer{Refused: true, Epoch: o.Epoch}
 	}
-	effects := o.reslot(now, exchange.Holder)
+	o.reslot(now, exchange.Holder)
 	o.Stamp = max(o.Stamp+1, now.Sub(o.Since))
 	o.takeBack(exchange, peer)
 	for _, account := range exchange.Accounts {
@@ -40,7 +40,7 @@
 		}
 	}
 	answer.Short = o.short(now)
-	return answer, effects
+	return answer
 }
 
 // peer returns the record of an exchange's holder, or nil if the exchange must
@@ -61,14 +61,12 @@
 }
 
 // reslot frees and assigns standing shares.
-func (o *Owner) reslot(now time.Time, holder string) []OwnerEffect {
+func (o *Owner) reslot(now time.Time, holder string) {
 	freed := o.Slots.free(now)
 	assigned := holder != "" && o.Slots.assign(now, holder)
-	if !freed && !assigned {
-		return nil
+	if freed || assigned {
+		o.configure(now, o.Limits)
 	}
-	o.configure(now, o.Limits)
-	return []OwnerEffect{o.store()}
 }
 
 // takeBack returns the grants of an answer that the holder did not use. As a
@@ -131,15 +129,14 @@
 }
 
 // listed notes which instances exist and forgets holders that are gone.
-func (o *Owner) listed(now time.Time, names []string) []OwnerEffect {
+func (o *Owner) listed(now time.Time, names []string) {
 	o.Slots.listed(now, names)
 	for name, peer := range o.Peers {
 		if !slices.Contains(names, name) && now.Sub(peer.Seen) > peerMemory {
 			delete(o.Peers, name)
 		}
 	}
-	if !o.owns(now) {
-		return nil
+	if o.owns(now) {
+		o.reslot(now, "")
 	}
-	return o.reslot(now, "")
 }
