Keep the table of standing shares in the lease again

The leaser stores data of its holder in the lease object, so that a separate object would only add calls and a race between two owners.

--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -35,48 +35,37 @@
 	return &Owner{SlotCount: max(1, slotCount), Ledgers: map[string]*Ledger{}, Peers: map[string]*Peer{}}
 }
 
-// Wake implements runner.Controller. Only the table of standing shares needs
-// ticks; buckets are brought up to date when an exchange needs them.
-func (o *Owner) Wake() time.Time { return o.Slots.RetryAt }
+// Wake implements runner.Controller. Everything that time changes is brought
+// up to date when an exchange needs it.
+func (o *Owner) Wake() time.Time { return time.Time{} }
 
 // Step implements runner.Controller.
 func (o *Owner) Step(now time.Time, message OwnerMessage) []OwnerEffect {
 	switch message := message.(type) {
 	case LeaseHeld:
-		o.held(now, message)
+		return o.held(now, message)
 	case LeaseLost:
 		o.Until = time.Time{}
-	case TableRead:
-		o.tableRead(now, message)
-	case TableWritten:
+	case LeaseDataStored:
 		if message.Epoch == o.Epoch {
-			o.Slots.written(message)
-		}
-	case TableFailed:
-		if message.Epoch == o.Epoch {
-			o.Slots.failed(now)
+			o.Slots.stored(message.Revision)
 		}
 	case WorkspacesChanged:
 		o.configure(now, message.Limits)
 	case InstancesListed:
-		o.listed(now, message.Names)
+		return o.listed(now, message.Names)
 	case ExchangeReceived:
-		return o.store(now, ExchangeAnswered{Call: message.Call, Answer: o.exchange(now, message.Exchange)})
+		return o.answer(now, message)
 	case HandOverAsked:
 		return []OwnerEffect{HandedOver{Call: message.Call, Data: o.handOver(now)}}
-	case OwnerTick:
-		o.Slots.RetryAt = time.Time{}
 	}
-	return o.store(now)
+	return nil
 }
 
-// store adds what the table of standing shares needs to the effects.
-func (o *Owner) store(now time.Time, effects ...OwnerEffect) []OwnerEffect {
-	if !o.owns(now) {
-		o.Slots.RetryAt = time.Time{}
-		return effects
-	}
-	return append(effects, o.Slots.next(o.Epoch)...)
+// answer answers an exchange, with a refusal if it has no effect.
+func (o *Owner) answer(now time.Time, message ExchangeReceived) []OwnerEffect {
+	answer, effects := o.exchange(now, message.Exchange)
+	return append(effects, ExchangeAnswered{Call: message.Call, Answer: answer})
 }
 
 // owns says whether this node may grant tokens.
@@ -85,44 +74,30 @@
 }
 
 // held takes a lease or notes its renewal.
-func (o *Owner) held(now time.Time, message LeaseHeld) {
+func (o *Owner) held(now time.Time, message LeaseHeld) []OwnerEffect {
 	if message.Epoch < o.Epoch {
-		return
+		return nil
 	}
 	if message.Epoch == o.Epoch {
 		o.Until = message.Until
-		return
+		return nil
 	}
 	o.Epoch, o.Since, o.Until, o.HandedOver, o.Stamp = message.Epoch, now, message.Until, false, 0
 	o.Peers = map[string]*Peer{}
+	o.Slots = newSlotTable(now, o.SlotCount, message.Data.Slots, o.Slots)
 	o.Ledgers = map[string]*Ledger{}
-	o.Slots = newSlotTable(o.SlotCount, o.Slots)
-	handedOver := message.Data.Epoch > 0 && message.Data.Epoch+1 == message.Epoch
-	if handedOver {
-		o.Slots.load(now, message.Data.Nodes)
-	}
-	o.configure(now, o.Limits)
-	if !handedOver {
-		return
+	for _, limit := range o.Limits {
+		rate, burst := o.part(limit)
+		o.Ledgers[limit.Workspace] = newLedger(0, rate, burst)
 	}
-	for _, balance := range message.Data.Balances {
-		if ledger := o.Ledgers[balance.Workspace]; ledger != nil {
-			ledger.takeOver(balance)
+	if message.Data.HandedOver && message.Data.Epoch+1 == message.Epoch {
+		for _, balance := range message.Data.Balances {
+			if ledger := o.Ledgers[balance.Workspace]; ledger != nil {
+				ledger.takeOver(balance)
+			}
 		}
 	}
-}
-
-// tableRead learns the stored table. Only the first reading of an epoch counts:
-// what an earlier owner wrote later was never announced.
-func (o *Owner) tableRead(now time.Time, message TableRead) {
-	if message.Epoch != o.Epoch {
-		return
-	}
-	o.Slots.read(message.Version)
-	if !o.Slots.Loaded {
-		o.Slots.load(now, message.Nodes)
-		o.configure(now, o.Limits)
-	}
+	return []OwnerEffect{o.store()}
 }
 
 // part returns the owner's own rate and burst of a workspace: all but the
@@ -153,12 +128,13 @@
 }
 
 // handOver ends the owner's part of this epoch.
-func (o *Owner) handOver(now time.Time) Handover {
-	if !o.owns(now) || !o.Slots.Loaded {
-		return Handover{}
+func (o *Owner) handOver(now time.Time) LeaseData {
+	data := LeaseData{Epoch: o.Epoch, Revision: o.Slots.Revision, Slots: o.Slots.names()}
+	if !o.owns(now) {
+		return data
 	}
 	o.HandedOver = true
-	data := Handover{Epoch: o.Epoch, Nodes: o.Slots.stored()}
+	data.HandedOver = true
 	for _, limit := range o.Limits {
 		ledger := o.Ledgers[limit.Workspace]
 		ledger.advance(now.Sub(o.Since))
@@ -170,3 +146,7 @@
 	}
 	return data
 }
+
+func (o *Owner) store() OwnerEffect {
+	return StoreLeaseData{Data: LeaseData{Epoch: o.Epoch, Revision: o.Slots.Revision, Slots: o.Slots.names()}}
+}
--- a/internal/limiter/owner_exchange.go
+++ b/internal/limiter/owner_exchange.go
@@ -19,12 +19,12 @@
 
 // exchange answers a holder. An exchange that is repeated, late or meant for
 // another epoch has no effect.
-func (o *Owner) exchange(now time.Time, exchange Exchange) Answer {
+func (o *Owner) exchange(now time.Time, exchange Exchange) (Answer, []OwnerEffect) {
 	peer := o.peer(now, exchange)
 	if peer == nil {
-		return Answer{Refused: true, Epoch: o.Epoch}
+		return Answer{Refused: true, Epoch: o.Epoch}, nil
 	}
-	o.reslot(now, exchange.Holder)
+	effects := o.reslot(now, exchange.Holder)
 	o.Stamp = max(o.Stamp+1, now.Sub(o.Since))
 	o.takeBack(exchange, peer)
 	for _, account := range exchange.Accounts {
@@ -40,7 +40,7 @@
 		}
 	}
 	answer.Short = o.short(now)
-	return answer
+	return answer, effects
 }
 
 // peer returns the record of an exchange's holder, or nil if the exchange must
@@ -61,12 +61,14 @@
 }
 
 // reslot frees and assigns standing shares.
-func (o *Owner) reslot(now time.Time, holder string) {
+func (o *Owner) reslot(now time.Time, holder string) []OwnerEffect {
 	freed := o.Slots.free(now)
 	assigned := holder != "" && o.Slots.assign(now, holder)
-	if freed || assigned {
-		o.configure(now, o.Limits)
+	if !freed && !assigned {
+		return nil
 	}
+	o.configure(now, o.Limits)
+	return []OwnerEffect{o.store()}
 }
 
 // takeBack returns the grants of an answer that the holder did not use. As a
@@ -129,14 +131,15 @@
 }
 
 // listed notes which instances exist and forgets holders that are gone.
-func (o *Owner) listed(now time.Time, names []string) {
+func (o *Owner) listed(now time.Time, names []string) []OwnerEffect {
 	o.Slots.listed(now, names)
 	for name, peer := range o.Peers {
 		if !slices.Contains(names, name) && now.Sub(peer.Seen) > peerMemory {
 			delete(o.Peers, name)
 		}
 	}
-	if o.owns(now) {
-		o.reslot(now, "")
+	if !o.owns(now) {
+		return nil
 	}
+	return o.reslot(now, "")
 }
--- a/internal/limiter/owner_messages.go
+++ b/internal/limiter/owner_messages.go
@@ -14,32 +14,20 @@
 type LeaseHeld struct {
 	Epoch uint64
 	Until time.Time
-	// Data is what the previous owner left, with Epoch 0 if it left nothing.
-	Data Handover
+	// Data is what the lease object held when this node took the lease.
+	Data LeaseData
 }
 
 // LeaseLost says that this node does not hold the lease.
 type LeaseLost struct{}
 
-// TableRead gives the stored table of standing shares, as read in an epoch.
-type TableRead struct {
-	Epoch uint64
-	// Version is that of the object, 0 if it does not exist.
-	Version uint64
-	Nodes   []string
-}
-
-// TableWritten says that a revision of the table is stored.
-type TableWritten struct {
+// LeaseDataStored says that the lease object holds at least this revision of
+// the data that StoreLeaseData gave.
+type LeaseDataStored struct {
 	Epoch    uint64
 	Revision uint64
-	Version  uint64
 }
 
-// TableFailed says that reading or writing the table failed. It may have been
-// written all the same.
-type TableFailed struct{ Epoch uint64 }
-
 // WorkspacesChanged gives the limits of all workspaces.
 type WorkspacesChanged struct{ Limits []Limit }
 
@@ -62,9 +50,7 @@
 
 func (LeaseHeld) isOwnerMessage()         {}
 func (LeaseLost) isOwnerMessage()         {}
-func (TableRead) isOwnerMessage()         {}
-func (TableWritten) isOwnerMessage()      {}
-func (TableFailed) isOwnerMessage()       {}
+func (LeaseDataStored) isOwnerMessage()   {}
 func (WorkspacesChanged) isOwnerMessage() {}
 func (InstancesListed) isOwnerMessage()   {}
 func (ExchangeReceived) isOwnerMessage()  {}
@@ -80,36 +66,31 @@
 	Answer Answer
 }
 
-// ReadTable asks for the stored table of standing shares.
-type ReadTable struct{ Epoch uint64 }
-
-// WriteTable asks for the table to be stored if the object has a version.
-type WriteTable struct {
-	Epoch     uint64
-	Revision  uint64
-	IfVersion uint64
-	Nodes     []string
-}
+// StoreLeaseData asks for data to be written into the lease object.
+type StoreLeaseData struct{ Data LeaseData }
 
 // HandedOver answers HandOverAsked.
 type HandedOver struct {
 	Call runner.Call
-	Data Handover
+	Data LeaseData
 }
 
 func (ExchangeAnswered) isOwnerEffect() {}
-func (ReadTable) isOwnerEffect()        {}
-func (WriteTable) isOwnerEffect()       {}
+func (StoreLeaseData) isOwnerEffect()   {}
 func (HandedOver) isOwnerEffect()       {}
 
-// Handover is what an owner leaves for the next one.
-type Handover struct {
-	// Epoch is that of the owner that left it, 0 if there is none.
+// LeaseData is what the lease object holds for the limits.
+type LeaseData struct {
+	// Epoch is that of the owner that wrote the data.
 	Epoch uint64
-	// Nodes are the nodes with standing shares, by slot; an empty name means
-	// that the owner keeps the share.
-	Nodes    []string
-	Balances []Balance
+	// Revision grows with every change within an epoch.
+	Revision uint64
+	// Slots are the names of the nodes that have standing shares, by slot;
+	// an empty name means that the owner keeps the share.
+	Slots []string
+	// HandedOver says that Balances are final.
+	HandedOver bool
+	Balances   []Balance
 }
 
 // Balance is the state of one bucket when it was handed over.
