--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,6 @@
-// Command standin runs an emulated stand-in of an outside system: a model
-// engine or a plain service. Its faults are set while it runs by PUT /faults.
+// Command standin runs an emulated stand-in of an outside system: the
+// platform, a model engine or a plain service, whose faults are set while they
+// run, or a caller.
 package main
 
 import (
@@ -14,8 +15,12 @@
 )
 
 type arguments struct {
-	Engine  *engineArguments  `arg:"subcommand:engine" help:"run a model engine"`
-	Service *serviceArguments `arg:"subcommand:service" help:"run a plain service"`
+	Platform *platformArguments `arg:"subcommand:platform" help:"run the platform: object API, instance list, weight store"`
+	Engine   *engineArguments   `arg:"subcommand:engine" help:"run a model engine"`
+	Service  *serviceArguments  `arg:"subcommand:service" help:"run a plain service"`
+	Register *registerArguments `arg:"subcommand:register" help:"put an entry instance into the platform's list"`
+	Faults   *faultsArguments   `arg:"subcommand:faults" help:"set the faults of a running stand-in"`
+	Caller   *callerArguments   `arg:"subcommand:caller" help:"send requests as a caller and print the answers"`
 }
 
 func main() {
@@ -24,12 +29,20 @@
 	logrus.SetFormatter(&logrus.JSONFormatter{})
 	var serve func(context.Context) error
 	switch {
+	case arguments.Platform != nil:
+		serve = arguments.Platform.run
 	case arguments.Engine != nil:
 		serve = arguments.Engine.run
 	case arguments.Service != nil:
 		serve = arguments.Service.run
+	case arguments.Register != nil:
+		serve = arguments.Register.run
+	case arguments.Faults != nil:
+		serve = arguments.Faults.run
+	case arguments.Caller != nil:
+		serve = arguments.Caller.run
 	default:
-		parser.Fail("name a subcommand: engine or service")
+		parser.Fail("name a subcommand")
 	}
 	if err := runUntilSignal(serve); err != nil {
 		logrus.WithError(err).Error("stand-in ended")
--- a/internal/commander/state.go
+++ b/internal/commander/state.go
@@ -160,10 +160,13 @@
 			fmt.Fprintf(env.errors, "%6s  %s\n", env.clock.Since(started).Round(time.Millisecond), progress)
 			reported = progress
 		}
-		if len(behind) == 0 {
+		if len(behind) == 0 && len(all) > 0 {
 			return nil
 		}
 		if !pause(ctx, env.clock, followEvery) {
+			if len(all) == 0 {
+				behind = []string{"the platform lists no live node"}
+			}
 			return merry.Wrap(ErrNotInForce, merry.AppendMessage(strings.Join(behind, "; ")))
 		}
 	}
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -43,6 +43,11 @@
 	// Recent holds consecutive changes up to the version in force, for peers.
 	Recent   []releaser.Change
 	Contacts Contacts
+	// Established says that this node has had everything that the object API
+	// or a majority of the other data centres had, and has been current
+	// since. Only then a relay is evidence for its data centre: one that has
+	// just started does not know what its predecessor knew.
+	Established bool
 	// ObjectVersion is the platform's version of the newest head read.
 	ObjectVersion uint64
 	// Watching says that a watch or a read of a base is under way.
@@ -53,21 +58,18 @@
 	// PullAt is when the next pull starts; Pulls counts them.
 	PullAt time.Time
 	Pulls  int
-	// Suspects holds peers that did not answer, with the end of suspicion.
-	Suspects map[string]time.Time
+	// Suspects holds peers that did not answer, by name.
+	Suspects map[string]Suspicion
 	Random   *rand.Rand
 }
 
-// suspicion is how long a silent peer is not asked again.
-const suspicion = 5 * time.Second
-
 // New returns a configurer with nothing in force. The seed decides which peers
 // it asks.
 func New(dataCentre string, seed uint64) *Configurer {
 	return &Configurer{
 		DataCentre: Source(dataCentre),
 		InForce:    releaser.Empty(),
-		Suspects:   map[string]time.Time{},
+		Suspects:   map[string]Suspicion{},
 		Random:     rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -102,9 +104,9 @@
 	case PullAsked:
 		effects = c.answer(now, message)
 	case PullAnswered:
-		effects = c.pulled(message)
+		effects = c.pulled(now, message)
 	case PullFailed:
-		c.Suspects[message.Peer] = now.Add(suspicion)
+		c.suspect(now, message.Peer)
 	case Tick:
 	}
 	effects = append(effects, c.watch(now)...)
@@ -183,7 +185,11 @@
 		}
 	}
 	c.Watching = true
-	return []Effect{WatchHead{After: c.ObjectVersion}}
+	if !c.Contacts.fresh(API, now) {
+		// A node that is not current must not wait to become so.
+		return []Effect{WatchHead{After: c.ObjectVersion}}
+	}
+	return []Effect{WatchHead{After: c.ObjectVersion, Wait: WatchWait}}
 }
 
 // replay returns the configuration after changes, or nil if they do not lead
--- a/internal/configurer/contacts.go
+++ b/internal/configurer/contacts.go
@@ -69,3 +69,10 @@
 	}
 	return merged
 }
+
+// without returns the contacts without a source.
+func (c Contacts) without(source Source) Contacts {
+	rest := Contacts{At: maps.Clone(c.At), DataCentres: c.DataCentres}
+	delete(rest.At, source)
+	return rest
+}
--- a/internal/configurer/message.go
+++ b/internal/configurer/message.go
@@ -81,6 +81,7 @@
 
 // PullAnswered brings a peer's answer. Started is when the pull began.
 type PullAnswered struct {
+	Peer    string
 	Started time.Time
 	Answer  Answer
 }
@@ -106,8 +107,12 @@
 // Effect is what a Configurer wants done.
 type Effect interface{ isEffect() }
 
-// WatchHead waits for an object version of the head above After.
-type WatchHead struct{ After uint64 }
+// WatchHead waits for an object version of the head above After. Wait is 0 for
+// a read that answers at once.
+type WatchHead struct {
+	After uint64
+	Wait  time.Duration
+}
 
 // ReadBase reads the parts of a head's base configuration.
 type ReadBase struct{ Head HeadRead }
--- a/internal/configurer/pull.go
+++ b/internal/configurer/pull.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"slices"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/spreader"
@@ -35,38 +36,80 @@
 	if c.Relay && (!random || len(c.Local) == 0) {
 		first, second = second, first
 	}
-	if peer, ok := c.randomPeer(now, first); ok {
+	if peer, ok := c.stalest(now, first); ok {
 		return peer, true
 	}
-	return c.randomPeer(now, second)
+	if peer, ok := c.stalest(now, second); ok {
+		return peer, true
+	}
+	return c.leastSuspected(slices.Concat(first, second))
 }
 
-func (c *Configurer) randomPeer(now time.Time, peers []spreader.Peer) (spreader.Peer, bool) {
-	var candidates []spreader.Peer
-	for _, peer := range peers {
-		if !c.suspected(now, peer) {
-			candidates = append(candidates, peer)
+// stalestOf is the number of random peers of which the one is asked whose data
+// centre has not been heard of for longest. With few data centres this reaches
+// each of them in turn; with many it stays random, which spreads news fast.
+const stalestOf = 3
+
+func (c *Configurer) stalest(now time.Time, peers []spreader.Peer) (spreader.Peer, bool) {
+	candidates := slices.DeleteFunc(slices.Clone(peers), func(peer spreader.Peer) bool {
+		return c.suspected(now, peer)
+	})
+	if len(candidates) == 0 {
+		return spreader.Peer{}, false
+	}
+	chosen := candidates[c.Random.IntN(len(candidates))]
+	for range stalestOf - 1 {
+		other := candidates[c.Random.IntN(len(candidates))]
+		if c.heard(other).Before(c.heard(chosen)) {
+			chosen = other
 		}
 	}
-	if len(candidates) == 0 {
+	return chosen, true
+}
+
+func (c *Configurer) heard(peer spreader.Peer) time.Time {
+	return c.Contacts.At[Source(peer.DataCentre)]
+}
+
+// leastSuspected returns the peer whose suspicion ends first, so that a node
+// that was cut off notices at once when it no longer is.
+func (c *Configurer) leastSuspected(peers []spreader.Peer) (spreader.Peer, bool) {
+	if len(peers) == 0 {
 		return spreader.Peer{}, false
 	}
-	return candidates[c.Random.IntN(len(candidates))], true
+	return slices.MinFunc(peers, func(a, b spreader.Peer) int {
+		return c.Suspects[a.Name].Until.Compare(c.Suspects[b.Name].Until)
+	}), true
 }
 
 func (c *Configurer) suspected(now time.Time, peer spreader.Peer) bool {
-	until, ok := c.Suspects[peer.Name]
-	if ok && !now.Before(until) {
-		delete(c.Suspects, peer.Name)
-		return false
-	}
-	return ok
+	return now.Before(c.Suspects[peer.Name].Until)
 }
 
+// suspect keeps a silent peer from being asked again, for longer each time.
+func (c *Configurer) suspect(now time.Time, peer string) {
+	suspicion := c.Suspects[peer]
+	suspicion.Length = min(max(2*suspicion.Length, minSuspicion), maxSuspicion)
+	suspicion.Until = now.Add(suspicion.Length)
+	c.Suspects[peer] = suspicion
+}
+
+// Suspicion is the evidence against a peer.
+type Suspicion struct {
+	Until  time.Time
+	Length time.Duration
+}
+
+// minSuspicion and maxSuspicion bound how long a silent peer is not asked.
+const (
+	minSuspicion = 2 * time.Second
+	maxSuspicion = 40 * time.Second
+)
+
 // answer tells a peer what it lacks and how old this node's contacts are.
 func (c *Configurer) answer(now time.Time, message PullAsked) []Effect {
 	var effects []Effect
-	if c.Relay {
+	if c.Relay && c.establish(now) {
 		c.Contacts = c.Contacts.merge(now, map[Source]time.Duration{c.DataCentre: 0})
 		effects = append(effects, PublishContacts{c.Contacts})
 	}
@@ -90,7 +133,8 @@
 
 // pulled adopts a peer's answer. The peer's contacts count only if everything
 // that the peer had in force is in force here.
-func (c *Configurer) pulled(message PullAnswered) []Effect {
+func (c *Configurer) pulled(now time.Time, message PullAnswered) []Effect {
+	delete(c.Suspects, message.Peer)
 	answer := message.Answer
 	configuration := answer.Configuration
 	if configuration == nil {
@@ -104,10 +148,21 @@
 	for source, age := range answer.Ages {
 		ages[source] = age
 	}
-	if c.Relay {
+	c.Contacts = c.Contacts.merge(message.Started, ages)
+	if c.Relay && c.establish(now) {
 		// The exchange is this relay's own evidence of its data centre.
-		ages[c.DataCentre] = 0
+		c.Contacts = c.Contacts.merge(message.Started, map[Source]time.Duration{c.DataCentre: 0})
 	}
-	c.Contacts = c.Contacts.merge(message.Started, ages)
 	return append(effects, PublishContacts{c.Contacts})
 }
+
+// establish updates and returns Established.
+func (c *Configurer) establish(now time.Time) bool {
+	if c.Established {
+		c.Established = c.Contacts.Current(now)
+	}
+	if !c.Established {
+		c.Established = c.Contacts.without(c.DataCentre).Current(now)
+	}
+	return c.Established
+}
--- a/internal/configurer/task.go
+++ b/internal/configurer/task.go
@@ -59,7 +59,7 @@
 	switch effect := effect.(type) {
 	case WatchHead:
 		started := s.Clock.Now()
-		hands.Start(func(ctx context.Context) Message { return s.watchHead(ctx, started, effect.After) })
+		hands.Start(func(ctx context.Context) Message { return s.watchHead(ctx, started, effect) })
 	case ReadBase:
 		hands.Start(func(ctx context.Context) Message { return s.readBase(ctx, effect.Head) })
 	case Pull:
@@ -77,8 +77,8 @@
 	}
 }
 
-func (s TaskSettings) watchHead(ctx context.Context, started time.Time, after uint64) Message {
-	object, err := s.Store.Watch(ctx, Head, after, WatchWait)
+func (s TaskSettings) watchHead(ctx context.Context, started time.Time, effect WatchHead) Message {
+	object, err := s.Store.Watch(ctx, Head, effect.After, effect.Wait)
 	switch {
 	case errors.Is(err, storer.ErrUnchanged):
 		return HeadUnchanged{Started: started}
@@ -127,7 +127,7 @@
 	if err != nil {
 		return PullFailed{Peer: effect.Peer.Name}
 	}
-	return PullAnswered{Started: started, Answer: answer}
+	return PullAnswered{Peer: effect.Peer.Name, Started: started, Answer: answer}
 }
 
 // Ask answers a peer's pull.
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -340,7 +341,7 @@
 	case err == nil:
 		d.answered(attempt.Slot.Endpoint, true)
 	case ctx.Err() != nil:
-	case merry.As(err, &failure) && (failure.Gone || failure.Refused):
+	case errors.As(err, &failure) && (failure.Gone || failure.Refused):
 	default:
 		d.answered(attempt.Slot.Endpoint, false)
 	}
--- a/internal/supervisor/run.go
+++ b/internal/supervisor/run.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// loadEvery is how often a node tells the others of its load.
+	// loadEvery is how often a node tells the others of its load, and
+	// loadCheck how soon it tells them that it became current, has a new
+	// version or leaves.
 	loadEvery = 2 * time.Second
+	loadCheck = 200 * time.Millisecond
 	// drainMargin is added to the lifetime of address answers before a
 	// leaving node stops taking connections: answers travel for a while.
 	drainMargin = time.Second
@@ -89,14 +92,21 @@
 }
 
 func (n *Node) publishLoads(ctx context.Context) error {
-	ticker := n.clock.NewTicker(loadEvery)
+	ticker := n.clock.NewTicker(loadCheck)
 	defer ticker.Stop()
+	var said tracker.NodeLoad
+	var saidAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.Chan():
+		}
+		load := n.nodeLoad()
+		changed := load.Current != said.Current || load.Version != said.Version || load.Draining != said.Draining
+		if changed || n.clock.Since(saidAt) >= loadEvery {
 			n.publishLoad()
+			said, saidAt = load, n.clock.Now()
 		}
 	}
 }
--- a/internal/tester/seeds.go
+++ b/internal/tester/seeds.go
@@ -8,12 +8,23 @@
 	"pgregory.net/rapid"
 )
 
+// defaultChecks is rapid's own default.
+const defaultChecks = 100
+
 // Check runs a rapid property once for each of the seeds 1 to count, so that
 // every run of the tests tries the same cases. Each seed runs rapid's default
 // number of checks.
 func Check(t *testing.T, count int, property func(*rapid.T)) {
+	t.Helper()
+	CheckSome(t, count, defaultChecks, property)
+}
+
+// CheckSome is Check with a number of checks for each seed, for properties
+// that take long.
+func CheckSome(t *testing.T, count, checks int, property func(*rapid.T)) {
 	t.Helper()
 	set(t, "rapid.nofailfile", "true")
+	set(t, "rapid.checks", fmt.Sprint(checks))
 	for seed := 1; seed <= count; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			set(t, "rapid.seed", fmt.Sprint(seed))
