Join the token limits and keep their slots in the lease

A lease now holds data that its holder stores with a renewal, and a new holder takes it over. Cause: the table of standing shares must change together with the epoch, which a separate object cannot give.

--- a/internal/emulator/endpoint_server.go
+++ b/internal/emulator/endpoint_server.go
@@ -82,4 +82,3 @@
 	_ = s.server.Close()
 	<-s.ended
 }
-
--- a/internal/leaser/controller.go
+++ b/internal/leaser/controller.go
@@ -45,6 +45,8 @@
 		c.setNodes(now, message.Names)
 	case Release:
 		effects = append(effects, c.release(now, message)...)
+	case Keep:
+		c.keep(now, message)
 	case ReadDone:
 		if entry := c.entry(message.Name); entry != nil {
 			effects = append(effects, c.readDone(now, entry, message)...)
@@ -117,18 +119,23 @@
 	return e.Writing
 }
 
+func (c *Controller) keep(now time.Time, message Keep) {
+	entry := c.entry(message.Name)
+	if entry == nil || entry.Tenure == nil {
+		return
+	}
+	entry.Tenure.Keep, entry.Tenure.Stored = message.Data, false
+	entry.DueAt = now
+}
+
 func (c *Controller) renew(now time.Time, entry *Entry) Effect {
-	return entry.write(now, Renewal, c.lease(entry.Tenure.Epoch))
+	return entry.write(now, Renewal, c.lease(entry.Tenure.Epoch, entry.Tenure.Keep))
 }
 
 func (c *Controller) take(now time.Time, entry *Entry) Effect {
-	entry.Inherited = nil
-	if entry.Lease.Holder == "" {
-		entry.Inherited = entry.Lease.Handover
-	}
-	return entry.write(now, Takeover, c.lease(entry.Epoch+1))
+	return entry.write(now, Takeover, c.lease(entry.Epoch+1, entry.Lease.Data))
 }
 
-func (c *Controller) lease(epoch uint64) Lease {
-	return Lease{Holder: c.Node, Run: c.Run, Epoch: epoch, Duration: Duration}
+func (c *Controller) lease(epoch uint64, data []byte) Lease {
+	return Lease{Holder: c.Node, Run: c.Run, Epoch: epoch, Duration: Duration, Data: data}
 }
--- a/internal/leaser/controller_test.go
+++ b/internal/leaser/controller_test.go
@@ -24,7 +24,7 @@
 			return leaser.NewController(decoded.Node, decoded.Run, decoded.Names)
 		},
 		Messages: []leaser.Message{
-			leaser.Tick{}, leaser.SetNodes{}, leaser.Release{}, leaser.ReadDone{}, leaser.WriteDone{},
+			leaser.Tick{}, leaser.SetNodes{}, leaser.Release{}, leaser.Keep{}, leaser.ReadDone{}, leaser.WriteDone{},
 		},
 		Tick: leaser.Tick{},
 	})
--- a/internal/leaser/entry.go
+++ b/internal/leaser/entry.go
@@ -32,9 +32,6 @@
 	// uncertain outcome was sent, or zero. An earlier copy may take effect
 	// while a later one is refused, so validity counts from the earliest.
 	Unsettled time.Time
-	// Inherited is what the previous holder left for the takeover in Writing.
-	Inherited []byte
-
 	// MustRead says that the object must be read before it is written.
 	MustRead bool
 	// DueAt is when the next read or renewal is due.
@@ -50,7 +47,11 @@
 type Tenure struct {
 	Epoch uint64
 	Until time.Time
-	Data  []byte
+	// Inherited is what the lease held when the tenure began.
+	Inherited []byte
+	// Keep is what it shall hold, and Stored says that it does.
+	Keep   []byte
+	Stored bool
 }
 
 // Leave is a release that is under way or done.
@@ -89,7 +90,7 @@
 
 // held returns the event for the present tenure.
 func (e *Entry) held() Effect {
-	return Held{Name: e.Name, Epoch: e.Tenure.Epoch, Until: e.Tenure.Until, Data: e.Tenure.Data}
+	return Held{Name: e.Name, Epoch: e.Tenure.Epoch, Until: e.Tenure.Until, Data: e.Tenure.Inherited}
 }
 
 // lose ends the tenure.
--- a/internal/leaser/lease.go
+++ b/internal/leaser/lease.go
@@ -31,8 +31,9 @@
 	// Epoch grows with every tenure.
 	Epoch    uint64
 	Duration time.Duration
-	// Handover is what a holder that released the lease left for the next.
-	Handover []byte
+	// Data is what the holders keep in the lease. A new holder takes over
+	// what the previous one stored last.
+	Data []byte
 }
 
 // Validity is how long a holder may rely on a lease, from before it sent the
@@ -43,7 +44,7 @@
 // before it takes it.
 func (l Lease) Patience() time.Duration { return l.Duration + l.Duration/driftDivisor }
 
-// Event tells other controllers about a lease: Held or Lost.
+// Event tells other controllers about a lease: Held, Lost or Stored.
 type Event interface{ isEvent() }
 
 // Held says that this node holds a lease. It is published at the start of a
@@ -56,7 +57,7 @@
 	// clock. Whoever acts on the lease compares it with the clock at that
 	// moment, because Lost may come late.
 	Until time.Time
-	// Data is what the previous holder handed over, nil if it did not.
+	// Data is what the lease held when this tenure began.
 	Data []byte
 }
 
@@ -67,5 +68,13 @@
 // another epoch.
 type Lost struct{ Name string }
 
-func (Held) isEvent() {}
-func (Lost) isEvent() {}
+// Stored says that the lease holds data that this node asked to keep in it.
+type Stored struct {
+	Name  string
+	Epoch uint64
+	Data  []byte
+}
+
+func (Held) isEvent()   {}
+func (Lost) isEvent()   {}
+func (Stored) isEvent() {}
--- a/internal/leaser/message.go
+++ b/internal/leaser/message.go
@@ -24,6 +24,14 @@
 	Data []byte
 }
 
+// Keep asks for data to be kept in a lease that this node holds. It is
+// written with the next renewal, which is then due at once; Stored tells when
+// it is there. Data that is replaced before it was written is never stored.
+type Keep struct {
+	Name string
+	Data []byte
+}
+
 // ReadDone is the result of a Read.
 type ReadDone struct {
 	Name string
@@ -44,6 +52,7 @@
 func (Tick) isMessage()      {}
 func (SetNodes) isMessage()  {}
 func (Release) isMessage()   {}
+func (Keep) isMessage()      {}
 func (ReadDone) isMessage()  {}
 func (WriteDone) isMessage() {}
 
@@ -65,7 +74,8 @@
 	Uncertain Outcome = "Uncertain"
 )
 
-// Effect is an output of Controller: Read, Write, Held, Lost or AnswerRelease.
+// Effect is an output of Controller: Read, Write, Held, Lost, Stored or
+// AnswerRelease.
 type Effect interface{ isEffect() }
 
 // Read asks for the lease object and brings a ReadDone.
@@ -91,6 +101,7 @@
 func (Write) isEffect()         {}
 func (Held) isEffect()          {}
 func (Lost) isEffect()          {}
+func (Stored) isEffect()        {}
 func (AnswerRelease) isEffect() {}
 
 // Purpose is what a write is for.
--- a/internal/leaser/release.go
+++ b/internal/leaser/release.go
@@ -19,11 +19,12 @@
 	case entry.Busy && entry.Writing.Purpose == Takeover, !entry.Unsettled.IsZero():
 		// The takeover may succeed yet; what was inherited is passed on.
 		entry.Leave.Epoch = entry.Writing.Lease.Epoch
-		entry.Leave.Data = entry.Inherited
+		entry.Leave.Data = entry.Writing.Lease.Data
 		return nil
 	case entry.isOf(c.Run):
-		// The tenure ended in an outage; its data is out of date.
+		// The tenure ended in an outage.
 		entry.Leave.Epoch = entry.Lease.Epoch
+		entry.Leave.Data = entry.Lease.Data
 		return nil
 	}
 	return entry.finishLeave(false)
@@ -37,7 +38,7 @@
 	case entry.MustRead:
 		return []Effect{entry.read(now)}
 	case entry.isOf(c.Run) && entry.Lease.Epoch == entry.Leave.Epoch:
-		released := Lease{Epoch: entry.Leave.Epoch, Duration: Duration, Handover: entry.Leave.Data}
+		released := Lease{Epoch: entry.Leave.Epoch, Duration: Duration, Data: entry.Leave.Data}
 		return []Effect{entry.write(now, Handover, released)}
 	}
 	return entry.finishLeave(entry.Lease.Holder == "" && entry.Lease.Epoch == entry.Leave.Epoch)
--- a/internal/leaser/result.go
+++ b/internal/leaser/result.go
@@ -1,6 +1,9 @@
 package leaser
 
-import "time"
+import (
+	"bytes"
+	"time"
+)
 
 // readDone handles what a read found.
 func (c *Controller) readDone(now time.Time, entry *Entry, message ReadDone) []Effect {
@@ -89,7 +92,8 @@
 	case !now.Before(until):
 		return nil
 	}
-	e.Tenure = &Tenure{Epoch: e.Lease.Epoch, Until: until, Data: e.Inherited}
+	data := e.Lease.Data
+	e.Tenure = &Tenure{Epoch: e.Lease.Epoch, Until: until, Inherited: data, Keep: data, Stored: true}
 	e.DueAt = sentAt.Add(renewInterval)
 	return []Effect{e.held()}
 }
@@ -97,12 +101,27 @@
 // extend prolongs the tenure by a renewal that was sent at the given time.
 func (e *Entry) extend(now, sentAt time.Time) []Effect {
 	e.DueAt = sentAt.Add(renewInterval)
+	effects := e.stored()
 	until := sentAt.Add(e.Lease.Validity())
 	if !until.After(e.Tenure.Until) {
-		return nil
+		return effects
 	}
 	e.Tenure.Until = until
-	return []Effect{e.held()}
+	return append(effects, e.held())
+}
+
+// stored tells once that the object holds what the tenure wants to keep. If
+// it holds older data, the next renewal is due at once.
+func (e *Entry) stored() []Effect {
+	if e.Tenure.Stored {
+		return nil
+	}
+	if !bytes.Equal(e.Lease.Data, e.Tenure.Keep) {
+		e.DueAt = time.Time{}
+		return nil
+	}
+	e.Tenure.Stored = true
+	return []Effect{Stored{Name: e.Name, Epoch: e.Tenure.Epoch, Data: e.Tenure.Keep}}
 }
 
 // postpone sets when to try again after a call that had no effect.
--- a/internal/leaser/task.go
+++ b/internal/leaser/task.go
@@ -65,6 +65,11 @@
 	return t.task.Post(SetNodes{slices.Clone(names)})
 }
 
+// Keep asks for data to be kept in a lease that this node holds.
+func (t *Task) Keep(name string, data []byte) error {
+	return t.task.Post(Keep{Name: name, Data: data})
+}
+
 // Release hands a lease over to whichever candidate comes first, with data
 // for it, and ends this node's candidacy. The caller must have stopped acting
 // on the lease. It returns false if the lease was not held or could not be
@@ -84,6 +89,8 @@
 		t.settings.Publish(effect)
 	case Lost:
 		t.settings.Publish(effect)
+	case Stored:
+		t.settings.Publish(effect)
 	case AnswerRelease:
 		hands.Answer(effect.Call, effect.Released)
 	}
--- a/internal/leaser/wire.go
+++ b/internal/leaser/wire.go
@@ -11,7 +11,7 @@
 	Run      string
 	Epoch    uint64
 	Duration string
-	Handover []byte `json:",omitempty"`
+	Data     []byte `json:",omitempty"`
 }
 
 func encodeLease(lease Lease) []byte {
@@ -20,7 +20,7 @@
 		Run:      lease.Run,
 		Epoch:    lease.Epoch,
 		Duration: lease.Duration.String(),
-		Handover: lease.Handover,
+		Data:     lease.Data,
 	})
 }
 
@@ -33,5 +33,5 @@
 	if err != nil {
 		return Lease{}, err
 	}
-	return Lease{wire.Holder, wire.Run, wire.Epoch, duration, wire.Handover}, nil
+	return Lease{wire.Holder, wire.Run, wire.Epoch, duration, wire.Data}, nil
 }
--- a/internal/limiter/lending.go
+++ b/internal/limiter/lending.go
@@ -51,7 +51,10 @@
 // every standing share that the data named is assigned anew.
 func (l *Lending) Held(epoch uint64, until time.Time, data []byte) error {
 	decoded, err := decodeLeaseData(data)
-	return merry.Prepend(errorsFirst(l.task.Post(LeaseHeld{Epoch: epoch, Until: until, Data: decoded}), err), "lease held")
+	if posted := l.task.Post(LeaseHeld{Epoch: epoch, Until: until, Data: decoded}); posted != nil {
+		return posted
+	}
+	return err
 }
 
 // Stored says that the lease object of an epoch holds data that Store got.
--- a/internal/supervisor/changes.go
+++ b/internal/supervisor/changes.go
@@ -64,6 +64,8 @@
 		}
 		held[event.Name] = event
 		n.leaseHeld(event)
+	case leaser.Stored:
+		n.limits.leaseStored(event)
 	case leaser.Lost:
 		n.logger.WithField("Lease", event.Name).Warn("lease lost")
 		delete(held, event.Name)
--- /dev/null
+++ b/internal/supervisor/limits.go
@@ -0,0 +1,101 @@
+package supervisor
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/sirupsen/logrus"
+
+	"toucanhitch.example/toucanhitch/internal/leaser"
+	"toucanhitch.example/toucanhitch/internal/limiter"
+	"toucanhitch.example/toucanhitch/internal/messenger"
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// limits connects the tasks of the token limits: the holder of this node, and
+// the owner, which works while this node holds the lease.
+type limits struct {
+	node   *Node
+	logger logrus.FieldLogger
+	front  *limiter.Limits
+	owner  *limiter.Lending
+}
+
+func (n *Node) newLimits() *limits {
+	l := &limits{node: n, logger: n.logger.WithField("Task", "limits")}
+	l.owner = limiter.NewLending(n.settings.LimitSlots, n.clock, l.store)
+	l.front = limiter.New(n.settings.Name, n.settings.LimitSlots, n.clock, l.send)
+	return l
+}
+
+func (l *limits) tasks() []runner.Runnable { return []runner.Runnable{l.front, l.owner} }
+
+// send carries an exchange to the owner, which may be on this node.
+func (l *limits) send(ctx context.Context, address string, exchange limiter.Exchange) (limiter.Answer, error) {
+	if address == l.node.settings.PeerAddress {
+		return l.owner.Exchange(ctx, exchange)
+	}
+	return l.node.messenger.Lend(ctx, address, exchange)
+}
+
+func (l *limits) handle(mux *http.ServeMux) {
+	messenger.HandleLimits(mux, l.owner.Exchange)
+}
+
+func (l *limits) store(data []byte) {
+	l.log(l.node.leaser.Keep(limitsLease, data))
+}
+
+func (l *limits) log(err error) {
+	if err != nil {
+		l.logger.WithError(err).Warn("message was not taken")
+	}
+}
+
+func (l *limits) leaseHeld(held leaser.Held) {
+	l.log(l.owner.Held(held.Epoch, held.Until, held.Data))
+}
+
+func (l *limits) leaseStored(stored leaser.Stored) {
+	l.log(l.owner.Stored(stored.Epoch, stored.Data))
+}
+
+func (l *limits) leaseLost() { l.log(l.owner.Post(limiter.LeaseLost{})) }
+
+func (l *limits) ownerChanged(holder leaseholderItem) {
+	l.log(l.front.Post(limiter.OwnerChanged{Node: holder.Node, Address: holder.Address, Epoch: holder.Epoch}))
+}
+
+func (l *limits) fleetChanged(fleet *tracker.Fleet) {
+	var names []string
+	for _, node := range fleet.Nodes {
+		names = append(names, node.Name)
+	}
+	l.log(l.owner.Post(limiter.InstancesListed{Names: names}))
+}
+
+func (l *limits) configurationChanged(configuration *releaser.Configuration) {
+	var all []limiter.Limit
+	for workspace := range maps.Values(configuration.Workspaces) {
+		all = append(all, limiter.Limit{Workspace: workspace.Name, Rate: workspace.Rate, Burst: workspace.Burst})
+	}
+	slices.SortFunc(all, func(a, b limiter.Limit) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	l.log(l.front.Post(limiter.WorkspacesChanged{Limits: all}))
+	l.log(l.owner.Post(limiter.WorkspacesChanged{Limits: all}))
+}
+
+// handOver releases the lease with the state of the buckets.
+func (l *limits) handOver(ctx context.Context) {
+	data, err := l.owner.HandOver(ctx)
+	if err == nil {
+		_, err = l.node.leaser.Release(ctx, limitsLease, data)
+	}
+	if err != nil {
+		l.logger.WithError(err).Warn("lease of the limits was not handed over; it will expire")
+	}
+}
