--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -123,7 +123,7 @@
 func (p *Pool) Step(now time.Time, message PoolMessage) []PoolEffect {
 	switch message := message.(type) {
 	case Open:
-		return append(p.open(now, message.Address), Ready{Call: message.Call, Address: message.Address})
+		return append(p.open(now, message.Address), Ready(message))
 	case Renew:
 		return append(p.renew(message), Ready{Call: message.Call, Address: message.Address})
 	case Abandon:
--- a/internal/supervisor/changes.go
+++ b/internal/supervisor/changes.go
@@ -113,7 +113,7 @@
 	case limitsLease:
 		n.limits.ownerChanged(holder)
 	case n.placementLease():
-		n.post("demands", n.demands.Post(placerChanged{Node: holder.Node, Address: holder.Address, Epoch: holder.Epoch}))
+		n.post("demands", n.demands.Post(placerChanged(holder)))
 	}
 }
 
