--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -30,7 +30,9 @@
 	// slots are in use.
 	Gone  bool
 	InUse int
-	Share router.Share
+	// Sequence is that of the report to which Share is adapted.
+	Sequence uint64
+	Share    router.Share
 	// Wanted says that the share was used up since the last report.
 	Wanted bool
 	Speed  router.Speed
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -82,6 +82,11 @@
 	if report == nil || !report.Measured.After(endpoint.Others.Measured) {
 		return
 	}
+	if report.Sequence != 0 && report.Sequence == endpoint.Sequence {
+		// The same report came again with another estimate of its age.
+		return
+	}
+	endpoint.Sequence = report.Sequence
 	own := endpoint.History.At(report.Measured)
 	endpoint.Others = endpoint.Others.Observe(report.Measured, report.Running+report.Queued, own)
 	c.adapt(now, endpoint)
