Compare views by content and learn load times after the placer's news

The placer's news that a load has ended can come before the endpoint's report, and the load time was then never learnt.

--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -77,19 +77,23 @@
 // reports, and one in which a single endpoint has.
 func BenchmarkFleetChanged(b *testing.B) {
 	for _, changed := range []int{1, benchEndpoints} {
-		b.Run(fmt.Sprintf("changed=%d", changed), func(b *testing.B) {
+		b.Run(fmt.Sprintf("endpoints=%d/changed=%d", benchEndpoints, changed), func(b *testing.B) {
 			controller, _, now := saturated(benchEndpoints, 2000)
 			fleet := benchFleet(benchEndpoints, 8, now)
 			b.ReportAllocs()
 			for b.Loop() {
+				b.StopTimer()
 				now = now.Add(time.Millisecond)
 				next := tracker.Fleet{Endpoints: append([]tracker.Endpoint(nil), fleet.Endpoints...)}
-				for index := range changed {
+				for index := range next.Endpoints {
 					report := *next.Endpoints[index].Report
-					report.Measured = now
+					if index < changed {
+						report.Measured = now
+					}
 					next.Endpoints[index].Report = &report
 				}
 				fleet = next
+				b.StartTimer()
 				controller.Step(now, FleetChanged{Fleet: next})
 			}
 		})
--- a/internal/scheduler/cold.go
+++ b/internal/scheduler/cold.go
@@ -30,8 +30,15 @@
 type LoadInProgress struct {
 	Load
 	Tier tracker.Tier
+	// EndedAt is when the placer no longer listed the load; zero before.
+	EndedAt time.Time
 }
 
+// endedLifetime is how long an ended load is kept. The placer's news may come
+// before the endpoint's report, and only the report says that the load
+// succeeded.
+const endedLifetime = 5 * time.Second
+
 // LoadKind is what load times are learnt for.
 type LoadKind struct {
 	Model string
@@ -42,20 +49,37 @@
 	return Cold{Loads: map[string][]LoadInProgress{}, Learnt: map[LoadKind]time.Duration{}}
 }
 
-// placementChanged replaces the loads in progress. A load that was known
+// placementChanged takes in the loads in progress. A load that was known
 // before keeps its start and tier.
-func (c *Cold) placementChanged(loads []Load, endpoints map[string]*Endpoint) {
+func (c *Cold) placementChanged(now time.Time, loads []Load, endpoints map[string]*Endpoint) {
 	before := c.Loads
 	c.Loads = map[string][]LoadInProgress{}
 	for _, load := range loads {
 		entry := LoadInProgress{Load: load, Tier: tier(endpoints[load.Endpoint], load.Model)}
-		for _, known := range before[load.Model] {
-			if known.Endpoint == load.Endpoint {
-				entry = known
-			}
+		if index := find(before[load.Model], load.Endpoint); index >= 0 && before[load.Model][index].EndedAt.IsZero() {
+			entry = before[load.Model][index]
 		}
 		c.Loads[load.Model] = append(c.Loads[load.Model], entry)
 	}
+	for model, known := range before {
+		c.keepEnded(now, model, known)
+	}
+}
+
+// keepEnded keeps the loads that are no longer listed for some time.
+func (c *Cold) keepEnded(now time.Time, model string, known []LoadInProgress) {
+	for _, load := range known {
+		if load.EndedAt.IsZero() {
+			load.EndedAt = now
+		}
+		if find(c.Loads[model], load.Endpoint) < 0 && now.Sub(load.EndedAt) < endedLifetime {
+			c.Loads[model] = append(c.Loads[model], load)
+		}
+	}
+}
+
+func find(loads []LoadInProgress, endpoint string) int {
+	return slices.IndexFunc(loads, func(load LoadInProgress) bool { return load.Endpoint == endpoint })
 }
 
 // tier is where an endpoint has a checkpoint before it loads it.
@@ -80,10 +104,7 @@
 		if model.State != tracker.Loaded {
 			continue
 		}
-		index := slices.IndexFunc(c.Loads[model.Model], func(load LoadInProgress) bool {
-			return load.Endpoint == endpoint.Name
-		})
-		if index >= 0 {
+		if index := find(c.Loads[model.Model], endpoint.Name); index >= 0 {
 			c.finished(now, model.Model, index)
 		}
 	}
@@ -95,9 +116,16 @@
 	}
 	load := c.Loads[model][index]
 	took := now.Sub(load.Since)
+	c.drop(model, index)
+	if !load.EndedAt.IsZero() && now.Sub(load.EndedAt) >= endedLifetime {
+		return
+	}
 	for _, kind := range []LoadKind{{Model: model, Tier: load.Tier}, {Tier: load.Tier}} {
 		c.Learnt[kind] = router.Average(c.Learnt[kind], took)
 	}
+}
+
+func (c *Cold) drop(model string, index int) {
 	c.Loads[model] = slices.Delete(c.Loads[model], index, index+1)
 	if len(c.Loads[model]) == 0 {
 		delete(c.Loads, model)
@@ -108,18 +136,28 @@
 // in progress and the time that such loads take is known.
 func (c *Cold) remaining(now time.Time, model string) (time.Duration, bool) {
 	var earliest time.Duration
-	for index, load := range c.Loads[model] {
-		took, ok := c.Learnt[LoadKind{Model: model, Tier: load.Tier}]
-		if !ok {
-			took, ok = c.Learnt[LoadKind{Tier: load.Tier}]
+	found := false
+	for _, load := range c.Loads[model] {
+		if !load.EndedAt.IsZero() {
+			continue
 		}
+		took, ok := c.learnt(load)
 		if !ok {
 			return 0, false
 		}
 		left := max(0, time.Duration(float64(took)*coldCaution)-now.Sub(load.Since))
-		if index == 0 || left < earliest {
-			earliest = left
+		if !found || left < earliest {
+			earliest, found = left, true
 		}
 	}
-	return earliest, len(c.Loads[model]) > 0
+	return earliest, found
+}
+
+// learnt is how long such a load takes, if that is known.
+func (c *Cold) learnt(load LoadInProgress) (time.Duration, bool) {
+	if took, ok := c.Learnt[LoadKind{Model: load.Model, Tier: load.Tier}]; ok {
+		return took, true
+	}
+	took, ok := c.Learnt[LoadKind{Tier: load.Tier}]
+	return took, ok
 }
--- a/internal/scheduler/controller.go
+++ b/internal/scheduler/controller.go
@@ -120,7 +120,7 @@
 	case AttainedService:
 		c.Attained = message.Tokens
 	case PlacementChanged:
-		c.Cold.placementChanged(message.Loads, c.Endpoints)
+		c.Cold.placementChanged(now, message.Loads, c.Endpoints)
 	case Drain:
 		c.drain(now, message.Until)
 	case Tick:
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -173,6 +173,9 @@
 	if a == nil || b == nil {
 		return a == b
 	}
+	if len(a.Models) == len(b.Models) && (len(a.Models) == 0 || &a.Models[0] == &b.Models[0]) {
+		return true // copies of a report share the list
+	}
 	return slices.EqualFunc(a.Models, b.Models, func(x, y tracker.ModelState) bool {
 		return x.Model == y.Model && x.State == y.State && slices.Equal(x.Adapters, y.Adapters)
 	})
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -19,7 +19,7 @@
 	sameNames := len(last) == len(fleet.Endpoints)
 	var changed []*Endpoint
 	for index, view := range fleet.Endpoints {
-		if index < len(last) && last[index] == view {
+		if index < len(last) && unchanged(last[index], view) {
 			continue
 		}
 		sameNames = sameNames && last[index].Name == view.Name
@@ -33,6 +33,20 @@
 	}
 }
 
+// unchanged says whether two views of an endpoint are the same. Every view has
+// its own copies of the reports, so that their content is compared.
+func unchanged(a, b tracker.Endpoint) bool {
+	return a.Instance == b.Instance && a.SuspectUntil.Equal(b.SuspectUntil) && sameReport(a.Report, b.Report)
+}
+
+func sameReport(a, b *tracker.Report) bool {
+	if a == b || a == nil || b == nil {
+		return a == b
+	}
+	return a.Sequence == b.Sequence && a.Measured.Equal(b.Measured) && a.Leaving == b.Leaving &&
+		a.Slots == b.Slots && a.Running == b.Running && a.Queued == b.Queued && sameModels(a, b)
+}
+
 func (c *Controller) countNodes(nodes []tracker.Instance) int {
 	count := 0
 	for _, node := range nodes {
--- a/internal/scheduler/script_test.go
+++ b/internal/scheduler/script_test.go
@@ -45,7 +45,8 @@
 	First, Held         string
 }
 
-// Loading says that an endpoint has been loading a model for Age.
+// Loading says that an endpoint has been loading a model for Age; without an
+// endpoint it says that nothing is loading.
 type Loading struct{ Endpoint, Model, Age string }
 
 // Shutdown drains the node within a time; none means no bound.
@@ -77,6 +78,9 @@
 	case Done:
 		return releases(message)
 	case Loading:
+		if message.Endpoint == "" {
+			return []Message{PlacementChanged{}}
+		}
 		return []Message{PlacementChanged{Loads: []Load{{
 			Model: message.Model, Endpoint: message.Endpoint, Since: now.Add(-span(message.Age)),
 		}}}}
