--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -30,10 +30,14 @@
 	// slots are in use.
 	Gone  bool
 	InUse int
-	Share router.Share
+	// Sequence is that of the report to which Share is adapted.
+	Sequence uint64
+	Share    router.Share
 	// Wanted says that the share was used up since the last report.
-	Wanted   bool
-	Speed    router.Speed
+	Wanted bool
+	Speed  router.Speed
+	// LearntAt is when Speed was observed last.
+	LearntAt time.Time
 	History  router.History
 	Others   router.Others
 	Locality router.Locality
@@ -93,6 +97,15 @@
 	return e.Report.Slots
 }
 
+// learntLifetime is how long a request is refused because of a learnt speed.
+// After it one is sent again, so that an endpoint that recovered is noticed.
+const learntLifetime = 10 * time.Second
+
+// known says whether the endpoint's speed was observed lately.
+func (e *Endpoint) known(now time.Time) bool {
+	return !e.LearntAt.IsZero() && now.Sub(e.LearntAt) < learntLifetime
+}
+
 // spare says whether a quarter of the slots stays free for prompt requests
 // when a deferred request takes one.
 func (e *Endpoint) spare(now time.Time) bool {
@@ -160,6 +173,9 @@
 	if a == nil || b == nil {
 		return a == b
 	}
+	if len(a.Models) == len(b.Models) && (len(a.Models) == 0 || &a.Models[0] == &b.Models[0]) {
+		return true // copies of a report share the list
+	}
 	return slices.EqualFunc(a.Models, b.Models, func(x, y tracker.ModelState) bool {
 		return x.Model == y.Model && x.State == y.State && slices.Equal(x.Adapters, y.Adapters)
 	})
