--- a/internal/dispatcher/pool.go
+++ b/internal/dispatcher/pool.go
@@ -159,7 +159,8 @@
 // renew replaces the connections, unless another attempt had them replaced
 // already.
 func (p *Pool) renew(message Renew) []PoolEffect {
-	if p.Generations[message.Address] != message.Generation {
+	generation, ok := p.Generations[message.Address]
+	if !ok || generation != message.Generation {
 		return nil
 	}
 	return []PoolEffect{p.create(message.Address)}
