--- a/internal/supervisor/changes.go
+++ b/internal/supervisor/changes.go
@@ -64,6 +64,8 @@
 		}
 		held[event.Name] = event
 		n.leaseHeld(event)
+	case leaser.Stored:
+		n.limits.leaseStored(event)
 	case leaser.Lost:
 		n.logger.WithField("Lease", event.Name).Warn("lease lost")
 		delete(held, event.Name)
@@ -111,7 +113,7 @@
 	case limitsLease:
 		n.limits.ownerChanged(holder)
 	case n.placementLease():
-		n.post("demands", n.demands.Post(placerChanged{Node: holder.Node, Address: holder.Address, Epoch: holder.Epoch}))
+		n.post("demands", n.demands.Post(placerChanged(holder)))
 	}
 }
 
