--- a/internal/limiter/bucket_test.go
+++ b/internal/limiter/bucket_test.go
@@ -43,7 +43,8 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"wait": func(t *rapid.T) {
-				now += time.Duration(rapid.Int64Range(1, int64(4*time.Second)).Draw(t, "time"))
+				longest := rapid.SampledFrom([]time.Duration{time.Second, 15 * time.Second}).Draw(t, "longest")
+				now += time.Duration(rapid.Int64Range(1, int64(longest)).Draw(t, "time"))
 			},
 			"spend": func(t *rapid.T) {
 				b.advance(now)
