Script the owner and the holder of the limits

The scripts showed that a holder with an empty standing share asked the owner only every 5 s, that a request which the share can cover later was not woken during an outage, and that single requests made the holder ask for tokens ahead.

--- a/internal/limiter/account.go
+++ b/internal/limiter/account.go
@@ -73,14 +73,20 @@
 	p.Held = append(p.Held, held)
 }
 
-// refilled estimates when the standing share covers the first waiter.
-func (p *Pool) refilled(now time.Time) (time.Time, bool) {
+// refilled estimates when the standing share covers the first waiter, or the
+// first that it can cover if the owner is out of reach.
+func (p *Pool) refilled(now time.Time, reachable bool) (time.Time, bool) {
 	if p.Standing == nil || p.Standing.Rate <= 0 {
 		return time.Time{}, false
 	}
-	lacking := p.missing(p.Waiting[0].Reservation) - p.free()
-	if lacking > p.Standing.headroom() {
-		return time.Time{}, false
+	for _, w := range p.Waiting {
+		if p.standingCovers(w) {
+			lacking := p.missing(w.Reservation) - p.free()
+			return now.Add(max(time.Millisecond, seconds(lacking/p.Standing.Rate))), true
+		}
+		if reachable {
+			break
+		}
 	}
-	return now.Add(max(time.Millisecond, seconds(lacking/p.Standing.Rate))), true
+	return time.Time{}, false
 }
--- a/internal/limiter/link.go
+++ b/internal/limiter/link.go
@@ -91,7 +91,7 @@
 func (h *Holder) plan(now time.Time, p *Pool) {
 	if len(p.Waiting) > 0 {
 		h.wake(p.TimeoutAt)
-		if at, ok := p.refilled(now); ok {
+		if at, ok := p.refilled(now, h.reachable()); ok {
 			h.wake(at)
 		}
 	}
@@ -107,7 +107,7 @@
 		h.Link.due(now)
 	case p.reports(now, h.Owner.Epoch):
 		h.Link.due(h.Link.SentAt.Add(reportGap))
-	case p.free() > 0:
+	case p.Standing != nil || p.free() > 0:
 		h.Link.due(h.Link.SentAt.Add(pollGap))
 	}
 }
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -202,9 +202,9 @@
 	return true
 }
 
-// standingCovers says whether a waiter can be covered without the owner.
+// standingCovers says whether a waiter will be covered without the owner.
 func (p *Pool) standingCovers(w *Waiter) bool {
-	return p.Standing != nil && p.missing(w.Reservation) <= p.Standing.Burst
+	return p.Standing != nil && p.missing(w.Reservation)-p.free() <= p.Standing.headroom()
 }
 
 // take reserves tokens that are there: standing ones first, then those of the
@@ -310,16 +310,24 @@
 
 // Demand is a moving average of the tokens that requests asked for.
 type Demand struct {
-	Tokens float64
-	At     time.Time
+	Tokens   float64
+	Requests float64
+	At       time.Time
 }
 
-// demandTime is the time constant of the average.
-const demandTime = time.Second
+const (
+	// demandTime is the time constant of the average.
+	demandTime = time.Second
+	// minRequests is the number of requests in a demandTime from which on
+	// the next one is likely soon enough to keep tokens for it.
+	minRequests = 2
+)
 
 func (d *Demand) decay(now time.Time) {
 	if now.After(d.At) {
-		d.Tokens *= math.Exp(-now.Sub(d.At).Seconds() / demandTime.Seconds())
+		part := math.Exp(-now.Sub(d.At).Seconds() / demandTime.Seconds())
+		d.Tokens *= part
+		d.Requests *= part
 		d.At = now
 	}
 }
@@ -327,12 +335,13 @@
 func (d *Demand) add(now time.Time, tokens float64) {
 	d.decay(now)
 	d.Tokens += tokens
+	d.Requests++
 }
 
 // within is the demand to expect within a time.
 func (d *Demand) within(now time.Time, period time.Duration) float64 {
 	d.decay(now)
-	if d.Tokens < 1 {
+	if d.Requests < minRequests {
 		return 0
 	}
 	return d.Tokens * period.Seconds() / demandTime.Seconds()
--- /dev/null
+++ b/internal/limiter/script_test.go
@@ -0,0 +1,52 @@
+package limiter_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"toucanhitch.example/toucanhitch/internal/limiter"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// setup is the setup file of a script.
+type setup struct {
+	SlotCount int
+}
+
+func parseSetup(t *testing.T, data []byte) setup {
+	var s setup
+	if err := json.Unmarshal(data, &s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against the failures that the scripts name.
+func TestOwnerScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[limiter.OwnerMessage, limiter.OwnerEffect]{
+		Directory: "testdata/owner",
+		New: func(t *testing.T, data []byte) tester.Controller[limiter.OwnerMessage, limiter.OwnerEffect] {
+			return limiter.NewOwner(parseSetup(t, data).SlotCount)
+		},
+		Messages: []limiter.OwnerMessage{
+			limiter.LeaseHeld{}, limiter.LeaseLost{}, limiter.LeaseDataStored{}, limiter.WorkspacesChanged{},
+			limiter.InstancesListed{}, limiter.ExchangeReceived{}, limiter.HandOverAsked{},
+		},
+		Tick: limiter.OwnerTick{},
+	})
+}
+
+// Guards against the failures that the scripts name.
+func TestHolderScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[limiter.HolderMessage, limiter.HolderEffect]{
+		Directory: "testdata/holder",
+		New: func(t *testing.T, data []byte) tester.Controller[limiter.HolderMessage, limiter.HolderEffect] {
+			return limiter.NewHolder("a", 1, parseSetup(t, data).SlotCount)
+		},
+		Messages: []limiter.HolderMessage{
+			limiter.ReserveAsked{}, limiter.ConfirmAsked{}, limiter.Settled{}, limiter.Cancelled{},
+			limiter.OwnerChanged{}, limiter.WorkspacesChanged{}, limiter.ExchangeReturned{}, limiter.ExchangeFailed{},
+		},
+		Tick: limiter.HolderTick{},
+	})
+}
