Drive the whole path in a scripted test and poll loading engines faster

Cause: a request that waits for a cold model learnt of the end of the load up to 250 ms late. Engines that load something are now polled every 50 ms.

--- /dev/null
+++ b/internal/commander/script_test.go
@@ -0,0 +1,278 @@
+package commander_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// TestScripts runs the scripts of testdata/script against separate processes
+// over loopback sockets.
+//
+// Beside testscript's own commands a script can use:
+//
+//	start NAME COMMAND...     starts a process in the background
+//	signal NAME SIGNAL [CODE]   signals it and, with a code, waits for that exit code
+//	within DURATION COMMAND.. repeats "exec COMMAND" until it succeeds
+//	match DURATION REGEXP COMMAND...  repeats until the output matches
+//	capture VARIABLE REGEXP COMMAND... sets a variable to the first submatch
+//	lacks NAME TEXT           fails if the process has written the text
+//	fleet N                   starts the platform, N nodes in N data centres
+//
+// PLATFORM, NODE1.. and PEER1.. hold addresses on free ports, and PORT1.. free
+// addresses for endpoints.
+func TestScripts(t *testing.T) {
+	binaries := build(t)
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/script",
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			processes := &processes{running: map[string]*process{}}
+			env.Values[processesKey{}] = processes
+			env.Defer(processes.killAll)
+			env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
+			return setAddresses(env)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"start":   start,
+			"signal":  signalProcess,
+			"within":  within,
+			"match":   match,
+			"capture": capture,
+			"lacks":   lacks,
+			"fleet":   fleet,
+		},
+	})
+}
+
+func build(t *testing.T) string {
+	t.Helper()
+	directory := t.TempDir()
+	command := exec.Command("go", "build", "-o", directory, "../../cmd/toucanhitch", "../../cmd/standin")
+	if output, err := command.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	return directory
+}
+
+const addressesOfEachKind = 6
+
+func setAddresses(env *testscript.Env) error {
+	names := []string{"PLATFORM"}
+	for i := 1; i <= addressesOfEachKind; i++ {
+		names = append(names, fmt.Sprint("NODE", i), fmt.Sprint("PEER", i), fmt.Sprint("PORT", i))
+	}
+	// All listeners stay open until every port is chosen, so that no port is
+	// chosen twice.
+	for _, name := range names {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer listener.Close()
+		env.Setenv(name, listener.Addr().String())
+	}
+	env.Setenv("TOUCANHITCH_PLATFORM", env.Getenv("PLATFORM"))
+	env.Setenv("STANDIN_PLATFORM", env.Getenv("PLATFORM"))
+	env.Setenv("TOUCANHITCH_ACTOR", "tester")
+	env.Setenv("TOUCANHITCH_REGION", "pl-north")
+	env.Setenv("STANDIN_REGION", "pl-north")
+	return nil
+}
+
+type processesKey struct{}
+
+// processes are what a script has started.
+type processes struct {
+	mutex   sync.Mutex
+	running map[string]*process
+}
+
+type process struct {
+	command *exec.Cmd
+	output  *syncBuffer
+	done    chan struct{}
+}
+
+type syncBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *syncBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *syncBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+func (p *processes) killAll() {
+	for _, process := range p.running {
+		_ = process.command.Process.Kill()
+		<-process.done
+	}
+}
+
+func processesOf(ts *testscript.TestScript) *processes {
+	return ts.Value(processesKey{}).(*processes)
+}
+
+func start(ts *testscript.TestScript, _ bool, arguments []string) {
+	name, path := arguments[0], lookup(ts, arguments[1])
+	command := exec.Command(path, arguments[2:]...)
+	command.Env = environment(ts)
+	output := &syncBuffer{}
+	command.Stdout, command.Stderr = output, output
+	ts.Check(command.Start())
+	started := &process{command: command, output: output, done: make(chan struct{})}
+	processesOf(ts).running[name] = started
+	go func() {
+		_ = command.Wait()
+		close(started.done)
+	}()
+}
+
+func lookup(ts *testscript.TestScript, name string) string {
+	path := filepath.Join(filepath.SplitList(ts.Getenv("PATH"))[0], name)
+	if _, err := os.Stat(path); err != nil {
+		ts.Fatalf("%s is not one of the programs under test", name)
+	}
+	return path
+}
+
+func environment(ts *testscript.TestScript) []string {
+	var all []string
+	for _, name := range []string{"PATH", "HOME", "TOUCANHITCH_PLATFORM", "STANDIN_PLATFORM", "TOUCANHITCH_ACTOR", "TOUCANHITCH_REGION", "STANDIN_REGION", "STANDIN_KEY"} {
+		all = append(all, name+"="+ts.Getenv(name))
+	}
+	return all
+}
+
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+const stopTimeout = 60 * time.Second
+
+func signalProcess(ts *testscript.TestScript, _ bool, arguments []string) {
+	stopped, ok := processesOf(ts).running[arguments[0]]
+	if !ok {
+		ts.Fatalf("%s was not started", arguments[0])
+	}
+	if err := stopped.command.Process.Signal(signals[arguments[1]]); !errors.Is(err, os.ErrProcessDone) {
+		ts.Check(err)
+	}
+	if len(arguments) < 3 {
+		return
+	}
+	select {
+	case <-stopped.done:
+	case <-time.After(stopTimeout):
+		ts.Fatalf("%s still runs %s after the signal", arguments[0], stopTimeout)
+	}
+	if got := strconv.Itoa(stopped.command.ProcessState.ExitCode()); got != arguments[2] {
+		ts.Fatalf("%s ended with %s; want %s\n%s", arguments[0], got, arguments[2], stopped.output)
+	}
+}
+
+const repeatEvery = 100 * time.Millisecond
+
+// repeat runs a command until good says so, and returns its last output.
+func repeat(ts *testscript.TestScript, limit string, arguments []string, good func(string, error) bool) string {
+	wait, err := time.ParseDuration(limit)
+	ts.Check(err)
+	end := time.Now().Add(wait)
+	for {
+		command := exec.Command(lookup(ts, arguments[0]), arguments[1:]...)
+		command.Env = environment(ts)
+		output, err := command.CombinedOutput()
+		if good(string(output), err) {
+			return string(output)
+		}
+		if time.Now().After(end) {
+			dump(ts)
+			ts.Fatalf("%s: not within %s: %v\n%s", strings.Join(arguments, " "), limit, err, output)
+		}
+		time.Sleep(repeatEvery)
+	}
+}
+
+func dump(ts *testscript.TestScript) {
+	for name, process := range processesOf(ts).running {
+		output := process.output.String()
+		ts.Logf("%s wrote:\n%s", name, output[max(0, len(output)-4000):])
+	}
+}
+
+func within(ts *testscript.TestScript, _ bool, arguments []string) {
+	repeat(ts, arguments[0], arguments[1:], func(_ string, err error) bool { return err == nil })
+}
+
+func match(ts *testscript.TestScript, neg bool, arguments []string) {
+	pattern := regexp.MustCompile(arguments[1])
+	output := repeat(ts, arguments[0], arguments[2:], func(output string, err error) bool {
+		var exit *exec.ExitError
+		return (err == nil || errors.As(err, &exit)) && pattern.MatchString(output) != neg
+	})
+	ts.Logf("%s", output)
+}
+
+func capture(ts *testscript.TestScript, _ bool, arguments []string) {
+	pattern := regexp.MustCompile(arguments[1])
+	output := repeat(ts, "10s", arguments[2:], func(output string, err error) bool {
+		return err == nil && pattern.MatchString(output)
+	})
+	ts.Setenv(arguments[0], pattern.FindStringSubmatch(output)[1])
+}
+
+func lacks(ts *testscript.TestScript, _ bool, arguments []string) {
+	process, ok := processesOf(ts).running[arguments[0]]
+	if !ok {
+		ts.Fatalf("%s was not started", arguments[0])
+	}
+	if arguments[1] == "" || strings.Contains(process.output.String(), arguments[1]) {
+		ts.Fatalf("%s has written %q", arguments[0], arguments[1])
+	}
+}
+
+// fleet starts the platform and nodes, and waits until all are current.
+func fleet(ts *testscript.TestScript, _ bool, arguments []string) {
+	count, err := strconv.Atoi(arguments[0])
+	ts.Check(err)
+	options := append([]string{"platform", "standin", "platform", "--listen", ts.Getenv("PLATFORM"), "--list-lag", "200ms"}, arguments[1:]...)
+	start(ts, false, options)
+	for i := 1; i <= count; i++ {
+		startNode(ts, i)
+	}
+	current := regexp.MustCompile(`(?m)^node-\d+ .* true `)
+	repeat(ts, "20s", []string{"toucanhitch", "state"}, func(output string, _ error) bool {
+		return len(current.FindAllString(output, -1)) == count
+	})
+}
+
+func startNode(ts *testscript.TestScript, i int) {
+	name, dataCentre := fmt.Sprintf("node-%d", i), fmt.Sprintf("dc-%d", i)
+	caller, peer := ts.Getenv(fmt.Sprint("NODE", i)), ts.Getenv(fmt.Sprint("PEER", i))
+	within(ts, false, []string{"10s", "standin", "register", "--platform", ts.Getenv("PLATFORM"), "--name", name,
+		"--address", caller, "--peer-address", peer, "--data-centre", dataCentre, "--region", "pl-north"})
+	start(ts, false, []string{name, "toucanhitch", "node", "--name", name, "--data-centre", dataCentre,
+		"--caller-address", caller, "--peer-address", peer})
+}
--- a/internal/tracker/peers.go
+++ b/internal/tracker/peers.go
@@ -162,8 +162,22 @@
 	return effects
 }
 
-func (t *Tracker) pollDone(now time.Time, endpoint string) {
-	if _, mine := t.Polls[endpoint]; mine {
-		t.Polls[endpoint] = now.Add(PollEvery)
+func (t *Tracker) pollDone(now time.Time, endpoint string, loading bool) {
+	if _, mine := t.Polls[endpoint]; !mine {
+		return
 	}
+	wait := PollEvery
+	if loading {
+		wait = pollLoading
+	}
+	t.Polls[endpoint] = now.Add(wait)
+}
+
+// loading says whether a model or adapter is being loaded.
+func (r Report) loading() bool {
+	return slices.ContainsFunc(r.Models, func(model ModelState) bool {
+		return model.State == Loading || slices.ContainsFunc(model.Adapters, func(adapter AdapterState) bool {
+			return adapter.State == Loading
+		})
+	})
 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -12,8 +12,11 @@
 const (
 	// ListWait is how long one watch of the list waits.
 	ListWait = 2 * time.Second
-	// PollEvery is how often an endpoint is asked for its load.
-	PollEvery = 250 * time.Millisecond
+	// PollEvery is how often an endpoint is asked for its load, and
+	// pollLoading how often while it loads something, since requests wait
+	// for the end of a load.
+	PollEvery   = 250 * time.Millisecond
+	pollLoading = 50 * time.Millisecond
 	// publishDelay joins changes that come close together into one view.
 	publishDelay = 20 * time.Millisecond
 	// listRetry is the delay after a failed read of the list.
@@ -117,7 +120,7 @@
 	case ReportRead:
 		effects = t.reportRead(now, message.Report)
 	case ReportFailed:
-		t.pollDone(now, message.Endpoint)
+		t.pollDone(now, message.Endpoint, false)
 		t.suspect(now, message.Endpoint)
 	case ReportPushed:
 		t.adoptReport(now, message.Report)
@@ -170,7 +173,7 @@
 }
 
 func (t *Tracker) reportRead(now time.Time, report Report) []Effect {
-	t.pollDone(now, report.Endpoint)
+	t.pollDone(now, report.Endpoint, report.loading())
 	t.weigh(now, report.Endpoint, true)
 	t.adoptReport(now, report)
 	return []Effect{PushReport{report}}
