Let a node that wakes from a pause hear of new leaseholders

Cause: nodes suspected a paused node for up to 30 s and sent it nothing, so that it missed who holds the leases and its requests for cold models waited for a dead placer (scripted test nodes_fail). Change: a node is suspected for 4 s at most, and its own load report ends the suspicion. Before: a request at the woken node failed after 20 s; after: the script passes.

--- a/internal/commander/script_test.go
+++ b/internal/commander/script_test.go
@@ -209,6 +209,10 @@
 		}
 		if time.Now().After(end) {
 			dump(ts)
+			state := exec.Command(lookup(ts, "toucanhitch"), "state")
+			state.Env = environment(ts)
+			shown, _ := state.CombinedOutput()
+			ts.Logf("state:\n%s", shown)
 			ts.Fatalf("%s: not within %s: %v\n%s", strings.Join(arguments, " "), limit, err, output)
 		}
 		time.Sleep(repeatEvery)
--- a/internal/commander/state.go
+++ b/internal/commander/state.go
@@ -46,6 +46,15 @@
 	Contacts    map[string]string
 	Peers       []any
 	Endpoints   []endpointState
+	Troubles    []troubleState
+}
+
+type troubleState struct {
+	Endpoint string
+	Model    string
+	Adapter  string
+	Text     string
+	Age      string
 }
 
 type endpointState struct {
@@ -215,7 +224,24 @@
 	if err := printNodes(env, all); err != nil {
 		return err
 	}
-	return printEndpoints(env, all)
+	if err := printEndpoints(env, all); err != nil {
+		return err
+	}
+	return printTroubles(env, all)
+}
+
+func printTroubles(env environment, all []standing) error {
+	var rows []troubleState
+	for _, node := range all {
+		rows = append(rows, node.state.Troubles...)
+	}
+	if len(rows) == 0 {
+		return nil
+	}
+	fmt.Fprintln(env.output)
+	return printTable(env, "TROUBLE AT\tMODEL\tSINCE\tWHAT", rows, func(row troubleState) string {
+		return fmt.Sprintf("%s\t%s %s\t%s\t%s", row.Endpoint, row.Model, row.Adapter, row.Age, row.Text)
+	})
 }
 
 func printNodes(env environment, all []standing) error {
--- a/internal/supervisor/peers.go
+++ b/internal/supervisor/peers.go
@@ -60,6 +60,17 @@
 	Contacts  map[configurer.Source]string
 	Peers     []peerState
 	Endpoints []endpointState
+	// Troubles are the faults that the placer of the region reports, at the
+	// node that holds its lease.
+	Troubles []troubleState
+}
+
+type troubleState struct {
+	Endpoint string
+	Model    string
+	Adapter  string
+	Text     string
+	Age      string
 }
 
 type peerState struct {
@@ -118,6 +129,17 @@
 	for _, endpoint := range n.fleet.Load().Endpoints {
 		state.Endpoints = append(state.Endpoints, describeEndpoint(now, endpoint))
 	}
+	if view := n.placement.Load(); view.Leading {
+		for _, trouble := range view.Troubles {
+			state.Troubles = append(state.Troubles, troubleState{
+				Endpoint: trouble.Endpoint,
+				Model:    trouble.Key.Model,
+				Adapter:  trouble.Key.Adapter,
+				Text:     trouble.Text,
+				Age:      age(now, trouble.At),
+			})
+		}
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(encoder.Encode(state))
 }
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -26,10 +26,12 @@
 	// does so.
 	listSilence = 20 * time.Second
 	directEvery = 20 * time.Second
-	// minSuspicion and maxSuspicion bound how long a silent instance gets no
-	// work.
-	minSuspicion = 2 * time.Second
-	maxSuspicion = 30 * time.Second
+	// minSuspicion and maxSuspicion bound how long a silent endpoint gets no
+	// work, maxNodeSuspicion how long a silent node gets no messages: with
+	// 30 s a node that had been paused missed who holds the leases.
+	minSuspicion     = 2 * time.Second
+	maxSuspicion     = 30 * time.Second
+	maxNodeSuspicion = 4 * time.Second
 )
 
 // Tracker is the controller of what is known of the instances.
@@ -121,14 +123,16 @@
 		effects = t.reportRead(now, message.Report)
 	case ReportFailed:
 		t.pollDone(now, message.Endpoint, false)
-		t.suspect(now, message.Endpoint)
+		t.suspect(now, message.Endpoint, maxSuspicion)
 	case ReportPushed:
 		t.adoptReport(now, message.Report)
 	case Evidence:
-		t.weigh(now, message.Endpoint, message.Answered)
+		t.weigh(now, message.Endpoint, message.Answered, maxSuspicion)
 	case PeerEvidence:
-		t.weigh(now, message.Node, message.Answered)
+		t.weigh(now, message.Node, message.Answered, maxNodeSuspicion)
 	case LoadPushed:
+		// A node that says how it is can be sent messages again.
+		t.weigh(now, message.Load.Node, true, maxNodeSuspicion)
 		message.Load.Received = now
 		t.Loads[message.Load.Node] = message.Load
 		t.changed(now)
@@ -174,7 +178,7 @@
 
 func (t *Tracker) reportRead(now time.Time, report Report) []Effect {
 	t.pollDone(now, report.Endpoint, report.loading())
-	t.weigh(now, report.Endpoint, true)
+	t.weigh(now, report.Endpoint, true, maxSuspicion)
 	t.adoptReport(now, report)
 	return []Effect{PushReport{report}}
 }
@@ -190,9 +194,9 @@
 	t.changed(now)
 }
 
-func (t *Tracker) weigh(now time.Time, name string, answered bool) {
+func (t *Tracker) weigh(now time.Time, name string, answered bool, longest time.Duration) {
 	if !answered {
-		t.suspect(now, name)
+		t.suspect(now, name, longest)
 		return
 	}
 	if _, ok := t.Suspicions[name]; ok {
@@ -201,9 +205,9 @@
 	}
 }
 
-func (t *Tracker) suspect(now time.Time, name string) {
+func (t *Tracker) suspect(now time.Time, name string, longest time.Duration) {
 	suspicion := t.Suspicions[name]
-	suspicion.Length = min(max(2*suspicion.Length, minSuspicion), maxSuspicion)
+	suspicion.Length = min(max(2*suspicion.Length, minSuspicion), longest)
 	suspicion.Until = now.Add(suspicion.Length)
 	suspicion.Ended = false
 	t.Suspicions[name] = suspicion
