--- /dev/null
+++ b/internal/benchmarker/limits.go
@@ -0,0 +1,262 @@
+package benchmarker
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/limiter"
+)
+
+// LimitsSystem is a way to keep workspaces within their limits: Grants,
+// StaticSplit or CentralBucket.
+type LimitsSystem interface{ isLimitsSystem() }
+
+// Grants is the Owner and the Holders.
+type Grants struct{}
+
+// StaticSplit gives every node an equal part of rate and burst.
+type StaticSplit struct{}
+
+// CentralBucket is one bucket that every request asks and that never fails.
+type CentralBucket struct{}
+
+func (Grants) isLimitsSystem()        {}
+func (StaticSplit) isLimitsSystem()   {}
+func (CentralBucket) isLimitsSystem() {}
+
+// LimitsRow is what a group of workspaces got.
+type LimitsRow struct {
+	System LimitsSystem
+	Demand string
+	// Group is "all", or which workspaces of a demand with a heavy one.
+	Group    string
+	Requests int
+	// Wrongful counts the refused requests that a central bucket without
+	// delay grants, given the same requests.
+	Wrongful int
+	Refused  int
+	// P50 and P99 are the waits of granted requests.
+	P50, P99 time.Duration
+	// Tokens is the number of tokens that were used.
+	Tokens float64
+	// Excess is the largest number of tokens that a workspace used above
+	// rate x window + burst in any window.
+	Excess float64
+	// Exchanges is the number of exchanges a second, of all workspaces.
+	Exchanges float64
+}
+
+// Limits measures the systems in virtual time: 7 nodes with 8 standing shares,
+// 1 ms for each direction of an exchange, 5 workspaces, two minutes.
+func Limits(seed uint64) []LimitsRow {
+	var rows []LimitsRow
+	for _, demand := range limitsDemands {
+		requests := demand.requests(seed)
+		judge := newLimitsRun(CentralBucket{}, 0, requests).run(limitsDemand{})
+		for _, system := range []LimitsSystem{Grants{}, StaticSplit{}, CentralBucket{}} {
+			run := newLimitsRun(system, limitsDelay, requests).run(demand)
+			rows = append(rows, run.rows(demand, judge)...)
+		}
+	}
+	return rows
+}
+
+// PrintLimits prints a table of the rows.
+func PrintLimits(w io.Writer, rows []LimitsRow) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "demand\tgroup\tsystem\trequests\trefused\twrongly\twait p50 ms\twait p99 ms\ttokens\tabove bound\texchanges/s\t")
+	for _, row := range rows {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%.0f\t%.0f\t%.0f\t\n",
+			row.Demand, row.Group, limitsSystemName(row.System), row.Requests, row.Refused, row.Wrongful,
+			milliseconds(row.P50), milliseconds(row.P99), row.Tokens, row.Excess, row.Exchanges)
+	}
+	return table.Flush()
+}
+
+func limitsSystemName(system LimitsSystem) string {
+	switch system.(type) {
+	case Grants:
+		return "grants"
+	case StaticSplit:
+		return "static split"
+	case CentralBucket:
+		return "central bucket"
+	default:
+		panic(fmt.Sprintf("unknown system %T", system))
+	}
+}
+
+// limitsResult is what became of a request.
+type limitsResult struct {
+	granted   bool
+	refused   bool
+	wait      time.Duration
+	confirmed time.Duration
+}
+
+// limitsRun is one system with one list of requests.
+type limitsRun struct {
+	system   LimitsSystem
+	delay    time.Duration
+	fleet    *LimitsFleet
+	requests []limitsRequest
+	results  []limitsResult
+}
+
+func newLimitsRun(system LimitsSystem, delay time.Duration, requests []limitsRequest) *limitsRun {
+	r := &limitsRun{system: system, requests: requests, results: make([]limitsResult, len(requests))}
+	switch system.(type) {
+	case Grants:
+		r.fleet = NewLimitsFleet(limitsNodes, limiter.DefaultSlots, limitsWorkspaces)
+	case StaticSplit:
+		r.fleet = newSplitFleet(limitsNodes, limitsWorkspaces)
+	case CentralBucket:
+		r.fleet = newSplitFleet(1, limitsWorkspaces)
+		r.delay = delay
+	}
+	return r
+}
+
+// run sends all requests and makes the demand's failures happen.
+func (r *limitsRun) run(demand limitsDemand) *limitsRun {
+	if _, central := r.system.(CentralBucket); demand.failures != nil && !central {
+		demand.failures(r.fleet)
+	}
+	for i := range r.requests {
+		r.fleet.After(r.requests[i].at, func() { r.send(i) })
+	}
+	r.fleet.Run(limitsWarmUp + limitsDuration + time.Minute)
+	return r
+}
+
+// node returns where a request goes: its own node, or the next if that is dead.
+func (r *limitsRun) node(want int) int {
+	count := len(r.fleet.Nodes)
+	for step := range count {
+		if index := (want + step) % count; !r.fleet.Nodes[index].Dead {
+			return index
+		}
+	}
+	return 0
+}
+
+func (r *limitsRun) send(i int) {
+	request := r.requests[i]
+	node := r.node(request.node)
+	r.fleet.After(r.delay, func() {
+		r.fleet.Reserve(node, request.workspace, request.tokens, limitsPatience, func(effect limiter.HolderEffect) {
+			r.fleet.After(r.delay, func() { r.answered(i, node, effect) })
+		})
+	})
+}
+
+func (r *limitsRun) answered(i, node int, effect limiter.HolderEffect) {
+	result := &r.results[i]
+	result.wait = r.fleet.Now() - r.requests[i].at
+	reserved, ok := effect.(limiter.Reserved)
+	if !ok {
+		result.refused = true
+		return
+	}
+	r.fleet.After(r.requests[i].queued, func() {
+		r.fleet.Confirm(node, reserved.ID, limitsPatience, func(effect limiter.HolderEffect) {
+			r.confirmed(i, node, reserved.ID, effect)
+		})
+	})
+}
+
+func (r *limitsRun) confirmed(i, node int, id uint64, effect limiter.HolderEffect) {
+	result := &r.results[i]
+	if _, ok := effect.(limiter.Reserved); !ok {
+		result.refused = true
+		return
+	}
+	result.granted, result.confirmed = true, r.fleet.Now()
+	r.fleet.After(r.requests[i].runs, func() { r.fleet.Settle(node, id, r.requests[i].used) })
+}
+
+func (r *limitsRun) rows(demand limitsDemand, judge *limitsRun) []LimitsRow {
+	if demand.heavy == "" {
+		return []LimitsRow{r.row(demand.name, "all", judge, func(string) bool { return true })}
+	}
+	return []LimitsRow{
+		r.row(demand.name, "the heavy one", judge, func(workspace string) bool { return workspace == demand.heavy }),
+		r.row(demand.name, "the others", judge, func(workspace string) bool { return workspace != demand.heavy }),
+	}
+}
+
+func (r *limitsRun) row(demand, group string, judge *limitsRun, belongs func(string) bool) LimitsRow {
+	row := LimitsRow{System: r.system, Demand: demand, Group: group}
+	var waits []time.Duration
+	for i, request := range r.requests {
+		if !belongs(request.workspace) {
+			continue
+		}
+		row.Requests++
+		result := r.results[i]
+		if result.granted {
+			waits = append(waits, result.wait)
+			row.Tokens += request.used
+		}
+		if result.refused {
+			row.Refused++
+		}
+		if result.refused && judge.results[i].granted {
+			row.Wrongful++
+		}
+	}
+	slices.Sort(waits)
+	row.P50, row.P99 = percentile(waits, 0.5), percentile(waits, 0.99)
+	row.Excess = r.excess(belongs)
+	row.Exchanges = float64(r.fleet.Exchanges) / (limitsWarmUp + limitsDuration).Seconds()
+	if _, ok := r.system.(CentralBucket); ok {
+		// Every request asks once and every granted one settles.
+		row.Exchanges = float64(len(r.requests)+len(waits)) / limitsDuration.Seconds()
+	}
+	return row
+}
+
+// excess runs a bucket that empties at the workspace's rate and returns the
+// most that it held above the burst.
+func (r *limitsRun) excess(belongs func(string) bool) float64 {
+	order := make([]int, 0, len(r.requests))
+	for i := range r.requests {
+		if r.results[i].granted && belongs(r.requests[i].workspace) {
+			order = append(order, i)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return int(r.results[a].confirmed - r.results[b].confirmed) })
+	most := 0.0
+	levels, last := map[string]float64{}, map[string]time.Duration{}
+	for _, i := range order {
+		name, at := r.requests[i].workspace, r.results[i].confirmed
+		level := max(0, levels[name]-limitsRate*(at-last[name]).Seconds()) + r.requests[i].used
+		levels[name], last[name] = level, at
+		most = max(most, level-limitsBurst)
+	}
+	return most
+}
+
+// newSplitFleet returns nodes without an owner, each with an equal part of
+// every workspace. As a standing share is half of an equal part, the limits are
+// doubled.
+func newSplitFleet(nodes int, limits []limiter.Limit) *LimitsFleet {
+	f := newLimitsFleet(nodes, nodes, doubled(limits))
+	for _, node := range f.Nodes {
+		node.Holder.Standing = true
+		f.configure(node)
+	}
+	return f
+}
+
+func doubled(limits []limiter.Limit) []limiter.Limit {
+	all := slices.Clone(limits)
+	for i := range all {
+		all[i].Rate *= 2
+		all[i].Burst *= 2
+	}
+	return all
+}
--- a/internal/benchmarker/limits_fleet.go
+++ b/internal/benchmarker/limits_fleet.go
@@ -96,8 +96,22 @@
 	return last
 }
 
-// NewLimitsFleet returns a fleet whose node 0 holds the lease.
+// NewLimitsFleet returns a fleet in which a node takes the lease within a
+// second.
 func NewLimitsFleet(nodes, slots int, limits []limiter.Limit) *LimitsFleet {
+	f := newLimitsFleet(nodes, slots, limits)
+	f.lease.renewed = -limitsLeaseTakeover
+	f.lease.holder = nodes - 1
+	f.lease.run = f.Nodes[nodes-1]
+	for _, node := range f.Nodes {
+		f.configure(node)
+	}
+	f.renew()
+	return f
+}
+
+// newLimitsFleet returns nodes that have no limits and no lease yet.
+func newLimitsFleet(nodes, slots int, limits []limiter.Limit) *LimitsFleet {
 	f := &LimitsFleet{
 		Delay:      func() time.Duration { return time.Millisecond },
 		Lost:       func() bool { return false },
@@ -107,13 +121,6 @@
 	for i := range nodes {
 		f.Nodes = append(f.Nodes, newLimitsNode(i, 1, slots))
 	}
-	f.lease.renewed = -limitsLeaseTakeover
-	f.lease.holder = nodes - 1
-	f.lease.run = f.Nodes[nodes-1]
-	for _, node := range f.Nodes {
-		f.configure(node)
-	}
-	f.renew()
 	return f
 }
 
@@ -173,6 +180,11 @@
 	node := newLimitsNode(index, old.Holder.Session+1, old.Holder.SlotCount)
 	node.Offset = old.Offset
 	f.Nodes[index] = node
+	if f.lease.run == nil {
+		node.Holder.Standing = true
+		f.configure(node)
+		return
+	}
 	f.configure(node)
 	f.announce(node)
 }
