--- a/internal/benchmarker/limits_demand.go
+++ b/internal/benchmarker/limits_demand.go
@@ -65,10 +65,10 @@
 
 var limitsDemands = []limitsDemand{
 	{name: "even", node: evenNode},
-	{name: "skewed", node: skewedNode},
+	{name: "one at 4 times its rate", node: evenNode, heavy: "a"},
 	{name: "moving", node: movingNode},
+	{name: "skewed", node: skewedNode},
 	{name: "bursty", node: evenNode, bursts: true},
-	{name: "one at 4 times its rate", node: evenNode, heavy: "a"},
 	{name: "even, owner crashes", node: evenNode, failures: crashOwner},
 	{name: "skewed, owner crashes", node: skewedNode, failures: crashOwner},
 	{name: "even, API down for 60 s", node: evenNode, failures: stopAPI},
--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -40,31 +40,6 @@
 	WakeAt time.Time
 }
 
-// Reservation is a number of tokens that are set aside for a request.
-type Reservation struct {
-	ID        uint64
-	Call      runner.Call
-	Workspace string
-	Tokens    float64
-	Confirmed bool
-	// Unreported says that no exchange since the confirmation has told the
-	// owner of the spending.
-	Unreported bool
-	Parts      []Part
-}
-
-// Part is the part of a reservation from one source: a grant or a standing
-// bucket.
-type Part struct {
-	Held     *Held
-	Standing *Bucket
-	Tokens   float64
-	// Since is the latest time on the source's own clock at which the tokens
-	// were certainly still outstanding, negative if it is not known. A refund
-	// dates from it.
-	Since time.Duration
-}
-
 // NewHolder returns a holder without limits and without an owner.
 func NewHolder(node string, session uint64, slotCount int) *Holder {
 	return &Holder{
@@ -246,109 +221,11 @@
 	return Reserved{Call: w.Call, ID: r.ID}
 }
 
-// spend notes that a reservation's tokens are being used.
-func (h *Holder) spend(r *Reservation) {
-	r.Confirmed, r.Unreported = true, true
-	for i := range r.Parts {
-		part := &r.Parts[i]
-		if part.Standing != nil {
-			part.Standing.spend(part.Tokens)
-			part.Since = part.Standing.Mark
-			continue
-		}
-		part.Held.Spent += part.Tokens
-		part.Since = h.Link.stamp(part.Held.Epoch)
-	}
-	h.Link.Unreported = append(h.Link.Unreported, r)
-}
-
 func (h *Holder) refuse(now time.Time, p *Pool, w *Waiter) HolderEffect {
 	h.end(now, p, w.Reservation, 0)
 	return Refused{Call: w.Call, Reason: NoTokens, RetryAfter: p.retryAfter(w.Reservation.Tokens)}
 }
 
-func (h *Holder) settle(now time.Time, message Settled) []HolderEffect {
-	r := h.Reservations[message.ID]
-	if r == nil {
-		return nil
-	}
-	p := h.Pools[r.Workspace]
-	if p == nil {
-		h.forget(r)
-		return nil
-	}
-	p.advance(now, h.Origin)
-	if message.Used > 0 && !r.Confirmed {
-		p.dropExpired(r)
-		h.spend(r)
-	}
-	h.end(now, p, r, message.Used)
-	return h.refresh(now, p)
-}
-
-// end gives back what a reservation did not use, once.
-func (h *Holder) end(now time.Time, p *Pool, r *Reservation, used float64) {
-	if h.Reservations[r.ID] != r {
-		return
-	}
-	h.forget(r)
-	p.Waiting = slices.DeleteFunc(p.Waiting, func(w *Waiter) bool { return w.Reservation == r })
-	if !r.Confirmed {
-		p.release(r)
-		return
-	}
-	unused := -used
-	for _, part := range r.Parts {
-		unused += part.Tokens
-	}
-	p.Overdrawn += max(0, -unused)
-	for _, part := range r.Parts {
-		tokens := min(unused, part.Tokens)
-		unused -= tokens
-		h.refund(now, p, r, part, tokens)
-	}
-}
-
-// refund gives unused tokens back to where they came from. Tokens of which the
-// owner does not know yet that they were spent have stayed within its burst
-// all the time, so they go back to their grant.
-func (h *Holder) refund(now time.Time, p *Pool, r *Reservation, part Part, tokens float64) {
-	switch {
-	case tokens <= 0:
-	case part.Standing != nil:
-		if part.Standing == p.Standing {
-			part.Standing.refund(part.Since, tokens)
-		}
-	case r.Unreported:
-		part.Held.unspend(now, tokens)
-	case part.Since >= 0 && part.Held.Epoch == h.Owner.Epoch:
-		p.addRefund(Refund{Since: part.Since, Tokens: tokens})
-	}
-}
-
-func (h *Holder) forget(r *Reservation) {
-	delete(h.Reservations, r.ID)
-	delete(h.Calls, r.Call)
-}
-
-func (h *Holder) cancel(now time.Time, call runner.Call) []HolderEffect {
-	if id, ok := h.Calls[call]; ok {
-		return h.settle(now, Settled{ID: id})
-	}
-	for _, name := range h.Names {
-		p := h.Pools[name]
-		for i, w := range p.Waiting {
-			if w.Call != call {
-				continue
-			}
-			p.Waiting = slices.Delete(p.Waiting, i, i+1)
-			h.end(now, p, w.Reservation, 0)
-			return h.refresh(now, p)
-		}
-	}
-	return nil
-}
-
 // configure puts limits in force and refuses what waits for a workspace that
 // is gone.
 func (h *Holder) configure(now time.Time, limits []Limit) []HolderEffect {
