--- a/internal/benchmarker/limits_lease.go
+++ b/internal/benchmarker/limits_lease.go
@@ -50,6 +50,7 @@
 	if f.APIDown {
 		return
 	}
+	f.list()
 	node := f.lease.run
 	switch {
 	case f.now-f.lease.renewed >= limitsLeaseTakeover:
@@ -63,6 +64,19 @@
 	}
 }
 
+// list gives every node the platform's list of instances.
+func (f *LimitsFleet) list() {
+	var names []string
+	for _, node := range f.Nodes {
+		if !node.Dead {
+			names = append(names, node.name)
+		}
+	}
+	for _, node := range f.Nodes {
+		f.deliver(node, func() { f.owner(node, limiter.InstancesListed{Names: names}) })
+	}
+}
+
 func (f *LimitsFleet) takeOver() {
 	for step := range len(f.Nodes) {
 		index := (f.lease.holder + 1 + step) % len(f.Nodes)
