--- a/internal/limiter/lending.go
+++ b/internal/limiter/lending.go
@@ -85,10 +85,19 @@
 	return encoder.Encode(leaseData(data)), nil
 }
 
+// State returns what the owner knows, for operators.
+func (l *Lending) State(ctx context.Context) (OwnerState, error) {
+	return runner.Ask[OwnerState](ctx, l.task, func(call runner.Call) OwnerMessage {
+		return StateAsked{Call: call}
+	}, nil)
+}
+
 func (l *Lending) perform(hands runner.Hands[OwnerMessage], effect OwnerEffect) {
 	switch effect := effect.(type) {
 	case ExchangeAnswered:
 		hands.Answer(effect.Call, effect.Answer)
+	case StateTold:
+		hands.Answer(effect.Call, effect.State)
 	case HandedOver:
 		hands.Answer(effect.Call, effect.Data)
 	case StoreLeaseData:
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -58,6 +58,8 @@
 		return o.answer(now, message)
 	case HandOverAsked:
 		return []OwnerEffect{HandedOver{Call: message.Call, Data: o.handOver(now)}}
+	case StateAsked:
+		return []OwnerEffect{StateTold{Call: message.Call, State: o.state(now)}}
 	}
 	return nil
 }
@@ -135,16 +137,30 @@
 	}
 	o.HandedOver = true
 	data.HandedOver = true
+	data.Balances = o.balances(now)
+	return data
+}
+
+func (o *Owner) balances(now time.Time) []Balance {
+	var balances []Balance
 	for _, limit := range o.Limits {
 		ledger := o.Ledgers[limit.Workspace]
 		ledger.advance(now.Sub(o.Since))
-		data.Balances = append(data.Balances, Balance{
+		balances = append(balances, Balance{
 			Workspace:   limit.Workspace,
 			Level:       ledger.Level,
 			Outstanding: ledger.Outstanding,
 		})
 	}
-	return data
+	return balances
+}
+
+func (o *Owner) state(now time.Time) OwnerState {
+	state := OwnerState{Epoch: o.Epoch, Grants: o.owns(now), Slots: o.Slots.names()}
+	if state.Grants {
+		state.Balances, state.Short = o.balances(now), o.short(now)
+	}
+	return state
 }
 
 func (o *Owner) store() OwnerEffect {
--- a/internal/limiter/owner_messages.go
+++ b/internal/limiter/owner_messages.go
@@ -45,6 +45,9 @@
 // afterwards in this epoch.
 type HandOverAsked struct{ Call runner.Call }
 
+// StateAsked asks what the owner knows, for operators.
+type StateAsked struct{ Call runner.Call }
+
 // OwnerTick is delivered at the owner's wake time.
 type OwnerTick struct{}
 
@@ -55,6 +58,7 @@
 func (InstancesListed) isOwnerMessage()   {}
 func (ExchangeReceived) isOwnerMessage()  {}
 func (HandOverAsked) isOwnerMessage()     {}
+func (StateAsked) isOwnerMessage()        {}
 func (OwnerTick) isOwnerMessage()         {}
 
 // OwnerEffect is what an Owner decides.
@@ -75,6 +79,25 @@
 	Data LeaseData
 }
 
+// StateTold answers StateAsked.
+type StateTold struct {
+	Call  runner.Call
+	State OwnerState
+}
+
+// OwnerState is what operators see of an owner.
+type OwnerState struct {
+	Epoch uint64
+	// Grants says that the owner may grant tokens now.
+	Grants bool
+	// Slots are the nodes with standing shares.
+	Slots    []string
+	Balances []Balance
+	// Short names the workspaces in which a need was not covered lately.
+	Short []string
+}
+
+func (StateTold) isOwnerEffect()        {}
 func (ExchangeAnswered) isOwnerEffect() {}
 func (StoreLeaseData) isOwnerEffect()   {}
 func (HandedOver) isOwnerEffect()       {}
--- a/internal/limiter/script_test.go
+++ b/internal/limiter/script_test.go
@@ -36,6 +36,7 @@
 			limiter.InstancesListed{},
 			limiter.ExchangeReceived{},
 			limiter.HandOverAsked{},
+			limiter.StateAsked{},
 		},
 		Tick: limiter.OwnerTick{},
 	})
