--- a/internal/benchmarker/limits_fleet.go
+++ b/internal/benchmarker/limits_fleet.go
@@ -46,26 +46,6 @@
 	tickAt   time.Duration
 }
 
-// limitsLease is the lease object.
-type limitsLease struct {
-	// holder is the index of the node that took the lease last, and run its
-	// run then: a later run of the same node does not hold the lease.
-	holder  int
-	run     *LimitsNode
-	epoch   uint64
-	renewed time.Duration
-	data    limiter.LeaseData
-	wanted  limiter.LeaseData
-}
-
-const (
-	limitsLeaseDuration = 3 * time.Second
-	limitsLeaseValid    = limitsLeaseDuration * 9 / 10
-	limitsLeaseTakeover = limitsLeaseDuration * 11 / 10
-	limitsLeaseRenewal  = time.Second
-	limitsExchangeLimit = time.Second
-)
-
 // limitsStart is the time of a fleet's beginning on a clock without offset.
 var limitsStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -96,8 +76,22 @@
 	return last
 }
 
-// NewLimitsFleet returns a fleet whose node 0 holds the lease.
+// NewLimitsFleet returns a fleet in which a node takes the lease within a
+// second.
 func NewLimitsFleet(nodes, slots int, limits []limiter.Limit) *LimitsFleet {
+	f := newLimitsFleet(nodes, slots, limits)
+	f.lease.renewed = -limitsLeaseTakeover
+	f.lease.holder = nodes - 1
+	f.lease.run = f.Nodes[nodes-1]
+	for _, node := range f.Nodes {
+		f.configure(node)
+	}
+	f.renew()
+	return f
+}
+
+// newLimitsFleet returns nodes that have no limits and no lease yet.
+func newLimitsFleet(nodes, slots int, limits []limiter.Limit) *LimitsFleet {
 	f := &LimitsFleet{
 		Delay:      func() time.Duration { return time.Millisecond },
 		Lost:       func() bool { return false },
@@ -107,13 +101,6 @@
 	for i := range nodes {
 		f.Nodes = append(f.Nodes, newLimitsNode(i, 1, slots))
 	}
-	f.lease.renewed = -limitsLeaseTakeover
-	f.lease.holder = nodes - 1
-	f.lease.run = f.Nodes[nodes-1]
-	for _, node := range f.Nodes {
-		f.configure(node)
-	}
-	f.renew()
 	return f
 }
 
@@ -173,6 +160,11 @@
 	node := newLimitsNode(index, old.Holder.Session+1, old.Holder.SlotCount)
 	node.Offset = old.Offset
 	f.Nodes[index] = node
+	if f.lease.run == nil {
+		node.Holder.Standing = true
+		f.configure(node)
+		return
+	}
 	f.configure(node)
 	f.announce(node)
 }
@@ -323,67 +315,3 @@
 		})
 	}
 }
-
-// owner steps a node's owner and notes what it wants in the lease object.
-func (f *LimitsFleet) owner(node *LimitsNode, message limiter.OwnerMessage) []limiter.OwnerEffect {
-	effects := node.Owner.Step(f.Clock(node), message)
-	for _, effect := range effects {
-		switch effect := effect.(type) {
-		case limiter.StoreLeaseData:
-			f.lease.wanted = effect.Data
-		case limiter.HandedOver:
-			if effect.Data.HandedOver {
-				f.lease.data = effect.Data
-				f.lease.renewed = f.now - limitsLeaseTakeover
-			}
-		}
-	}
-	return effects
-}
-
-// renew runs the lease: its holder renews it every second, and the next node
-// that is alive takes it when it has run out.
-func (f *LimitsFleet) renew() {
-	f.After(limitsLeaseRenewal, f.renew)
-	if f.APIDown {
-		return
-	}
-	node := f.lease.run
-	switch {
-	case f.now-f.lease.renewed >= limitsLeaseTakeover:
-		f.takeOver()
-	case !node.Dead && f.now >= node.PausedUntil:
-		f.lease.renewed = f.now
-		f.lease.data = f.lease.wanted
-		until := f.Clock(node).Add(limitsLeaseValid)
-		f.owner(node, limiter.LeaseHeld{Epoch: f.lease.epoch, Until: until})
-		f.owner(node, limiter.LeaseDataStored{Epoch: f.lease.epoch, Revision: f.lease.data.Revision})
-	}
-}
-
-func (f *LimitsFleet) takeOver() {
-	for step := range len(f.Nodes) {
-		index := (f.lease.holder + 1 + step) % len(f.Nodes)
-		node := f.Nodes[index]
-		if node.Dead || f.now < node.PausedUntil {
-			continue
-		}
-		f.lease.holder, f.lease.run, f.lease.renewed = index, node, f.now
-		f.lease.epoch++
-		until := f.Clock(node).Add(limitsLeaseValid)
-		f.owner(node, limiter.LeaseHeld{Epoch: f.lease.epoch, Until: until, Data: f.lease.data})
-		for _, other := range f.Nodes {
-			f.announce(other)
-		}
-		return
-	}
-}
-
-// announce tells a node who holds the lease.
-func (f *LimitsFleet) announce(node *LimitsNode) {
-	owner := f.lease.run
-	message := limiter.OwnerChanged{Node: owner.name, Address: owner.name, Epoch: f.lease.epoch}
-	f.After(time.Millisecond, func() {
-		f.deliver(node, func() { f.holder(node, message) })
-	})
-}
