Let requests wait for tokens by class, and let a first owner lend at once

Nobody can have lent before the first epoch, and what flowed in since all earlier grants ended is certainly there. Assured and deferred requests now wait for tokens to their deadline and interactive ones for up to 5 s, which covers the takeover of the lease after a crash; they were refused after 2 s.

--- a/internal/commander/script_test.go
+++ b/internal/commander/script_test.go
@@ -139,6 +139,7 @@
 	name, path := arguments[0], lookup(ts, arguments[1])
 	command := exec.Command(path, arguments[2:]...)
 	command.Env = environment(ts)
+	command.Dir = ts.MkAbs(".")
 	output := &syncBuffer{}
 	command.Stdout, command.Stderr = output, output
 	ts.Check(command.Start())
@@ -203,6 +204,7 @@
 	for {
 		command := exec.Command(lookup(ts, arguments[0]), arguments[1:]...)
 		command.Env = environment(ts)
+		command.Dir = ts.MkAbs(".")
 		output, err := command.CombinedOutput()
 		if good(string(output), err) {
 			return string(output)
@@ -275,8 +277,12 @@
 func startNode(ts *testscript.TestScript, i int) {
 	name, dataCentre := fmt.Sprintf("node-%d", i), fmt.Sprintf("dc-%d", i)
 	caller, peer := ts.Getenv(fmt.Sprint("NODE", i)), ts.Getenv(fmt.Sprint("PEER", i))
-	within(ts, false, []string{"10s", "standin", "register", "--platform", ts.Getenv("PLATFORM"), "--name", name,
-		"--address", caller, "--peer-address", peer, "--data-centre", dataCentre, "--region", "pl-north"})
-	start(ts, false, []string{name, "toucanhitch", "node", "--name", name, "--data-centre", dataCentre,
-		"--caller-address", caller, "--peer-address", peer})
+	within(ts, false, []string{
+		"10s", "standin", "register", "--platform", ts.Getenv("PLATFORM"), "--name", name,
+		"--address", caller, "--peer-address", peer, "--data-centre", dataCentre, "--region", "pl-north",
+	})
+	start(ts, false, []string{
+		name, "toucanhitch", "node", "--name", name, "--data-centre", dataCentre,
+		"--caller-address", caller, "--peer-address", peer,
+	})
 }
--- a/internal/filter/limit.go
+++ b/internal/filter/limit.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 // CallTokens is what a service call takes from its workspace's limit.
@@ -20,8 +22,7 @@
 
 // Limits keeps workspaces within their rate and burst.
 type Limits interface {
-	// Reserve waits for tokens until the deadline or a shorter bound of its
-	// own. The error is a Refusal or the context's.
+	// Reserve waits for tokens until the deadline. The error is a Refusal or the context's.
 	Reserve(ctx context.Context, workspace string, tokens int, deadline time.Time) (Reservation, error)
 	// Confirm says that the tokens are about to be used. It waits for new
 	// tokens if the reservation has expired. The error is a Refusal or the
@@ -33,6 +34,7 @@
 
 // Limit reserves the tokens that a request may take at most.
 type Limit struct {
+	Clock  clockwork.Clock
 	Limits Limits
 }
 
@@ -41,7 +43,7 @@
 	if request.Workspace == "" {
 		return Pass{}
 	}
-	reservation, err := f.Limits.Reserve(ctx, request.Workspace, cost(request.Work), request.Deadline)
+	reservation, err := f.Limits.Reserve(ctx, request.Workspace, cost(request.Work), tokenDeadline(f.Clock.Now(), request))
 	if err != nil {
 		return refusal(ctx, err)
 	}
@@ -54,6 +56,7 @@
 // Confirm makes sure that a request's tokens are still reserved when it gets
 // its slot: a reservation expires, and a request can wait longer than that.
 type Confirm struct {
+	Clock  clockwork.Clock
 	Limits Limits
 }
 
@@ -62,7 +65,7 @@
 	if request.Workspace == "" {
 		return Pass{}
 	}
-	reservation, err := f.Limits.Confirm(ctx, request.Reservation, request.Deadline)
+	reservation, err := f.Limits.Confirm(ctx, request.Reservation, tokenDeadline(f.Clock.Now(), request))
 	if err != nil {
 		request.Reservation = Reservation{Workspace: request.Workspace}
 		return refusal(ctx, err)
@@ -71,6 +74,19 @@
 	return Pass{}
 }
 
+// maxInteractiveWait is how long an interactive request waits for tokens at
+// most. It covers the takeover of the owner's lease after a crash.
+const maxInteractiveWait = 5 * time.Second
+
+// tokenDeadline is until when a request waits for tokens. An interactive one
+// keeps half of its time for the answer; the others wait to their deadline.
+func tokenDeadline(now time.Time, request *Request) time.Time {
+	if request.Class != Interactive {
+		return request.Deadline
+	}
+	return now.Add(min(request.Deadline.Sub(now)/2, maxInteractiveWait))
+}
+
 // cost is the largest number of tokens that work can take.
 func cost(work Work) int {
 	switch work := work.(type) {
--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// MaxWait bounds the wait for tokens before a refusal.
+	// MaxWait bounds the wait for tokens before a refusal, unless the asker
+	// has more patience.
 	MaxWait = 2 * time.Second
 	// maxWaiting bounds the waiting requests of a workspace at one node.
 	maxWaiting = 1000
@@ -170,7 +171,7 @@
 	p.Demand.add(now, message.Tokens)
 	p.enqueue(len(p.Waiting), &Waiter{
 		Call:        message.Call,
-		Until:       earlier(message.Deadline, now.Add(MaxWait)),
+		Until:       earlier(message.Deadline, now.Add(max(MaxWait, message.Patience))),
 		Reservation: &Reservation{Workspace: message.Workspace, Tokens: message.Tokens},
 	})
 	return h.refresh(now, p)
@@ -187,7 +188,7 @@
 	p.advance(now, h.Origin)
 	w := &Waiter{
 		Call:        message.Call,
-		Until:       earlier(message.Deadline, now.Add(MaxWait)),
+		Until:       earlier(message.Deadline, now.Add(max(MaxWait, message.Patience))),
 		Reservation: r,
 		Confirms:    true,
 	}
--- a/internal/limiter/holder_messages.go
+++ b/internal/limiter/holder_messages.go
@@ -15,6 +15,8 @@
 	Workspace string
 	Tokens    float64
 	Deadline  time.Time
+	// Patience is the longest wait if it is above MaxWait.
+	Patience time.Duration
 }
 
 // ConfirmAsked says that a reservation is about to be used. It is answered
@@ -23,6 +25,8 @@
 	Call     runner.Call
 	ID       uint64
 	Deadline time.Time
+	// Patience is the longest wait if it is above MaxWait.
+	Patience time.Duration
 }
 
 // Settled ends a reservation.
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -16,6 +16,10 @@
 // requests a second at a node, about a second's.
 const inbox = 4096
 
+// patient leaves the length of the wait to the deadline, which the asker sets
+// by the class of the request.
+const patient = time.Hour
+
 // settleRetry is longer than a task needs for a full inbox.
 const settleRetry = 10 * time.Millisecond
 
@@ -75,7 +79,7 @@
 // Reserve implements filter.Limits.
 func (l *Limits) Reserve(ctx context.Context, workspace string, tokens int, deadline time.Time) (filter.Reservation, error) {
 	id, err := l.ask(ctx, workspace, func(call runner.Call) HolderMessage {
-		return ReserveAsked{Call: call, Workspace: workspace, Tokens: float64(tokens), Deadline: deadline}
+		return ReserveAsked{Call: call, Workspace: workspace, Tokens: float64(tokens), Deadline: deadline, Patience: patient}
 	})
 	if err != nil {
 		return filter.Reservation{}, err
@@ -86,7 +90,7 @@
 // Confirm implements filter.Limits.
 func (l *Limits) Confirm(ctx context.Context, reservation filter.Reservation, deadline time.Time) (filter.Reservation, error) {
 	_, err := l.ask(ctx, reservation.Workspace, func(call runner.Call) HolderMessage {
-		return ConfirmAsked{Call: call, ID: reservation.ID, Deadline: deadline}
+		return ConfirmAsked{Call: call, ID: reservation.ID, Deadline: deadline, Patience: patient}
 	})
 	if err != nil {
 		// The question may not have reached the holder.
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -26,6 +26,9 @@
 	Stamp   time.Duration
 	Limits  []Limit
 	Ledgers map[string]*Ledger
+	// Dropped says when a workspace was last withdrawn in this epoch. It is
+	// kept for as long as it matters.
+	Dropped map[string]time.Duration
 	Peers   map[string]*Peer
 	Slots   SlotTable
 }
@@ -88,9 +91,10 @@
 	o.Peers = map[string]*Peer{}
 	o.Slots = newSlotTable(now, o.SlotCount, message.Data.Slots, o.Slots)
 	o.Ledgers = map[string]*Ledger{}
+	o.Dropped = map[string]time.Duration{}
 	for _, limit := range o.Limits {
 		rate, burst := o.part(limit)
-		o.Ledgers[limit.Workspace] = newLedger(0, rate, burst)
+		o.Ledgers[limit.Workspace] = o.newLedger(limit.Workspace, 0, rate, burst)
 	}
 	if message.Data.HandedOver && message.Data.Epoch+1 == message.Epoch {
 		for _, balance := range message.Data.Balances {
@@ -109,26 +113,48 @@
 	return limit.Rate - rate, limit.Burst - burst
 }
 
-// configure puts limits in force at once. A ledger that is new in the middle
-// of an epoch begins like one after a crash: the workspace may have been
-// withdrawn and added again while its grants were out.
+// configure puts limits in force at once.
 func (o *Owner) configure(now time.Time, limits []Limit) {
 	o.Limits = slices.Clone(limits)
 	slices.SortFunc(o.Limits, func(a, b Limit) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	kept := map[string]*Ledger{}
+	elapsed := now.Sub(o.Since)
 	for _, limit := range o.Limits {
 		rate, burst := o.part(limit)
 		ledger := o.Ledgers[limit.Workspace]
 		if ledger == nil {
-			ledger = newLedger(now.Sub(o.Since), rate, burst)
+			ledger = o.newLedger(limit.Workspace, elapsed, rate, burst)
 		}
-		ledger.advance(now.Sub(o.Since))
+		ledger.advance(elapsed)
 		ledger.resize(rate, burst)
 		kept[limit.Workspace] = ledger
 	}
+	for name := range o.Ledgers {
+		if kept[name] == nil {
+			o.Dropped[name] = elapsed
+		}
+	}
 	o.Ledgers = kept
 }
 
+// newLedger returns the ledger of a workspace that has none in this epoch, as
+// full as the past allows. In the first epoch nobody has lent before. Later,
+// an earlier owner, or this one before the workspace was withdrawn, may have
+// lent the whole burst until then: what has flowed in since the last of those
+// grants ended is certainly there.
+func (o *Owner) newLedger(workspace string, elapsed time.Duration, rate, burst float64) *Ledger {
+	ledger := newLedger(elapsed, rate, burst)
+	dropped, before := o.Dropped[workspace]
+	free := elapsed - dropped - GrantLifetime
+	switch {
+	case o.Epoch == 1 && !before:
+		ledger.takeOver(Balance{Level: burst})
+	case o.Epoch > 0 && free > 0:
+		ledger.takeOver(Balance{Level: rate * free.Seconds()})
+	}
+	return ledger
+}
+
 // handOver ends the owner's part of this epoch.
 func (o *Owner) handOver(now time.Time) LeaseData {
 	data := LeaseData{Epoch: o.Epoch, Revision: o.Slots.Revision, Slots: o.Slots.names()}
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -264,9 +264,9 @@
 		filter.Identify{Clock: n.clock},
 		filter.Resolve{View: n.view},
 		filter.Authenticate{View: n.view},
-		filter.Limit{Limits: n.limits.front},
+		filter.Limit{Clock: n.clock, Limits: n.limits.front},
 		filter.Admit{View: n.view, Scheduler: n.scheduler},
-		filter.Confirm{Limits: n.limits.front},
+		filter.Confirm{Clock: n.clock, Limits: n.limits.front},
 		filter.RecordIntent{Recorder: records},
 		filter.Dispatch{
 			Clock:      n.clock,
