--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -55,6 +55,8 @@
 	GrantID string
 	// Reservation holds the tokens of the request.
 	Reservation Reservation
+	// Operation is a UUID of a non-idempotent call's intent.
+	Operation string
 	// Slot is the place at an endpoint.
 	Slot Slot
 }
@@ -106,6 +108,8 @@
 	CompletionTokens int
 	// Reason is "stop" or "length".
 	Reason string
+	// Hedged names the endpoint that answered if it is not the attempt's own.
+	Hedged string
 }
 
 // KeepAlive shows the caller that the connection is alive.
