Forget a silent connection when its client closes it

A new connection from the same port would have stayed silent, and the table of connections grew with every client that gave up.

--- a/internal/emulator/platform_controller.go
+++ b/internal/emulator/platform_controller.go
@@ -30,8 +30,10 @@
 	Watches map[runner.Call]Watching
 	// SilentConnections says for every connection whether it is silent.
 	SilentConnections map[string]bool
-	List              InstanceRegister
-	Store             WeightStore
+	// Hung holds the connections of calls that stay without an answer.
+	Hung  map[runner.Call]string
+	List  InstanceRegister
+	Store WeightStore
 
 	reads  *rate.Limiter
 	writes *rate.Limiter
@@ -54,6 +56,7 @@
 		Objects:           map[storer.ID]PlatformObject{},
 		Watches:           map[runner.Call]Watching{},
 		SilentConnections: map[string]bool{},
+		Hung:              map[runner.Call]string{},
 		List:              InstanceRegister{Visible: map[string]tracker.Instance{}},
 		Store:             NewWeightStore(settings),
 		reads:             limiter(settings.ReadsPerSecond),
@@ -116,14 +119,23 @@
 		p.Calls.Transfers++
 		return append(effects, p.transfer(now, message)...)
 	case AbandonPlatformCall:
-		delete(p.Watches, message.Call)
-		p.Store.Abandon(now, message.Call)
+		p.abandon(now, message.Call)
 		return effects
 	default:
 		return append(effects, p.control(now, message)...)
 	}
 }
 
+// abandon forgets a call. Its connection is closed, and a new one may have
+// the same address.
+func (p *PlatformController) abandon(now time.Time, call runner.Call) {
+	delete(p.SilentConnections, p.Hung[call])
+	delete(p.SilentConnections, p.Watches[call].Connection)
+	delete(p.Hung, call)
+	delete(p.Watches, call)
+	p.Store.Abandon(now, call)
+}
+
 // control handles the calls by which tests and scripts steer the stand-in.
 // Faults do not apply to them.
 func (p *PlatformController) control(now time.Time, message PlatformMessage) []AnswerPlatformCall {
@@ -206,6 +218,7 @@
 	}
 	switch {
 	case p.isSilent(origin):
+		p.Hung[origin.Call] = origin.Connection
 		return false, nil
 	case p.Faults.Outage:
 		p.Calls.Unavailable++
@@ -257,6 +270,7 @@
 	p.Faults.LoseReplies--
 	change()
 	if p.isSilent(origin) {
+		p.Hung[origin.Call] = origin.Connection
 		return p.advance(now)
 	}
 	return append(p.advance(now), p.delayed(origin, ReplyLost{}))
--- a/internal/emulator/platform_test.go
+++ b/internal/emulator/platform_test.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"toucanhitch.example/toucanhitch/internal/emulator"
+	"toucanhitch.example/toucanhitch/internal/tester"
 )
 
 // platform is a stand-in behind a real listener.
@@ -141,6 +142,28 @@
 		`{"Get":1,"Put":2,"Delete":0,"List":0,"Watch":0,"Instances":0,"Transfers":0,"Throttled":1,"Unavailable":0}`)
 }
 
+// Guards against a new connection that stays silent because it has the
+// address of a silent one that was closed.
+func TestClosedConnectionIsForgotten(t *testing.T) {
+	p := emulator.NewPlatformController(emulator.PlatformSettings{TransferMBPerSecond: 1000, FullSpeedTransfers: 2})
+	watch := emulator.Origin{Call: 1, Connection: "127.0.0.1:1000"}
+	read := emulator.Origin{Call: 2, Connection: "127.0.0.1:1001"}
+	p.Step(tester.Start, emulator.WatchObject{Origin: watch, Wait: time.Second})
+	p.Step(tester.Start, emulator.GetObject{Origin: read})
+	p.Step(tester.Start, emulator.SetPlatformFaults{Faults: emulator.PlatformFaults{SilenceOpen: true}})
+	read.Call = 3
+	if effects := p.Step(tester.Start, emulator.GetObject{Origin: read}); effects != nil {
+		t.Errorf("a silent connection got %+v", effects)
+	}
+	p.Step(tester.Start, emulator.AbandonPlatformCall{Call: watch.Call})
+	p.Step(tester.Start, emulator.AbandonPlatformCall{Call: read.Call})
+	for _, origin := range []emulator.Origin{watch, read} {
+		if effects := p.Step(tester.Start, emulator.GetObject{Origin: origin}); len(effects) != 1 {
+			t.Errorf("a new connection from %s got %+v; want an answer", origin.Connection, effects)
+		}
+	}
+}
+
 // Guards against faults that have another effect than they announce.
 func TestFaults(t *testing.T) {
 	p := startPlatform(t, nil)
