--- a/internal/commander/script_test.go
+++ b/internal/commander/script_test.go
@@ -97,7 +97,6 @@
 
 // processes are what a script has started.
 type processes struct {
-	mutex   sync.Mutex
 	running map[string]*process
 }
 
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -35,7 +35,12 @@
 
 // NewOwner returns an owner without a lease.
 func NewOwner(slotCount int) *Owner {
-	return &Owner{SlotCount: max(1, slotCount), Ledgers: map[string]*Ledger{}, Peers: map[string]*Peer{}}
+	return &Owner{
+		SlotCount: max(1, slotCount),
+		Ledgers:   map[string]*Ledger{},
+		Dropped:   map[string]time.Duration{},
+		Peers:     map[string]*Peer{},
+	}
 }
 
 // Wake implements runner.Controller. Everything that time changes is brought
