--- a/internal/emulator/platform_test.go
+++ b/internal/emulator/platform_test.go
@@ -121,14 +121,14 @@
 
 // Guards against an instance list without its lag.
 func TestInstanceListLags(t *testing.T) {
-	p := startPlatform(t, func(s *emulator.PlatformSettings) { s.ListLag = 100 * time.Millisecond })
+	p := startPlatform(t, func(s *emulator.PlatformSettings) { s.ListLag = 600 * time.Millisecond })
 	p.want("PUT", "/instances/e1", `{"Name":"e1","Kind":"Engine","Phase":"Live","MemoryMB":10}`, 204, "")
 	p.want("GET", "/instances?After=0&Wait=10ms", "", 304, "")
-	p.want("GET", "/instances?After=0&Wait=900ms", "", 200,
+	p.want("GET", "/instances?After=0&Wait=9s", "", 200,
 		`{"Version":1,"Instances":[{"Name":"e1","Kind":"Engine","Address":"","DataCentre":"","Region":"","Phase":"Live",`+
 			`"MemoryMB":10,"HonoursFence":false,"ChecksOrders":false}]}`)
 	p.want("DELETE", "/instances/e1", "", 204, "")
-	p.want("GET", "/instances?After=1&Wait=900ms", "", 200, `{"Version":2,"Instances":[]}`)
+	p.want("GET", "/instances?After=1&Wait=9s", "", 200, `{"Version":2,"Instances":[]}`)
 }
 
 // Guards against limits that throttle too late or count a refused call as
