--- a/internal/benchmarker/limits_demand.go
+++ b/internal/benchmarker/limits_demand.go
@@ -69,6 +69,7 @@
 	{name: "moving", node: movingNode},
 	{name: "skewed", node: skewedNode},
 	{name: "bursty", node: evenNode, bursts: true},
+	{name: "even, owner shuts down", node: evenNode, failures: shutOwnerDown},
 	{name: "even, owner crashes", node: evenNode, failures: crashOwner},
 	{name: "skewed, owner crashes", node: skewedNode, failures: crashOwner},
 	{name: "even, API down for 60 s", node: evenNode, failures: stopAPI},
@@ -104,6 +105,15 @@
 	})
 }
 
+// shutOwnerDown hands the lease over; the node ends 5 s later.
+func shutOwnerDown(f *LimitsFleet) {
+	f.After(limitsWarmUp+limitsDuration/2, func() {
+		index := f.OwnerIndex()
+		f.HandOver()
+		f.After(5*time.Second, func() { f.Kill(index) })
+	})
+}
+
 func stopAPI(f *LimitsFleet) {
 	f.After(limitsWarmUp+30*time.Second, func() { f.APIDown = true })
 	f.After(limitsWarmUp+90*time.Second, func() { f.APIDown = false })
--- a/internal/benchmarker/limits_fleet.go
+++ b/internal/benchmarker/limits_fleet.go
@@ -174,7 +174,7 @@
 
 // HandOver lets the owner give up the lease gracefully.
 func (f *LimitsFleet) HandOver() {
-	if node := f.lease.run; !node.Dead && f.now >= node.PausedUntil && !f.APIDown {
+	if node := f.lease.run; node != nil && !node.Dead && f.now >= node.PausedUntil && !f.APIDown {
 		f.owner(node, limiter.HandOverAsked{})
 	}
 }
