Name grants by session too

A holder that restarts counts its exchanges from 1 again. A grant of the new run could take the place of one of the former run at the owner, which then ended it at the former one's time. A holder whose clock went back while it restarted was refused until the next epoch; it now learns which session it must exceed.

--- a/internal/limiter/exchange.go
+++ b/internal/limiter/exchange.go
@@ -89,6 +89,9 @@
 	// Refused says that the exchange had no effect.
 	Refused bool
 	Epoch   uint64
+	// Session is that of a later run of the holder, by which the owner refused
+	// an exchange; 0 otherwise.
+	Session uint64
 	// Stamp is the owner's time since the beginning of its epoch.
 	Stamp time.Duration
 	// Standing says whether the holder has a standing share.
--- a/internal/limiter/ledger.go
+++ b/internal/limiter/ledger.go
@@ -38,8 +38,11 @@
 	ShortUntil time.Time
 }
 
+// grantKey names a grant. A restarted holder counts its exchanges from 1 again
+// while grants of its former run are out, so the session is part of it.
 type grantKey struct {
 	Holder   string
+	Session  uint64
 	Sequence uint64
 }
 
@@ -124,10 +127,10 @@
 
 // use applies what a holder says of its grants. Grants that have ended are
 // ignored: their tokens count as spent since their end.
-func (l *Ledger) use(holder string, uses []GrantUse) {
+func (l *Ledger) use(holder string, session uint64, uses []GrantUse) {
 	spent, returned := 0.0, 0.0
 	for _, use := range uses {
-		key := grantKey{holder, use.Grant}
+		key := grantKey{holder, session, use.Grant}
 		grant := l.Grants[key]
 		if grant == nil {
 			continue
--- a/internal/limiter/link.go
+++ b/internal/limiter/link.go
@@ -153,6 +153,9 @@
 		return nil
 	}
 	answer := message.Answer
+	if answer.Refused && answer.Session > h.Session {
+		h.Session = answer.Session + 1
+	}
 	if answer.Refused || answer.Epoch != h.Owner.Epoch {
 		h.fail(now)
 		return nil
--- a/internal/limiter/owner_exchange.go
+++ b/internal/limiter/owner_exchange.go
@@ -22,7 +22,7 @@
 func (o *Owner) exchange(now time.Time, exchange Exchange) (Answer, []OwnerEffect) {
 	peer := o.peer(now, exchange)
 	if peer == nil {
-		return Answer{Refused: true, Epoch: o.Epoch}, nil
+		return o.refuse(exchange), nil
 	}
 	effects := o.reslot(now, exchange.Holder)
 	o.Stamp = max(o.Stamp+1, now.Sub(o.Since))
@@ -43,6 +43,16 @@
 	return answer, effects
 }
 
+// refuse tells a holder whose clock went back while it restarted which session
+// it must exceed.
+func (o *Owner) refuse(exchange Exchange) Answer {
+	answer := Answer{Refused: true, Epoch: o.Epoch}
+	if peer := o.Peers[exchange.Holder]; peer != nil && exchange.Session < peer.Session {
+		answer.Session = peer.Session
+	}
+	return answer
+}
+
 // peer returns the record of an exchange's holder, or nil if the exchange must
 // not be answered.
 func (o *Owner) peer(now time.Time, exchange Exchange) *Peer {
@@ -80,7 +90,7 @@
 	for _, workspace := range peer.Granted {
 		if ledger := o.Ledgers[workspace]; ledger != nil {
 			ledger.advance(o.Stamp)
-			ledger.takeBack(grantKey{exchange.Holder, peer.Sequence})
+			ledger.takeBack(grantKey{exchange.Holder, exchange.Session, peer.Sequence})
 		}
 	}
 }
@@ -93,7 +103,7 @@
 		return
 	}
 	ledger.advance(o.Stamp)
-	ledger.use(exchange.Holder, account.Grants)
+	ledger.use(exchange.Holder, exchange.Session, account.Grants)
 	if account.Overdrawn > 0 {
 		ledger.charge(account.Overdrawn)
 	}
@@ -115,7 +125,7 @@
 		ledger.withdraw(exchange.Holder)
 		return Grant{}, false
 	}
-	tokens, retryAfter := ledger.lend(now, grantKey{exchange.Holder, exchange.Sequence}, account)
+	tokens, retryAfter := ledger.lend(now, grantKey{exchange.Holder, exchange.Session, exchange.Sequence}, account)
 	return Grant{Workspace: account.Workspace, Tokens: tokens, RetryAfter: retryAfter}, tokens > 0 || retryAfter > 0
 }
 
--- a/internal/messenger/limits.go
+++ b/internal/messenger/limits.go
@@ -48,6 +48,7 @@
 type limitsAnswer struct {
 	Refused bool `json:",omitempty"`
 	Epoch   uint64
+	Session uint64 `json:",omitempty"`
 	// Stamp is the owner's time since the beginning of its epoch.
 	Stamp    string
 	Standing string        `json:",omitempty"`
@@ -171,6 +172,7 @@
 	encoded := limitsAnswer{
 		Refused:  answer.Refused,
 		Epoch:    answer.Epoch,
+		Session:  answer.Session,
 		Stamp:    answer.Stamp.String(),
 		Standing: string(answer.Standing),
 		Short:    answer.Short,
@@ -189,6 +191,7 @@
 	decoded := limiter.Answer{
 		Refused:  answer.Refused,
 		Epoch:    answer.Epoch,
+		Session:  answer.Session,
 		Standing: limiter.Standing(answer.Standing),
 		Short:    answer.Short,
 	}
--- a/internal/messenger/limits_test.go
+++ b/internal/messenger/limits_test.go
@@ -27,7 +27,7 @@
 		}},
 	}
 	want := limiter.Answer{
-		Epoch: 3, Stamp: 5*time.Second + 1, Standing: limiter.StandingKept, Short: []string{"large"},
+		Epoch: 3, Session: 9, Stamp: 5*time.Second + 1, Standing: limiter.StandingKept, Short: []string{"large"},
 		Grants: []limiter.Grant{{Workspace: "large", Tokens: 0.3, RetryAfter: time.Millisecond}},
 	}
 	mux := http.NewServeMux()
