Let impatient requests go first within a workspace at a node

Since requests wait for tokens to their deadline, a deferred one could hold back interactive ones behind it for minutes, and a thousand of them filled the queue. Waiters are now ordered by the end of their patience, and a full queue refuses the most patient.

--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -165,16 +165,26 @@
 	if largest := p.largest(); message.Tokens > largest {
 		return []HolderEffect{Refused{Call: message.Call, Reason: TooLarge, Largest: largest}}
 	}
-	if len(p.Waiting) >= maxWaiting {
-		return []HolderEffect{Refused{Call: message.Call, Reason: QueueFull, RetryAfter: p.retryAfter(message.Tokens)}}
-	}
 	p.Demand.add(now, message.Tokens)
-	p.enqueue(len(p.Waiting), &Waiter{
+	p.enqueue(&Waiter{
 		Call:        message.Call,
 		Until:       earlier(message.Deadline, now.Add(max(MaxWait, message.Patience))),
 		Reservation: &Reservation{Workspace: message.Workspace, Tokens: message.Tokens},
 	})
-	return h.refresh(now, p)
+	return append(h.shed(now, p), h.refresh(now, p)...)
+}
+
+// shed refuses the most patient waiter when too many wait.
+func (h *Holder) shed(now time.Time, p *Pool) []HolderEffect {
+	if len(p.Waiting) <= maxWaiting {
+		return nil
+	}
+	last := p.Waiting[len(p.Waiting)-1]
+	if last.Confirms {
+		h.end(now, p, last.Reservation, 0)
+	}
+	p.Waiting = p.Waiting[:maxWaiting]
+	return []HolderEffect{Refused{Call: last.Call, Reason: QueueFull, RetryAfter: p.retryAfter(last.Reservation.Tokens)}}
 }
 
 // confirm spends a reservation's tokens. Tokens that have expired are reserved
@@ -197,11 +207,7 @@
 		h.plan(now, p)
 		return effects
 	}
-	place := 0
-	for place < len(p.Waiting) && p.Waiting[place].Confirms {
-		place++
-	}
-	p.enqueue(place, w)
+	p.enqueue(w)
 	return h.refresh(now, p)
 }
 
--- /dev/null
+++ b/internal/limiter/holder_test.go
@@ -0,0 +1,44 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/limiter"
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// Guards against a queue that grows without bound, and against patient
+// requests that fill it so that others are refused.
+func TestFullQueueRefusesTheMostPatient(t *testing.T) {
+	const bound = 1000
+	holder := limiter.NewHolder("a", 1, limiter.DefaultSlots)
+	holder.Step(benchStart, limiter.WorkspacesChanged{Limits: []limiter.Limit{{Workspace: "w", Rate: 1, Burst: 100}}})
+	reserve := func(call runner.Call, patience time.Duration) []limiter.HolderEffect {
+		return holder.Step(benchStart, limiter.ReserveAsked{
+			Call: call, Workspace: "w", Tokens: 10, Deadline: benchStart.Add(patience), Patience: time.Hour,
+		})
+	}
+	for call := range runner.Call(bound) {
+		if effects := reserve(call+1, time.Minute+time.Duration(call)); len(effects) > 0 {
+			t.Fatalf("request %d of %d: %v; want none", call+1, bound, effects)
+		}
+	}
+	for _, test := range []struct {
+		call     runner.Call
+		patience time.Duration
+		refused  runner.Call
+	}{
+		{bound + 1, time.Second, bound},
+		{bound + 2, time.Hour, bound + 2},
+	} {
+		effects := reserve(test.call, test.patience)
+		if len(effects) != 1 {
+			t.Fatalf("request %d: %v; want one refusal", test.call, effects)
+		}
+		refused, ok := effects[0].(limiter.Refused)
+		if !ok || refused.Call != test.refused || refused.Reason != limiter.QueueFull {
+			t.Errorf("request %d: %+v; want request %d refused as %s", test.call, effects[0], test.refused, limiter.QueueFull)
+		}
+	}
+}
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -1,7 +1,6 @@
 package limiter
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -54,6 +53,13 @@
 	Confirms bool
 }
 
+func (w *Waiter) before(other *Waiter) bool {
+	if w.Confirms != other.Confirms {
+		return w.Confirms
+	}
+	return w.Until.Before(other.Until)
+}
+
 // Held is a grant at its holder.
 type Held struct {
 	// Sequence is that of the exchange that the grant answered.
@@ -174,8 +180,14 @@
 	r.Parts = slices.DeleteFunc(r.Parts, func(part Part) bool { return !p.valid(part) })
 }
 
-// enqueue adds a waiter at a place in the order.
-func (p *Pool) enqueue(place int, w *Waiter) {
+// enqueue adds a waiter behind those that come before it: confirmations first,
+// then by the end of their patience, so that a request that can wait for
+// minutes does not hold back one that cannot.
+func (p *Pool) enqueue(w *Waiter) {
+	place := len(p.Waiting)
+	for place > 0 && w.before(p.Waiting[place-1]) {
+		place--
+	}
 	if len(p.Waiting) == 0 || w.Until.Before(p.TimeoutAt) {
 		p.TimeoutAt = w.Until
 	}
@@ -307,42 +319,3 @@
 	wait := seconds(max(0, waiting+tokens-p.free()) / p.Rate)
 	return min(max(wait, 100*time.Millisecond), time.Minute)
 }
-
-// Demand is a moving average of the tokens that requests asked for.
-type Demand struct {
-	Tokens   float64
-	Requests float64
-	At       time.Time
-}
-
-const (
-	// demandTime is the time constant of the average.
-	demandTime = time.Second
-	// minRequests is the number of requests in a demandTime from which on
-	// the next one is likely soon enough to keep tokens for it.
-	minRequests = 2
-)
-
-func (d *Demand) decay(now time.Time) {
-	if now.After(d.At) {
-		part := math.Exp(-now.Sub(d.At).Seconds() / demandTime.Seconds())
-		d.Tokens *= part
-		d.Requests *= part
-		d.At = now
-	}
-}
-
-func (d *Demand) add(now time.Time, tokens float64) {
-	d.decay(now)
-	d.Tokens += tokens
-	d.Requests++
-}
-
-// within is the demand to expect within a time.
-func (d *Demand) within(now time.Time, period time.Duration) float64 {
-	d.decay(now)
-	if d.Requests < minRequests {
-		return 0
-	}
-	return d.Tokens * period.Seconds() / demandTime.Seconds()
-}
