--- /dev/null
+++ b/internal/placer/script_test.go
@@ -0,0 +1,301 @@
+package placer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/predictor"
+	"toucanhitch.example/toucanhitch/internal/tester"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// TestScripts replays the failure scripts in testdata; each script says which
+// failure it guards against.
+func TestScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[Message, Effect]{
+		Directory: "testdata",
+		New:       newScripted,
+		Messages: []Message{
+			LeaseHeld{}, LeaseLost{}, ReadFailed{}, ObjectWritten{}, WriteFailed{},
+			WriteUncertain{}, Demand{}, Read{}, Answer{}, Configure{}, Instances{}, Report{},
+		},
+		Tick: Tick{},
+	})
+}
+
+// scripted drives a placer with short messages and shows its effects in short
+// form.
+type scripted struct {
+	*Placer
+	fleet   tracker.Fleet
+	version uint64
+	views   bool
+}
+
+type scriptSetup struct {
+	Region    string
+	Regions   []string
+	StoreRate float64
+	KeepAlive string
+	DrainTime string
+	Views     bool
+	Models    map[string]releaser.Model
+	Adapters  map[string]releaser.Adapter
+	Endpoints []tracker.Instance
+}
+
+func newScripted(t *testing.T, setup []byte) tester.Controller[Message, Effect] {
+	t.Helper()
+	decoded, err := encoder.Decode[scriptSetup](setup)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := DefaultSettings("r", decoded.StoreRate)
+	if decoded.Regions != nil {
+		settings.Regions = decoded.Regions
+	}
+	settings.Policy = predictor.LeastRecentlyUsed{}
+	if decoded.KeepAlive != "" {
+		settings.Policy = predictor.FixedTime{Keep: duration(t, decoded.KeepAlive)}
+	}
+	if decoded.DrainTime != "" {
+		settings.DrainTime = duration(t, decoded.DrainTime)
+	}
+	s := &scripted{Placer: New(settings), version: 1, views: decoded.Views}
+	s.fleet.ListVersion = 1
+	for _, instance := range decoded.Endpoints {
+		instance.Kind, instance.Region, instance.Phase = tracker.Engine, "r", tracker.Live
+		instance.Address = instance.Name + ":80"
+		s.fleet.Endpoints = append(s.fleet.Endpoints, tracker.Endpoint{Instance: instance})
+	}
+	s.Placer.Step(tester.Start, FleetChanged{Fleet: s.fleet})
+	s.Placer.Step(tester.Start, ConfigurationChanged{Configuration: configuration(1, decoded.Models, decoded.Adapters)})
+	return s
+}
+
+func duration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return parsed
+}
+
+func configuration(version uint64, models map[string]releaser.Model, adapters map[string]releaser.Adapter) *releaser.Configuration {
+	for key, model := range models {
+		model.Name, model.Version = releaser.SplitKey(key)
+		models[key] = model
+	}
+	for key, adapter := range adapters {
+		adapter.Name, adapter.Version = releaser.SplitKey(key)
+		adapters[key] = adapter
+	}
+	return &releaser.Configuration{Version: version, Models: models, Adapters: adapters}
+}
+
+// Read is ObjectRead with entries in short form.
+type Read struct {
+	Ticket, Version, Epoch uint64
+	Entries                []string
+}
+
+// Answer is OrderAnswered with the fence in short form.
+type Answer struct {
+	Endpoint, Model, Adapter, Fence string
+	Outcome                         Outcome
+}
+
+// Configure replaces models and adapters.
+type Configure struct {
+	Models   map[string]releaser.Model
+	Adapters map[string]releaser.Adapter
+}
+
+// Instances marks instances as gone or leaving in a new version of the list.
+type Instances struct {
+	Gone, Leaving []string
+}
+
+// Report is a new load report: states by model or model/adapter.
+type Report struct {
+	Endpoint string
+	Sequence uint64
+	Fence    string
+	UsedMB   int
+	Queued   int
+	Models   map[string]tracker.State
+	Running  map[string]int
+	Cached   map[string]tracker.Tier
+}
+
+func (Read) isMessage()      {}
+func (Answer) isMessage()    {}
+func (Configure) isMessage() {}
+func (Instances) isMessage() {}
+func (Report) isMessage()    {}
+
+// Step implements tester.Controller.
+func (s *scripted) Step(now time.Time, message Message) []Effect {
+	return s.short(s.Placer.Step(now, s.long(now, message)))
+}
+
+func (s *scripted) long(now time.Time, message Message) Message {
+	switch message := message.(type) {
+	case Read:
+		return s.read(message)
+	case Answer:
+		return OrderAnswered{
+			Endpoint: message.Endpoint,
+			Key:      Key{Model: message.Model, Adapter: message.Adapter},
+			Fence:    longFence(message.Fence),
+			Outcome:  message.Outcome,
+		}
+	case Configure:
+		s.version++
+		return ConfigurationChanged{Configuration: configuration(s.version, message.Models, message.Adapters)}
+	case Instances:
+		s.list(message)
+		return FleetChanged{Fleet: s.fleet}
+	case Report:
+		s.report(now, message)
+		return FleetChanged{Fleet: s.fleet}
+	default:
+		return message
+	}
+}
+
+func (s *scripted) read(message Read) Message {
+	placement := Placement{Epoch: message.Epoch, Endpoints: map[string]EndpointPlacement{}}
+	for _, text := range message.Entries {
+		var name, state, fence string
+		entry := Entry{Tier: tracker.Remote}
+		if _, err := fmt.Sscan(text, &name, &entry.Model, &state, &fence, &entry.MemoryMB); err != nil {
+			panic(fmt.Sprintf("entry %q: %v", text, err))
+		}
+		entry.Model, entry.Adapter, _ = strings.Cut(entry.Model, "/")
+		entry.State, entry.Fence = tracker.State(state), longFence(fence)
+		endpoint := placement.Endpoints[name]
+		endpoint.Entries = append(endpoint.Entries, entry)
+		placement.Endpoints[name] = endpoint
+	}
+	return ObjectRead{Ticket: message.Ticket, Version: message.Version, Placement: placement}
+}
+
+func (s *scripted) list(message Instances) {
+	s.fleet.ListVersion++
+	s.fleet.Endpoints = slices.DeleteFunc(slices.Clone(s.fleet.Endpoints), func(e tracker.Endpoint) bool {
+		return slices.Contains(message.Gone, e.Name)
+	})
+	for at, endpoint := range s.fleet.Endpoints {
+		if slices.Contains(message.Leaving, endpoint.Name) {
+			s.fleet.Endpoints[at].Phase = tracker.Leaving
+		}
+	}
+}
+
+func (s *scripted) report(now time.Time, message Report) {
+	report := &tracker.Report{
+		Endpoint: message.Endpoint,
+		Sequence: message.Sequence,
+		Measured: now,
+		Fence:    longFence(message.Fence),
+		UsedMB:   message.UsedMB,
+		Queued:   message.Queued,
+		Slots:    1,
+	}
+	for _, key := range slices.Sorted(maps.Keys(message.Models)) {
+		model, adapter, beside := strings.Cut(key, "/")
+		if !beside {
+			report.Models = append(report.Models, tracker.ModelState{
+				Model: model, State: message.Models[key], Running: message.Running[key],
+			})
+			continue
+		}
+		last := &report.Models[len(report.Models)-1]
+		last.Adapters = append(last.Adapters, tracker.AdapterState{Adapter: adapter, State: message.Models[key]})
+	}
+	for _, model := range slices.Sorted(maps.Keys(message.Cached)) {
+		report.Cached = append(report.Cached, tracker.CachedModel{Model: model, Tier: message.Cached[model]})
+	}
+	s.fleet.Endpoints = slices.Clone(s.fleet.Endpoints)
+	for at, endpoint := range s.fleet.Endpoints {
+		if endpoint.Name == message.Endpoint {
+			s.fleet.Endpoints[at].Report = report
+		}
+	}
+}
+
+// Wrote is WriteObject in short form.
+type Wrote struct {
+	Ticket, IfVersion uint64
+	Entries           []string
+}
+
+// Sent is SendOrder in short form.
+type Sent struct {
+	Order string
+}
+
+func (Wrote) isEffect() {}
+func (Sent) isEffect()  {}
+
+func (s *scripted) short(effects []Effect) []Effect {
+	var result []Effect
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case WriteObject:
+			result = append(result, Wrote{effect.Ticket, effect.IfVersion, shortEntries(effect.Placement)})
+		case SendOrder:
+			order := effect.Order
+			result = append(result, Sent{fmt.Sprintf("%s %s %s %s", order.Kind, order.Endpoint, shortKey(order.Key), shortFence(order.Fence))})
+		case Publish:
+			if s.views {
+				result = append(result, effect)
+			}
+		default:
+			result = append(result, effect)
+		}
+	}
+	return result
+}
+
+func shortEntries(placement Placement) []string {
+	lines := []string{}
+	for _, name := range slices.Sorted(maps.Keys(placement.Endpoints)) {
+		for _, entry := range placement.Endpoints[name].Entries {
+			lines = append(lines, fmt.Sprintf("%s %s %s %s %d",
+				name, shortKey(entry.Key), entry.State, shortFence(entry.Fence), entry.MemoryMB))
+		}
+	}
+	return lines
+}
+
+func shortKey(key Key) string {
+	if key.Adapter == "" {
+		return key.Model
+	}
+	return key.Model + "/" + key.Adapter
+}
+
+func shortFence(fence uint64) string {
+	return fmt.Sprintf("%d.%d", fence>>32, uint32(fence))
+}
+
+func longFence(text string) uint64 {
+	if text == "" {
+		return 0
+	}
+	var epoch uint64
+	var sequence uint32
+	if _, err := fmt.Sscanf(text, "%d.%d", &epoch, &sequence); err != nil {
+		panic(fmt.Sprintf("fence %q: %v", text, err))
+	}
+	return Fence(epoch, sequence)
+}
