--- /dev/null
+++ b/internal/benchmarker/placement.go
@@ -0,0 +1,89 @@
+package benchmarker
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/predictor"
+)
+
+// PlacementRow is the result of one policy at one user's size.
+type PlacementRow struct {
+	User     string
+	Policy   string
+	Requests int
+	// ColdStarts are the requests that had to wait for a load.
+	ColdStarts int
+	// P50, P95 and P99 are percentiles of the waiting times of cold starts.
+	P50 time.Duration
+	P95 time.Duration
+	P99 time.Duration
+	// IdleHours are accelerator hours during which a model was loaded and
+	// had no request, with acceleratorMB of memory to an accelerator.
+	IdleHours float64
+	Loads     int
+	// Unserved requests still waited at the end.
+	Unserved int
+}
+
+// placementPolicy is a policy with the name that the table shows.
+type placementPolicy struct {
+	Name   string
+	Policy predictor.Policy
+}
+
+var placementPolicies = []placementPolicy{
+	{"fixed time 10 min", predictor.FixedTime{Keep: 10 * time.Minute}},
+	{"fixed time 60 min", predictor.FixedTime{Keep: time.Hour}},
+	{"least recently used", predictor.LeastRecentlyUsed{}},
+	{"idle-time histogram", predictor.DefaultIdleHistogram},
+	{"look-ahead", predictor.LookAhead{Intervals: 6, SecondsPerColdSecond: 60, Grace: 2 * time.Minute}},
+}
+
+// placementSpan is how long a trace lasts; the first placementWarmUp teaches
+// the policies and is not counted.
+const (
+	placementSpan   = 4 * 24 * time.Hour
+	placementWarmUp = 2 * 24 * time.Hour
+)
+
+// Placement compares the keep-alive policies at both users' sizes in virtual
+// time. The rows depend only on the seed.
+func Placement(seed uint64) []PlacementRow {
+	return placement(seed, placementSpan, placementWarmUp)
+}
+
+func placement(seed uint64, span, warmUp time.Duration) []PlacementRow {
+	rows := make([]PlacementRow, len(placementUsers)*len(placementPolicies))
+	var runs sync.WaitGroup
+	for at, user := range placementUsers {
+		arrivals := user.trace(seed, span)
+		for offset, policy := range placementPolicies {
+			row := &rows[at*len(placementPolicies)+offset]
+			runs.Go(func() {
+				simulation := newPlacementSimulation(user, policy.Policy, arrivals, warmUp)
+				*row = simulation.run(span)
+				row.User, row.Policy = user.Name, policy.Name
+			})
+		}
+	}
+	runs.Wait()
+	return rows
+}
+
+// PlacementTable formats rows as a text table.
+func PlacementTable(rows []PlacementRow) string {
+	var text strings.Builder
+	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "user\tpolicy\trequests\tcold starts\tp50\tp95\tp99\tidle accelerator hours\tloads\tunserved\t")
+	for _, row := range rows {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.1f s\t%.1f s\t%.1f s\t%.0f\t%d\t%d\t\n",
+			row.User, row.Policy, row.Requests, row.ColdStarts,
+			row.P50.Seconds(), row.P95.Seconds(), row.P99.Seconds(), row.IdleHours, row.Loads, row.Unserved)
+	}
+	_ = table.Flush()
+	return text.String()
+}
--- /dev/null
+++ b/internal/benchmarker/placement_test.go
@@ -0,0 +1,36 @@
+package benchmarker
+
+import (
+	"flag"
+	"reflect"
+	"testing"
+	"time"
+)
+
+var (
+	placementTable = flag.Bool("placement.table", false, "print the table of keep-alive policies")
+	placementSeed  = flag.Uint64("placement.seed", 1, "seed of the table")
+)
+
+// Guards against a table that differs between runs of the same seed, and
+// against requests that are lost.
+func TestPlacementIsReproducible(t *testing.T) {
+	first := placement(3, 4*time.Hour, time.Hour)
+	second := placement(3, 4*time.Hour, time.Hour)
+	if !reflect.DeepEqual(first, second) {
+		t.Errorf("two runs differ:\n%s\n%s", PlacementTable(first), PlacementTable(second))
+	}
+	for _, row := range first {
+		if row.Requests == 0 || row.Loads == 0 || row.ColdStarts == 0 {
+			t.Errorf("%s, %s: %+v; want requests, loads and cold starts", row.User, row.Policy, row)
+		}
+	}
+}
+
+// TestPlacementTable prints the table of docs/placement.md when asked to.
+func TestPlacementTable(t *testing.T) {
+	if !*placementTable {
+		t.Skip("the table takes about a minute; ask for it with -placement.table")
+	}
+	t.Logf("seed %d\n%s", *placementSeed, PlacementTable(Placement(*placementSeed)))
+}
--- a/internal/predictor/policy.go
+++ b/internal/predictor/policy.go
@@ -91,3 +91,14 @@
 		Rank: recency(activity, now),
 	}
 }
+
+// DefaultIdleHistogram is the histogram policy with the bounds that
+// docs/placement.md measures.
+var DefaultIdleHistogram = IdleHistogram{
+	Head:       0.05,
+	Tail:       0.99,
+	Margin:     0.1,
+	MinSamples: 10,
+	Fallback:   10 * time.Minute,
+	Grace:      time.Minute,
+}
