--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -26,11 +26,15 @@
 	PromptTokens   int
 	// MaxTokens bounds the answer, counted from index 0.
 	MaxTokens int
+	// Admission is what a second slot for the same generation needs.
+	Admission Admission
 	// Workspace and Identity are set for service calls. Identity is empty
 	// unless the caller gave one.
 	Workspace string
 	Identity  string
-	Call      Call
+	// Idempotent says that a call may be sent more than once.
+	Idempotent bool
+	Call       Call
 }
 
 // Failure is the error of an attempt.
@@ -41,6 +45,8 @@
 	Refused bool
 	// Gone says that the caller went away.
 	Gone bool
+	// Hedged names the endpoint that failed if it is not the attempt's own.
+	Hedged string
 	// Err is the cause.
 	Err error
 }
@@ -123,18 +129,32 @@
 		attempt := generationAttempt(request, work, progress.next)
 		progress.started, progress.first = f.Clock.Now(), 0
 		begun := progress.next
+		attempt.Admission.Avoid = avoid
 		finish, err := f.Dispatcher.Generate(ctx, attempt, progress.event)
-		f.release(request, progress, begun, err)
+		hedged := hedgedEndpoint(finish, err)
+		f.release(request, progress, begun, hedged, err)
 		if err == nil {
 			return f.finished(work, finish)
 		}
 		avoid = append(avoid, attempt.Slot.Endpoint)
+		if hedged != "" {
+			avoid = append(avoid, hedged)
+		}
 		if !f.mayRetry(ctx, err, count) || !f.readmit(ctx, request, avoid) {
 			return broken(ctx, err, progress.next, work.PromptTokens)
 		}
 	}
 }
 
+// hedgedEndpoint names the endpoint of a second attempt whose result was used.
+func hedgedEndpoint(finish Finish, err error) string {
+	var failure Failure
+	if errors.As(err, &failure) {
+		return failure.Hedged
+	}
+	return finish.Hedged
+}
+
 func (f Dispatch) finished(work Generation, finish Finish) Verdict {
 	used := finish.PromptTokens + finish.CompletionTokens
 	if err := work.Emit(finish); err != nil {
@@ -143,7 +163,13 @@
 	return Accept{Used: used}
 }
 
-func (f Dispatch) release(request *Request, progress *progress, begun int, err error) {
+// release gives the slot of an attempt back. The tokens of a hedged attempt
+// came from another slot, which the hedge releases.
+func (f Dispatch) release(request *Request, progress *progress, begun int, hedged string, err error) {
+	if hedged != "" {
+		f.releaseSlot(request, SlotResult{Duration: f.Clock.Since(progress.started)}, nil)
+		return
+	}
 	result := SlotResult{
 		FirstToken: progress.first,
 		Tokens:     progress.next - begun,
@@ -234,6 +260,7 @@
 		Prompt:       work.Prompt,
 		PromptTokens: work.PromptTokens,
 		MaxTokens:    work.MaxTokens,
+		Admission:    admission(request),
 	}
 	if adapter := request.Target.Adapter; adapter != nil {
 		attempt.Adapter, attempt.AdapterVersion = adapter.Name, adapter.Version
@@ -298,10 +325,11 @@
 
 func callAttempt(request *Request, call Call) Attempt {
 	attempt := Attempt{
-		ID:        uuid.NewString(),
-		Slot:      request.Slot,
-		Workspace: request.Workspace,
-		Call:      call,
+		ID:         uuid.NewString(),
+		Slot:       request.Slot,
+		Workspace:  request.Workspace,
+		Idempotent: request.Route.Idempotent,
+		Call:       call,
 	}
 	if request.IdentityGiven {
 		attempt.Identity = request.Identity
