--- a/internal/placer/script_test.go
+++ b/internal/placer/script_test.go
@@ -103,7 +103,9 @@
 // Read is ObjectRead with entries in short form.
 type Read struct {
 	Ticket, Version, Epoch uint64
-	Entries                []string
+	// ListVersion is the instance list that the last holder knew.
+	ListVersion uint64
+	Entries     []string
 }
 
 // Answer is OrderAnswered with the fence in short form.
@@ -172,7 +174,7 @@
 }
 
 func (s *scripted) read(message Read) Message {
-	placement := Placement{Epoch: message.Epoch, Endpoints: map[string]EndpointPlacement{}}
+	placement := Placement{Epoch: message.Epoch, ListVersion: message.ListVersion, Endpoints: map[string]EndpointPlacement{}}
 	for _, text := range message.Entries {
 		var name, state, fence string
 		entry := Entry{Tier: tracker.Remote}
--- /dev/null
+++ b/internal/placer/step_benchmark_test.go
@@ -0,0 +1,122 @@
+package placer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/tester"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// fleetSize is the size of section 1.4: one placer in each of 11 regions.
+const (
+	fleetEndpoints = 10_000
+	fleetRegions   = 11
+	fleetModels    = 83
+	fleetAdapters  = 2_800
+)
+
+// largeFleet returns a placer that holds its lease in a region of the large
+// fleet, with the fleet's view and the decided state. Every endpoint has one
+// model, and every fifth replica an adapter.
+func largeFleet() (*Placer, tracker.Fleet, Placement) {
+	models, adapters := map[string]releaser.Model{}, map[string]releaser.Adapter{}
+	for at := range fleetModels {
+		name := fmt.Sprintf("m%02d", at)
+		models[name+"@1"] = releaser.Model{MemoryMB: 40_000, Replicas: 200}
+	}
+	for at := range fleetAdapters {
+		name := fmt.Sprintf("a%04d", at)
+		adapters[name+"@1"] = releaser.Adapter{Model: fmt.Sprintf("m%02d", at%fleetModels), ModelVersion: "1", MemoryMB: 100}
+	}
+	fleet := tracker.Fleet{ListVersion: 1}
+	placement := Placement{Endpoints: map[string]EndpointPlacement{}}
+	for at := range fleetEndpoints {
+		name, model := fmt.Sprintf("e%05d", at), fmt.Sprintf("m%02d@1", at%(fleetModels-1))
+		region := fmt.Sprintf("r%02d", at%fleetRegions)
+		entries := []Entry{{Key: Key{Model: model}, MemoryMB: 40_000, Fence: Fence(1, 1), State: tracker.Loaded}}
+		state := tracker.ModelState{Model: model, State: tracker.Loaded, Running: 1}
+		if at%5 == 0 {
+			adapter := fmt.Sprintf("a%04d@1", at%(fleetModels-1))
+			entries = append(entries, Entry{Key: Key{Model: model, Adapter: adapter}, MemoryMB: 100, Fence: Fence(1, 1), State: tracker.Loaded})
+			state.Adapters = []tracker.AdapterState{{Adapter: adapter, State: tracker.Loaded, Running: 1}}
+		}
+		fleet.Endpoints = append(fleet.Endpoints, tracker.Endpoint{
+			Instance: tracker.Instance{Name: name, Kind: tracker.Engine, Region: region, Phase: tracker.Live, MemoryMB: 640_000, HonoursFence: true},
+			Report:   &tracker.Report{Sequence: 1, Measured: tester.Start.Add(time.Second), Fence: Fence(1, 1), Slots: 16, Running: 1, UsedMB: 40_100, Models: []tracker.ModelState{state}},
+		})
+		if region == "r00" {
+			placement.Endpoints[name] = EndpointPlacement{MemoryMB: 640_000, Entries: entries}
+		}
+	}
+	settings := DefaultSettings("r00", 3)
+	settings.Regions = nil
+	for at := range fleetRegions {
+		settings.Regions = append(settings.Regions, fmt.Sprintf("r%02d", at))
+	}
+	p := New(settings)
+	p.Step(tester.Start, ConfigurationChanged{Configuration: configuration(1, models, adapters)})
+	p.Step(tester.Start, LeaseHeld{Epoch: 2, Until: tester.Start.Add(1e6 * time.Hour)})
+	p.Step(tester.Start, ObjectRead{Ticket: p.Ticket, Version: 1, Placement: placement})
+	p.Step(tester.Start.Add(time.Second), FleetChanged{Fleet: fleet})
+	return p, fleet, placement
+}
+
+// BenchmarkStepTick measures a plan without changes.
+func BenchmarkStepTick(b *testing.B) {
+	p, _, _ := largeFleet()
+	now := tester.Start.Add(time.Second)
+	for b.Loop() {
+		p.PlanAt = now
+		p.Step(now, Tick{})
+	}
+}
+
+// BenchmarkStepFleet measures a new view of all 10,000 endpoints, which
+// comes at most four times a second.
+func BenchmarkStepFleet(b *testing.B) {
+	p, fleet, _ := largeFleet()
+	now := tester.Start.Add(time.Second)
+	for b.Loop() {
+		p.Step(now, FleetChanged{Fleet: fleet})
+	}
+}
+
+// BenchmarkStepDemand measures a repeated demand, which comes from every node
+// of the region every second while requests wait.
+func BenchmarkStepDemand(b *testing.B) {
+	p, _, _ := largeFleet()
+	now := tester.Start.Add(time.Second)
+	demand := Demand{Node: "n", Model: "m00@1", Class: filter.Interactive, Waiting: 1, EarliestDeadline: now}
+	for b.Loop() {
+		p.Step(now, demand)
+	}
+}
+
+// BenchmarkStepFirstDemand measures the first demand of a model without a
+// replica: a plan with a choice among 909 endpoints, and a write.
+func BenchmarkStepFirstDemand(b *testing.B) {
+	p, _, _ := largeFleet()
+	now := tester.Start.Add(time.Second)
+	demand := Demand{Node: "n", Model: "m82@1", Class: filter.Interactive, Waiting: 1, EarliestDeadline: now}
+	for b.Loop() {
+		p.Phase, p.Permits = Ready, Bucket{Tokens: 1}
+		clear(p.Demands)
+		if effects := p.Step(now, demand); len(effects) == 0 {
+			b.Fatal("no write")
+		}
+	}
+}
+
+// BenchmarkEncode measures the object's JSON form.
+func BenchmarkEncode(b *testing.B) {
+	_, _, placement := largeFleet()
+	size := 0
+	for b.Loop() {
+		size = len(Encode(placement))
+	}
+	b.ReportMetric(float64(size), "bytes/object")
+}
--- /dev/null
+++ b/internal/predictor/policy_test.go
@@ -0,0 +1,78 @@
+package predictor
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const load = 30 * time.Second
+
+// used returns the activity of a model that was used at each of the offsets.
+func used(offsets ...time.Duration) *Activity {
+	activity := &Activity{}
+	for _, offset := range offsets {
+		activity.Observe(start.Add(offset))
+	}
+	return activity
+}
+
+// every returns count uses with the same time between them.
+func every(period time.Duration, count int) []time.Duration {
+	var offsets []time.Duration
+	for at := range count {
+		offsets = append(offsets, time.Duration(at)*period)
+	}
+	return offsets
+}
+
+// Guards against a policy that releases a model too early or too late, or
+// prewarms it at the wrong time.
+func TestAdvice(t *testing.T) {
+	hourly := every(time.Hour, 20)
+	daily := every(24*time.Hour, 5)
+	ahead := LookAhead{Intervals: 3, SecondsPerColdSecond: 60, Grace: time.Minute}
+	cases := []struct {
+		name     string
+		policy   Policy
+		offsets  []time.Duration
+		idle     time.Duration
+		keep     bool
+		prewarms bool
+	}{
+		{"fixed time keeps", FixedTime{Keep: time.Minute}, hourly, 59 * time.Second, true, false},
+		{"fixed time releases", FixedTime{Keep: time.Minute}, hourly, time.Minute, false, false},
+		{"LRU keeps for ever", LeastRecentlyUsed{}, hourly, 1000 * time.Hour, true, false},
+		{"histogram falls back", DefaultIdleHistogram, every(time.Hour, 3), 9 * time.Minute, true, false},
+		{"histogram fallback releases", DefaultIdleHistogram, every(time.Hour, 3), 10 * time.Minute, false, false},
+		{"histogram keeps for the grace", DefaultIdleHistogram, hourly, 30 * time.Second, true, false},
+		{"histogram releases between uses", DefaultIdleHistogram, hourly, 30 * time.Minute, false, false},
+		{"histogram prewarms before the use", DefaultIdleHistogram, hourly, 55 * time.Minute, true, true},
+		{"histogram gives up", DefaultIdleHistogram, hourly, 2 * time.Hour, false, false},
+		{"look-ahead keeps for the grace", ahead, daily, 30 * time.Second, true, false},
+		{"look-ahead releases", ahead, daily, 12 * time.Hour, false, false},
+		{"look-ahead fetches before the use", ahead, daily, 24*time.Hour - 5*time.Minute, true, true},
+	}
+	for _, c := range cases {
+		now := start.Add(c.offsets[len(c.offsets)-1] + c.idle)
+		got := Advise(c.policy, used(c.offsets...), now, load)
+		if got.Keep != c.keep || got.Prewarm != c.prewarms {
+			t.Errorf("%s: %+v; want Keep %v, Prewarm %v", c.name, got, c.keep, c.prewarms)
+		}
+	}
+}
+
+// Guards against evicting a model that is expected back soon before one that
+// is not.
+func TestRanks(t *testing.T) {
+	now := start.Add(19*time.Hour + 50*time.Minute)
+	soon := used(every(time.Hour, 20)...)
+	late := used(0, 10*time.Hour, 19*time.Hour+45*time.Minute)
+	if a, b := Advise(DefaultIdleHistogram, soon, now, load), Advise(DefaultIdleHistogram, late, now, load); a.Rank <= b.Rank {
+		t.Errorf("histogram ranks %v and %v; want the first above", a.Rank, b.Rank)
+	}
+	if a, b := Advise(LeastRecentlyUsed{}, soon, now, load), Advise(LeastRecentlyUsed{}, late, now, load); a.Rank >= b.Rank {
+		t.Errorf("LRU ranks %v and %v; want the second above", a.Rank, b.Rank)
+	}
+}
