Make the sender's test independent of pooled connections

A pooled connection to a closed server breaks either before or after the order is written, so that the outcome was NotSent or Uncertain by chance. The check now uses a sender without pooled connections.

--- a/internal/placer/task_test.go
+++ b/internal/placer/task_test.go
@@ -155,7 +155,10 @@
 			t.Errorf("the endpoint got %v; want %v", got, want)
 		}
 	}
-	if answered := sender.Send(t.Context(), order); answered.Outcome != NotSent {
+	// A pooled connection that breaks is uncertain: this sender has none.
+	fresh, cleanUpFresh := NewHTTPSender(clockwork.NewRealClock(), "secret", time.Second)
+	defer cleanUpFresh()
+	if answered := fresh.Send(t.Context(), order); answered.Outcome != NotSent {
 		t.Errorf("closed endpoint: %s; want %s", answered.Outcome, NotSent)
 	}
 	order.Until = time.Now()
