--- a/internal/placer/engine_test.go
+++ b/internal/placer/engine_test.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 
+	"pgregory.net/rapid"
+
 	"toucanhitch.example/toucanhitch/internal/tracker"
 )
 
