--- a/internal/placer/observe.go
+++ b/internal/placer/observe.go
@@ -15,6 +15,7 @@
 		return
 	}
 	p.Configuration = next
+	p.Models = slices.Sorted(maps.Keys(next.Models))
 	p.Shares = make(map[string]int, len(next.Models))
 	for key, model := range next.Models {
 		p.Shares[key] = Share(model, p.Settings.Regions, p.Settings.Region)
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -1,8 +1,6 @@
 package placer
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/tracker"
@@ -123,7 +121,7 @@
 	if len(d.Claims) > 0 || d.remote > 0 {
 		return
 	}
-	for _, model := range slices.Sorted(maps.Keys(d.Configuration.Models)) {
+	for _, model := range d.Models {
 		key := Key{Model: model}
 		activity, ok := d.Activities[key]
 		if !ok || d.replicas[model] > 0 || d.Shares[model] == 0 || d.blocked(d.now, key) {
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -42,7 +42,9 @@
 	RetryAt time.Time
 
 	Configuration *releaser.Configuration
-	// Shares are the replicas that the region may hold, by model.
+	// Models are the sorted keys of the configuration's models, and Shares
+	// the replicas of each that the region may hold.
+	Models      []string
 	Shares      map[string]int
 	ListVersion uint64
 	// Endpoints are the region's engines, and Names their sorted names.
