--- a/internal/placer/plan.go
+++ b/internal/placer/plan.go
@@ -195,10 +195,15 @@
 			entries = slices.Clone(entries)
 		}
 		for _, entry := range entries {
-			current, ok := d.next.Endpoints[name].Find(entry.Key)
-			if ok {
-				visit(name, current)
+			// A visitor may have changed the endpoint's other entries.
+			if d.copied[name] {
+				current, ok := d.next.Endpoints[name].Find(entry.Key)
+				if !ok {
+					continue
+				}
+				entry = current
 			}
+			visit(name, entry)
 		}
 	}
 }
--- a/internal/placer/retire.go
+++ b/internal/placer/retire.go
@@ -105,6 +105,9 @@
 
 // retireExcess unloads idle replicas above a lowered number of replicas.
 func (d *plan) retireExcess() {
+	if !d.excessive() {
+		return
+	}
 	going := map[string]int{}
 	var candidates []Place
 	d.each(func(name string, entry Entry) {
@@ -127,3 +130,13 @@
 		d.unload(place.Endpoint, entry)
 	}
 }
+
+// excessive says whether any model has more replicas than it may.
+func (d *plan) excessive() bool {
+	for model, count := range d.replicas {
+		if count > d.Shares[model] {
+			return true
+		}
+	}
+	return false
+}
