--- a/internal/benchmarker/placement.go
+++ b/internal/benchmarker/placement.go
@@ -21,6 +21,9 @@
 	P50 time.Duration
 	P95 time.Duration
 	P99 time.Duration
+	// All95 and All99 are percentiles of the waiting times of all requests.
+	All95 time.Duration
+	All99 time.Duration
 	// IdleHours are accelerator hours during which a model was loaded and
 	// had no request, with acceleratorMB of memory to an accelerator.
 	IdleHours float64
@@ -78,11 +81,12 @@
 func PlacementTable(rows []PlacementRow) string {
 	var text strings.Builder
 	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "user\tpolicy\trequests\tcold starts\tp50\tp95\tp99\tidle accelerator hours\tloads\tunserved\t")
+	fmt.Fprintln(table, "user\tpolicy\trequests\tcold starts\tp50\tp95\tp99\tall p95\tall p99\tidle accelerator hours\tloads\tunserved\t")
 	for _, row := range rows {
-		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.1f s\t%.1f s\t%.1f s\t%.0f\t%d\t%d\t\n",
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%.1f s\t%.1f s\t%.1f s\t%.1f s\t%.1f s\t%.0f\t%d\t%d\t\n",
 			row.User, row.Policy, row.Requests, row.ColdStarts,
-			row.P50.Seconds(), row.P95.Seconds(), row.P99.Seconds(), row.IdleHours, row.Loads, row.Unserved)
+			row.P50.Seconds(), row.P95.Seconds(), row.P99.Seconds(),
+			row.All95.Seconds(), row.All99.Seconds(), row.IdleHours, row.Loads, row.Unserved)
 	}
 	_ = table.Flush()
 	return text.String()
--- a/internal/benchmarker/placement_simulation.go
+++ b/internal/benchmarker/placement_simulation.go
@@ -49,6 +49,7 @@
 	changed bool
 	told    time.Duration
 	cold    *hdrhistogram.Histogram
+	all     *hdrhistogram.Histogram
 	row     PlacementRow
 	speeds  map[tracker.Tier]float64
 }
@@ -101,6 +102,7 @@
 		waiting: map[string][]placementArrival{},
 		warmUp:  warmUp,
 		cold:    hdrhistogram.New(1, time.Hour.Milliseconds(), 3),
+		all:     hdrhistogram.New(1, time.Hour.Milliseconds(), 3),
 		speeds:  settings.Speeds,
 	}
 	// Sizes are part of the deployment and do not change with the seed.
@@ -158,12 +160,18 @@
 	for _, waiting := range s.waiting {
 		s.row.Unserved += len(waiting)
 	}
-	s.row.P50 = time.Duration(s.cold.ValueAtQuantile(50)) * time.Millisecond
-	s.row.P95 = time.Duration(s.cold.ValueAtQuantile(95)) * time.Millisecond
-	s.row.P99 = time.Duration(s.cold.ValueAtQuantile(99)) * time.Millisecond
+	s.row.P50 = quantile(s.cold, 50)
+	s.row.P95 = quantile(s.cold, 95)
+	s.row.P99 = quantile(s.cold, 99)
+	s.row.All95 = quantile(s.all, 95)
+	s.row.All99 = quantile(s.all, 99)
 	return s.row
 }
 
+func quantile(histogram *hdrhistogram.Histogram, percent float64) time.Duration {
+	return time.Duration(histogram.ValueAtQuantile(percent)) * time.Millisecond
+}
+
 func (s *placementSimulation) time() time.Time { return placementStart.Add(s.now) }
 
 func (s *placementSimulation) tell(message placer.Message) {
@@ -210,10 +218,7 @@
 }
 
 func (s *placementSimulation) serve(model *simulatedModel, arrival placementArrival) {
-	if waited := s.now - arrival.At; waited > 0 && arrival.At >= s.warmUp {
-		s.row.ColdStarts++
-		_ = s.cold.RecordValue(min(waited, time.Hour).Milliseconds())
-	}
+	s.record(s.now-arrival.At, arrival)
 	if model.running == 0 {
 		s.endIdle(model)
 	}
@@ -227,6 +232,19 @@
 	})
 }
 
+// record counts how long a request waited for its model.
+func (s *placementSimulation) record(waited time.Duration, arrival placementArrival) {
+	if arrival.At < s.warmUp {
+		return
+	}
+	value := min(waited, time.Hour).Milliseconds()
+	_ = s.all.RecordValue(value)
+	if waited > 0 {
+		s.row.ColdStarts++
+		_ = s.cold.RecordValue(value)
+	}
+}
+
 // endIdle counts the idle time of a loaded model that ends now.
 func (s *placementSimulation) endIdle(model *simulatedModel) {
 	if model.running > 0 || model.state != tracker.Loaded {
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/predictor"
 	"toucanhitch.example/toucanhitch/internal/tracker"
 )
 
@@ -54,7 +55,8 @@
 func (d *plan) rank(model string) float64 {
 	rank, ok := d.ranks[model]
 	if !ok {
-		rank = d.advice(model, d.activity(Key{Model: model})).Rank
+		key := Key{Model: model}
+		rank = predictor.Rank(d.Settings.Policy, d.activity(key), d.now, d.remoteLoad(d.memoryOf(key)))
 		d.ranks[model] = rank
 	}
 	return rank
--- a/internal/predictor/histogram.go
+++ b/internal/predictor/histogram.go
@@ -4,15 +4,12 @@
 
 func (p IdleHistogram) advise(activity *Activity, now time.Time, load time.Duration) Advice {
 	idle := now.Sub(activity.LastUse)
-	advice := Advice{Rank: -activity.remaining(idle).Seconds()}
 	if activity.Samples < p.MinSamples {
-		advice.Keep = idle < p.Fallback
-		return advice
+		return Advice{Keep: idle < p.Fallback}
 	}
 	from, until := p.window(activity, load)
-	advice.Keep = idle < p.Grace || (idle >= from && idle < until)
-	advice.Prewarm = idle >= from && idle < until
-	return advice
+	inside := idle >= from && idle < until
+	return Advice{Keep: inside || idle < p.Grace, Prewarm: inside}
 }
 
 // window returns the idle times between which the model should be loaded. A
--- a/internal/predictor/lookahead.go
+++ b/internal/predictor/lookahead.go
@@ -9,7 +9,6 @@
 	return Advice{
 		Keep:    idle < p.Grace || net > 0,
 		Prewarm: net > load.Seconds(),
-		Rank:    net,
 	}
 }
 
--- a/internal/predictor/policy.go
+++ b/internal/predictor/policy.go
@@ -59,8 +59,6 @@
 	Keep bool
 	// Prewarm says that an unloaded model is worth loading now.
 	Prewarm bool
-	// Rank orders models for eviction: the lowest goes first.
-	Rank float64
 }
 
 // Advise returns a policy's advice on a model that is idle now. load is the
@@ -68,9 +66,9 @@
 func Advise(policy Policy, activity *Activity, now time.Time, load time.Duration) Advice {
 	switch policy := policy.(type) {
 	case FixedTime:
-		return policy.advise(activity, now)
+		return Advice{Keep: now.Sub(activity.LastUse) < policy.Keep}
 	case LeastRecentlyUsed:
-		return Advice{Keep: true, Rank: recency(activity, now)}
+		return Advice{Keep: true}
 	case IdleHistogram:
 		return policy.advise(activity, now, load)
 	case LookAhead:
@@ -80,18 +78,26 @@
 	}
 }
 
+// Rank orders models for eviction: the lowest goes first.
+func Rank(policy Policy, activity *Activity, now time.Time, load time.Duration) float64 {
+	switch policy := policy.(type) {
+	case FixedTime, LeastRecentlyUsed:
+		return recency(activity, now)
+	case IdleHistogram:
+		return -activity.remaining(now.Sub(activity.LastUse)).Seconds()
+	case LookAhead:
+		activity.Roll(now)
+		return policy.net(activity, now, load)
+	default:
+		panic(fmt.Sprintf("unknown policy %T", policy))
+	}
+}
+
 // recency ranks models by their last use.
 func recency(activity *Activity, now time.Time) float64 {
 	return -now.Sub(activity.LastUse).Seconds()
 }
 
-func (p FixedTime) advise(activity *Activity, now time.Time) Advice {
-	return Advice{
-		Keep: now.Sub(activity.LastUse) < p.Keep,
-		Rank: recency(activity, now),
-	}
-}
-
 // DefaultIdleHistogram is the histogram policy with the bounds that
 // docs/placement.md measures.
 var DefaultIdleHistogram = IdleHistogram{
--- a/internal/predictor/policy_test.go
+++ b/internal/predictor/policy_test.go
@@ -69,10 +69,10 @@
 	now := start.Add(19*time.Hour + 50*time.Minute)
 	soon := used(every(time.Hour, 20)...)
 	late := used(0, 10*time.Hour, 19*time.Hour+45*time.Minute)
-	if a, b := Advise(DefaultIdleHistogram, soon, now, load), Advise(DefaultIdleHistogram, late, now, load); a.Rank <= b.Rank {
-		t.Errorf("histogram ranks %v and %v; want the first above", a.Rank, b.Rank)
+	if a, b := Rank(DefaultIdleHistogram, soon, now, load), Rank(DefaultIdleHistogram, late, now, load); a <= b {
+		t.Errorf("histogram ranks %v and %v; want the first above", a, b)
 	}
-	if a, b := Advise(LeastRecentlyUsed{}, soon, now, load), Advise(LeastRecentlyUsed{}, late, now, load); a.Rank >= b.Rank {
-		t.Errorf("LRU ranks %v and %v; want the second above", a.Rank, b.Rank)
+	if a, b := Rank(LeastRecentlyUsed{}, soon, now, load), Rank(LeastRecentlyUsed{}, late, now, load); a >= b {
+		t.Errorf("LRU ranks %v and %v; want the second above", a, b)
 	}
 }
