Send one order at a time to each endpoint

Two orders on their way to one endpoint could overtake each other; an endpoint that honours fences then refused the earlier one, and a load or an eviction was repeated a second later. An order now waits for the answer to the one before, and goes out only if its decision is still the last one.

--- a/internal/placer/observe.go
+++ b/internal/placer/observe.go
@@ -163,6 +163,9 @@
 
 // orderAnswered notes the result of the latest order for an entry.
 func (p *Placer) orderAnswered(now time.Time, answered OrderAnswered) {
+	if p.InFlight[answered.Endpoint] == answered.Fence {
+		delete(p.InFlight, answered.Endpoint)
+	}
 	record, ok := p.Records[Place{answered.Endpoint, answered.Key}]
 	if !ok || record.Fence != answered.Fence {
 		return
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -38,6 +38,10 @@
 	// Next and Orders wait for the write in progress.
 	Next   Placement
 	Orders []Order
+	// Outbox holds the written orders of each endpoint that have yet to go
+	// out, and InFlight the fence of the one that is on its way.
+	Outbox   map[string][]Order
+	InFlight map[string]uint64
 	// RetryAt is when a failed read or write is tried again.
 	RetryAt time.Time
 
@@ -145,6 +149,8 @@
 		Decided:    Placement{Endpoints: map[string]EndpointPlacement{}},
 		Endpoints:  map[string]tracker.Endpoint{},
 		Seen:       map[string]Sighting{},
+		Outbox:     map[string][]Order{},
+		InFlight:   map[string]uint64{},
 		Records:    map[Place]*Record{},
 		Demands:    map[Key]*KeyDemand{},
 		Claims:     map[Key]Claim{},
@@ -168,7 +174,6 @@
 
 // Step implements runner.Controller.
 func (p *Placer) Step(now time.Time, message Message) []Effect {
-	var effects []Effect
 	switch message := message.(type) {
 	case LeaseHeld:
 		p.leaseHeld(now, message)
@@ -179,7 +184,7 @@
 	case ReadFailed:
 		p.readFailed(now, message)
 	case ObjectWritten:
-		effects = p.objectWritten(now, message)
+		p.objectWritten(now, message)
 	case WriteFailed:
 		p.writeFailed(now, message)
 	case WriteUncertain:
@@ -194,15 +199,18 @@
 		p.orderAnswered(now, message)
 	case Tick:
 	}
-	return append(effects, p.proceed(now)...)
+	return p.proceed(now)
 }
 
-// proceed does what is due: read, plan, publish.
+// proceed does what is due: send, read, plan, publish.
 func (p *Placer) proceed(now time.Time) []Effect {
 	var effects []Effect
 	if lapsed := !p.valid(now); lapsed != p.Lapsed {
 		p.Lapsed, p.Published = lapsed, false
 	}
+	if !p.Lapsed {
+		effects = p.flush(now)
+	}
 	switch {
 	case p.Lapsed || now.Before(p.RetryAt):
 	case p.Phase == Unread:
@@ -210,7 +218,7 @@
 		p.Ticket++
 		effects = append(effects, ReadObject{Ticket: p.Ticket})
 	case p.Phase == Ready && !now.Before(p.PlanAt) && p.informed():
-		effects = p.plan(now)
+		effects = append(effects, p.plan(now)...)
 	}
 	if !p.Published {
 		p.Published = true
--- a/internal/placer/review.go
+++ b/internal/placer/review.go
@@ -62,6 +62,10 @@
 }
 
 func (d *plan) reviewEntry(name string, entry Entry) {
+	if d.queued(name, entry.Key) {
+		d.pending = true
+		return
+	}
 	found := d.find(name, entry)
 	switch entry.State {
 	case tracker.Loading:
