Keep only the last use of adapters

An activity with its histogram takes about 2 KB; 2,800 adapters would have taken 6 MB of a node's 32 MB, and no policy reads their histograms.

--- a/internal/placer/adapter.go
+++ b/internal/placer/adapter.go
@@ -84,7 +84,7 @@
 			if entry.Adapter == "" || entry.State != tracker.Loaded || d.wanted(entry.Key) {
 				continue
 			}
-			last := d.activity(entry.Key).LastUse
+			last := d.lastUse(entry.Key)
 			if adapterInUse(d.Endpoints[name].Report, entry.Key) || d.now.Sub(last) < evictionIdle {
 				continue
 			}
--- a/internal/placer/demand.go
+++ b/internal/placer/demand.go
@@ -59,9 +59,9 @@
 		}
 		return
 	}
-	p.activity(Key{Model: message.Model}).Observe(now)
+	p.used(now, Key{Model: message.Model})
 	if message.Adapter != "" {
-		p.activity(key).Observe(now)
+		p.used(now, key)
 	}
 	demand, ok := p.Demands[key]
 	if !ok {
--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -29,7 +29,7 @@
 		if entry.Adapter != "" || entry.State != tracker.Loaded {
 			continue
 		}
-		idle := d.now.Sub(d.activity(entry.Key).LastUse)
+		idle := d.now.Sub(d.lastUse(entry.Key))
 		if idle < least || busy(report, entry.Key) || d.wanted(entry.Key) {
 			continue
 		}
@@ -56,7 +56,7 @@
 	rank, ok := d.ranks[model]
 	if !ok {
 		key := Key{Model: model}
-		rank = predictor.Rank(d.Settings.Policy, d.activity(key), d.now, d.remoteLoad(d.memoryOf(key)))
+		rank = predictor.Rank(d.Settings.Policy, d.activity(model), d.now, d.remoteLoad(d.memoryOf(key)))
 		d.ranks[model] = rank
 	}
 	return rank
--- a/internal/placer/observe.go
+++ b/internal/placer/observe.go
@@ -20,9 +20,14 @@
 	for key, model := range next.Models {
 		p.Shares[key] = Share(model, p.Settings.Regions, p.Settings.Region)
 	}
-	for key := range p.Activities {
+	for model := range p.Activities {
+		if !p.inForce(Key{Model: model}) {
+			delete(p.Activities, model)
+		}
+	}
+	for key := range p.AdapterUse {
 		if !p.inForce(key) {
-			delete(p.Activities, key)
+			delete(p.AdapterUse, key)
 		}
 	}
 	p.PlanAt = now
@@ -98,7 +103,7 @@
 func (p *Placer) observePlace(now time.Time, place Place, served uint64, running bool) {
 	record, ok := p.Records[place]
 	if running || (ok && served > record.Served) {
-		p.activity(place.Key).Observe(now)
+		p.used(now, place.Key)
 	}
 	if ok {
 		record.Served = served
@@ -133,15 +138,32 @@
 	return false
 }
 
-func (p *Placer) activity(key Key) *predictor.Activity {
-	activity, ok := p.Activities[key]
+func (p *Placer) activity(model string) *predictor.Activity {
+	activity, ok := p.Activities[model]
 	if !ok {
 		activity = &predictor.Activity{}
-		p.Activities[key] = activity
+		p.Activities[model] = activity
 	}
 	return activity
 }
 
+// used notes that a model or an adapter is in use.
+func (p *Placer) used(now time.Time, key Key) {
+	if key.Adapter == "" {
+		p.activity(key.Model).Observe(now)
+		return
+	}
+	p.AdapterUse[key] = now
+}
+
+// lastUse is when a model or an adapter was in use, zero if never.
+func (p *Placer) lastUse(key Key) time.Time {
+	if key.Adapter == "" {
+		return p.activity(key.Model).LastUse
+	}
+	return p.AdapterUse[key]
+}
+
 // shown returns what a report says of a model or adapter: its state, or ""
 // if the report does not show it, and the fence of the model's state.
 func shown(report *tracker.Report, key Key) tracker.State {
--- a/internal/placer/place.go
+++ b/internal/placer/place.go
@@ -123,7 +123,7 @@
 	}
 	for _, model := range d.Models {
 		key := Key{Model: model}
-		activity, ok := d.Activities[key]
+		activity, ok := d.Activities[model]
 		if !ok || d.replicas[model] > 0 || d.Shares[model] == 0 || d.blocked(d.now, key) {
 			continue
 		}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -61,8 +61,10 @@
 	Demands map[Key]*KeyDemand
 	Claims  map[Key]Claim
 	Retries map[Key]*Retry
-	// Activities are kept per model and per adapter.
-	Activities map[Key]*predictor.Activity
+	// Activities are kept per model. Of adapters, which are many, only the
+	// last use is kept.
+	Activities map[string]*predictor.Activity
+	AdapterUse map[Key]time.Time
 	// Withdrawn is when a decided model or adapter was first seen to be out
 	// of force.
 	Withdrawn map[Key]time.Time
@@ -155,7 +157,8 @@
 		Demands:    map[Key]*KeyDemand{},
 		Claims:     map[Key]Claim{},
 		Retries:    map[Key]*Retry{},
-		Activities: map[Key]*predictor.Activity{},
+		Activities: map[string]*predictor.Activity{},
+		AdapterUse: map[Key]time.Time{},
 		Withdrawn:  map[Key]time.Time{},
 		Permits:    Bucket{Tokens: 1},
 		Lapsed:     true,
--- a/internal/placer/retire.go
+++ b/internal/placer/retire.go
@@ -79,14 +79,23 @@
 	if busy(d.Endpoints[name].Report, entry.Key) || d.wanted(entry.Key) {
 		return false
 	}
-	activity := d.activity(entry.Key)
-	if activity.LastUse.IsZero() {
-		activity.LastUse = d.now
+	if d.lastUse(entry.Key).IsZero() {
+		d.firstUse(entry.Key)
 	}
 	if entry.Adapter != "" {
-		return d.now.Sub(activity.LastUse) >= adapterKeep
+		return d.now.Sub(d.lastUse(entry.Key)) >= adapterKeep
 	}
-	return !d.advice(entry.Model, activity).Keep
+	return !d.advice(entry.Model, d.activity(entry.Model)).Keep
+}
+
+// firstUse lets the idle time of a model or adapter that an earlier holder
+// loaded begin now.
+func (d *plan) firstUse(key Key) {
+	if key.Adapter != "" {
+		d.AdapterUse[key] = d.now
+		return
+	}
+	d.activity(key.Model).LastUse = d.now
 }
 
 // advice asks the policy about a model.
