--- a/internal/benchmarker/placement_simulation.go
+++ b/internal/benchmarker/placement_simulation.go
@@ -239,6 +239,9 @@
 	}
 	value := min(waited, time.Hour).Milliseconds()
 	_ = s.all.RecordValue(value)
+	if waited > filter.InteractivePatience {
+		s.row.Late++
+	}
 	if waited > 0 {
 		s.row.ColdStarts++
 		_ = s.cold.RecordValue(value)
