--- a/internal/benchmarker/placement.go
+++ b/internal/benchmarker/placement.go
@@ -46,7 +46,7 @@
 	{"fixed time 60 min", predictor.FixedTime{Keep: time.Hour}},
 	{"least recently used", predictor.LeastRecentlyUsed{}},
 	{"idle-time histogram", predictor.DefaultIdleHistogram},
-	{"look-ahead", predictor.LookAhead{Intervals: 6, SecondsPerColdSecond: 60, Grace: 2 * time.Minute}},
+	{"look-ahead", predictor.DefaultLookAhead},
 }
 
 // placementSpan is how long a trace lasts; the first placementWarmUp teaches
--- a/internal/placer/settings.go
+++ b/internal/placer/settings.go
@@ -39,10 +39,6 @@
 	Speeds map[tracker.Tier]float64
 }
 
-// DefaultPolicy is the keep-alive policy of the product; docs/placement.md
-// has the comparison.
-var DefaultPolicy predictor.Policy = predictor.FixedTime{Keep: 10 * time.Minute}
-
 // DefaultSettings returns the settings for one region of one deployment with
 // a weight store that allows rate loads a second.
 func DefaultSettings(region string, rate float64) Settings {
@@ -57,7 +53,7 @@
 		DriftMargin:    time.Second,
 		DrainTime:      30 * time.Second,
 		ScaleAfter:     5 * time.Second,
-		Policy:         DefaultPolicy,
+		Policy:         predictor.DefaultIdleHistogram,
 		Speeds: map[tracker.Tier]float64{
 			tracker.Memory: 8000,
 			tracker.Disk:   2000,
--- a/internal/placer/world_test.go
+++ b/internal/placer/world_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"toucanhitch.example/toucanhitch/internal/predictor"
 	"toucanhitch.example/toucanhitch/internal/tester"
 	"toucanhitch.example/toucanhitch/internal/tracker"
 	"toucanhitch.example/toucanhitch/pkg/releaser"
@@ -80,7 +81,8 @@
 	}
 	for range 2 {
 		settings := DefaultSettings("r", 5)
-		settings.Policy = DefaultPolicy
+		// A short time makes releases of idle models part of the mix.
+		settings.Policy = predictor.FixedTime{Keep: 5 * time.Second}
 		h := &host{placer: New(settings), known: map[string]tracker.Endpoint{}}
 		w.placers = append(w.placers, h)
 	}
--- a/internal/predictor/policy.go
+++ b/internal/predictor/policy.go
@@ -97,14 +97,3 @@
 func recency(activity *Activity, now time.Time) float64 {
 	return -now.Sub(activity.LastUse).Seconds()
 }
-
-// DefaultIdleHistogram is the histogram policy with the bounds that
-// docs/placement.md measures.
-var DefaultIdleHistogram = IdleHistogram{
-	Head:       0.05,
-	Tail:       0.99,
-	Margin:     0.1,
-	MinSamples: 10,
-	Fallback:   10 * time.Minute,
-	Grace:      time.Minute,
-}
--- a/internal/predictor/policy_test.go
+++ b/internal/predictor/policy_test.go
@@ -1,6 +1,7 @@
 package predictor
 
 import (
+	"errors"
 	"testing"
 	"time"
 )
@@ -76,3 +77,20 @@
 		t.Errorf("LRU ranks %v and %v; want the second above", a, b)
 	}
 }
+
+// Guards against a setting that names a policy and gets another, or none.
+func TestByName(t *testing.T) {
+	for name, want := range map[string]Policy{
+		"idle-histogram":      DefaultIdleHistogram,
+		"look-ahead":          DefaultLookAhead,
+		"least-recently-used": LeastRecentlyUsed{},
+		"fixed-time":          FixedTime{Keep: time.Hour},
+	} {
+		if got, err := ByName(name); got != want || err != nil {
+			t.Errorf("%s: %v, %v; want %v", name, got, err, want)
+		}
+	}
+	if got, err := ByName("lru"); got != nil || !errors.Is(err, ErrUnknownPolicy) {
+		t.Errorf("lru: %v, %v; want %v", got, err, ErrUnknownPolicy)
+	}
+}
