--- /dev/null
+++ b/cmd/benchmark/main.go
@@ -0,0 +1,38 @@
+// Command benchmark measures the system and prints tables. Each subcommand
+// takes a seed and ends by itself.
+package main
+
+import (
+	"os"
+
+	"github.com/alexflint/go-arg"
+	"github.com/sirupsen/logrus"
+)
+
+// output is what every subcommand has in common.
+type output struct {
+	Seed uint64 `arg:"--seed" default:"1" help:"seed of everything that is drawn"`
+	JSON bool   `arg:"--json" help:"print JSON instead of text tables"`
+}
+
+// arguments has one field for each measurement; a new one is added here and in
+// main's list.
+type arguments struct {
+	Scheduling *schedulingArguments `arg:"subcommand:scheduling" help:"compare the scheduler with simpler policies in virtual time"`
+}
+
+func main() {
+	var arguments arguments
+	parser := arg.MustParse(&arguments)
+	var measure func() error
+	switch {
+	case arguments.Scheduling != nil:
+		measure = arguments.Scheduling.run
+	default:
+		parser.Fail("name a subcommand")
+	}
+	if err := measure(); err != nil {
+		logrus.WithError(err).Error("measurement failed")
+		os.Exit(1)
+	}
+}
--- a/internal/benchmarker/scheduling.go
+++ b/internal/benchmarker/scheduling.go
@@ -76,14 +76,15 @@
 	fmt.Fprintln(table, "load\tpolicy\tgroup\trequests\tp50\tp95\tp99\tin time\tearly\tlate\tlongest queue")
 	for _, row := range rows {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%.2f%%\t%d\t%d\t%d\n",
-			row.Load, policyName(row.Policy), row.Group, row.Requests,
+			row.Load, PolicyName(row.Policy), row.Group, row.Requests,
 			milliseconds(row.P50), milliseconds(row.P95), milliseconds(row.P99),
 			100*row.Met, row.Early, row.Late, row.MostQueued)
 	}
 	return table.Flush()
 }
 
-func policyName(policy Policy) string {
+// PolicyName returns the name of a policy in tables.
+func PolicyName(policy Policy) string {
 	switch policy.(type) {
 	case FairScheduling:
 		return "scheduler"
