Measure a node side by side with a direct call and a bare relay

There were no figures for what a node adds to a stream. benchmark relay runs a platform, an engine and a node in one process over loopback and sends the same seeded open-loop arrivals, and then a closed loop, to the engine itself, through a bare net/http relay and through the node. It reports latencies, CPU and allocations. The node's listeners can be replaced, so that measurements can count bytes.

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -19,6 +19,7 @@
 // main's list.
 type arguments struct {
 	Scheduling *schedulingArguments `arg:"subcommand:scheduling" help:"compare the scheduler with simpler policies in virtual time"`
+	Relay      *relayArguments      `arg:"subcommand:relay" help:"compare a node with a direct call and a bare relay"`
 }
 
 func main() {
@@ -28,6 +29,8 @@
 	switch {
 	case arguments.Scheduling != nil:
 		measure = arguments.Scheduling.run
+	case arguments.Relay != nil:
+		measure = arguments.Relay.run
 	default:
 		parser.Fail("name a subcommand")
 	}
--- /dev/null
+++ b/cmd/benchmark/relay.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"os"
+	"runtime/pprof"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/benchmarker"
+)
+
+// loopback are the settings of measurements that run nodes.
+type loopback struct {
+	output
+	Port       int    `arg:"--port" default:"23000" help:"first of the loopback ports to use"`
+	CPUProfile string `arg:"--cpu-profile" help:"write a CPU profile to this file" placeholder:"FILE"`
+}
+
+// tables prints the tables of a measurement.
+func (l loopback) tables(measure func(context.Context) ([]benchmarker.Table, error)) error {
+	if l.CPUProfile != "" {
+		file, err := os.Create(l.CPUProfile)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
+	tables, err := measure(context.Background())
+	if err != nil {
+		return err
+	}
+	if l.JSON {
+		return printJSON(tables)
+	}
+	return benchmarker.PrintTables(os.Stdout, tables)
+}
+
+type relayArguments struct {
+	loopback
+	Rate      float64       `arg:"--rate" default:"200" help:"requests a second of the open loop"`
+	Callers   int           `arg:"--callers" default:"256" help:"requests in progress in the closed loop"`
+	Tokens    int           `arg:"--tokens" default:"64" help:"length of every answer"`
+	PhaseTime time.Duration `arg:"--phase-time" default:"5s" help:"length of each of the six phases"`
+	Interval  time.Duration `arg:"--interval" default:"2ms" help:"the engine's time between tokens"`
+}
+
+func (a *relayArguments) run() error {
+	return a.tables(func(ctx context.Context) ([]benchmarker.Table, error) {
+		return benchmarker.Relay(ctx, benchmarker.RelaySettings{
+			Clock: clockwork.NewRealClock(), Seed: a.Seed, BasePort: a.Port, Rate: a.Rate, Callers: a.Callers,
+			Tokens: a.Tokens, PhaseTime: a.PhaseTime, TokenInterval: a.Interval,
+		})
+	})
+}
--- /dev/null
+++ b/internal/benchmarker/fleet.go
@@ -0,0 +1,265 @@
+package benchmarker
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"toucanhitch.example/toucanhitch/internal/emulator"
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/publisher"
+	"toucanhitch.example/toucanhitch/internal/server"
+	"toucanhitch.example/toucanhitch/internal/storer"
+	"toucanhitch.example/toucanhitch/internal/supervisor"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// FleetSettings describes a Fleet.
+type FleetSettings struct {
+	Clock clockwork.Clock
+	// Nodes are spread over DataCentres in turn.
+	Nodes       int
+	DataCentres int
+	Engines     []emulator.EngineSettings
+	// BasePort is the first of the loopback ports that are used: one for the
+	// platform, one for each engine, and two for each node.
+	BasePort int
+	// ListLag is the delay of the platform's instance list.
+	ListLag time.Duration
+}
+
+// Fleet is a platform, engines and nodes in this process, which talk over
+// loopback connections. It is used by one goroutine.
+type Fleet struct {
+	Settings  FleetSettings
+	Platform  string
+	Engines   []string
+	Nodes     []*FleetNode
+	Publisher publisher.Publisher
+	// Events are what the nodes logged about configurations and leases.
+	Events chan FleetEvent
+
+	PlatformTraffic *Traffic
+	EngineTraffic   *Traffic
+	PeerTraffic     *Traffic
+
+	port     int
+	cleanUps []func()
+}
+
+// FleetNode is a node of a Fleet.
+type FleetNode struct {
+	Name   string
+	Caller string
+	Peer   string
+	// Leave lets the node hand over and end; Crash ends its tasks at once.
+	Leave func()
+	Crash func()
+	// Ended is closed when the node's Run has returned.
+	Ended chan struct{}
+}
+
+const (
+	fleetRegion    = "region-1"
+	engineMemoryMB = 64 << 10
+	// eventBacklog is far above the events of one trial.
+	eventBacklog  = 1 << 16
+	platformDelay = 2 * time.Millisecond
+	stopGrace     = 100 * time.Millisecond
+)
+
+// NewFleet starts a fleet and returns a function that ends it. The nodes need
+// a moment until they are current; see AwaitReady.
+func NewFleet(ctx context.Context, settings FleetSettings) (*Fleet, func(), error) {
+	f := &Fleet{
+		Settings:        settings,
+		Events:          make(chan FleetEvent, eventBacklog),
+		PlatformTraffic: &Traffic{},
+		EngineTraffic:   &Traffic{},
+		PeerTraffic:     &Traffic{},
+		port:            settings.BasePort,
+	}
+	if err := f.start(ctx); err != nil {
+		f.close()
+		return nil, nil, err
+	}
+	return f, f.close, nil
+}
+
+func (f *Fleet) close() {
+	for i := len(f.cleanUps) - 1; i >= 0; i-- {
+		f.cleanUps[i]()
+	}
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.startPlatform(); err != nil {
+		return err
+	}
+	for i, engine := range f.Settings.Engines {
+		if err := f.startEngine(ctx, i, engine); err != nil {
+			return err
+		}
+	}
+	for range f.Settings.Nodes {
+		if _, err := f.StartNode(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) address() string {
+	f.port++
+	return fmt.Sprintf("127.0.0.1:%d", f.port-1)
+}
+
+func (f *Fleet) dataCentre(i int) string {
+	return fmt.Sprintf("dc-%d", i%max(1, f.Settings.DataCentres)+1)
+}
+
+// serve serves a handler at an address until the fleet ends.
+func (f *Fleet) serve(address string, traffic *Traffic, handler http.Handler) error {
+	listener, err := traffic.Listen(address)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = server.Serve(ctx, f.Settings.Clock, listener, handler, stopGrace)
+	}()
+	f.cleanUps = append(f.cleanUps, func() { cancel(); <-ended })
+	return nil
+}
+
+func (f *Fleet) startPlatform() error {
+	settings := emulator.DefaultPlatformSettings()
+	settings.Latency = platformDelay
+	settings.ListLag = f.Settings.ListLag
+	platform, stop, err := emulator.NewPlatform(settings, f.Settings.Clock)
+	if err != nil {
+		return err
+	}
+	f.cleanUps = append(f.cleanUps, stop)
+	f.Platform = f.address()
+	if err := f.serve(f.Platform, f.PlatformTraffic, platform); err != nil {
+		return err
+	}
+	store, closeStore := storer.New(f.Platform, f.Settings.Clock)
+	f.cleanUps = append(f.cleanUps, closeStore)
+	f.Publisher = publisher.Publisher{Store: store, Clock: f.Settings.Clock, Actor: "benchmark"}
+	return nil
+}
+
+func (f *Fleet) startEngine(ctx context.Context, i int, settings emulator.EngineSettings) error {
+	settings.Name = fmt.Sprintf("engine-%d", i+1)
+	settings.HonoursFence = true
+	settings.MemoryMB = engineMemoryMB
+	engine, stop, err := emulator.NewEngine(settings, f.Settings.Clock)
+	if err != nil {
+		return err
+	}
+	f.cleanUps = append(f.cleanUps, stop)
+	address := f.address()
+	if err := f.serve(address, f.EngineTraffic, engine); err != nil {
+		return err
+	}
+	f.Engines = append(f.Engines, address)
+	return f.register(ctx, tracker.Instance{
+		Name: settings.Name, Kind: tracker.Engine, Address: address, DataCentre: f.dataCentre(i),
+		MemoryMB: settings.MemoryMB, HonoursFence: true,
+	})
+}
+
+func (f *Fleet) register(ctx context.Context, instance tracker.Instance) error {
+	instance.Region = fleetRegion
+	instance.Phase = tracker.Live
+	url := "http://" + f.Platform + "/instances/" + instance.Name
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(encoder.Encode(instance)))
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return merry.Errorf("%s: %s", url, response.Status)
+	}
+	return nil
+}
+
+// StartNode registers and runs one more node.
+func (f *Fleet) StartNode(ctx context.Context) (*FleetNode, error) {
+	number := len(f.Nodes)
+	node := &FleetNode{
+		Name:   fmt.Sprintf("node-%d", number+1),
+		Caller: f.address(),
+		Peer:   f.address(),
+		Ended:  make(chan struct{}),
+	}
+	err := f.register(ctx, tracker.Instance{
+		Name: node.Name, Kind: tracker.Entry, Address: node.Caller, PeerAddress: node.Peer, DataCentre: f.dataCentre(number),
+	})
+	if err != nil {
+		return nil, err
+	}
+	run, cleanUp, err := supervisor.New(f.nodeSettings(node, f.dataCentre(number)))
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	node.Leave, node.Crash = cancel, cleanUp
+	go func() {
+		defer close(node.Ended)
+		_ = run.Run(ctx)
+	}()
+	f.Nodes = append(f.Nodes, node)
+	f.cleanUps = append(f.cleanUps, func() { cleanUp(); cancel() })
+	return node, nil
+}
+
+func (f *Fleet) nodeSettings(node *FleetNode, dataCentre string) supervisor.Settings {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	logger.AddHook(eventHook{node: node.Name, clock: f.Settings.Clock, events: f.Events})
+	return supervisor.Settings{
+		Name:            node.Name,
+		DataCentre:      dataCentre,
+		Region:          fleetRegion,
+		CallerAddress:   node.Caller,
+		PeerAddress:     node.Peer,
+		PlatformAddress: f.Platform,
+		Regions:         []string{fleetRegion},
+		StoreRate:       100,
+		StoreAtOnce:     4,
+		LimitSlots:      max(8, f.Settings.Nodes),
+		DrainGrace:      stopGrace,
+		Listen: func(address string) (net.Listener, error) {
+			if address == node.Peer {
+				return f.PeerTraffic.Listen(address)
+			}
+			return net.Listen("tcp", address)
+		},
+		Clock:  f.Settings.Clock,
+		Logger: logger,
+	}
+}
+
+// Submit makes a change and returns its version.
+func (f *Fleet) Submit(ctx context.Context, body releaser.Body) (uint64, error) {
+	change, err := f.Publisher.Submit(ctx, body)
+	return change.Version, err
+}
--- /dev/null
+++ b/internal/benchmarker/relay.go
@@ -0,0 +1,239 @@
+package benchmarker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/emulator"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// RelaySettings describes the relay measurement.
+type RelaySettings struct {
+	Clock clockwork.Clock
+	Seed  uint64
+	// BasePort is the first of the loopback ports that are used.
+	BasePort int
+	// Rate is the open loop's rate in requests a second, Callers the closed
+	// loop's number of requests in progress.
+	Rate    float64
+	Callers int
+	// Tokens is the length of every answer.
+	Tokens int
+	// PhaseTime is the length of each of the six phases.
+	PhaseTime time.Duration
+	// TokenInterval is the engine's time between tokens.
+	TokenInterval time.Duration
+}
+
+// relayBench is what the measurement runs against.
+type relayBench struct {
+	settings RelaySettings
+	targets  []target
+}
+
+const readyLimit = 20 * time.Second
+
+// Relay measures a node side by side with direct calls and with a bare relay.
+func Relay(ctx context.Context, settings RelaySettings) ([]Table, error) {
+	fleet, cleanUp, err := NewFleet(ctx, FleetSettings{
+		Clock: settings.Clock, Nodes: 1, BasePort: settings.BasePort, ListLag: 10 * time.Millisecond,
+		Engines: []emulator.EngineSettings{{
+			Slots: maxCallers, Queue: maxCallers, Interval: settings.TokenInterval,
+		}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer cleanUp()
+	bench := relayBench{settings: settings}
+	if err := bench.prepare(ctx, fleet); err != nil {
+		return nil, err
+	}
+	return bench.run(ctx)
+}
+
+func (b *relayBench) prepare(ctx context.Context, fleet *Fleet) error {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxCallers, DisableCompression: true}
+	fleet.cleanUps = append(fleet.cleanUps, transport.CloseIdleConnections)
+	relay := fleet.address()
+	if err := fleet.serve(relay, &Traffic{}, bareRelay{engine: fleet.Engines[0], transport: transport}); err != nil {
+		return err
+	}
+	key, err := fleet.PutModelInForce(ctx, 1)
+	if err != nil {
+		return err
+	}
+	node := throughNode{node: fleet.Nodes[0].Caller, model: benchModel, key: key}
+	b.targets = []target{direct{fleet.Engines[0]}, relayed{relay}, node}
+	// The first request through the node loads the model.
+	_, err = ask(ctx, b.settings.Clock, http.DefaultClient, node, 1)
+	return err
+}
+
+// PutModelInForce applies a note with one model and one workspace without a
+// noticeable limit, and returns a key for it.
+func (f *Fleet) PutModelInForce(ctx context.Context, replicas int) (string, error) {
+	if err := f.AwaitReady(ctx, readyLimit); err != nil {
+		return "", err
+	}
+	const plenty = 1e9 // the largest rate that a note may set
+	note := releaser.Note{
+		Name: "bench",
+		Models: []releaser.ModelEntry{{
+			Action: releaser.Add,
+			Model:  releaser.Model{Name: benchModel, Version: benchVersion, MemoryMB: 1000, Replicas: replicas},
+		}},
+		Workspaces: []releaser.WorkspaceEntry{{
+			Action:    releaser.Add,
+			Workspace: releaser.Workspace{Name: "bench", Rate: plenty, Burst: plenty, Weight: 1},
+		}},
+	}
+	if _, err := f.Submit(ctx, releaser.ApplyNote{Note: note}); err != nil {
+		return "", err
+	}
+	key := releaser.NewKey()
+	version, err := f.Submit(ctx, releaser.GrantKey{Grant: releaser.Grant{ID: "bench", Workspace: "bench", Digest: releaser.Digest(key)}})
+	if err != nil {
+		return "", err
+	}
+	_, err = f.AwaitInForce(version, len(f.Nodes), readyLimit)
+	return key, err
+}
+
+func (b *relayBench) run(ctx context.Context) ([]Table, error) {
+	open, err := b.phases(ctx, openLoop{b.settings.Rate})
+	if err != nil {
+		return nil, err
+	}
+	closed, err := b.phases(ctx, closedLoop{b.settings.Callers})
+	if err != nil {
+		return nil, err
+	}
+	return []Table{
+		b.latencies(open),
+		costs(fmt.Sprintf("costs at %g requests a second", b.settings.Rate), open),
+		costs(fmt.Sprintf("costs with %d callers in a closed loop", b.settings.Callers), closed),
+	}, nil
+}
+
+// targetResult is a phase's result with the name of its target.
+type targetResult struct {
+	name string
+	phaseResult
+}
+
+func (b *relayBench) phases(ctx context.Context, load load) ([]targetResult, error) {
+	var results []targetResult
+	for _, target := range b.targets {
+		result := measure(ctx, b.settings.Clock, phase{
+			Target: target, Load: load, Time: b.settings.PhaseTime, Tokens: b.settings.Tokens, Seed: b.settings.Seed,
+		})
+		if result.Tokens == 0 {
+			return nil, result.FirstError
+		}
+		results = append(results, targetResult{targetName(target), result})
+	}
+	return results, nil
+}
+
+func (b *relayBench) latencies(results []targetResult) Table {
+	table := Table{
+		Title: fmt.Sprintf("latency at %g requests a second of %d tokens, %s between tokens",
+			b.settings.Rate, b.settings.Tokens, b.settings.TokenInterval),
+		Columns: []string{
+			"requests", "failed", "first token p50 ms", "p95 ms", "p99 ms", "total p50 ms", "p95 ms", "p99 ms",
+		},
+		Notes: []string{
+			"open loop, the same Poisson arrivals for each target; times count from the drawn arrival",
+			"\"added\" is the difference of the percentiles to the direct call",
+		},
+	}
+	base := percentiles(results[0].phaseResult)
+	for _, result := range results {
+		table.add(result.name, append([]float64{float64(result.Requests), float64(result.Failures)}, percentiles(result.phaseResult)...)...)
+	}
+	for _, result := range results[1:] {
+		added := percentiles(result.phaseResult)
+		for i := range added {
+			added[i] -= base[i]
+		}
+		table.add("added by "+result.name, append([]float64{float64(result.Requests), float64(result.Failures)}, added...)...)
+	}
+	return table
+}
+
+func percentiles(result phaseResult) []float64 {
+	var values []float64
+	for _, histogram := range []*hdrhistogram.Histogram{result.FirstToken, result.Total} {
+		for _, percent := range []float64{50, 95, 99} {
+			values = append(values, inMilliseconds(time.Duration(histogram.ValueAtQuantile(percent))))
+		}
+	}
+	return values
+}
+
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func inMicroseconds(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
+// costs compares the process's usage: callers and engine use the same in each
+// phase, so that the difference to the direct phase is what a relay adds.
+func costs(title string, results []targetResult) Table {
+	table := Table{
+		Title: title,
+		Columns: []string{
+			"requests/s", "tokens/s", "failed", "cores busy", "CPU us/token", "allocations/request", "allocations/token",
+			"added CPU us/token", "added allocations/request", "requests/s/core", "tokens/s/core",
+		},
+		Notes: []string{
+			failures(results),
+			fmt.Sprintf("GOMAXPROCS %d; one process holds callers, relay or node, and engine", runtime.GOMAXPROCS(0)),
+			"added: difference to the direct phase; requests and tokens a second a core are its inverse, and count the added work only",
+			"allocations/token: all allocations divided by tokens",
+		},
+	}
+	base := results[0]
+	for _, result := range results {
+		perToken := inMicroseconds(result.Usage.CPU) / float64(result.Tokens)
+		addedCPU := perToken - inMicroseconds(base.Usage.CPU)/float64(base.Tokens)
+		perRequest := float64(result.Usage.Mallocs) / float64(result.Requests)
+		values := []float64{
+			float64(result.Requests) / result.Elapsed.Seconds(), float64(result.Tokens) / result.Elapsed.Seconds(),
+			float64(result.Failures), result.Usage.CPU.Seconds() / result.Elapsed.Seconds(),
+			perToken, perRequest, float64(result.Usage.Mallocs) / float64(result.Tokens),
+			addedCPU, perRequest - float64(base.Usage.Mallocs)/float64(base.Requests),
+		}
+		table.add(result.name, append(values, perCore(addedCPU, result.phaseResult)...)...)
+	}
+	return table
+}
+
+// perCore returns the requests and tokens a second that one core can add.
+func perCore(addedCPU float64, result phaseResult) []float64 {
+	if addedCPU <= 0 {
+		return []float64{0, 0}
+	}
+	tokens := 1e6 / addedCPU
+	return []float64{tokens * float64(result.Requests) / float64(result.Tokens), tokens}
+}
+
+// failures names the first failure of each target.
+func failures(results []targetResult) string {
+	text := "failures:"
+	for _, result := range results {
+		if result.FirstError != nil {
+			text += fmt.Sprintf(" %s: %v;", result.name, result.FirstError)
+		}
+	}
+	if text == "failures:" {
+		text += " none"
+	}
+	return text
+}
--- /dev/null
+++ b/internal/benchmarker/relay_baseline.go
@@ -0,0 +1,46 @@
+package benchmarker
+
+import (
+	"net/http"
+)
+
+// relayBuffer is the size of io.Copy's buffer.
+const relayBuffer = 32 << 10
+
+// bareRelay forwards a generation to one engine and copies the stream back
+// with a flush after every read. It decides nothing; it is what a node's
+// costs are compared with.
+type bareRelay struct {
+	engine    string
+	transport *http.Transport
+}
+
+// ServeHTTP implements http.Handler.
+func (b bareRelay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+b.engine+r.URL.Path, r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.ContentLength = r.ContentLength
+	response, err := b.transport.RoundTrip(request)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer response.Body.Close()
+	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	w.WriteHeader(response.StatusCode)
+	control := http.NewResponseController(w)
+	buffer := make([]byte, relayBuffer)
+	for {
+		n, err := response.Body.Read(buffer)
+		if _, failed := w.Write(buffer[:n]); failed != nil || err != nil {
+			return
+		}
+		if control.Flush() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/benchmarker/relay_load.go
@@ -0,0 +1,143 @@
+package benchmarker
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jonboulle/clockwork"
+)
+
+// load is a way to send requests: openLoop or closedLoop.
+type load interface{ isLoad() }
+
+// openLoop sends requests at times that were drawn beforehand, whatever the
+// answers do. Latencies count from those times, so that a stall shows in every
+// request that it delays.
+type openLoop struct {
+	Rate float64 // requests a second
+}
+
+// closedLoop keeps a number of requests in progress.
+type closedLoop struct{ Callers int }
+
+func (openLoop) isLoad()   {}
+func (closedLoop) isLoad() {}
+
+// phase is a load on one target for some time.
+type phase struct {
+	Target target
+	Load   load
+	Time   time.Duration
+	Tokens int
+	Seed   uint64
+}
+
+// phaseResult is what a phase measured.
+type phaseResult struct {
+	Requests   int
+	Failures   int
+	FirstError error
+	Tokens     int
+	Elapsed    time.Duration
+	Usage      Usage
+	FirstToken *hdrhistogram.Histogram
+	Total      *hdrhistogram.Histogram
+}
+
+// Bounds of the latency histograms.
+const (
+	shortestLatency = int64(time.Microsecond)
+	longestLatency  = int64(time.Minute)
+	latencyDigits   = 3
+)
+
+func newLatencies() *hdrhistogram.Histogram {
+	return hdrhistogram.New(shortestLatency, longestLatency, latencyDigits)
+}
+
+// sample is the end of one request.
+type sample struct {
+	due    time.Time
+	answer answer
+	err    error
+}
+
+// measure runs a phase.
+func measure(ctx context.Context, clock clockwork.Clock, phase phase) phaseResult {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxCallers, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	samples := make(chan sample, maxCallers)
+	result := phaseResult{FirstToken: newLatencies(), Total: newLatencies()}
+	before, started := readUsage(), clock.Now()
+	send := func(due time.Time) {
+		got, err := ask(ctx, clock, client, phase.Target, phase.Tokens)
+		samples <- sample{due: due, answer: got, err: err}
+	}
+	switch load := phase.Load.(type) {
+	case openLoop:
+		for _, at := range arrivals(phase.Seed, load.Rate, phase.Time) {
+			due := started.Add(at)
+			go func() {
+				<-clock.After(due.Sub(clock.Now()))
+				send(due)
+			}()
+			result.Requests++
+		}
+		for range result.Requests {
+			result.add(<-samples)
+		}
+	case closedLoop:
+		end := started.Add(phase.Time)
+		for range load.Callers {
+			go send(started)
+		}
+		for running := load.Callers; running > 0; {
+			result.add(<-samples)
+			result.Requests++
+			if now := clock.Now(); now.Before(end) {
+				go send(now)
+			} else {
+				running--
+			}
+		}
+	}
+	result.Elapsed = clock.Since(started)
+	result.Usage = readUsage().since(before)
+	return result
+}
+
+// maxCallers bounds the connections of a phase.
+const maxCallers = 1024
+
+// arrivals draws the times of a Poisson process.
+func arrivals(seed uint64, rate float64, length time.Duration) []time.Duration {
+	random := rand.New(rand.NewPCG(seed, 0))
+	var times []time.Duration
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+		if at >= length {
+			return times
+		}
+		times = append(times, at)
+	}
+}
+
+func (r *phaseResult) add(sample sample) {
+	if sample.err != nil {
+		r.Failures++
+		if r.FirstError == nil {
+			r.FirstError = sample.err
+		}
+		return
+	}
+	r.Tokens += sample.answer.Tokens
+	// A value above the bound would be an answer later than a minute, which
+	// the deadline of the class rules out.
+	_ = r.FirstToken.RecordValue(int64(sample.answer.FirstToken.Sub(sample.due)))
+	_ = r.Total.RecordValue(int64(sample.answer.Ended.Sub(sample.due)))
+}
--- /dev/null
+++ b/internal/benchmarker/relay_test.go
@@ -0,0 +1,48 @@
+package benchmarker
+
+import (
+	"context"
+	"flag"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+var relayPort = flag.Int("relay.port", 23900, "first loopback port of the relay measurement")
+
+// Guards against a relay measurement whose answers are incomplete, and against
+// tables whose rows do not fit their columns. With -v it prints the tables.
+func TestRelay(t *testing.T) {
+	tables, err := Relay(context.Background(), RelaySettings{
+		Clock: clockwork.NewRealClock(), Seed: 1, BasePort: *relayPort, Rate: 20, Callers: 4,
+		Tokens: 8, PhaseTime: 300 * time.Millisecond, TokenInterval: time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkTables(t, tables)
+	for _, row := range tables[0].Rows {
+		if failed := row.Values[1]; failed != 0 {
+			t.Errorf("%s: %v requests failed; want 0", row.Case, failed)
+		}
+	}
+}
+
+// checkTables checks the form of tables and prints them.
+func checkTables(t *testing.T, tables []Table) {
+	t.Helper()
+	for _, table := range tables {
+		for _, row := range table.Rows {
+			if len(row.Values) != len(table.Columns) {
+				t.Errorf("%s, %s: %d values for %d columns", table.Title, row.Case, len(row.Values), len(table.Columns))
+			}
+		}
+	}
+	var text strings.Builder
+	if err := PrintTables(&text, tables); err != nil {
+		t.Fatal(err)
+	}
+	t.Log("\n" + text.String())
+}
--- /dev/null
+++ b/internal/benchmarker/table.go
@@ -0,0 +1,65 @@
+package benchmarker
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+)
+
+// Table is the result of a measurement. Units stand in the columns' names.
+type Table struct {
+	Title   string
+	Columns []string
+	Rows    []Row
+	// Notes say what the figures do and do not contain.
+	Notes []string
+}
+
+// Row is one line of a table.
+type Row struct {
+	Case string
+	// Values are in the order of the columns.
+	Values []float64
+}
+
+// add appends a row.
+func (t *Table) add(name string, values ...float64) {
+	t.Rows = append(t.Rows, Row{Case: name, Values: values})
+}
+
+// PrintTables writes tables as text.
+func PrintTables(w io.Writer, tables []Table) error {
+	for _, table := range tables {
+		fmt.Fprintf(w, "%s\n", table.Title)
+		columns := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+		fmt.Fprintf(columns, "case\t%s\n", strings.Join(table.Columns, "\t"))
+		for _, row := range table.Rows {
+			fmt.Fprintf(columns, "%s\t%s\n", row.Case, strings.Join(formatted(row.Values), "\t"))
+		}
+		if err := columns.Flush(); err != nil {
+			return err
+		}
+		for _, note := range table.Notes {
+			fmt.Fprintf(w, "note: %s\n", note)
+		}
+		fmt.Fprintln(w)
+	}
+	return nil
+}
+
+// figureDigits is the precision of the text form; runs differ by more.
+const figureDigits = 3
+
+func formatted(values []float64) []string {
+	texts := make([]string, len(values))
+	for i, value := range values {
+		if value >= 100 || value <= -100 {
+			texts[i] = strconv.FormatFloat(value, 'f', 0, 64)
+			continue
+		}
+		texts[i] = strconv.FormatFloat(value, 'g', figureDigits, 64)
+	}
+	return texts
+}
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -118,11 +118,11 @@
 
 func (n *Node) listen(cleanUps *cleanUps) error {
 	var err error
-	if n.callerListener, err = net.Listen("tcp", n.settings.CallerAddress); err != nil {
+	if n.callerListener, err = n.settings.listen(n.settings.CallerAddress); err != nil {
 		return merry.Wrap(ErrSettings, merry.AppendMessagef("caller address: %v", err))
 	}
 	cleanUps.add(func() { _ = n.callerListener.Close() })
-	if n.peerListener, err = net.Listen("tcp", n.settings.PeerAddress); err != nil {
+	if n.peerListener, err = n.settings.listen(n.settings.PeerAddress); err != nil {
 		return merry.Wrap(ErrSettings, merry.AppendMessagef("peer address: %v", err))
 	}
 	cleanUps.add(func() { _ = n.peerListener.Close() })
--- a/internal/supervisor/settings.go
+++ b/internal/supervisor/settings.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"net"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -32,6 +33,16 @@
 	LimitSlots int
 	// DrainGrace bounds the wait for running requests of a leaving node.
 	DrainGrace time.Duration
-	Clock      clockwork.Clock
-	Logger     logrus.FieldLogger
+	// Listen opens the node's listeners, so that measurements can count what
+	// passes; nil means net.Listen for TCP.
+	Listen func(address string) (net.Listener, error)
+	Clock  clockwork.Clock
+	Logger logrus.FieldLogger
+}
+
+func (s Settings) listen(address string) (net.Listener, error) {
+	if s.Listen != nil {
+		return s.Listen(address)
+	}
+	return net.Listen("tcp", address)
 }
