Measure rollout, control traffic, leases and cold starts of whole fleets

benchmark slopes runs fleets of nodes with a platform and engines in one process over loopback, one part at a time: control traffic and object API calls at rest with 3 to 24 nodes, the time until a note or a withdrawn key is in force everywhere, the time until a lost lease has a new holder, and the first token of models that are loaded nowhere.

--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -20,6 +20,7 @@
 type arguments struct {
 	Scheduling *schedulingArguments `arg:"subcommand:scheduling" help:"compare the scheduler with simpler policies in virtual time"`
 	Relay      *relayArguments      `arg:"subcommand:relay" help:"compare a node with a direct call and a bare relay"`
+	Slopes     *slopesArguments     `arg:"subcommand:slopes" help:"measure how costs grow with the size of a deployment"`
 }
 
 func main() {
@@ -31,6 +32,8 @@
 		measure = arguments.Scheduling.run
 	case arguments.Relay != nil:
 		measure = arguments.Relay.run
+	case arguments.Slopes != nil:
+		measure = arguments.Slopes.run
 	default:
 		parser.Fail("name a subcommand")
 	}
--- /dev/null
+++ b/cmd/benchmark/slopes.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/benchmarker"
+)
+
+type slopesArguments struct {
+	loopback
+	Part string `arg:"positional,required" help:"memory, control, rollout, lease or cold"`
+}
+
+func (a *slopesArguments) run() error {
+	part, err := benchmarker.ParsePart(a.Part)
+	if err != nil {
+		return err
+	}
+	return a.tables(func(ctx context.Context) ([]benchmarker.Table, error) {
+		settings := benchmarker.SlopesSettings{Clock: clockwork.NewRealClock(), Seed: a.Seed, BasePort: a.Port}
+		return benchmarker.Slopes(ctx, settings, part)
+	})
+}
--- /dev/null
+++ b/internal/benchmarker/slopes_cold.go
@@ -0,0 +1,104 @@
+package benchmarker
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+const (
+	coldNodes  = 7
+	coldTokens = 4
+	// coldPause lets the placement settle between trials.
+	coldPause = time.Second
+)
+
+// coldCase is a number of callers at once and a number of trials.
+type coldCase struct{ callers, trials int }
+
+var coldCases = []coldCase{{1, 5}, {10, 4}, {100, 4}}
+
+// cold asks for models that are loaded nowhere, each by several callers at
+// once, spread over all nodes.
+func (s slopes) cold(ctx context.Context) ([]Table, error) {
+	fleet, cleanUp, err := s.fleet(ctx, coldNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer cleanUp()
+	key, err := fleet.PutModelInForce(ctx, 1)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.coldModels(ctx, fleet); err != nil {
+		return nil, err
+	}
+	s.sleep(settleTime)
+	table := Table{
+		Title:   fmt.Sprintf("cold start beyond the engine's load time of %s, %d nodes, %d engines", engineLoadTime, coldNodes, slopesEngines),
+		Columns: []string{"requests", "failed", "first token p50 ms", "p95 ms", "max ms"},
+		Notes: []string{
+			"from the callers' common start to the first token, minus the load time",
+			fmt.Sprintf("engines have 8 slots and 10 ms between %d tokens; each model may have 2 replicas", coldTokens),
+		},
+	}
+	model := 0
+	for _, test := range coldCases {
+		result := phaseResult{FirstToken: newLatencies(), Total: newLatencies()}
+		for range test.trials {
+			s.coldTrial(ctx, fleet, coldModel(model), key, test.callers, &result)
+			model++
+			s.sleep(coldPause)
+		}
+		beyond := func(percent float64) float64 {
+			return inMilliseconds(time.Duration(result.FirstToken.ValueAtQuantile(percent)) - engineLoadTime)
+		}
+		table.add(fmt.Sprintf("%d callers at once", test.callers),
+			float64(test.callers*test.trials), float64(result.Failures), beyond(50), beyond(95), beyond(100))
+		if result.FirstError != nil {
+			table.Notes = append(table.Notes, fmt.Sprintf("first failure with %d callers: %v", test.callers, result.FirstError))
+		}
+	}
+	return []Table{table}, nil
+}
+
+func coldModel(number int) string { return fmt.Sprintf("cold-%d", number) }
+
+func (s slopes) coldModels(ctx context.Context, fleet *Fleet) error {
+	note := releaser.Note{Name: "cold", Base: 1}
+	for _, test := range coldCases {
+		for range test.trials {
+			note.Models = append(note.Models, releaser.ModelEntry{
+				Action: releaser.Add,
+				Model:  releaser.Model{Name: coldModel(len(note.Models)), Version: "1", MemoryMB: 1000, Replicas: 2},
+			})
+		}
+	}
+	version, err := fleet.Submit(ctx, releaser.ApplyNote{Note: note})
+	if err != nil {
+		return err
+	}
+	_, err = fleet.AwaitInForce(version, coldNodes, readyLimit)
+	return err
+}
+
+func (s slopes) coldTrial(ctx context.Context, fleet *Fleet, model, key string, callers int, result *phaseResult) {
+	transport := &http.Transport{MaxIdleConnsPerHost: callers}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	samples := make(chan sample, callers)
+	started := s.Clock.Now()
+	for range callers {
+		node := throughNode{node: fleet.Nodes[s.random.IntN(len(fleet.Nodes))].Caller, model: model, key: key}
+		go func() {
+			got, err := ask(ctx, s.Clock, client, node, coldTokens)
+			samples <- sample{due: started, answer: got, err: err}
+		}()
+	}
+	for range callers {
+		result.add(<-samples)
+	}
+}
--- /dev/null
+++ b/internal/benchmarker/slopes_memory.go
@@ -0,0 +1,5 @@
+package benchmarker
+
+import "context"
+
+func (s slopes) memory(ctx context.Context) ([]Table, error) { return nil, ctx.Err() }
--- /dev/null
+++ b/internal/benchmarker/slopes_rollout.go
@@ -0,0 +1,85 @@
+package benchmarker
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+const (
+	rolloutNodes  = 7
+	rolloutTrials = 20
+	rolloutLimit  = 20 * time.Second
+	// rolloutPause is the longest pause between trials, so that they meet the
+	// nodes' periods at different points.
+	rolloutPause = time.Second
+)
+
+// rollout measures notes and withdrawals of keys from the operator's call to
+// the last node.
+func (s slopes) rollout(ctx context.Context) ([]Table, error) {
+	fleet, cleanUp, err := s.fleet(ctx, rolloutNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer cleanUp()
+	if _, err := fleet.PutModelInForce(ctx, 1); err != nil {
+		return nil, err
+	}
+	var notes, withdrawals []time.Duration
+	base := uint64(1)
+	for trial := range rolloutTrials {
+		note, version, err := s.force(ctx, fleet, releaser.ApplyNote{Note: releaser.Note{
+			Name: fmt.Sprintf("trial-%d", trial), Base: base,
+			Models: []releaser.ModelEntry{{
+				Action: releaser.Add,
+				Model:  releaser.Model{Name: fmt.Sprintf("model-%d", trial), Version: "1", MemoryMB: 1000, Replicas: 1},
+			}},
+		}})
+		if err != nil {
+			return nil, err
+		}
+		base = version
+		id := fmt.Sprintf("trial-%d", trial)
+		grant := releaser.Grant{ID: id, Workspace: "bench", Digest: releaser.Digest(releaser.NewKey())}
+		if _, _, err := s.force(ctx, fleet, releaser.GrantKey{Grant: grant}); err != nil {
+			return nil, err
+		}
+		withdrawal, _, err := s.force(ctx, fleet, releaser.WithdrawKey{GrantID: id})
+		if err != nil {
+			return nil, err
+		}
+		notes, withdrawals = append(notes, note), append(withdrawals, withdrawal)
+	}
+	table := Table{
+		Title:   fmt.Sprintf("time from the operator's call to force at the last of %d nodes in %d data centres", rolloutNodes, slopesDataCentres),
+		Columns: []string{"trials", "p50 ms", "max ms"},
+		Notes: []string{
+			"counts from the start of the call, which reads and writes the log (2 ms each), so it is longer than the time from acceptance",
+			"loopback without added delay between data centres",
+		},
+	}
+	for _, row := range []struct {
+		name  string
+		times []time.Duration
+	}{{"note", notes}, {"withdrawn key", withdrawals}} {
+		median, most := spread(row.times)
+		table.add(row.name, float64(len(row.times)), median, most)
+	}
+	return []Table{table}, nil
+}
+
+// force makes a change after a pause and returns how long it took to be in
+// force everywhere, and its version.
+func (s slopes) force(ctx context.Context, fleet *Fleet, body releaser.Body) (time.Duration, uint64, error) {
+	s.sleep(s.upTo(rolloutPause))
+	started := s.Clock.Now()
+	version, err := fleet.Submit(ctx, body)
+	if err != nil {
+		return 0, 0, err
+	}
+	at, err := fleet.AwaitInForce(version, rolloutNodes, rolloutLimit)
+	return at.Sub(started), version, err
+}
