--- a/internal/recorder/seal.go
+++ b/internal/recorder/seal.go
@@ -68,7 +68,7 @@
 	for _, record := range a.records {
 		size += record.size()
 	}
-	if size <= maxBucketBytes {
+	if size <= w.SealBytes {
 		return nil
 	}
 	w.Sealings++
@@ -76,7 +76,7 @@
 	sealed := clone(a.sealed)
 	until := time.Time{}
 	for _, record := range a.sorted() {
-		if size <= maxBucketBytes/2 {
+		if size <= w.SealBytes/2 {
 			break
 		}
 		size -= record.size()
--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -17,6 +17,9 @@
 	Buckets [Buckets]Bucket
 	// Sealings counts the segments that this writer made.
 	Sealings int
+	// SealBytes is the size of a bucket's head above which its older records
+	// go into a segment.
+	SealBytes int
 }
 
 // Bucket is a writer's copy of a bucket and what waits for it.
@@ -58,7 +61,7 @@
 
 // NewWriter returns a writer that has read no bucket.
 func NewWriter(node string) *Writer {
-	return &Writer{Node: node}
+	return &Writer{Node: node, SealBytes: maxBucketBytes}
 }
 
 // Wake implements runner.Controller.
