Read a bucket again before an answer that another writer may have changed

A writer answered from its copy without a write. After a pause, or when another writer had taken over for a while, the copy could be old: Abandon said Done without effect, an outcome was refused as not recorded, and a repeat got Uncertain for a call that was abandoned. Only a recorded outcome is now answered from the copy; any other answer that needs no write follows a read that began after the question.

The write also follows the read at once. Before, it came 40 ms later, so that a writer that met another busy one read a version that was replaced before it wrote, and a first write waited 40 ms for nothing.

--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -38,7 +38,11 @@
 	Writing []Waiting
 	// Pending holds the operations that came since, at most maxPending.
 	Pending []Waiting
-	// Next is when the next read or write may start.
+	// Covered is the number of operations at the start of Pending that came
+	// before the read of this copy began. What the copy says of them was true
+	// after they were asked.
+	Covered int
+	// Next is when the next operations may be carried out.
 	Next     time.Time
 	Failures int
 	// after holds what is true once the write under way succeeded.
@@ -147,11 +151,8 @@
 func (w *Writer) failed(now time.Time, message BucketFailed) []Effect {
 	bucket := &w.Buckets[message.Bucket]
 	bucket.Busy = false
-	bucket.Loaded = false
-	bucket.Pending = append(bucket.Writing, bucket.Pending...)
-	bucket.Writing, bucket.after = nil, written{}
+	bucket.putBack()
 	if message.Conflict {
-		bucket.Next = now
 		return nil
 	}
 	bucket.Failures++
@@ -162,6 +163,12 @@
 	return bucket.refuseAll(message.Detail)
 }
 
+func (b *Bucket) putBack() {
+	b.Pending = append(b.Writing, b.Pending...)
+	b.Writing, b.after = nil, written{}
+	b.Loaded, b.Covered = false, 0
+}
+
 func (b *Bucket) refuseAll(detail string) []Effect {
 	var effects []Effect
 	for _, waiting := range b.Pending {
@@ -178,18 +185,26 @@
 		return nil
 	}
 	bucket.Busy = true
-	bucket.Next = now.Add(CommitEvery)
 	if !bucket.Loaded {
+		bucket.Covered = len(bucket.Pending)
 		return []Effect{ReadBucket{number}}
 	}
 	return w.commit(now, number)
 }
 
-// commit applies all pending operations and writes the bucket once. If they
-// change nothing they are answered without a write.
+// commit applies pending operations and writes the bucket once. If they change
+// nothing they are answered without a write, unless another writer may have
+// changed the answers since this copy was read.
 func (w *Writer) commit(now time.Time, number int) []Effect {
 	bucket := &w.Buckets[number]
 	changed := bucket.apply(now)
+	if !changed && bucket.outdated() {
+		bucket.putBack()
+		bucket.Covered = len(bucket.Pending)
+		return []Effect{ReadBucket{number}}
+	}
+	bucket.Next = now.Add(CommitEvery)
+	bucket.Covered = 0
 	if !changed {
 		return w.written(BucketWritten{Bucket: number, ObjectVersion: bucket.ObjectVersion})
 	}
@@ -200,6 +215,21 @@
 	return []Effect{write}
 }
 
+// outdated says whether a result may be wrong because another writer changed
+// the bucket. A recorded outcome never changes.
+func (b *Bucket) outdated() bool {
+	for _, result := range b.after.results[b.Covered:] {
+		done, ok := result.(Done)
+		if !ok {
+			return true
+		}
+		if _, known := done.Record.(filter.Known); !known {
+			return true
+		}
+	}
+	return false
+}
+
 // apply computes the bucket's state after the pending operations.
 func (b *Bucket) apply(now time.Time) bool {
 	b.Writing, b.Pending = b.Pending, nil
