Name segments by the version of their bucket

A restarted node counted its segments from 1 again and met the objects of its former run. Sealing failed until the counter had passed them, and the calls that waited were refused. The name now holds the bucket and the head's version as well.

--- a/internal/recorder/seal.go
+++ b/internal/recorder/seal.go
@@ -63,7 +63,7 @@
 // seal moves the older half of the head's records into a new segment if the
 // head is large. An outcome that comes later stands in the head, where it
 // replaces the segment's record.
-func (w *Writer) seal(a *written) *Sealing {
+func (w *Writer) seal(number int, a *written) *Sealing {
 	size := 0
 	for _, record := range a.records {
 		size += record.size()
@@ -72,7 +72,7 @@
 		return nil
 	}
 	w.Sealings++
-	sealing := &Sealing{Name: fmt.Sprintf("%s-%d", w.Node, w.Sealings)}
+	sealing := &Sealing{Name: w.segmentName(number)}
 	sealed := clone(a.sealed)
 	until := time.Time{}
 	for _, record := range a.sorted() {
@@ -90,6 +90,12 @@
 	return sealing
 }
 
+// segmentName returns a name that no earlier run of this node used: the version
+// of the head grows with every segment that a head refers to.
+func (w *Writer) segmentName(number int) string {
+	return fmt.Sprintf("%s-%d-%d-%d", w.Node, number, w.Buckets[number].ObjectVersion, w.Sealings)
+}
+
 // sorted returns the head's records, oldest first.
 func (a *written) sorted() []Record {
 	records := make([]Record, 0, len(a.records))
--- /dev/null
+++ b/internal/recorder/task_test.go
@@ -0,0 +1,89 @@
+package recorder
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/storer"
+)
+
+// run starts a writer's task on a store. The function ends it.
+func run(t *testing.T, store storer.Store, writer *Writer) (*Task, func()) {
+	t.Helper()
+	task := NewTask(clockwork.NewRealClock(), store, writer)
+	ctx, stop := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { _ = task.Run(ctx) })
+	return task, func() {
+		stop()
+		done.Wait()
+	}
+}
+
+// bucketKeys returns keys of bucket 0.
+func bucketKeys(count int) []Key {
+	var keys []Key
+	for number := 0; len(keys) < count; number++ {
+		if key := Key(fmt.Sprintf("%032d", number)); BucketOf(key) == 0 {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// operateAll carries out operations at once and returns the number of results
+// that are Done with a record of type R.
+func operateAll[R filter.Record](t *testing.T, task *Task, keys []Key, action Action) int {
+	t.Helper()
+	var waiting sync.WaitGroup
+	var mutex sync.Mutex
+	count := 0
+	for _, key := range keys {
+		waiting.Go(func() {
+			result, err := Operate(t.Context(), task, Operation{Key: key, ID: "id-" + string(key), Digest: "d", Action: action})
+			done, _ := result.(Done)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if _, ok := done.Record.(R); err == nil && ok {
+				count++
+			}
+		})
+	}
+	waiting.Wait()
+	return count
+}
+
+// Guards against a restarted node that names its segments like those of its
+// former run, and so can seal nothing.
+func TestRestartedWriterSeals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := storer.NewMemory(clockwork.NewRealClock())
+		keys := bucketKeys(60)
+		for restart := range 2 {
+			writer := NewWriter("n1")
+			writer.SealBytes = 4 * recordBytes
+			task, stop := run(t, store, writer)
+			for _, key := range keys[30*restart:][:30] {
+				if operateAll[filter.Fresh](t, task, []Key{key}, Begin{}) != 1 {
+					t.Errorf("run %d: the intent of %s is not recorded", restart, key)
+				}
+			}
+			stop()
+		}
+		task, stop := run(t, store, NewWriter("n2"))
+		defer stop()
+		for _, key := range keys {
+			operation := Operation{Key: key, ID: "other", Digest: "d", Action: Begin{}}
+			result, err := Operate(t.Context(), task, operation)
+			if err != nil || result != (Done{filter.Uncertain{}}) {
+				t.Errorf("repeat of %s: %#v, %v; want Uncertain", key, result, err)
+			}
+		}
+	})
+}
--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -210,7 +210,7 @@
 	}
 	write := WriteBucket{Bucket: number, IfVersion: bucket.ObjectVersion}
 	write.Expired = bucket.after.expire(now)
-	write.Sealing = w.seal(&bucket.after)
+	write.Sealing = w.seal(number, &bucket.after)
 	write.Content = bucket.after.content()
 	return []Effect{write}
 }
