Bound the records that one write adds

All pending operations went into one write. 1500 outcomes of 4 KB made a segment above the platform's limit of 1 MiB, and none of them could be recorded, so that every repeat was told 'unknown'. A write now takes at most 256 KB of records; the rest waits for the next one. The content type counts and is bounded too, since a service chooses it. TestBurstFitsIntoObjects recorded 0 of 1500 before and all now.

--- a/internal/recorder/message.go
+++ b/internal/recorder/message.go
@@ -19,11 +19,16 @@
 	// maxBucketBytes is the size of a bucket's head object above which its
 	// older records are sealed into a segment.
 	maxBucketBytes = 256 << 10
+	// maxBatchBytes bounds the records that one write adds. With it a head and
+	// a segment stay far below the platform's limit of 1 MiB.
+	maxBatchBytes = 256 << 10
 	// maxPending bounds the operations that wait for a bucket's next write.
 	maxPending = 4096
 	// MaxBodyBytes is the largest reply body that is recorded. The outcome of
 	// a call with a larger one is recorded without it.
 	MaxBodyBytes = 4 << 10
+	// maxContentTypeBytes bounds the recorded content type in the same way.
+	maxContentTypeBytes = 128
 	// minRetry and maxRetry bound the delay after a failed read or write.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 2 * time.Second
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -79,7 +79,7 @@
 
 // Finish implements filter.Recorder. It returns ErrUnrecorded.
 func (r Recorder) Finish(ctx context.Context, intent filter.Intent, reply filter.Reply) error {
-	if len(reply.Body) > MaxBodyBytes {
+	if len(reply.Body) > MaxBodyBytes || len(reply.ContentType) > maxContentTypeBytes {
 		reply.Body, reply.ContentType = nil, ""
 	}
 	return r.confirm(ctx, operationOf(intent, Finish{Reply: reply}))
--- a/internal/recorder/seal.go
+++ b/internal/recorder/seal.go
@@ -6,6 +6,8 @@
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
 )
 
 // recordBytes estimates the size of a record without its reply's body.
@@ -19,11 +21,23 @@
 }
 
 func (r Record) size() int {
-	size := recordBytes
-	if r.Reply != nil {
-		size += len(r.Reply.Body) * 4 / 3
+	if r.Reply == nil {
+		return recordBytes
+	}
+	return recordBytes + replySize(*r.Reply)
+}
+
+// size is that of the record that an operation makes.
+func (o Operation) size() int {
+	if finish, ok := o.Action.(Finish); ok {
+		return recordBytes + replySize(finish.Reply)
 	}
-	return size
+	return recordBytes
+}
+
+// replySize counts a body in base64.
+func replySize(reply filter.Reply) int {
+	return len(reply.ContentType) + len(reply.Body)*4/3
 }
 
 // expire drops records and segments past their lifetime and returns the names
--- a/internal/recorder/task_test.go
+++ b/internal/recorder/task_test.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -87,3 +88,21 @@
 		}
 	})
 }
+
+// Guards against a burst whose records do not fit into one object, so that no
+// write of the bucket succeeds any more.
+func TestBurstFitsIntoObjects(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := storer.NewMemory(clockwork.NewRealClock())
+		task, stop := run(t, store, NewWriter("n1"))
+		defer stop()
+		keys := bucketKeys(1500)
+		if fresh := operateAll[filter.Fresh](t, task, keys, Begin{}); fresh != len(keys) {
+			t.Errorf("%d of %d intents are recorded", fresh, len(keys))
+		}
+		reply := filter.Reply{Status: 200, ContentType: "text/plain", Body: bytes.Repeat([]byte("x"), MaxBodyBytes)}
+		if known := operateAll[filter.Known](t, task, keys, Finish{Reply: reply}); known != len(keys) {
+			t.Errorf("%d of %d outcomes are recorded", known, len(keys))
+		}
+	})
+}
--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -215,10 +215,24 @@
 	return []Effect{write}
 }
 
+// takeBatch moves the pending operations that fit into one write to Writing, at
+// least one.
+func (b *Bucket) takeBatch() {
+	count, size := 0, 0
+	for _, waiting := range b.Pending {
+		size += waiting.Operation.size()
+		if count > 0 && size > maxBatchBytes {
+			break
+		}
+		count++
+	}
+	b.Writing, b.Pending = b.Pending[:count:count], b.Pending[count:]
+}
+
 // outdated says whether a result may be wrong because another writer changed
 // the bucket. A recorded outcome never changes.
 func (b *Bucket) outdated() bool {
-	for _, result := range b.after.results[b.Covered:] {
+	for _, result := range b.after.results[min(b.Covered, len(b.after.results)):] {
 		done, ok := result.(Done)
 		if !ok {
 			return true
@@ -232,7 +246,7 @@
 
 // apply computes the bucket's state after the pending operations.
 func (b *Bucket) apply(now time.Time) bool {
-	b.Writing, b.Pending = b.Pending, nil
+	b.takeBatch()
 	b.after = written{records: clone(b.Records), sealed: b.Sealed, segments: b.Segments}
 	changed := false
 	for _, waiting := range b.Writing {
