--- a/internal/recorder/seal.go
+++ b/internal/recorder/seal.go
@@ -6,6 +6,8 @@
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
 )
 
 // recordBytes estimates the size of a record without its reply's body.
@@ -19,11 +21,23 @@
 }
 
 func (r Record) size() int {
-	size := recordBytes
-	if r.Reply != nil {
-		size += len(r.Reply.Body) * 4 / 3
+	if r.Reply == nil {
+		return recordBytes
+	}
+	return recordBytes + replySize(*r.Reply)
+}
+
+// size is that of the record that an operation makes.
+func (o Operation) size() int {
+	if finish, ok := o.Action.(Finish); ok {
+		return recordBytes + replySize(finish.Reply)
 	}
-	return size
+	return recordBytes
+}
+
+// replySize counts a body in base64.
+func replySize(reply filter.Reply) int {
+	return len(reply.ContentType) + len(reply.Body)*4/3
 }
 
 // expire drops records and segments past their lifetime and returns the names
@@ -63,20 +77,20 @@
 // seal moves the older half of the head's records into a new segment if the
 // head is large. An outcome that comes later stands in the head, where it
 // replaces the segment's record.
-func (w *Writer) seal(a *written) *Sealing {
+func (w *Writer) seal(number int, a *written) *Sealing {
 	size := 0
 	for _, record := range a.records {
 		size += record.size()
 	}
-	if size <= maxBucketBytes {
+	if size <= w.SealBytes {
 		return nil
 	}
 	w.Sealings++
-	sealing := &Sealing{Name: fmt.Sprintf("%s-%d", w.Node, w.Sealings)}
+	sealing := &Sealing{Name: w.segmentName(number)}
 	sealed := clone(a.sealed)
 	until := time.Time{}
 	for _, record := range a.sorted() {
-		if size <= maxBucketBytes/2 {
+		if size <= w.SealBytes/2 {
 			break
 		}
 		size -= record.size()
@@ -90,6 +104,12 @@
 	return sealing
 }
 
+// segmentName returns a name that no earlier run of this node used: the version
+// of the head grows with every segment that a head refers to.
+func (w *Writer) segmentName(number int) string {
+	return fmt.Sprintf("%s-%d-%d-%d", w.Node, number, w.Buckets[number].ObjectVersion, w.Sealings)
+}
+
 // sorted returns the head's records, oldest first.
 func (a *written) sorted() []Record {
 	records := make([]Record, 0, len(a.records))
