--- a/internal/commander/script_test.go
+++ b/internal/commander/script_test.go
@@ -30,6 +30,7 @@
 //	match DURATION REGEXP COMMAND...  repeats until the output matches
 //	capture VARIABLE REGEXP COMMAND... sets a variable to the first submatch
 //	lacks NAME TEXT           fails if the process has written the text
+//	wrote NAME REGEXP         fails unless the process has written a match
 //	fleet N                   starts the platform, N nodes in N data centres
 //
 // PLATFORM, NODE1.. and PEER1.. hold addresses on free ports, and PORT1.. free
@@ -53,6 +54,7 @@
 			"match":   match,
 			"capture": capture,
 			"lacks":   lacks,
+			"wrote":   wrote,
 			"fleet":   fleet,
 		},
 	})
@@ -258,6 +260,17 @@
 	}
 }
 
+func wrote(ts *testscript.TestScript, _ bool, arguments []string) {
+	process, ok := processesOf(ts).running[arguments[0]]
+	if !ok {
+		ts.Fatalf("%s was not started", arguments[0])
+	}
+	if output := process.output.String(); !regexp.MustCompile(arguments[1]).MatchString(output) {
+		dump(ts)
+		ts.Fatalf("%s has written no %q:\n%s", arguments[0], arguments[1], output)
+	}
+}
+
 // fleet starts the platform and nodes, and waits until all are current.
 func fleet(ts *testscript.TestScript, _ bool, arguments []string) {
 	count, err := strconv.Atoi(arguments[0])
--- a/internal/server/events.go
+++ b/internal/server/events.go
@@ -38,7 +38,6 @@
 	deadlineAt time.Time
 	prefix     []byte
 	buffer     []byte
-	dropped    error
 }
 
 func newEventWriter(clock clockwork.Clock, w http.ResponseWriter, model string) *eventWriter {
--- a/internal/supervisor/items.go
+++ b/internal/supervisor/items.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"errors"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -9,6 +10,7 @@
 	"toucanhitch.example/toucanhitch/internal/configurer"
 	"toucanhitch.example/toucanhitch/internal/encoder"
 	"toucanhitch.example/toucanhitch/internal/placer"
+	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/scheduler"
 	"toucanhitch.example/toucanhitch/internal/spreader"
 	"toucanhitch.example/toucanhitch/internal/tracker"
@@ -58,6 +60,25 @@
 	}
 }
 
+// postRetry is the time between two tries of postSurely.
+const postRetry = 50 * time.Millisecond
+
+// postSurely delivers a message that nothing repeats: while the task's inbox
+// is full it tries again in the background. Each try makes the message anew,
+// so that an older state never follows a newer one.
+func (n *Node) postSurely(task string, post func() error) {
+	err := post()
+	if !errors.Is(err, runner.ErrFull) {
+		return
+	}
+	n.post(task, err)
+	go func() {
+		for errors.Is(post(), runner.ErrFull) {
+			<-n.clock.After(postRetry)
+		}
+	}()
+}
+
 func (n *Node) pushChanges(version uint64, changes []releaser.Change) {
 	item := configurer.PushedItem(version, changes)
 	n.post("spreader", n.spreader.Post(spreader.Publish{Item: item}))
--- a/internal/supervisor/limits.go
+++ b/internal/supervisor/limits.go
@@ -14,7 +14,6 @@
 	"toucanhitch.example/toucanhitch/internal/messenger"
 	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/tracker"
-	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
 
 // limits connects the tasks of the token limits: the holder of this node, and
@@ -79,14 +78,23 @@
 	l.log(l.owner.Post(limiter.InstancesListed{Names: names}))
 }
 
-func (l *limits) configurationChanged(configuration *releaser.Configuration) {
+func (l *limits) configurationChanged() {
+	l.node.postSurely("limits", func() error {
+		return l.front.Post(limiter.WorkspacesChanged{Limits: l.inForce()})
+	})
+	l.node.postSurely("lending", func() error {
+		return l.owner.Post(limiter.WorkspacesChanged{Limits: l.inForce()})
+	})
+}
+
+// inForce returns the limits of all workspaces.
+func (l *limits) inForce() []limiter.Limit {
 	var all []limiter.Limit
-	for workspace := range maps.Values(configuration.Workspaces) {
+	for workspace := range maps.Values(l.node.view.Configuration().Workspaces) {
 		all = append(all, limiter.Limit{Workspace: workspace.Name, Rate: workspace.Rate, Burst: workspace.Burst})
 	}
 	slices.SortFunc(all, func(a, b limiter.Limit) int { return cmp.Compare(a.Workspace, b.Workspace) })
-	l.log(l.front.Post(limiter.WorkspacesChanged{Limits: all}))
-	l.log(l.owner.Post(limiter.WorkspacesChanged{Limits: all}))
+	return all
 }
 
 // handOver releases the lease with the state of the buckets.
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -299,8 +299,10 @@
 
 func (n *Node) inForce(configuration *releaser.Configuration) {
 	n.logger.WithField("Version", configuration.Version).Info("configuration in force: " + configuration.String())
-	n.post("placer", n.placer.Post(placer.ConfigurationChanged{Configuration: configuration}))
-	n.limits.configurationChanged(configuration)
+	n.postSurely("placer", func() error {
+		return n.placer.Post(placer.ConfigurationChanged{Configuration: n.view.Configuration()})
+	})
+	n.limits.configurationChanged()
 }
 
 // nodeAddresses returns the peer addresses of the live nodes by name.
--- a/internal/supervisor/run.go
+++ b/internal/supervisor/run.go
@@ -83,7 +83,7 @@
 	n.publishLoad()
 	<-n.clock.After(tracker.AddressLifetime + drainMargin)
 	n.logger.Info("leaving: finishing running requests")
-	n.post("scheduler", n.scheduler.Post(scheduler.Drain{}))
+	n.postSurely("scheduler", func() error { return n.scheduler.Post(scheduler.Drain{}) })
 	stop()
 	err := <-ended
 	n.handOver()
