--- a/internal/commander/state.go
+++ b/internal/commander/state.go
@@ -46,6 +46,15 @@
 	Contacts    map[string]string
 	Peers       []any
 	Endpoints   []endpointState
+	Troubles    []troubleState
+}
+
+type troubleState struct {
+	Endpoint string
+	Model    string
+	Adapter  string
+	Text     string
+	Age      string
 }
 
 type endpointState struct {
@@ -160,10 +169,13 @@
 			fmt.Fprintf(env.errors, "%6s  %s\n", env.clock.Since(started).Round(time.Millisecond), progress)
 			reported = progress
 		}
-		if len(behind) == 0 {
+		if len(behind) == 0 && len(all) > 0 {
 			return nil
 		}
 		if !pause(ctx, env.clock, followEvery) {
+			if len(all) == 0 {
+				behind = []string{"the platform lists no live node"}
+			}
 			return merry.Wrap(ErrNotInForce, merry.AppendMessage(strings.Join(behind, "; ")))
 		}
 	}
@@ -212,7 +224,24 @@
 	if err := printNodes(env, all); err != nil {
 		return err
 	}
-	return printEndpoints(env, all)
+	if err := printEndpoints(env, all); err != nil {
+		return err
+	}
+	return printTroubles(env, all)
+}
+
+func printTroubles(env environment, all []standing) error {
+	var rows []troubleState
+	for _, node := range all {
+		rows = append(rows, node.state.Troubles...)
+	}
+	if len(rows) == 0 {
+		return nil
+	}
+	fmt.Fprintln(env.output)
+	return printTable(env, "TROUBLE AT\tMODEL\tSINCE\tWHAT", rows, func(row troubleState) string {
+		return fmt.Sprintf("%s\t%s %s\t%s\t%s", row.Endpoint, row.Model, row.Adapter, row.Age, row.Text)
+	})
 }
 
 func printNodes(env environment, all []standing) error {
--- a/internal/leaser/lease.go
+++ b/internal/leaser/lease.go
@@ -9,8 +9,10 @@
 	Duration = 3 * time.Second
 	// renewInterval is the time from one renewal to the next.
 	renewInterval = time.Second
-	// pollInterval is the time from one read of a candidate to the next.
-	pollInterval = time.Second
+	// pollInterval is the time from one read of a candidate to the next. The
+	// read and the takeover that follow a handover fit in the rest of the
+	// second that it may take; with 1 s a single candidate took longer.
+	pollInterval = 900 * time.Millisecond
 	// retryDelay is the pause of a holder after a call that had no effect.
 	retryDelay = 250 * time.Millisecond
 	// driftDivisor makes the margin for clock drift: 1/10 of the duration on
@@ -31,8 +33,9 @@
 	// Epoch grows with every tenure.
 	Epoch    uint64
 	Duration time.Duration
-	// Handover is what a holder that released the lease left for the next.
-	Handover []byte
+	// Data is what the holders keep in the lease. A new holder takes over
+	// what the previous one stored last.
+	Data []byte
 }
 
 // Validity is how long a holder may rely on a lease, from before it sent the
@@ -43,7 +46,7 @@
 // before it takes it.
 func (l Lease) Patience() time.Duration { return l.Duration + l.Duration/driftDivisor }
 
-// Event tells other controllers about a lease: Held or Lost.
+// Event tells other controllers about a lease: Held, Lost or Stored.
 type Event interface{ isEvent() }
 
 // Held says that this node holds a lease. It is published at the start of a
@@ -56,7 +59,7 @@
 	// clock. Whoever acts on the lease compares it with the clock at that
 	// moment, because Lost may come late.
 	Until time.Time
-	// Data is what the previous holder handed over, nil if it did not.
+	// Data is what the lease held when this tenure began.
 	Data []byte
 }
 
@@ -67,5 +70,13 @@
 // another epoch.
 type Lost struct{ Name string }
 
-func (Held) isEvent() {}
-func (Lost) isEvent() {}
+// Stored says that the lease holds data that this node asked to keep in it.
+type Stored struct {
+	Name  string
+	Epoch uint64
+	Data  []byte
+}
+
+func (Held) isEvent()   {}
+func (Lost) isEvent()   {}
+func (Stored) isEvent() {}
--- /dev/null
+++ b/internal/limiter/holder.go
@@ -0,0 +1,277 @@
+package limiter
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+const (
+	// MaxWait bounds the wait for tokens before a refusal, unless the asker
+	// has more patience.
+	MaxWait = 2 * time.Second
+	// maxWaiting bounds the waiting requests of a workspace at one node.
+	maxWaiting = 1000
+)
+
+// Holder reserves tokens for the requests of one node: first from the node's
+// standing share, then from grants of the owner.
+type Holder struct {
+	// Node and Session identify this run of the node to the owner.
+	Node      string
+	Session   uint64
+	SlotCount int
+	Owner     OwnerChanged
+	// Standing says that the node has a standing share.
+	Standing bool
+	// Pools holds the workspaces by name; Names is sorted.
+	Pools        map[string]*Pool
+	Names        []string
+	Reservations map[uint64]*Reservation
+	LastID       uint64
+	// Calls gives the reservation that the answer to a call granted last.
+	Calls map[runner.Call]uint64
+	Link  Link
+	// Origin is the origin of the standing buckets' times.
+	Origin time.Time
+	// WakeAt is not after the next time at which something is due.
+	WakeAt time.Time
+}
+
+// NewHolder returns a holder without limits and without an owner.
+func NewHolder(node string, session uint64, slotCount int) *Holder {
+	return &Holder{
+		Node:         node,
+		Session:      session,
+		SlotCount:    max(1, slotCount),
+		Pools:        map[string]*Pool{},
+		Reservations: map[uint64]*Reservation{},
+		Calls:        map[runner.Call]uint64{},
+	}
+}
+
+// Wake implements runner.Controller.
+func (h *Holder) Wake() time.Time { return h.WakeAt }
+
+// wake asks for a tick at a time.
+func (h *Holder) wake(at time.Time) {
+	if h.WakeAt.IsZero() || at.Before(h.WakeAt) {
+		h.WakeAt = at
+	}
+}
+
+// Step implements runner.Controller.
+func (h *Holder) Step(now time.Time, message HolderMessage) []HolderEffect {
+	if h.Origin.IsZero() {
+		h.Origin = now
+	}
+	var effects []HolderEffect
+	switch message := message.(type) {
+	case ReserveAsked:
+		effects = h.reserve(now, message)
+	case ConfirmAsked:
+		effects = h.confirm(now, message)
+	case Settled:
+		effects = h.settle(now, message)
+	case Cancelled:
+		effects = h.cancel(now, message.Call)
+	case OwnerChanged:
+		h.changeOwner(now, message)
+	case WorkspacesChanged:
+		effects = h.configure(now, message.Limits)
+	case ExchangeReturned:
+		effects = h.returned(now, message)
+	case ExchangeFailed:
+		if h.Link.Busy && message.Sequence == h.Link.Sequence {
+			h.fail(now)
+		}
+	case HolderTick:
+		effects = h.tick(now)
+	}
+	return h.send(now, effects)
+}
+
+// tick does everything that time makes due.
+func (h *Holder) tick(now time.Time) []HolderEffect {
+	var effects []HolderEffect
+	h.WakeAt = time.Time{}
+	for _, name := range h.Names {
+		effects = append(effects, h.refresh(now, h.Pools[name])...)
+	}
+	return effects
+}
+
+// refresh brings a pool up to date, answers who can be answered, and asks for
+// the next tick and exchange.
+func (h *Holder) refresh(now time.Time, p *Pool) []HolderEffect {
+	p.advance(now, h.Origin)
+	effects := h.serve(now, p)
+	if len(p.Waiting) > 0 && !now.Before(p.TimeoutAt) {
+		effects = append(effects, h.expire(now, p)...)
+		effects = append(effects, h.serve(now, p)...)
+	}
+	h.plan(now, p)
+	return effects
+}
+
+// serve covers waiters in their order. A waiter that is not covered holds back
+// those behind it, so that it gets its turn, unless it needs the owner and the
+// owner cannot be reached.
+func (h *Holder) serve(now time.Time, p *Pool) []HolderEffect {
+	var effects []HolderEffect
+	for i := 0; i < len(p.Waiting); {
+		w := p.Waiting[i]
+		if p.cover(now, w) {
+			p.Waiting = slices.Delete(p.Waiting, i, i+1)
+			effects = append(effects, h.grant(w))
+			continue
+		}
+		if h.reachable() || p.standingCovers(w) {
+			break
+		}
+		i++
+	}
+	return effects
+}
+
+// expire refuses the waiters whose time is over.
+func (h *Holder) expire(now time.Time, p *Pool) []HolderEffect {
+	var kept, expired []*Waiter
+	for _, w := range p.Waiting {
+		if now.Before(w.Until) {
+			kept = append(kept, w)
+		} else {
+			expired = append(expired, w)
+		}
+	}
+	p.Waiting = kept
+	p.setTimeout()
+	var effects []HolderEffect
+	for _, w := range expired {
+		effects = append(effects, h.refuse(now, p, w))
+	}
+	return effects
+}
+
+func (h *Holder) reserve(now time.Time, message ReserveAsked) []HolderEffect {
+	p := h.Pools[message.Workspace]
+	if p == nil {
+		return []HolderEffect{Refused{Call: message.Call, Reason: NoWorkspace, RetryAfter: time.Second}}
+	}
+	p.advance(now, h.Origin)
+	if largest := p.largest(); message.Tokens > largest {
+		return []HolderEffect{Refused{Call: message.Call, Reason: TooLarge, Largest: largest}}
+	}
+	p.Demand.add(now, message.Tokens)
+	p.enqueue(&Waiter{
+		Call:        message.Call,
+		Until:       earlier(message.Deadline, now.Add(max(MaxWait, message.Patience))),
+		Reservation: &Reservation{Workspace: message.Workspace, Tokens: message.Tokens},
+	})
+	return append(h.shed(now, p), h.refresh(now, p)...)
+}
+
+// shed refuses the most patient waiter when too many wait.
+func (h *Holder) shed(now time.Time, p *Pool) []HolderEffect {
+	if len(p.Waiting) <= maxWaiting {
+		return nil
+	}
+	last := p.Waiting[len(p.Waiting)-1]
+	if last.Confirms {
+		h.end(now, p, last.Reservation, 0)
+	}
+	p.Waiting = p.Waiting[:maxWaiting]
+	return []HolderEffect{Refused{Call: last.Call, Reason: QueueFull, RetryAfter: p.retryAfter(last.Reservation.Tokens)}}
+}
+
+// confirm spends a reservation's tokens. Tokens that have expired are reserved
+// again, ahead of requests that have none yet.
+func (h *Holder) confirm(now time.Time, message ConfirmAsked) []HolderEffect {
+	r := h.Reservations[message.ID]
+	if r == nil || r.Confirmed || h.Pools[r.Workspace] == nil {
+		return []HolderEffect{Refused{Call: message.Call, Reason: NoReservation, RetryAfter: time.Second}}
+	}
+	p := h.Pools[r.Workspace]
+	p.advance(now, h.Origin)
+	w := &Waiter{
+		Call:        message.Call,
+		Until:       earlier(message.Deadline, now.Add(max(MaxWait, message.Patience))),
+		Reservation: r,
+		Confirms:    true,
+	}
+	if p.missing(r) <= dust {
+		effects := []HolderEffect{h.grant(w)}
+		h.plan(now, p)
+		return effects
+	}
+	p.enqueue(w)
+	return h.refresh(now, p)
+}
+
+// grant answers a waiter whose reservation is covered.
+func (h *Holder) grant(w *Waiter) HolderEffect {
+	r := w.Reservation
+	if r.ID == 0 {
+		h.LastID++
+		r.ID = h.LastID
+		h.Reservations[r.ID] = r
+	}
+	delete(h.Calls, r.Call)
+	r.Call = w.Call
+	h.Calls[r.Call] = r.ID
+	if w.Confirms {
+		h.spend(r)
+	}
+	return Reserved{Call: w.Call, ID: r.ID}
+}
+
+func (h *Holder) refuse(now time.Time, p *Pool, w *Waiter) HolderEffect {
+	h.end(now, p, w.Reservation, 0)
+	return Refused{Call: w.Call, Reason: NoTokens, RetryAfter: p.retryAfter(w.Reservation.Tokens)}
+}
+
+// configure puts limits in force and refuses what waits for a workspace that
+// is gone.
+func (h *Holder) configure(now time.Time, limits []Limit) []HolderEffect {
+	var effects []HolderEffect
+	kept := map[string]*Pool{}
+	h.Names = nil
+	for _, limit := range limits {
+		p := h.Pools[limit.Workspace]
+		if p == nil {
+			p = &Pool{}
+		}
+		p.Limit = limit
+		p.Slots = h.SlotCount
+		kept[limit.Workspace] = p
+		h.Names = append(h.Names, limit.Workspace)
+	}
+	slices.Sort(h.Names)
+	for _, name := range slices.Sorted(maps.Keys(h.Pools)) {
+		if kept[name] == nil {
+			for _, w := range h.Pools[name].Waiting {
+				effects = append(effects, Refused{Call: w.Call, Reason: NoWorkspace, RetryAfter: time.Second})
+			}
+		}
+	}
+	h.Pools = kept
+	for _, name := range h.Names {
+		h.Pools[name].resize(now, h.Origin, h.Standing)
+	}
+	return append(effects, h.tick(now)...)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// seconds converts a number of seconds, bounded at an hour.
+func seconds(s float64) time.Duration {
+	return time.Duration(math.Min(s, 3600) * float64(time.Second))
+}
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -38,11 +38,17 @@
 	// Next and Orders wait for the write in progress.
 	Next   Placement
 	Orders []Order
+	// Outbox holds the written orders of each endpoint that have yet to go
+	// out, and InFlight the fence of the one that is on its way.
+	Outbox   map[string][]Order
+	InFlight map[string]uint64
 	// RetryAt is when a failed read or write is tried again.
 	RetryAt time.Time
 
 	Configuration *releaser.Configuration
-	// Shares are the replicas that the region may hold, by model.
+	// Models are the sorted keys of the configuration's models, and Shares
+	// the replicas of each that the region may hold.
+	Models      []string
 	Shares      map[string]int
 	ListVersion uint64
 	// Endpoints are the region's engines, and Names their sorted names.
@@ -55,8 +61,10 @@
 	Demands map[Key]*KeyDemand
 	Claims  map[Key]Claim
 	Retries map[Key]*Retry
-	// Activities are kept per model and per adapter.
-	Activities map[Key]*predictor.Activity
+	// Activities are kept per model. Of adapters, which are many, only the
+	// last use is kept.
+	Activities map[string]*predictor.Activity
+	AdapterUse map[Key]time.Time
 	// Withdrawn is when a decided model or adapter was first seen to be out
 	// of force.
 	Withdrawn map[Key]time.Time
@@ -143,11 +151,14 @@
 		Decided:    Placement{Endpoints: map[string]EndpointPlacement{}},
 		Endpoints:  map[string]tracker.Endpoint{},
 		Seen:       map[string]Sighting{},
+		Outbox:     map[string][]Order{},
+		InFlight:   map[string]uint64{},
 		Records:    map[Place]*Record{},
 		Demands:    map[Key]*KeyDemand{},
 		Claims:     map[Key]Claim{},
 		Retries:    map[Key]*Retry{},
-		Activities: map[Key]*predictor.Activity{},
+		Activities: map[string]*predictor.Activity{},
+		AdapterUse: map[Key]time.Time{},
 		Withdrawn:  map[Key]time.Time{},
 		Permits:    Bucket{Tokens: 1},
 		Lapsed:     true,
@@ -166,7 +177,6 @@
 
 // Step implements runner.Controller.
 func (p *Placer) Step(now time.Time, message Message) []Effect {
-	var effects []Effect
 	switch message := message.(type) {
 	case LeaseHeld:
 		p.leaseHeld(now, message)
@@ -177,7 +187,7 @@
 	case ReadFailed:
 		p.readFailed(now, message)
 	case ObjectWritten:
-		effects = p.objectWritten(now, message)
+		p.objectWritten(now, message)
 	case WriteFailed:
 		p.writeFailed(now, message)
 	case WriteUncertain:
@@ -192,15 +202,18 @@
 		p.orderAnswered(now, message)
 	case Tick:
 	}
-	return append(effects, p.proceed(now)...)
+	return p.proceed(now)
 }
 
-// proceed does what is due: read, plan, publish.
+// proceed does what is due: send, read, plan, publish.
 func (p *Placer) proceed(now time.Time) []Effect {
 	var effects []Effect
 	if lapsed := !p.valid(now); lapsed != p.Lapsed {
 		p.Lapsed, p.Published = lapsed, false
 	}
+	if !p.Lapsed {
+		effects = p.flush(now)
+	}
 	switch {
 	case p.Lapsed || now.Before(p.RetryAt):
 	case p.Phase == Unread:
@@ -208,7 +221,7 @@
 		p.Ticket++
 		effects = append(effects, ReadObject{Ticket: p.Ticket})
 	case p.Phase == Ready && !now.Before(p.PlanAt) && p.informed():
-		effects = p.plan(now)
+		effects = append(effects, p.plan(now)...)
 	}
 	if !p.Published {
 		p.Published = true
--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -17,6 +17,9 @@
 	Buckets [Buckets]Bucket
 	// Sealings counts the segments that this writer made.
 	Sealings int
+	// SealBytes is the size of a bucket's head above which its older records
+	// go into a segment.
+	SealBytes int
 }
 
 // Bucket is a writer's copy of a bucket and what waits for it.
@@ -35,7 +38,11 @@
 	Writing []Waiting
 	// Pending holds the operations that came since, at most maxPending.
 	Pending []Waiting
-	// Next is when the next read or write may start.
+	// Covered is the number of operations at the start of Pending that came
+	// before the read of this copy began. What the copy says of them was true
+	// after they were asked.
+	Covered int
+	// Next is when the next operations may be carried out.
 	Next     time.Time
 	Failures int
 	// after holds what is true once the write under way succeeded.
@@ -58,7 +65,7 @@
 
 // NewWriter returns a writer that has read no bucket.
 func NewWriter(node string) *Writer {
-	return &Writer{Node: node}
+	return &Writer{Node: node, SealBytes: maxBucketBytes}
 }
 
 // Wake implements runner.Controller.
@@ -144,11 +151,8 @@
 func (w *Writer) failed(now time.Time, message BucketFailed) []Effect {
 	bucket := &w.Buckets[message.Bucket]
 	bucket.Busy = false
-	bucket.Loaded = false
-	bucket.Pending = append(bucket.Writing, bucket.Pending...)
-	bucket.Writing, bucket.after = nil, written{}
+	bucket.putBack()
 	if message.Conflict {
-		bucket.Next = now
 		return nil
 	}
 	bucket.Failures++
@@ -159,6 +163,12 @@
 	return bucket.refuseAll(message.Detail)
 }
 
+func (b *Bucket) putBack() {
+	b.Pending = append(b.Writing, b.Pending...)
+	b.Writing, b.after = nil, written{}
+	b.Loaded, b.Covered = false, 0
+}
+
 func (b *Bucket) refuseAll(detail string) []Effect {
 	var effects []Effect
 	for _, waiting := range b.Pending {
@@ -175,31 +185,68 @@
 		return nil
 	}
 	bucket.Busy = true
-	bucket.Next = now.Add(CommitEvery)
 	if !bucket.Loaded {
+		bucket.Covered = len(bucket.Pending)
 		return []Effect{ReadBucket{number}}
 	}
 	return w.commit(now, number)
 }
 
-// commit applies all pending operations and writes the bucket once. If they
-// change nothing they are answered without a write.
+// commit applies pending operations and writes the bucket once. If they change
+// nothing they are answered without a write, unless another writer may have
+// changed the answers since this copy was read.
 func (w *Writer) commit(now time.Time, number int) []Effect {
 	bucket := &w.Buckets[number]
 	changed := bucket.apply(now)
+	if !changed && bucket.outdated() {
+		bucket.putBack()
+		bucket.Covered = len(bucket.Pending)
+		return []Effect{ReadBucket{number}}
+	}
+	bucket.Next = now.Add(CommitEvery)
+	bucket.Covered = 0
 	if !changed {
 		return w.written(BucketWritten{Bucket: number, ObjectVersion: bucket.ObjectVersion})
 	}
 	write := WriteBucket{Bucket: number, IfVersion: bucket.ObjectVersion}
 	write.Expired = bucket.after.expire(now)
-	write.Sealing = w.seal(&bucket.after)
+	write.Sealing = w.seal(number, &bucket.after)
 	write.Content = bucket.after.content()
 	return []Effect{write}
 }
 
+// takeBatch moves the pending operations that fit into one write to Writing, at
+// least one.
+func (b *Bucket) takeBatch() {
+	count, size := 0, 0
+	for _, waiting := range b.Pending {
+		size += waiting.Operation.size()
+		if count > 0 && size > maxBatchBytes {
+			break
+		}
+		count++
+	}
+	b.Writing, b.Pending = b.Pending[:count:count], b.Pending[count:]
+}
+
+// outdated says whether a result may be wrong because another writer changed
+// the bucket. A recorded outcome never changes.
+func (b *Bucket) outdated() bool {
+	for _, result := range b.after.results[min(b.Covered, len(b.after.results)):] {
+		done, ok := result.(Done)
+		if !ok {
+			return true
+		}
+		if _, known := done.Record.(filter.Known); !known {
+			return true
+		}
+	}
+	return false
+}
+
 // apply computes the bucket's state after the pending operations.
 func (b *Bucket) apply(now time.Time) bool {
-	b.Writing, b.Pending = b.Pending, nil
+	b.takeBatch()
 	b.after = written{records: clone(b.Records), sealed: b.Sealed, segments: b.Segments}
 	changed := false
 	for _, waiting := range b.Writing {
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -117,11 +118,11 @@
 
 func (n *Node) listen(cleanUps *cleanUps) error {
 	var err error
-	if n.callerListener, err = net.Listen("tcp", n.settings.CallerAddress); err != nil {
+	if n.callerListener, err = n.settings.listen(n.settings.CallerAddress); err != nil {
 		return merry.Wrap(ErrSettings, merry.AppendMessagef("caller address: %v", err))
 	}
 	cleanUps.add(func() { _ = n.callerListener.Close() })
-	if n.peerListener, err = net.Listen("tcp", n.settings.PeerAddress); err != nil {
+	if n.peerListener, err = n.settings.listen(n.settings.PeerAddress); err != nil {
 		return merry.Wrap(ErrSettings, merry.AppendMessagef("peer address: %v", err))
 	}
 	cleanUps.add(func() { _ = n.peerListener.Close() })
@@ -263,9 +264,9 @@
 		filter.Identify{Clock: n.clock},
 		filter.Resolve{View: n.view},
 		filter.Authenticate{View: n.view},
-		filter.Limit{Limits: n.limits.front},
+		filter.Limit{Clock: n.clock, Limits: n.limits.front},
 		filter.Admit{View: n.view, Scheduler: n.scheduler},
-		filter.Confirm{Limits: n.limits.front},
+		filter.Confirm{Clock: n.clock, Limits: n.limits.front},
 		filter.RecordIntent{Recorder: records},
 		filter.Dispatch{
 			Clock:      n.clock,
@@ -298,8 +299,10 @@
 
 func (n *Node) inForce(configuration *releaser.Configuration) {
 	n.logger.WithField("Version", configuration.Version).Info("configuration in force: " + configuration.String())
-	n.post("placer", n.placer.Post(placer.ConfigurationChanged{Configuration: configuration}))
-	n.limits.configurationChanged(configuration)
+	n.postSurely("placer", func() error {
+		return n.placer.Post(placer.ConfigurationChanged{Configuration: n.view.Configuration()})
+	})
+	n.limits.configurationChanged()
 }
 
 // nodeAddresses returns the peer addresses of the live nodes by name.
@@ -340,7 +343,7 @@
 	case err == nil:
 		d.answered(attempt.Slot.Endpoint, true)
 	case ctx.Err() != nil:
-	case merry.As(err, &failure) && (failure.Gone || failure.Refused):
+	case errors.As(err, &failure) && (failure.Gone || failure.Refused):
 	default:
 		d.answered(attempt.Slot.Endpoint, false)
 	}
