--- a/internal/emulator/engine_batch.go
+++ b/internal/emulator/engine_batch.go
@@ -65,13 +65,35 @@
 		return cmp.Compare(queued.Priority, priority)
 	})
 	e.Queue = slices.Insert(e.Queue, at, run)
-	e.changed = true
+	e.served(run)
 	fault, after := e.claimFault()
 	e.emit(EngineAccept{
 		Call: message.Call, Attempt: run.Attempt, Lines: e.length(run) - run.From, Fault: fault, After: after,
 	})
 }
 
+// served counts a request for its model and adapter.
+func (e *EngineController) served(run *EngineRun) {
+	e.changed = true
+	model := e.Models[run.Model]
+	model.Served++
+	if adapter, ok := model.Adapters[run.Adapter]; ok {
+		adapter.Served++
+	}
+}
+
+// inProgress counts the runs that wait or run for a model, or for one of its
+// adapters if it is not empty.
+func (e *EngineController) inProgress(model, adapter string) int {
+	count := 0
+	for _, run := range slices.Concat(e.Running, e.Queue) {
+		if run.Model == model && (adapter == "" || run.Adapter == adapter) {
+			count++
+		}
+	}
+	return count
+}
+
 // claimFault returns the fault of the next answer and counts it.
 func (e *EngineController) claimFault() (EngineStreamFault, int) {
 	fault, after := e.Faults.Stream, e.Faults.After
--- a/internal/emulator/engine_controller_test.go
+++ b/internal/emulator/engine_controller_test.go
@@ -19,8 +19,13 @@
 			return emulator.NewEngineController(settings)
 		},
 		Messages: []emulator.EngineMessage{
-			emulator.EngineSubmit{}, emulator.EngineCancel{}, emulator.EngineGiveOrder{}, emulator.EngineAskReport{},
-			emulator.EngineAskEvents{}, emulator.EngineSetFaults{}, emulator.EngineFetched{},
+			emulator.EngineSubmit{},
+			emulator.EngineCancel{},
+			emulator.EngineGiveOrder{},
+			emulator.EngineAskReport{},
+			emulator.EngineAskEvents{},
+			emulator.EngineSetFaults{},
+			emulator.EngineFetched{},
 		},
 		Tick: emulator.EngineTick{},
 	})
--- a/internal/emulator/engine_model.go
+++ b/internal/emulator/engine_model.go
@@ -23,7 +23,9 @@
 	Fetch uint64
 	Tries int
 	// Whole says that the checkpoint was loaded completely.
-	Whole    bool
+	Whole bool
+	// Served counts the requests accepted since the load.
+	Served   uint64
 	Adapters map[string]*EngineAdapter
 }
 
@@ -32,6 +34,8 @@
 	MemoryMB int
 	State    tracker.State
 	ReadyAt  time.Time
+	// Served counts the requests accepted since the load.
+	Served uint64
 }
 
 const (
--- a/internal/emulator/engine_report.go
+++ b/internal/emulator/engine_report.go
@@ -56,7 +56,7 @@
 		Leaving: e.Faults.Leaving,
 	}
 	for _, key := range slices.Sorted(maps.Keys(e.Models)) {
-		report.Models = append(report.Models, modelState(key, e.Models[key]))
+		report.Models = append(report.Models, e.modelState(key))
 	}
 	for _, entry := range e.Memory.Entries {
 		report.Cached = append(report.Cached, tracker.CachedModel{Model: entry.Model, Tier: tracker.Memory})
@@ -67,10 +67,16 @@
 	return report
 }
 
-func modelState(key string, model *EngineModel) tracker.ModelState {
-	state := tracker.ModelState{Model: key, State: model.State, Fence: model.Fence}
+func (e *EngineController) modelState(key string) tracker.ModelState {
+	model := e.Models[key]
+	state := tracker.ModelState{
+		Model: key, State: model.State, Fence: model.Fence, Running: e.inProgress(key, ""), Served: model.Served,
+	}
 	for _, name := range slices.Sorted(maps.Keys(model.Adapters)) {
-		state.Adapters = append(state.Adapters, tracker.AdapterState{Adapter: name, State: model.Adapters[name].State})
+		adapter := model.Adapters[name]
+		state.Adapters = append(state.Adapters, tracker.AdapterState{
+			Adapter: name, State: adapter.State, Running: e.inProgress(key, name), Served: adapter.Served,
+		})
 	}
 	return state
 }
--- a/internal/emulator/engine_wire.go
+++ b/internal/emulator/engine_wire.go
@@ -83,6 +83,8 @@
 	Version  string
 	State    tracker.State
 	Fence    uint64
+	Running  int
+	Served   uint64
 	Adapters []adapterWire
 }
 
@@ -90,6 +92,8 @@
 	Adapter string
 	Version string
 	State   tracker.State
+	Running int
+	Served  uint64
 }
 
 type cachedWire struct {
@@ -117,10 +121,16 @@
 
 func newModelWire(model tracker.ModelState) modelWire {
 	name, version, _ := strings.Cut(model.Model, "@")
-	wire := modelWire{Model: name, Version: version, State: model.State, Fence: model.Fence, Adapters: []adapterWire{}}
+	wire := modelWire{
+		Model: name, Version: version, State: model.State, Fence: model.Fence,
+		Running: model.Running, Served: model.Served, Adapters: []adapterWire{},
+	}
 	for _, adapter := range model.Adapters {
 		name, version, _ := strings.Cut(adapter.Adapter, "@")
-		wire.Adapters = append(wire.Adapters, adapterWire{Adapter: name, Version: version, State: adapter.State})
+		wire.Adapters = append(wire.Adapters, adapterWire{
+			Adapter: name, Version: version, State: adapter.State,
+			Running: adapter.Running, Served: adapter.Served,
+		})
 	}
 	return wire
 }
