--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -48,6 +48,8 @@
 	Version  string
 	State    tracker.State
 	Fence    uint64
+	Running  int
+	Served   uint64
 	Adapters []adapterState
 }
 
@@ -55,6 +57,8 @@
 	Adapter string
 	Version string
 	State   tracker.State
+	Running int
+	Served  uint64
 }
 
 type cachedModel struct {
@@ -142,11 +146,19 @@
 }
 
 func (m modelState) decode() tracker.ModelState {
-	state := tracker.ModelState{Model: releaser.Key(m.Model, m.Version), State: m.State, Fence: m.Fence}
+	state := tracker.ModelState{
+		Model:   releaser.Key(m.Model, m.Version),
+		State:   m.State,
+		Fence:   m.Fence,
+		Running: m.Running,
+		Served:  m.Served,
+	}
 	for _, adapter := range m.Adapters {
 		state.Adapters = append(state.Adapters, tracker.AdapterState{
 			Adapter: releaser.Key(adapter.Adapter, adapter.Version),
 			State:   adapter.State,
+			Running: adapter.Running,
+			Served:  adapter.Served,
 		})
 	}
 	return state
