--- a/internal/dispatcher/decoder.go
+++ b/internal/dispatcher/decoder.go
@@ -36,11 +36,12 @@
 	return lineDecoder{attempt: attempt, prefix: []byte(`{"Attempt":"` + attempt + `","Index":`)}
 }
 
-// decode decodes one line. Token lines in the usual form take a short path
+// decode decodes one line, behind which more tokens may wait. Token lines in the usual form take a short path
 // that allocates only the text and the event; everything else goes through
 // encoding/json, with the same result.
-func (d lineDecoder) decode(data []byte) (Line, error) {
+func (d lineDecoder) decode(data []byte, more bool) (Line, error) {
 	if token, ok := d.token(data); ok {
+		token.More = more
 		return Line{Attempt: d.attempt, Event: token}, nil
 	}
 	var wire lineWire
--- a/internal/dispatcher/decoder_test.go
+++ b/internal/dispatcher/decoder_test.go
@@ -34,7 +34,7 @@
 	}
 	decoder := newLineDecoder(attemptID)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		got, err := decoder.decode(data)
+		got, err := decoder.decode(data, false)
 		want, wantErr := decodeSlowly(data)
 		if (err == nil) != (wantErr == nil) || !reflect.DeepEqual(got.Event, want.Event) {
 			t.Fatalf("%q: got %+v, %v; want %+v, %v", data, got, err, want, wantErr)
@@ -65,7 +65,7 @@
 	line := []byte(`{"Attempt":"` + attemptID + `","Index":1234,"Text":" harbour"}`)
 	const wanted = 2
 	got := testing.AllocsPerRun(1000, func() {
-		if _, err := decoder.decode(line); err != nil {
+		if _, err := decoder.decode(line, false); err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -82,7 +82,7 @@
 	b.SetBytes(int64(len(line)))
 	for b.Loop() {
 		follower.Next = 1234
-		decoded, err := decoder.decode(line)
+		decoded, err := decoder.decode(line, false)
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -128,7 +128,7 @@
 		if err != nil {
 			return filter.Finish{}, brokenOff(err)
 		}
-		line, err := decoder.decode(data[:len(data)-1])
+		line, err := decoder.decode(data[:len(data)-1], moreFollows(decoder, reader))
 		if err != nil {
 			return filter.Finish{}, err
 		}
@@ -140,25 +140,19 @@
 			a.drain(dog, reader)
 			return finish, nil
 		}
-		if err := emit(withMore(event, decoder, reader)); err != nil {
+		if err := emit(event); err != nil {
 			return filter.Finish{}, merry.Wrap(errGone, merry.AppendMessage(err.Error()))
 		}
 		dog.start(a.dispatcher.settings.Silence)
 	}
 }
 
-// withMore marks a token behind which the whole line of another one waits.
-func withMore(event filter.Event, decoder lineDecoder, reader *bufio.Reader) filter.Event {
-	token, ok := event.(filter.Token)
-	if !ok || reader.Buffered() == 0 {
-		return event
-	}
+// moreFollows says whether the whole line of another token has arrived. It is
+// asked before a line is decoded, since an event that is changed afterwards is
+// allocated twice.
+func moreFollows(decoder lineDecoder, reader *bufio.Reader) bool {
 	next, _ := reader.Peek(reader.Buffered()) // never reads
-	if !bytes.HasPrefix(next, decoder.prefix) || bytes.IndexByte(next, '\n') < 0 {
-		return event
-	}
-	token.More = true
-	return token
+	return bytes.HasPrefix(next, decoder.prefix) && bytes.IndexByte(next, '\n') >= 0
 }
 
 func brokenOff(err error) error {
--- a/internal/dispatcher/more_test.go
+++ b/internal/dispatcher/more_test.go
@@ -10,7 +10,7 @@
 
 // Guards against a token that is held back although what follows it has not
 // arrived or is no token, so that nothing would send it on.
-func TestWithMore(t *testing.T) {
+func TestMoreFollows(t *testing.T) {
 	const attempt = "a"
 	for rest, want := range map[string]bool{
 		"":                                     false,
@@ -25,9 +25,10 @@
 		if _, err := reader.ReadByte(); err != nil {
 			t.Fatal(err)
 		}
-		got := withMore(filter.Token{}, newLineDecoder(attempt), reader)
-		if got != (filter.Token{More: want}) {
-			t.Errorf("before %q: %+v; want More %v", rest, got, want)
+		decoder := newLineDecoder(attempt)
+		got, err := decoder.decode([]byte(`{"Attempt":"a","Index":0,"Text":"w"}`), moreFollows(decoder, reader))
+		if err != nil || got.Event != (filter.Token{Text: "w", More: want}) {
+			t.Errorf("before %q: %+v, %v; want More %v", rest, got, err, want)
 		}
 	}
 }
