Let the fuzz's engines drop failed loads at once when they unload

A model's unload turned a failed adapter into one that is unloading, so that it took memory again after the placer had rightly ended its reservation. A failed load holds nothing: the engine model now drops it.

--- a/internal/placer/engine_test.go
+++ b/internal/placer/engine_test.go
@@ -81,6 +81,10 @@
 		if other != key && (key.Adapter != "" || other.Model != key.Model) {
 			continue
 		}
+		if h.state == tracker.Failed {
+			delete(e.held, other) // a failed load holds nothing that could unload
+			continue
+		}
 		h.state = tracker.Unloading
 	}
 	w.after(w.milliseconds("unload", 50, 1500), func() {
--- a/internal/placer/fuzz_test.go
+++ b/internal/placer/fuzz_test.go
@@ -259,7 +259,7 @@
 				continue
 			}
 			if _, ok := w.object.Endpoints[name].Find(key); !ok {
-				w.t.Fatalf("%s: %s has %s %s, which is not decided: %v", w.since(), name, shortKey(key), h.state, shortEntries(w.object))
+				w.t.Fatalf("%s: %s has %s %s, which is not decided: %v, %s", w.since(), name, shortKey(key), h.state, shortEntries(w.object), w.state())
 			}
 		}
 		if !e.stranger && e.usedMB() > e.instance.MemoryMB {
