--- a/internal/placer/evict.go
+++ b/internal/placer/evict.go
@@ -55,8 +55,7 @@
 func (d *plan) rank(model string) float64 {
 	rank, ok := d.ranks[model]
 	if !ok {
-		key := Key{Model: model}
-		rank = predictor.Rank(d.Settings.Policy, d.activity(model), d.now, d.remoteLoad(d.memoryOf(key)))
+		rank = predictor.Rank(d.Settings.Policy, d.activity(model), d.now)
 		d.ranks[model] = rank
 	}
 	return rank
--- a/internal/predictor/name.go
+++ b/internal/predictor/name.go
@@ -20,27 +20,18 @@
 	Grace:      time.Minute,
 }
 
-// DefaultLookAhead has the bounds that docs/placement.md measures.
-var DefaultLookAhead = LookAhead{
-	Intervals:            6,
-	SecondsPerColdSecond: 60,
-	Grace:                2 * time.Minute,
-}
-
 // ByName returns the policy for the value of a setting. It returns
 // ErrUnknownPolicy, with the names that are allowed, for any other value.
 func ByName(name string) (Policy, error) {
 	switch name {
 	case "idle-histogram":
 		return DefaultIdleHistogram, nil
-	case "look-ahead":
-		return DefaultLookAhead, nil
 	case "least-recently-used":
 		return LeastRecentlyUsed{}, nil
 	case "fixed-time":
 		return FixedTime{Keep: time.Hour}, nil
 	default:
 		return nil, merry.Wrap(ErrUnknownPolicy, merry.AppendMessagef(
-			"%q; allowed are idle-histogram, look-ahead, least-recently-used and fixed-time", name))
+			"%q; allowed are idle-histogram, least-recently-used and fixed-time", name))
 	}
 }
--- a/internal/predictor/policy.go
+++ b/internal/predictor/policy.go
@@ -6,7 +6,7 @@
 )
 
 // Policy says how long idle models are kept and when they are prewarmed:
-// FixedTime, LeastRecentlyUsed, IdleHistogram or LookAhead.
+// FixedTime, LeastRecentlyUsed or IdleHistogram.
 type Policy interface{ isPolicy() }
 
 // FixedTime keeps every model for the same time after its last use.
@@ -35,23 +35,9 @@
 	Grace time.Duration
 }
 
-// LookAhead predicts the use in the coming intervals from the same time of
-// earlier periods, and keeps or fetches a model when the predicted saving
-// exceeds the cost of holding it.
-type LookAhead struct {
-	// Intervals is how many intervals of length Interval are looked at.
-	Intervals int
-	// SecondsPerColdSecond is how many idle seconds of the model's memory
-	// one second of a cold start is worth.
-	SecondsPerColdSecond float64
-	// Grace is the least keep time.
-	Grace time.Duration
-}
-
 func (FixedTime) isPolicy()         {}
 func (LeastRecentlyUsed) isPolicy() {}
 func (IdleHistogram) isPolicy()     {}
-func (LookAhead) isPolicy()         {}
 
 // Advice is what a policy says of one idle model.
 type Advice struct {
@@ -71,23 +57,18 @@
 		return Advice{Keep: true}
 	case IdleHistogram:
 		return policy.advise(activity, now, load)
-	case LookAhead:
-		return policy.advise(activity, now, load)
 	default:
 		panic(fmt.Sprintf("unknown policy %T", policy))
 	}
 }
 
 // Rank orders models for eviction: the lowest goes first.
-func Rank(policy Policy, activity *Activity, now time.Time, load time.Duration) float64 {
-	switch policy := policy.(type) {
+func Rank(policy Policy, activity *Activity, now time.Time) float64 {
+	switch policy.(type) {
 	case FixedTime, LeastRecentlyUsed:
 		return recency(activity, now)
 	case IdleHistogram:
 		return -activity.remaining(now.Sub(activity.LastUse)).Seconds()
-	case LookAhead:
-		activity.Roll(now)
-		return policy.net(activity, now, load)
 	default:
 		panic(fmt.Sprintf("unknown policy %T", policy))
 	}
