--- a/internal/placer/settings.go
+++ b/internal/placer/settings.go
@@ -53,7 +53,7 @@
 		DriftMargin:    time.Second,
 		DrainTime:      30 * time.Second,
 		ScaleAfter:     5 * time.Second,
-		Policy:         predictor.DefaultIdleHistogram,
+		Policy:         predictor.DefaultFixedTime,
 		Speeds: map[tracker.Tier]float64{
 			tracker.Memory: 8000,
 			tracker.Disk:   2000,
--- a/internal/predictor/name.go
+++ b/internal/predictor/name.go
@@ -9,8 +9,12 @@
 // ErrUnknownPolicy reports a name that is none of the policies' names.
 var ErrUnknownPolicy = merry.Sentinel("unknown keep-alive policy")
 
-// DefaultIdleHistogram is the default policy, with the bounds that
-// docs/placement.md measures.
+// DefaultFixedTime is the default policy: in the measurements of
+// docs/placement.md it has the shortest waits at the 99th percentile of
+// Wiatrak's requests, with fewer idle hours than the policies that come close.
+var DefaultFixedTime = FixedTime{Keep: time.Hour}
+
+// DefaultIdleHistogram has the bounds that docs/placement.md measures.
 var DefaultIdleHistogram = IdleHistogram{
 	Head:       0.05,
 	Tail:       0.99,
@@ -29,7 +33,7 @@
 	case "least-recently-used":
 		return LeastRecentlyUsed{}, nil
 	case "fixed-time":
-		return FixedTime{Keep: time.Hour}, nil
+		return DefaultFixedTime, nil
 	default:
 		return nil, merry.Wrap(ErrUnknownPolicy, merry.AppendMessagef(
 			"%q; allowed are idle-histogram, least-recently-used and fixed-time", name))
--- a/internal/predictor/policy_test.go
+++ b/internal/predictor/policy_test.go
@@ -78,7 +78,7 @@
 	for name, want := range map[string]Policy{
 		"idle-histogram":      DefaultIdleHistogram,
 		"least-recently-used": LeastRecentlyUsed{},
-		"fixed-time":          FixedTime{Keep: time.Hour},
+		"fixed-time":          DefaultFixedTime,
 	} {
 		if got, err := ByName(name); got != want || err != nil {
 			t.Errorf("%s: %v, %v; want %v", name, got, err, want)
