Refuse an intent that arrives after it was abandoned

A node that gets no answer gives up, says 'not run' and abandons the intent, if need be at another writer. Abandon now leaves the operation's ID in the record, up to four for a key, and such an intent is refused.

--- a/internal/recorder/fuzz_test.go
+++ b/internal/recorder/fuzz_test.go
@@ -25,6 +25,7 @@
 	fresh     bool // the node was told Fresh
 	over      bool // the node has crashed, given up or finished
 	abandoned bool // the node has given up and asked to abandon the intent
+	released  bool // a writer has answered that the intent is abandoned
 	sent      bool
 	outcome   bool // the endpoint answered
 }
@@ -124,6 +125,9 @@
 // check compares an answer to Begin with what the oracle knows.
 func (w *world) check(t *rapid.T, asked question, result Result) {
 	done, ok := result.(Done)
+	if _, abandons := asked.operation.Action.(Abandon); abandons && ok {
+		asked.attempt.released = true
+	}
 	if _, begins := asked.operation.Action.(Begin); !ok || !begins {
 		return
 	}
@@ -137,6 +141,10 @@
 			t.Fatalf("%s is fresh while %s holds key %s", asked.operation.ID, holder.operation.ID, asked.operation.Key)
 		}
 		w.holder[asked.operation.Key] = asked.attempt
+	case filter.Uncertain:
+		if blocker := w.recorded(asked.operation.Key); blocker != nil && blocker.released {
+			t.Fatalf("%s is uncertain because of %s, which was abandoned", asked.operation.ID, blocker.operation.ID)
+		}
 	case filter.Known:
 		if holder == nil || !holder.outcome || string(record.Reply.Body) != holder.operation.ID {
 			t.Fatalf("%s got the reply %q, which is not the outcome of the call that ran", asked.operation.ID, record.Reply.Body)
@@ -147,6 +155,21 @@
 	}
 }
 
+// recorded returns the attempt whose intent the store holds for a key.
+func (w *world) recorded(key Key) *attempt {
+	var records []Record
+	for _, segment := range w.content.Segments {
+		records = append(records, w.segments[segment.Name]...)
+	}
+	record := index(append(records, w.content.Records...))[key]
+	for _, a := range w.attempts {
+		if a.operation.ID == record.Operation {
+			return a
+		}
+	}
+	return nil
+}
+
 // lives says whether the record of an attempt cannot have expired.
 func (w *world) lives(a *attempt) bool { return w.now.Sub(a.asked) <= Lifetime }
 
--- a/internal/recorder/message.go
+++ b/internal/recorder/message.go
@@ -29,6 +29,8 @@
 	MaxBodyBytes = 4 << 10
 	// maxContentTypeBytes bounds the recorded content type in the same way.
 	maxContentTypeBytes = 128
+	// maxAbandoned bounds the abandoned operations of a key that are kept.
+	maxAbandoned = 4
 	// minRetry and maxRetry bound the delay after a failed read or write.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 2 * time.Second
@@ -51,6 +53,9 @@
 	At time.Time
 	// Reply is the outcome, nil while it is not known.
 	Reply *filter.Reply
+	// Abandoned names the last operations that were abandoned for the key, at
+	// most maxAbandoned. Their intents may still arrive and are not recorded.
+	Abandoned []string
 }
 
 // Segment is an object with records that no longer fit into the head.
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -91,9 +91,13 @@
 }
 
 func (r Recorder) confirm(ctx context.Context, operation Operation) error {
-	result := r.operate(ctx, operation)
-	if failed, ok := result.(Failed); ok {
-		return merry.Wrap(ErrUnrecorded, merry.AppendMessage(failed.Detail))
+	switch result := r.operate(ctx, operation).(type) {
+	case Failed:
+		return merry.Wrap(ErrUnrecorded, merry.AppendMessage(result.Detail))
+	case Done:
+		if _, uncertain := result.Record.(filter.Uncertain); uncertain {
+			return merry.Wrap(ErrUnrecorded, merry.AppendMessage("another outcome is recorded"))
+		}
 	}
 	return nil
 }
--- a/internal/recorder/script_test.go
+++ b/internal/recorder/script_test.go
@@ -19,47 +19,33 @@
 	Key    Key
 	ID     string
 	Digest string
-	// Do is "Begin", "Abandon" or, with the reply's body, "Finish <body>".
+	// Do is "Begin", "Abandon" or the body of the reply to record.
 	Do string
-	// Times repeats the message with further calls, keys and IDs.
-	Times int
 }
 
 func (ask) isMessage() {}
 
-func (s ask) messages() []Message {
-	var messages []Message
-	for number := range max(1, s.Times) {
-		operation := Operation{Key: s.Key, ID: s.ID, Digest: cmp.Or(s.Digest, "d")}
-		if number > 0 {
-			operation.Key += Key(fmt.Sprint("-", number))
-			operation.ID += fmt.Sprint("-", number)
-		}
+func (s ask) message() Asked {
+	operation := Operation{Key: s.Key, ID: s.ID, Digest: cmp.Or(s.Digest, "d")}
+	switch s.Do {
+	case "Begin":
+		operation.Action = Begin{}
+	case "Abandon":
+		operation.Action = Abandon{}
+	default:
 		operation.Action = Finish{Reply: filter.Reply{Status: 200, Body: []byte(s.Do)}}
-		switch s.Do {
-		case "Begin":
-			operation.Action = Begin{}
-		case "Abandon":
-			operation.Action = Abandon{}
-		}
-		messages = append(messages, Asked{Call: s.Call + runner.Call(number), Operation: operation})
 	}
-	return messages
+	return Asked{Call: s.Call, Operation: operation}
 }
 
 // scripted is a Writer that takes the messages of scripts.
 type scripted struct{ *Writer }
 
 func (s scripted) Step(now time.Time, message Message) []Effect {
-	asked, ok := message.(ask)
-	if !ok {
-		return shown(s.Writer.Step(now, message))
-	}
-	var effects []Effect
-	for _, message := range asked.messages() {
-		effects = append(effects, s.Writer.Step(now, message)...)
+	if asked, ok := message.(ask); ok {
+		message = asked.message()
 	}
-	return shown(effects)
+	return shown(s.Writer.Step(now, message))
 }
 
 // shown names the types of results, which their JSON form leaves out.
--- a/internal/recorder/seal.go
+++ b/internal/recorder/seal.go
@@ -21,10 +21,14 @@
 }
 
 func (r Record) size() int {
-	if r.Reply == nil {
-		return recordBytes
+	size := recordBytes
+	for _, id := range r.Abandoned {
+		size += len(id)
 	}
-	return recordBytes + replySize(*r.Reply)
+	if r.Reply != nil {
+		size += replySize(*r.Reply)
+	}
+	return size
 }
 
 // size is that of the record that an operation makes.
--- a/internal/recorder/task.go
+++ b/internal/recorder/task.go
@@ -151,6 +151,7 @@
 	Digest    string
 	At        time.Time
 	Reply     *replyWire `json:",omitempty"`
+	Abandoned []string   `json:",omitempty"`
 }
 
 type replyWire struct {
@@ -178,7 +179,7 @@
 func encodeRecords(records []Record) []recordWire {
 	wire := make([]recordWire, 0, len(records))
 	for _, record := range records {
-		into := recordWire{Key: record.Key, Operation: record.Operation, Digest: record.Digest, At: record.At}
+		into := recordWire{Key: record.Key, Operation: record.Operation, Digest: record.Digest, At: record.At, Abandoned: record.Abandoned}
 		if reply := record.Reply; reply != nil {
 			into.Reply = &replyWire{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
 		}
@@ -190,7 +191,7 @@
 func decodeRecords(wire []recordWire) []Record {
 	records := make([]Record, 0, len(wire))
 	for _, from := range wire {
-		record := Record{Key: from.Key, Operation: from.Operation, Digest: from.Digest, At: from.At}
+		record := Record{Key: from.Key, Operation: from.Operation, Digest: from.Digest, At: from.At, Abandoned: from.Abandoned}
 		if reply := from.Reply; reply != nil {
 			record.Reply = &filter.Reply{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
 		}
--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/filter"
@@ -266,15 +267,17 @@
 }
 
 // find returns the record of a key that has not expired.
+// The record is also returned if it only names abandoned operations, then with
+// false.
 func (a *written) find(now time.Time, key Key) (Record, bool) {
 	record, ok := a.records[key]
 	if !ok {
 		record, ok = a.sealed[key]
 	}
-	if !ok || now.Sub(record.At) > Lifetime || record.Operation == "" {
+	if !ok || now.Sub(record.At) > Lifetime {
 		return Record{}, false
 	}
-	return record, true
+	return record, record.Operation != ""
 }
 
 // operate applies one operation and says whether it changed the bucket.
@@ -294,25 +297,43 @@
 		a.records[operation.Key] = record
 		return Done{filter.Known{Reply: action.Reply}}, true
 	case Abandon:
-		if !found || record.Operation != operation.ID || record.Reply != nil {
-			return Done{filter.Uncertain{}}, false
-		}
-		// An empty operation hides the record of a segment.
-		a.records[operation.Key] = Record{Key: operation.Key, At: now}
-		return Done{filter.Fresh{}}, true
+		return a.abandon(now, operation, record, found)
 	default:
 		panic(fmt.Sprintf("unknown action %T", action))
 	}
 }
 
+// abandon removes the intent of an operation, or makes sure that it is not
+// recorded when it arrives later.
+func (a *written) abandon(now time.Time, operation Operation, record Record, found bool) (Result, bool) {
+	switch {
+	case found && record.Operation == operation.ID && record.Reply != nil:
+		return Done{filter.Uncertain{}}, false
+	case slices.Contains(record.Abandoned, operation.ID):
+		return Done{filter.Fresh{}}, false
+	}
+	abandoned := append(slices.Clone(record.Abandoned), operation.ID)
+	abandoned = abandoned[max(0, len(abandoned)-maxAbandoned):]
+	if !found || record.Operation == operation.ID {
+		// An empty operation hides the record of a segment.
+		record = Record{Key: operation.Key, At: now}
+	}
+	record.Abandoned = abandoned
+	a.records[operation.Key] = record
+	return Done{filter.Fresh{}}, true
+}
+
 func (a *written) begin(now time.Time, operation Operation, record Record, found bool) (Result, bool) {
 	switch {
+	case slices.Contains(record.Abandoned, operation.ID):
+		return Done{filter.Uncertain{}}, false
 	case !found:
 		a.records[operation.Key] = Record{
 			Key:       operation.Key,
 			Operation: operation.ID,
 			Digest:    operation.Digest,
 			At:        now,
+			Abandoned: record.Abandoned,
 		}
 		return Done{filter.Fresh{}}, true
 	case record.Digest != operation.Digest:
