--- /dev/null
+++ b/internal/benchmarker/journal_test.go
@@ -0,0 +1,43 @@
+package benchmarker
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/recorder"
+)
+
+var (
+	journalSeed   = flag.Uint64("journal.seed", 1, "seed of the journal measurement")
+	journalPeriod = flag.Duration("journal.period", 300*time.Millisecond, "virtual time of each row of the journal measurement")
+)
+
+// Guards against a bucket that writes more often than once per CommitEvery,
+// whatever the load. With -v it prints the table.
+func TestJournal(t *testing.T) {
+	var rows []JournalRow
+	for _, way := range []JournalWay{GroupCommit{}, WriteEach{}, ObjectEach{}} {
+		for _, callers := range []int{1, 10, 100, 1000} {
+			synctest.Test(t, func(*testing.T) {
+				rows = append(rows, Journal(clockwork.NewRealClock(), *journalSeed, way, callers, *journalPeriod))
+			})
+		}
+	}
+	for _, row := range rows {
+		// Two calls more: the first read, and the write at the end.
+		most := 1/recorder.CommitEvery.Seconds() + 2/journalPeriod.Seconds()
+		if _, ok := row.Way.(GroupCommit); ok && row.Calls > most {
+			t.Errorf("%d callers: %.1f API calls a second; want at most %.1f", row.Callers, row.Calls, most)
+		}
+	}
+	var table strings.Builder
+	if err := PrintJournal(&table, rows); err != nil {
+		t.Fatal(err)
+	}
+	t.Log("\n" + table.String())
+}
--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -212,6 +212,10 @@
 	write := WriteBucket{Bucket: number, IfVersion: bucket.ObjectVersion}
 	write.Expired = bucket.after.expire(now)
 	write.Sealing = w.seal(number, &bucket.after)
+	if write.Sealing != nil {
+		// The segment is a write of its own.
+		bucket.Next = now.Add(2 * CommitEvery)
+	}
 	write.Content = bucket.after.content()
 	return []Effect{write}
 }
