--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -19,6 +19,8 @@
 // main's list.
 type arguments struct {
 	Scheduling *schedulingArguments `arg:"subcommand:scheduling" help:"compare the scheduler with simpler policies in virtual time"`
+	Placement  *placementArguments  `arg:"subcommand:placement" help:"compare keep-alive policies at the first users' sizes in virtual time"`
+	Limits     *limitsArguments     `arg:"subcommand:limits" help:"compare ways to keep workspaces within their limits in virtual time"`
 	Relay      *relayArguments      `arg:"subcommand:relay" help:"compare a node with a direct call and a bare relay"`
 	Slopes     *slopesArguments     `arg:"subcommand:slopes" help:"measure how costs grow with the size of a deployment"`
 }
@@ -30,6 +32,10 @@
 	switch {
 	case arguments.Scheduling != nil:
 		measure = arguments.Scheduling.run
+	case arguments.Placement != nil:
+		measure = arguments.Placement.run
+	case arguments.Limits != nil:
+		measure = arguments.Limits.run
 	case arguments.Relay != nil:
 		measure = arguments.Relay.run
 	case arguments.Slopes != nil:
--- a/cmd/benchmark/simulations.go
+++ b/cmd/benchmark/simulations.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 
 	"toucanhitch.example/toucanhitch/internal/benchmarker"
@@ -32,3 +33,34 @@
 	}
 	return printJSON(wires)
 }
+
+type placementArguments struct{ output }
+
+func (a *placementArguments) run() error {
+	rows := benchmarker.Placement(a.Seed)
+	if a.JSON {
+		return printJSON(rows)
+	}
+	_, err := fmt.Print(benchmarker.PlacementTable(rows))
+	return err
+}
+
+type limitsArguments struct{ output }
+
+// limitsWire names the system, which is an interface in the row.
+type limitsWire struct {
+	System string
+	benchmarker.LimitsRow
+}
+
+func (a *limitsArguments) run() error {
+	rows := benchmarker.Limits(a.Seed)
+	if !a.JSON {
+		return benchmarker.PrintLimits(os.Stdout, rows)
+	}
+	wires := make([]limitsWire, len(rows))
+	for i, row := range rows {
+		wires[i] = limitsWire{System: benchmarker.LimitsSystemName(row.System), LimitsRow: row}
+	}
+	return printJSON(wires)
+}
--- a/internal/benchmarker/limits.go
+++ b/internal/benchmarker/limits.go
@@ -74,13 +74,14 @@
 	fmt.Fprintln(table, "demand\tgroup\tsystem\trequests\trefused\twrongly\twait p50 ms\twait p99 ms\ttokens\tabove bound\texchanges/s\t")
 	for _, row := range rows {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%.0f\t%.0f\t%.0f\t\n",
-			row.Demand, row.Group, limitsSystemName(row.System), row.Requests, row.Refused, row.Wrongful,
+			row.Demand, row.Group, LimitsSystemName(row.System), row.Requests, row.Refused, row.Wrongful,
 			milliseconds(row.P50), milliseconds(row.P99), row.Tokens, row.Excess, row.Exchanges)
 	}
 	return table.Flush()
 }
 
-func limitsSystemName(system LimitsSystem) string {
+// LimitsSystemName returns the name of a system in tables.
+func LimitsSystemName(system LimitsSystem) string {
 	switch system.(type) {
 	case Grants:
 		return "grants"
