--- /dev/null
+++ b/internal/commander/examples_test.go
@@ -0,0 +1,45 @@
+package commander_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"toucanhitch.example/toucanhitch/pkg/parser"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// examples are the notes of docs/examples in the order of docs/operations.md.
+var examples = []string{"first-note.json", "second-note.json", "third-note.json"}
+
+// Guards against documented release notes that the rules no longer accept,
+// and against an example that is not in the documented order.
+func TestExamplesApplyInOrder(t *testing.T) {
+	const directory = "../../docs/examples"
+	files, err := os.ReadDir(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(files) != len(examples) {
+		t.Fatalf("%s has %d files; want %v", directory, len(files), examples)
+	}
+	configuration := releaser.Empty()
+	for _, name := range examples {
+		data, err := os.ReadFile(filepath.Join(directory, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		note, err := parser.Note(data)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		next, err := releaser.Apply(configuration, releaser.ApplyNote{Note: note})
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if len(releaser.Difference(configuration, next)) == 0 {
+			t.Errorf("%s changes nothing", name)
+		}
+		configuration = next
+	}
+}
