Ignore unknown fields in engines' load reports

Reports come from systems that are updated on their own, so unknown fields are ignored there; input from operators, callers and nodes stays strict.

--- a/internal/encoder/json.go
+++ b/internal/encoder/json.go
@@ -34,9 +34,19 @@
 // Decode decodes exactly one JSON value into a T. Unknown fields and data
 // after the value are errors (ErrMalformed, with line and column).
 func Decode[T any](data []byte) (T, error) {
-	var value T
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
+	return decode[T](decoder, data)
+}
+
+// DecodeKnown is Decode for input from systems that are updated on their own:
+// it ignores unknown fields.
+func DecodeKnown[T any](data []byte) (T, error) {
+	return decode[T](json.NewDecoder(bytes.NewReader(data)), data)
+}
+
+func decode[T any](decoder *json.Decoder, data []byte) (T, error) {
+	var value T
 	if err := decoder.Decode(&value); err != nil {
 		return value, malformed(data, decoder.InputOffset(), err)
 	}
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -48,6 +49,8 @@
 	Version  string
 	State    tracker.State
 	Fence    uint64
+	Running  int
+	Served   uint64
 	Adapters []adapterState
 }
 
@@ -55,6 +58,8 @@
 	Adapter string
 	Version string
 	State   tracker.State
+	Running int
+	Served  uint64
 }
 
 type cachedModel struct {
@@ -98,13 +103,24 @@
 	if response.StatusCode != http.StatusOK {
 		return tracker.Report{}, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %s", endpoint, response.Status))
 	}
-	wire, err := encoder.DecodeFrom[report](response.Body, maxReportBytes)
+	wire, err := decode(response.Body)
 	if err != nil {
 		return tracker.Report{}, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %v", endpoint, err))
 	}
 	return wire.decode(endpoint, started)
 }
 
+// decode reads a report. Fields that this version does not know are ignored,
+// since engines are updated independently of nodes: a strict reader once took
+// every engine with a new field for silent.
+func decode(body io.Reader) (report, error) {
+	data, err := encoder.Read(body, maxReportBytes)
+	if err != nil {
+		return report{}, err
+	}
+	return encoder.DecodeKnown[report](data)
+}
+
 // decode dates the report from the start of the poll, so that it looks older
 // rather than younger.
 func (r report) decode(endpoint string, started time.Time) (tracker.Report, error) {
@@ -142,11 +158,13 @@
 }
 
 func (m modelState) decode() tracker.ModelState {
-	state := tracker.ModelState{Model: releaser.Key(m.Model, m.Version), State: m.State, Fence: m.Fence}
+	state := tracker.ModelState{Model: releaser.Key(m.Model, m.Version), State: m.State, Fence: m.Fence, Running: m.Running, Served: m.Served}
 	for _, adapter := range m.Adapters {
 		state.Adapters = append(state.Adapters, tracker.AdapterState{
 			Adapter: releaser.Key(adapter.Adapter, adapter.Version),
 			State:   adapter.State,
+			Running: adapter.Running,
+			Served:  adapter.Served,
 		})
 	}
 	return state
--- /dev/null
+++ b/internal/poller/poller_test.go
@@ -0,0 +1,47 @@
+package poller_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/poller"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+func poll(t *testing.T, body string) (tracker.Report, error) {
+	t.Helper()
+	engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(engine.Close)
+	client, cleanUp := poller.New(clockwork.NewRealClock())
+	t.Cleanup(cleanUp)
+	return client.Poll(t.Context(), "e", strings.TrimPrefix(engine.URL, "http://"))
+}
+
+// Guards against an engine that counts as silent because its report has a
+// field that this version does not know.
+func TestUnknownFieldsAreIgnored(t *testing.T) {
+	report, err := poll(t, `{"Sequence": 3, "Age": "200ms", "New": 1,
+		"Models": [{"Model": "m", "Version": "1", "State": "Loaded", "Served": 7, "New": [2]}]}`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(report.Models) != 1 || report.Models[0].Model != "m@1" || report.Models[0].Served != 7 {
+		t.Errorf("report %+v; want model m@1 that served 7", report)
+	}
+}
+
+// Guards against a report that is believed although it is not one.
+func TestMalformedReports(t *testing.T) {
+	for _, body := range []string{``, `[]`, `{"Age": "old"}`, `{"Age": "-1s"}`, `{"Sequence": "x"}`, `{"Sequence": 1`} {
+		if _, err := poll(t, body); !errors.Is(err, poller.ErrNoReport) {
+			t.Errorf("%q: %v; want %v", body, err, poller.ErrNoReport)
+		}
+	}
+}
