Test the change log and settle lost replies over a compaction

Two faults found. A change whose reply was lost and which other changes pushed out of the head before it was looked for was reported as a conflict or as invalid, although it was accepted; it is now looked for in the audit segments too. A first note above 64 KB ended the operator's command with a panic, since there was nothing older to compact; it now stays in the head until the next change.

--- a/internal/publisher/compact.go
+++ b/internal/publisher/compact.go
@@ -33,6 +33,10 @@
 	}
 	kept := tail(head.Changes)
 	old := head.Changes[:len(head.Changes)-len(kept)]
+	if len(old) == 0 {
+		// A single large change stays until the next one comes.
+		return head, nil
+	}
 	base, err := configurer.ReadParts(ctx, p.Store, head)
 	if err != nil {
 		return head, err
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -75,13 +75,20 @@
 		Body:  body,
 	}
 	uncertain := false
+	var since uint64 // version of the log before the first uncertain try
 	for range maxTries {
 		log, err := p.Read(ctx)
 		if err != nil {
 			return releaser.Change{}, settle(err, uncertain)
 		}
-		if made, ok := log.Head.Find(change.ID); ok {
-			return made, nil
+		if uncertain {
+			made, ok, err := p.find(ctx, log, since, change.ID)
+			if err != nil {
+				return releaser.Change{}, settle(err, uncertain)
+			}
+			if ok {
+				return made, nil
+			}
 		}
 		made, err := p.try(ctx, log, change)
 		switch {
@@ -89,6 +96,9 @@
 			return made, nil
 		case errors.Is(err, storer.ErrUncertain):
 			// Reading the log again tells whether the change is in it.
+			if !uncertain {
+				since = log.Head.Version
+			}
 			uncertain = true
 		case !errors.Is(err, storer.ErrConflict):
 			return releaser.Change{}, settle(err, uncertain)
@@ -97,6 +107,20 @@
 	return releaser.Change{}, settle(ErrContended, uncertain)
 }
 
+// find looks for a change that was tried at the version since. If other changes
+// have pushed it out of the head, it is in a segment.
+func (p Publisher) find(ctx context.Context, log Log, since uint64, id string) (releaser.Change, bool, error) {
+	changes, ok := log.Head.Since(since)
+	if !ok {
+		var err error
+		if changes, err = p.Audit(ctx, since); err != nil {
+			return releaser.Change{}, false, err
+		}
+	}
+	made, ok := releaser.Head{Changes: changes}.Find(id)
+	return made, ok, nil
+}
+
 // settle returns err, or ErrUncertain if an earlier try may have succeeded.
 // A conflict or a broken rule is certain even then: the log was read, and the
 // change was not in it.
--- /dev/null
+++ b/internal/publisher/publisher_test.go
@@ -0,0 +1,256 @@
+package publisher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/configurer"
+	"toucanhitch.example/toucanhitch/internal/publisher"
+	"toucanhitch.example/toucanhitch/internal/storer"
+	"toucanhitch.example/toucanhitch/pkg/parser"
+	"toucanhitch.example/toucanhitch/pkg/releaser"
+)
+
+// intercepted is a store that runs a hook before each write.
+type intercepted struct {
+	*storer.Memory
+	before func(id storer.ID)
+}
+
+func (s intercepted) Put(ctx context.Context, id storer.ID, ifVersion uint64, data []byte) (storer.Object, error) {
+	if s.before != nil {
+		s.before(id)
+	}
+	return s.Memory.Put(ctx, id, ifVersion, data)
+}
+
+func newStore() *storer.Memory { return storer.NewMemory(clockwork.NewRealClock()) }
+
+func operator(store storer.Store, name string) publisher.Publisher {
+	return publisher.Publisher{Store: store, Clock: clockwork.NewRealClock(), Actor: name}
+}
+
+// note adds workspaces. With a size in bytes the first name is repeated in
+// further entries until the note is that large.
+func note(base uint64, name string, size int) releaser.ApplyNote {
+	added := releaser.Note{Name: name, Base: base}
+	for number := 0; number == 0 || number*60 < size; number++ {
+		workspace := releaser.Workspace{Name: name, Rate: 10, Burst: 20}
+		if number > 0 {
+			workspace.Name = fmt.Sprintf("%s-%d", name, number)
+		}
+		added.Workspaces = append(added.Workspaces, releaser.WorkspaceEntry{Action: releaser.Add, Workspace: workspace})
+	}
+	return releaser.ApplyNote{Note: added}
+}
+
+func grant(id string) releaser.GrantKey {
+	return releaser.GrantKey{Grant: releaser.Grant{ID: id, Workspace: "riders", Digest: releaser.Digest(id)}}
+}
+
+func submit(t *testing.T, by publisher.Publisher, body releaser.Body) releaser.Change {
+	t.Helper()
+	change, err := by.Submit(t.Context(), body)
+	if err != nil {
+		t.Fatalf("submit %T: %v", body, err)
+	}
+	return change
+}
+
+// checkLog compares what the log holds with a naive replay of all changes.
+func checkLog(t *testing.T, by publisher.Publisher, want []string) {
+	t.Helper()
+	changes, err := by.Audit(t.Context(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ids []string
+	for number, change := range changes {
+		ids = append(ids, change.ID)
+		if change.Version != uint64(number+1) {
+			t.Errorf("change %d of the audit has version %d", number+1, change.Version)
+		}
+	}
+	if want != nil && !reflect.DeepEqual(ids, want) {
+		t.Errorf("audit has the changes %v; want %v", ids, want)
+	}
+	naive, err := releaser.Replay(releaser.Empty(), changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log, err := by.Read(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(parser.EncodeConfiguration(log.Configuration)) != string(parser.EncodeConfiguration(naive)) {
+		t.Errorf("the log's configuration at version %d differs from the replay of all changes", log.Configuration.Version)
+	}
+}
+
+// race submits two bodies at once: b wins while a has read the log.
+func race(t *testing.T, a, b releaser.Body) (errA error) {
+	t.Helper()
+	store := newStore()
+	second := operator(store, "second")
+	submit(t, second, note(0, "riders", 0))
+	raced := false
+	first := operator(intercepted{store, func(id storer.ID) {
+		if id == configurer.Head && !raced {
+			raced = true
+			submit(t, second, b)
+		}
+	}}, "first")
+	_, errA = first.Submit(t.Context(), a)
+	checkLog(t, second, nil)
+	return errA
+}
+
+// Guards against a note that silently undoes another operator's note.
+func TestRacingNotesConflict(t *testing.T) {
+	if err := race(t, note(1, "a", 0), note(1, "b", 0)); !errors.Is(err, releaser.ErrConflict) {
+		t.Errorf("the second note: %v; want %v", err, releaser.ErrConflict)
+	}
+}
+
+// Guards against a key that is refused because another one was granted, or a
+// note accepted, at the same time.
+func TestRacingKeysBothSucceed(t *testing.T) {
+	for name, other := range map[string]releaser.Body{"key": grant("b"), "note": note(1, "b", 0)} {
+		if err := race(t, grant("a"), other); err != nil {
+			t.Errorf("a key that races with a %s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a change that is made twice, or reported as failed, when the
+// reply of a write is lost: of the head, and of any object of a compaction.
+func TestLostReplies(t *testing.T) {
+	for _, kind := range []string{configurer.Head.Kind, configurer.PartKind, configurer.AuditKind} {
+		t.Run(kind, func(t *testing.T) {
+			store := newStore()
+			plain := operator(store, "plain")
+			want := []string{submit(t, plain, note(0, "riders", 0)).ID}
+			want = append(want, submit(t, plain, note(1, "large", 70<<10)).ID)
+			lost := 0
+			losing := operator(intercepted{store, func(id storer.ID) {
+				if id.Kind == kind && lost < 2 {
+					lost++
+					store.SetFaults(storer.MemoryFaults{LoseReplies: 1})
+				}
+			}}, "losing")
+			want = append(want, submit(t, losing, grant("a")).ID, submit(t, losing, grant("b")).ID)
+			if lost == 0 {
+				t.Errorf("no write of %s", kind)
+			}
+			checkLog(t, plain, want)
+		})
+	}
+}
+
+// Guards against a change that is reported as a conflict, or made again, when
+// its reply was lost and it has been compacted since.
+func TestLostReplyOfCompactedChange(t *testing.T) {
+	for _, body := range []releaser.Body{grant("a"), note(1, "a", 0), releaser.WithdrawKey{GrantID: "old"}} {
+		store := newStore()
+		other := operator(store, "other")
+		submit(t, other, note(0, "riders", 0))
+		submit(t, other, grant("old"))
+		lost := false
+		racing := operator(lossy{store, func(err error) {
+			if err == nil || lost {
+				return
+			}
+			lost = true
+			log, _ := other.Read(t.Context())
+			submit(t, other, note(log.Configuration.NoteVersion, "large", 70<<10))
+			submit(t, other, grant("late"))
+		}}, "racing")
+		store.SetFaults(storer.MemoryFaults{LoseReplies: 1})
+		change, err := racing.Submit(t.Context(), body)
+		if err != nil || change.Version != 3 {
+			t.Errorf("%T: version %d, %v; want version 3", body, change.Version, err)
+		}
+		checkLog(t, other, nil)
+	}
+}
+
+// lossy is a store that runs a hook after each write.
+type lossy struct {
+	*storer.Memory
+	after func(err error)
+}
+
+func (s lossy) Put(ctx context.Context, id storer.ID, ifVersion uint64, data []byte) (storer.Object, error) {
+	object, err := s.Memory.Put(ctx, id, ifVersion, data)
+	s.after(err)
+	return object, err
+}
+
+// Guards against a change that may have been made and is reported as refused,
+// and against one that was certainly not made and is reported as uncertain.
+func TestOutageInTheMiddle(t *testing.T) {
+	store := newStore()
+	submit(t, operator(store, "plain"), note(0, "riders", 0))
+	store.SetFaults(storer.MemoryFaults{Outage: true})
+	if _, err := operator(store, "down").Submit(t.Context(), grant("a")); !errors.Is(err, storer.ErrUnavailable) {
+		t.Errorf("outage before: %v; want %v", err, storer.ErrUnavailable)
+	}
+	store.SetFaults(storer.MemoryFaults{LoseReplies: 1})
+	failing := operator(lossy{store, func(error) { store.SetFaults(storer.MemoryFaults{Outage: true}) }}, "failing")
+	if _, err := failing.Submit(t.Context(), grant("b")); !errors.Is(err, storer.ErrUncertain) {
+		t.Errorf("outage after a lost reply: %v; want %v", err, storer.ErrUncertain)
+	}
+	store.SetFaults(storer.MemoryFaults{})
+	checkLog(t, operator(store, "plain"), nil)
+}
+
+// Guards against a head that grows without bound, and against changes that a
+// compaction loses, repeats or reorders.
+func TestCompaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		by := operator(store, "plain")
+		want := []string{submit(t, by, note(0, "riders", 0)).ID}
+		for number := range 500 {
+			want = append(want, submit(t, by, grant(fmt.Sprint("key", number))).ID)
+			time.Sleep(time.Second)
+			head, err := store.Get(t.Context(), configurer.Head)
+			if err != nil || len(head.Data) > 65<<10 {
+				t.Fatalf("the head has %d bytes, %v; want at most 64 KB of changes", len(head.Data), err)
+			}
+		}
+		checkLog(t, by, want)
+	})
+}
+
+// Guards against a first note that is larger than the bound of the head, which
+// leaves nothing to compact.
+func TestLargeFirstNote(t *testing.T) {
+	by := operator(newStore(), "plain")
+	want := []string{submit(t, by, note(0, "riders", 100<<10)).ID}
+	want = append(want, submit(t, by, grant("a")).ID)
+	checkLog(t, by, want)
+}
+
+// Guards against an invalid change that is applied in part.
+func TestInvalidChangeIsNotApplied(t *testing.T) {
+	by := operator(newStore(), "plain")
+	wrong := note(0, "riders", 0)
+	wrong.Note.Workspaces = append(wrong.Note.Workspaces, releaser.WorkspaceEntry{
+		Action: releaser.Add, Workspace: releaser.Workspace{Name: strings.Repeat("x", 200), Rate: 1, Burst: 1},
+	})
+	if _, err := by.Submit(t.Context(), wrong); !errors.Is(err, releaser.ErrInvalid) {
+		t.Errorf("submit: %v; want %v", err, releaser.ErrInvalid)
+	}
+	if log, err := by.Read(t.Context()); err != nil || log.Configuration.Version != 0 {
+		t.Errorf("read: %+v, %v; want version 0", log, err)
+	}
+}
