--- a/internal/benchmarker/limits_test.go
+++ b/internal/benchmarker/limits_test.go
@@ -22,7 +22,7 @@
 	rows := measureLimits(*limitsSeed, demands)
 	for _, row := range rows {
 		if row.Excess > 0 {
-			t.Errorf("%s, %s, %s: %.1f tokens above the bound", row.Demand, row.Group, limitsSystemName(row.System), row.Excess)
+			t.Errorf("%s, %s, %s: %.1f tokens above the bound", row.Demand, row.Group, LimitsSystemName(row.System), row.Excess)
 		}
 	}
 	for _, row := range rows {
--- a/internal/benchmarker/usage.go
+++ b/internal/benchmarker/usage.go
@@ -84,3 +84,21 @@
 	c.traffic.bytes.Add(int64(n))
 	return n, err
 }
+
+// heapInUse returns the bytes of live heap objects.
+func heapInUse() uint64 {
+	// The second collection frees what finalizers and pools held.
+	runtime.GC()
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return memory.HeapAlloc
+}
+
+// memoryInUse returns the bytes of live heap objects and of stacks.
+func memoryInUse() uint64 {
+	heap := heapInUse()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return heap + memory.StackInuse
+}
