Hedge silent generations and give non-idempotent calls 30 s to answer

Cause: an endpoint that takes a request and says nothing cost its caller the whole first-byte bound, and a booking slower than 2 s was given up with an unknown outcome.

--- a/internal/dispatcher/call.go
+++ b/internal/dispatcher/call.go
@@ -29,11 +29,11 @@
 	if err != nil {
 		return filter.Reply{}, err
 	}
-	transport := d.once
+	transport, bound := d.once, d.settings.onceFirstByte(work.Slot.Estimate)
 	if work.Idempotent {
-		transport = attempt.endpoint.transport
+		transport, bound = attempt.endpoint.transport, d.settings.firstByte(work.Slot.Estimate)
 	}
-	ctx, dog, stop := watch(ctx, d.settings.Clock, d.settings.firstByte(work.Slot.Estimate))
+	ctx, dog, stop := watch(ctx, d.settings.Clock, bound)
 	defer stop()
 	response, err := attempt.roundTrip(ctx, transport, callRequest(work))
 	if err != nil {
--- a/internal/dispatcher/faults_test.go
+++ b/internal/dispatcher/faults_test.go
@@ -59,7 +59,7 @@
 	}
 	t.Cleanup(stopService)
 	sent, stopDispatcher := dispatcher.New(dispatcher.Settings{
-		Clock: clock, FirstByte: shortTimeout, Silence: shortTimeout, Dial: shortTimeout,
+		Clock: clock, FirstByte: shortTimeout, OnceFirstByte: shortTimeout, Silence: shortTimeout, Dial: shortTimeout,
 	})
 	t.Cleanup(stopDispatcher)
 	b := &bench{
--- a/internal/dispatcher/settings.go
+++ b/internal/dispatcher/settings.go
@@ -13,6 +13,9 @@
 	Budget *Budget
 	// FirstByte is the least time allowed until an answer begins.
 	FirstByte time.Duration
+	// OnceFirstByte is the least time allowed until the answer to a
+	// non-idempotent call begins.
+	OnceFirstByte time.Duration
 	// Silence is the longest time between the lines of an answer.
 	Silence time.Duration
 	// Dial bounds the opening of a connection.
@@ -25,6 +28,10 @@
 
 const (
 	defaultFirstByte = 2 * time.Second
+	// defaultOnceFirstByte is long, because a plain service shows no sign of
+	// life before its answer, and a call that is given up has an unknown
+	// outcome.
+	defaultOnceFirstByte = 30 * time.Second
 	// defaultSilence is four times the engines' keep-alive interval.
 	defaultSilence = 2 * time.Second
 	defaultDial    = time.Second
@@ -43,6 +50,7 @@
 		s.Clock = clockwork.NewRealClock()
 	}
 	s.FirstByte = orDefault(s.FirstByte, defaultFirstByte)
+	s.OnceFirstByte = orDefault(s.OnceFirstByte, defaultOnceFirstByte)
 	s.Silence = orDefault(s.Silence, defaultSilence)
 	s.Dial = orDefault(s.Dial, defaultDial)
 	s.Idle = orDefault(s.Idle, defaultIdle)
@@ -57,6 +65,12 @@
 	return value
 }
 
+// onceFirstByte is the time until the answer to a non-idempotent call must
+// begin.
+func (s Settings) onceFirstByte(estimate time.Duration) time.Duration {
+	return max(s.OnceFirstByte, s.firstByte(estimate))
+}
+
 // firstByte is the time until an answer must begin.
 func (s Settings) firstByte(estimate time.Duration) time.Duration {
 	return max(s.FirstByte, estimateFactor*estimate)
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -271,7 +271,12 @@
 		filter.Dispatch{
 			Clock:      n.clock,
 			Scheduler:  n.scheduler,
-			Dispatcher: observed,
+			Dispatcher: dispatcher.Hedger{
+				Dispatcher: observed,
+				Scheduler:  n.scheduler,
+				Budget:     n.budget,
+				Clock:      n.clock,
+			},
 			Recorder:   records,
 			Budget:     n.budget,
 		},
