--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -269,16 +269,16 @@
 		filter.Confirm{Clock: n.clock, Limits: n.limits.front},
 		filter.RecordIntent{Recorder: records},
 		filter.Dispatch{
-			Clock:      n.clock,
-			Scheduler:  n.scheduler,
+			Clock:     n.clock,
+			Scheduler: n.scheduler,
 			Dispatcher: dispatcher.Hedger{
 				Dispatcher: observed,
 				Scheduler:  n.scheduler,
 				Budget:     n.budget,
 				Clock:      n.clock,
 			},
-			Recorder:   records,
-			Budget:     n.budget,
+			Recorder: records,
+			Budget:   n.budget,
 		},
 	}
 }
