--- a/internal/publisher/compact.go
+++ b/internal/publisher/compact.go
@@ -88,11 +88,15 @@
 }
 
 // create writes an object whose name decides its content. An object that is
-// there already is the same.
+// there already is the same; it is read, because a head that refers to an
+// object that is missing cannot be read by anyone.
 func (p Publisher) create(ctx context.Context, id storer.ID, data []byte) error {
 	_, err := p.Store.Put(ctx, id, 0, data)
-	if errors.Is(err, storer.ErrConflict) {
-		return nil
+	if !errors.Is(err, storer.ErrConflict) {
+		return err
 	}
-	return err
+	if _, missing := p.Store.Get(ctx, id); missing != nil {
+		return err
+	}
+	return nil
 }
