Say 'not run' only if no attempt ran, and test the filters

A request whose first attempt may have run and whose last one was refused as not run was itself refused as 'not run'. What is known of all attempts is now joined.

Another test checks the order of filters and clean-ups, also after a panic.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -124,6 +124,7 @@
 
 func (f Dispatch) generate(ctx context.Context, request *Request, work Generation) Verdict {
 	progress := &progress{clock: f.Clock, emit: work.Emit}
+	ran := NotRun
 	var avoid []string
 	for count := 1; ; count++ {
 		attempt := generationAttempt(request, work, progress.next)
@@ -136,12 +137,13 @@
 		if err == nil {
 			return f.finished(work, finish)
 		}
+		ran = stronger(ran, failureOf(err).Run)
 		avoid = append(avoid, attempt.Slot.Endpoint)
 		if hedged != "" {
 			avoid = append(avoid, hedged)
 		}
 		if !f.mayRetry(ctx, err, count) || !f.readmit(ctx, request, avoid) {
-			return broken(ctx, err, progress.next, work.PromptTokens)
+			return broken(ctx, err, ran, progress.next, work.PromptTokens)
 		}
 	}
 }
@@ -213,43 +215,6 @@
 	return true
 }
 
-// broken is the verdict of a request that could not be finished. Tokens that
-// reached the caller were used, and so was the prompt if an endpoint took it.
-func broken(ctx context.Context, err error, delivered, promptTokens int) Verdict {
-	var failure Failure
-	if !errors.As(err, &failure) {
-		failure = Failure{Run: Unknown, Err: err}
-	}
-	used := 0
-	if delivered > 0 || failure.Run != NotRun {
-		used = promptTokens + delivered
-	}
-	switch {
-	case errors.Is(context.Cause(ctx), ErrKeyWithdrawn):
-		return broke(KeyWithdrawn, runOf(failure, delivered), used, "the key was withdrawn")
-	case delivered > 0:
-		return broke(StreamBroken, Ran, used, "the answer broke off after %d tokens: %v", delivered, failure.Err)
-	case failure.Run == NotRun:
-		return refuse(NoEndpoint, "no endpoint took the request: %v", failure.Err)
-	default:
-		return broke(EndpointFailed, failure.Run, used, "%v", failure.Err)
-	}
-}
-
-func runOf(failure Failure, delivered int) Run {
-	if delivered > 0 {
-		return Ran
-	}
-	return failure.Run
-}
-
-func broke(reason Reason, run Run, used int, format string, arguments ...any) Refuse {
-	return Refuse{
-		Refusal: Refusal{Reason: reason, Run: run, Detail: fmt.Sprintf(format, arguments...)},
-		Used:    used,
-	}
-}
-
 func generationAttempt(request *Request, work Generation, from int) Attempt {
 	attempt := Attempt{
 		ID:           uuid.NewString(),
@@ -269,6 +234,7 @@
 }
 
 func (f Dispatch) call(ctx context.Context, request *Request, call Call) Verdict {
+	ran := NotRun
 	var avoid []string
 	for count := 1; ; count++ {
 		attempt := callAttempt(request, call)
@@ -283,9 +249,10 @@
 		if err == nil {
 			return Accept{Reply: reply, Used: CallTokens}
 		}
+		ran = stronger(ran, failureOf(err).Run)
 		avoid = append(avoid, attempt.Slot.Endpoint)
 		if !f.mayRetry(ctx, err, count) || !f.readmit(ctx, request, avoid) {
-			return broken(ctx, err, 0, CallTokens)
+			return broken(ctx, err, ran, 0, CallTokens)
 		}
 	}
 }
--- /dev/null
+++ b/internal/filter/order_test.go
@@ -0,0 +1,76 @@
+package filter_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+)
+
+// step is a filter that notes when it runs and when it is cleaned up.
+type step struct {
+	name    string
+	notes   *[]string
+	verdict filter.Verdict
+	panics  bool
+}
+
+func (s step) Filter(context.Context, *filter.Request) filter.Verdict {
+	*s.notes = append(*s.notes, s.name)
+	if s.panics {
+		panic("fault in a filter")
+	}
+	if s.verdict != nil {
+		return s.verdict
+	}
+	return filter.Pass{CleanUp: func(outcome filter.Outcome) {
+		reason := "answered"
+		if outcome.Refusal != nil {
+			reason = string(outcome.Refusal.Reason) + ", " + string(outcome.Refusal.Run)
+		}
+		*s.notes = append(*s.notes, fmt.Sprintf("clean up %s: %s, %d", s.name, reason, outcome.Used))
+	}}
+}
+
+// Guards against filters that run out of order or after a verdict, and against
+// clean-ups that are left out, run in another order, or get another outcome
+// than the caller, also when a filter panics.
+func TestOrder(t *testing.T) {
+	refused := filter.Refuse{Refusal: filter.Refusal{Reason: filter.RateLimited, Run: filter.NotRun}, Used: 2}
+	for name, test := range map[string]struct {
+		third step
+		want  []string
+	}{
+		"accept": {step{verdict: filter.Accept{Used: 7}}, []string{"a", "b", "c", "clean up b: answered, 7", "clean up a: answered, 7"}},
+		"refuse": {step{verdict: refused}, []string{
+			"a", "b", "c", "clean up b: rate-limited, not run, 2", "clean up a: rate-limited, not run, 2",
+		}},
+		"panic": {step{panics: true}, []string{
+			"a", "b", "c", "clean up b: outcome-unknown, unknown, 0", "clean up a: outcome-unknown, unknown, 0",
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var notes []string
+			third := test.third
+			third.name, third.notes = "c", &notes
+			chain := filter.Chain{step{name: "a", notes: &notes}, step{name: "b", notes: &notes}, third, step{name: "d", notes: &notes}}
+			panicked := run(t, chain)
+			if !slices.Equal(notes, test.want) {
+				t.Errorf("got %q; want %q", notes, test.want)
+			}
+			if panicked != third.panics {
+				t.Errorf("panicked: %t; want %t", panicked, third.panics)
+			}
+		})
+	}
+}
+
+// run says whether the chain panicked.
+func run(t *testing.T, chain filter.Chain) (panicked bool) {
+	t.Helper()
+	defer func() { panicked = recover() != nil }()
+	chain.Run(t.Context(), &filter.Request{})
+	return false
+}
