--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -200,6 +200,10 @@
 
 func (t *Tracker) suspect(now time.Time, name string) {
 	suspicion := t.Suspicions[name]
+	if now.Sub(suspicion.Until.Add(-suspicion.Length)) < minSuspicion {
+		// Attempts that ran at the same time fail together: one failure.
+		return
+	}
 	suspicion.Length = min(max(2*suspicion.Length, minSuspicion), maxSuspicion)
 	suspicion.Until = now.Add(suspicion.Length)
 	suspicion.Ended = false
