Watch the instance list as soon as a node becomes a relay

A node that became a relay because the others died went on as before and read the list only when its next check was due, up to 20 s later; an endpoint that left meanwhile got new work.

--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -39,6 +39,8 @@
 	// Watching says that a watch of the list is under way.
 	Watching bool
 	WatchAt  time.Time
+	// Relay says whether this node was a relay in the last published view.
+	Relay bool
 	// Reports is keyed by endpoint.
 	Reports map[string]Report
 	// Suspicions is keyed by instance.
@@ -246,6 +248,10 @@
 	}
 	t.PublishAt = time.Time{}
 	peers := t.peers(now)
+	if peers.Relay && !t.Relay {
+		t.WatchAt = now
+	}
+	t.Relay = peers.Relay
 	t.assignPolls(now)
 	return []Effect{PublishFleet{t.fleet()}, PublishPeers{peers}}
 }
