--- /dev/null
+++ b/internal/dispatcher/more_test.go
@@ -0,0 +1,34 @@
+package dispatcher
+
+import (
+	"bufio"
+	"strings"
+	"testing"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+)
+
+// Guards against a token that is held back although what follows it has not
+// arrived or is no token, so that nothing would send it on.
+func TestMoreFollows(t *testing.T) {
+	const attempt = "a"
+	for rest, want := range map[string]bool{
+		"":                                     false,
+		`{"Attempt":"a","Index":1,"Te`:         false,
+		`{"Attempt":"a","Index":1,"Text":"x"}`: false,
+		`{"Attempt":"a","Index":1,"Text":"x"}` + "\n": true,
+		`{"Attempt":"b","Index":1,"Text":"x"}` + "\n": false,
+		`{"Attempt":"a","KeepAlive":true}` + "\n":     false,
+		`{"Attempt":"a","Done":true}` + "\n":          false,
+	} {
+		reader := bufio.NewReader(strings.NewReader("\n" + rest))
+		if _, err := reader.ReadByte(); err != nil {
+			t.Fatal(err)
+		}
+		decoder := newLineDecoder(attempt)
+		got, err := decoder.decode([]byte(`{"Attempt":"a","Index":0,"Text":"w"}`), moreFollows(decoder, reader))
+		if err != nil || got.Event != (filter.Token{Text: "w", More: want}) {
+			t.Errorf("before %q: %+v, %v; want More %v", rest, got, err, want)
+		}
+	}
+}
--- a/internal/filter/chain_test.go
+++ b/internal/filter/chain_test.go
@@ -217,9 +217,9 @@
 		filter.Identify{Clock: f.clock},
 		filter.Resolve{View: f},
 		filter.Authenticate{View: f},
-		filter.Limit{Limits: f},
+		filter.Limit{Clock: f.clock, Limits: f},
 		filter.Admit{View: f, Scheduler: f},
-		filter.Confirm{Limits: f},
+		filter.Confirm{Clock: f.clock, Limits: f},
 		filter.RecordIntent{Recorder: f},
 		filter.Dispatch{Clock: f.clock, Scheduler: f, Dispatcher: f, Recorder: f, Budget: f},
 	}
--- a/internal/predictor/policy.go
+++ b/internal/predictor/policy.go
@@ -6,7 +6,7 @@
 )
 
 // Policy says how long idle models are kept and when they are prewarmed:
-// FixedTime, LeastRecentlyUsed, IdleHistogram or LookAhead.
+// FixedTime, LeastRecentlyUsed or IdleHistogram.
 type Policy interface{ isPolicy() }
 
 // FixedTime keeps every model for the same time after its last use.
@@ -35,23 +35,9 @@
 	Grace time.Duration
 }
 
-// LookAhead predicts the use in the coming intervals from the same time of
-// earlier periods, and keeps or fetches a model when the predicted saving
-// exceeds the cost of holding it.
-type LookAhead struct {
-	// Intervals is how many intervals of length Interval are looked at.
-	Intervals int
-	// SecondsPerColdSecond is how many idle seconds of the model's memory
-	// one second of a cold start is worth.
-	SecondsPerColdSecond float64
-	// Grace is the least keep time.
-	Grace time.Duration
-}
-
 func (FixedTime) isPolicy()         {}
 func (LeastRecentlyUsed) isPolicy() {}
 func (IdleHistogram) isPolicy()     {}
-func (LookAhead) isPolicy()         {}
 
 // Advice is what a policy says of one idle model.
 type Advice struct {
@@ -59,8 +45,6 @@
 	Keep bool
 	// Prewarm says that an unloaded model is worth loading now.
 	Prewarm bool
-	// Rank orders models for eviction: the lowest goes first.
-	Rank float64
 }
 
 // Advise returns a policy's advice on a model that is idle now. load is the
@@ -68,13 +52,23 @@
 func Advise(policy Policy, activity *Activity, now time.Time, load time.Duration) Advice {
 	switch policy := policy.(type) {
 	case FixedTime:
-		return policy.advise(activity, now)
+		return Advice{Keep: now.Sub(activity.LastUse) < policy.Keep}
 	case LeastRecentlyUsed:
-		return Advice{Keep: true, Rank: recency(activity, now)}
+		return Advice{Keep: true}
 	case IdleHistogram:
 		return policy.advise(activity, now, load)
-	case LookAhead:
-		return policy.advise(activity, now, load)
+	default:
+		panic(fmt.Sprintf("unknown policy %T", policy))
+	}
+}
+
+// Rank orders models for eviction: the lowest goes first.
+func Rank(policy Policy, activity *Activity, now time.Time) float64 {
+	switch policy.(type) {
+	case FixedTime, LeastRecentlyUsed:
+		return recency(activity, now)
+	case IdleHistogram:
+		return -activity.remaining(now.Sub(activity.LastUse)).Seconds()
 	default:
 		panic(fmt.Sprintf("unknown policy %T", policy))
 	}
@@ -84,10 +78,3 @@
 func recency(activity *Activity, now time.Time) float64 {
 	return -now.Sub(activity.LastUse).Seconds()
 }
-
-func (p FixedTime) advise(activity *Activity, now time.Time) Advice {
-	return Advice{
-		Keep: now.Sub(activity.LastUse) < p.Keep,
-		Rank: recency(activity, now),
-	}
-}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -12,8 +12,11 @@
 const (
 	// ListWait is how long one watch of the list waits.
 	ListWait = 2 * time.Second
-	// PollEvery is how often an endpoint is asked for its load.
-	PollEvery = 250 * time.Millisecond
+	// PollEvery is how often an endpoint is asked for its load, and
+	// pollLoading how often while it loads something, since requests wait
+	// for the end of a load.
+	PollEvery   = 250 * time.Millisecond
+	pollLoading = 50 * time.Millisecond
 	// publishDelay joins changes that come close together into one view.
 	publishDelay = 20 * time.Millisecond
 	// listRetry is the delay after a failed read of the list.
@@ -23,10 +26,12 @@
 	// does so.
 	listSilence = 20 * time.Second
 	directEvery = 20 * time.Second
-	// minSuspicion and maxSuspicion bound how long a silent instance gets no
-	// work.
-	minSuspicion = 2 * time.Second
-	maxSuspicion = 30 * time.Second
+	// minSuspicion and maxSuspicion bound how long a silent endpoint gets no
+	// work, maxNodeSuspicion how long a silent node gets no messages: with
+	// 30 s a node that had been paused missed who holds the leases.
+	minSuspicion     = 2 * time.Second
+	maxSuspicion     = 30 * time.Second
+	maxNodeSuspicion = 4 * time.Second
 )
 
 // Tracker is the controller of what is known of the instances.
@@ -119,15 +124,17 @@
 	case ReportRead:
 		effects = t.reportRead(now, message.Report)
 	case ReportFailed:
-		t.pollDone(now, message.Endpoint)
-		t.suspect(now, message.Endpoint)
+		t.pollDone(now, message.Endpoint, false)
+		t.suspect(now, message.Endpoint, maxSuspicion)
 	case ReportPushed:
 		t.adoptReport(now, message.Report)
 	case Evidence:
-		t.weigh(now, message.Endpoint, message.Answered)
+		t.weigh(now, message.Endpoint, message.Answered, maxSuspicion)
 	case PeerEvidence:
-		t.weigh(now, message.Node, message.Answered)
+		t.weigh(now, message.Node, message.Answered, maxNodeSuspicion)
 	case LoadPushed:
+		// A node that says how it is can be sent messages again.
+		t.weigh(now, message.Load.Node, true, maxNodeSuspicion)
 		message.Load.Received = now
 		t.Loads[message.Load.Node] = message.Load
 		t.changed(now)
@@ -172,8 +179,8 @@
 }
 
 func (t *Tracker) reportRead(now time.Time, report Report) []Effect {
-	t.pollDone(now, report.Endpoint)
-	t.weigh(now, report.Endpoint, true)
+	t.pollDone(now, report.Endpoint, report.loading())
+	t.weigh(now, report.Endpoint, true, maxSuspicion)
 	t.adoptReport(now, report)
 	return []Effect{PushReport{report}}
 }
@@ -189,9 +196,9 @@
 	t.changed(now)
 }
 
-func (t *Tracker) weigh(now time.Time, name string, answered bool) {
+func (t *Tracker) weigh(now time.Time, name string, answered bool, longest time.Duration) {
 	if !answered {
-		t.suspect(now, name)
+		t.suspect(now, name, longest)
 		return
 	}
 	if _, ok := t.Suspicions[name]; ok {
@@ -200,13 +207,13 @@
 	}
 }
 
-func (t *Tracker) suspect(now time.Time, name string) {
+func (t *Tracker) suspect(now time.Time, name string, longest time.Duration) {
 	suspicion := t.Suspicions[name]
 	if now.Sub(suspicion.Until.Add(-suspicion.Length)) < minSuspicion {
 		// Attempts that ran at the same time fail together: one failure.
 		return
 	}
-	suspicion.Length = min(max(2*suspicion.Length, minSuspicion), maxSuspicion)
+	suspicion.Length = min(max(2*suspicion.Length, minSuspicion), longest)
 	suspicion.Until = now.Add(suspicion.Length)
 	suspicion.Ended = false
 	t.Suspicions[name] = suspicion
