--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -44,6 +44,8 @@
 	// Watching says that a watch of the list is under way.
 	Watching bool
 	WatchAt  time.Time
+	// Relay says whether this node was a relay in the last published view.
+	Relay bool
 	// Reports is keyed by endpoint.
 	Reports map[string]Report
 	// Suspicions is keyed by instance.
@@ -207,6 +209,10 @@
 
 func (t *Tracker) suspect(now time.Time, name string, longest time.Duration) {
 	suspicion := t.Suspicions[name]
+	if now.Sub(suspicion.Until.Add(-suspicion.Length)) < minSuspicion {
+		// Attempts that ran at the same time fail together: one failure.
+		return
+	}
 	suspicion.Length = min(max(2*suspicion.Length, minSuspicion), longest)
 	suspicion.Until = now.Add(suspicion.Length)
 	suspicion.Ended = false
@@ -249,6 +255,10 @@
 	}
 	t.PublishAt = time.Time{}
 	peers := t.peers(now)
+	if peers.Relay && !t.Relay {
+		t.WatchAt = now
+	}
+	t.Relay = peers.Relay
 	t.assignPolls(now)
 	return []Effect{PublishFleet{t.fleet()}, PublishPeers{peers}}
 }
