Read the request in the bare relay before it is forwarded

About 0.3% of the bare relay's answers ended after one or two of 64 tokens: the server closes a request's body when the answer begins, while the transport may not have seen its end yet, and then gives up the connection. The baseline now reads the body first, as the node does.

--- a/internal/benchmarker/relay_baseline.go
+++ b/internal/benchmarker/relay_baseline.go
@@ -1,6 +1,8 @@
 package benchmarker
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 )
 
@@ -17,13 +19,19 @@
 
 // ServeHTTP implements http.Handler.
 func (b bareRelay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	request, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+b.engine+r.URL.Path, r.Body)
+	// A body that is still being read when the answer begins would end the
+	// answer early.
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+b.engine+r.URL.Path, bytes.NewReader(body))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	request.Header.Set("Content-Type", "application/json")
-	request.ContentLength = r.ContentLength
 	response, err := b.transport.RoundTrip(request)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
