--- a/internal/placer/fuzz_test.go
+++ b/internal/placer/fuzz_test.go
@@ -131,8 +131,8 @@
 func (w *world) oldReport(h *host) {
 	fleet := w.fleet(h)
 	w.after(w.milliseconds("old report", 10, 5000), func() {
-		fleet.ListVersion = max(fleet.ListVersion, h.list)
-		if fleet.ListVersion == h.list && len(fleet.Endpoints) == len(h.known) {
+		// A view with one version of the list has that version's endpoints.
+		if fleet.ListVersion == h.list {
 			w.tell(h, FleetChanged{Fleet: fleet})
 		}
 	})
@@ -259,7 +259,7 @@
 				continue
 			}
 			if _, ok := w.object.Endpoints[name].Find(key); !ok {
-				w.t.Fatalf("%s: %s has %s %s, which is not decided: %v", w.since(), name, shortKey(key), h.state, shortEntries(w.object))
+				w.t.Fatalf("%s: %s has %s %s, which is not decided: %v, %s", w.since(), name, shortKey(key), h.state, shortEntries(w.object), w.state())
 			}
 		}
 		if !e.stranger && e.usedMB() > e.instance.MemoryMB {
--- a/internal/predictor/name.go
+++ b/internal/predictor/name.go
@@ -9,8 +9,12 @@
 // ErrUnknownPolicy reports a name that is none of the policies' names.
 var ErrUnknownPolicy = merry.Sentinel("unknown keep-alive policy")
 
-// DefaultIdleHistogram is the default policy, with the bounds that
-// docs/placement.md measures.
+// DefaultFixedTime is the default policy: in the measurements of
+// docs/placement.md it has the shortest waits at the 99th percentile of
+// Wiatrak's requests, with fewer idle hours than the policies that come close.
+var DefaultFixedTime = FixedTime{Keep: time.Hour}
+
+// DefaultIdleHistogram has the bounds that docs/placement.md measures.
 var DefaultIdleHistogram = IdleHistogram{
 	Head:       0.05,
 	Tail:       0.99,
@@ -20,27 +24,18 @@
 	Grace:      time.Minute,
 }
 
-// DefaultLookAhead has the bounds that docs/placement.md measures.
-var DefaultLookAhead = LookAhead{
-	Intervals:            6,
-	SecondsPerColdSecond: 60,
-	Grace:                2 * time.Minute,
-}
-
 // ByName returns the policy for the value of a setting. It returns
 // ErrUnknownPolicy, with the names that are allowed, for any other value.
 func ByName(name string) (Policy, error) {
 	switch name {
 	case "idle-histogram":
 		return DefaultIdleHistogram, nil
-	case "look-ahead":
-		return DefaultLookAhead, nil
 	case "least-recently-used":
 		return LeastRecentlyUsed{}, nil
 	case "fixed-time":
-		return FixedTime{Keep: time.Hour}, nil
+		return DefaultFixedTime, nil
 	default:
 		return nil, merry.Wrap(ErrUnknownPolicy, merry.AppendMessagef(
-			"%q; allowed are idle-histogram, look-ahead, least-recently-used and fixed-time", name))
+			"%q; allowed are idle-histogram, least-recently-used and fixed-time", name))
 	}
 }
