--- a/internal/commander/command.go
+++ b/internal/commander/command.go
@@ -14,6 +14,7 @@
 	"toucanhitch.example/toucanhitch/internal/encoder"
 	"toucanhitch.example/toucanhitch/internal/publisher"
 	"toucanhitch.example/toucanhitch/internal/storer"
+	"toucanhitch.example/toucanhitch/internal/supervisor"
 	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
 
@@ -61,7 +62,7 @@
 
 // Epilogue implements go-arg's epilogued interface.
 func (Arguments) Epilogue() string {
-	return "Every flag can be set by the environment variable that its help names. " +
+	return "Settings can also be given by the environment variables that the help names. " +
 		"Exit codes: 0 done, 1 failed, 2 invalid input, 3 conflict with another release note, " +
 		"4 may have been accepted, 5 platform or node not available. See docs/operations.md."
 }
@@ -129,7 +130,7 @@
 		return ExitUncertain
 	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, publisher.ErrContended), errors.Is(err, ErrNotInForce):
 		return ExitUnavailable
-	case errors.Is(err, ErrSettings), errors.Is(err, releaser.ErrInvalid), errors.Is(err, releaser.ErrUnknown),
+	case errors.Is(err, ErrSettings), errors.Is(err, supervisor.ErrSettings), errors.Is(err, releaser.ErrInvalid), errors.Is(err, releaser.ErrUnknown),
 		errors.Is(err, encoder.ErrMalformed), errors.Is(err, encoder.ErrTooLarge), errors.Is(err, os.ErrNotExist):
 		return ExitInvalid
 	default:
@@ -145,9 +146,9 @@
 	case errors.Is(err, storer.ErrUncertain):
 		return "The change may have been accepted. Look for it with \"toucanhitch audit\" before trying again."
 	case errors.Is(err, storer.ErrUnavailable):
-		return "Nothing was changed. Check --platform and try again."
+		return "The platform cannot be reached, so nothing was changed. Check --platform and try again."
 	case errors.Is(err, ErrNotInForce):
-		return "The change is accepted and will come into force on the nodes named above once they can be reached; until then they refuse keyed requests."
+		return "The nodes named above take an accepted change over once they can be reached. One that is cut off refuses keyed requests after 8 s; one that has left counts until the platform's list drops it."
 	default:
 		return ""
 	}
--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -6,13 +6,13 @@
 	"os"
 	"os/signal"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
-	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/supervisor"
 )
 
@@ -53,7 +53,7 @@
 		wrong.name("--regions", region)
 	}
 	if len(c.Regions) > 0 && !slices.Contains(c.Regions, c.Region) {
-		wrong.add("--regions", c.Region, "a list that contains --region")
+		wrong.add("--regions", strings.Join(c.Regions, " "), "a list that contains --region, "+c.Region)
 	}
 	wrong.number("--store-rate", c.StoreRate, 0.001, maxStoreRate)
 	wrong.number("--store-at-once", float64(c.StoreAtOnce), 1, maxStoreAtOnce)
@@ -105,12 +105,21 @@
 	}
 	defer cleanUp()
 	group := &run.Group{}
-	runner.Add(env.ctx, group, node)
+	ctx, leave := context.WithCancel(env.ctx)
+	var ended error
+	group.Add(
+		func() error {
+			ended = node.Run(ctx)
+			return ended
+		},
+		func(error) { leave() },
+	)
 	group.Add(run.SignalHandler(env.ctx, syscall.SIGTERM, syscall.SIGINT))
 	go exitOnSecondSignal(env.ctx)
 	err = group.Run()
 	if errors.Is(err, run.ErrSignal) {
-		return nil
+		// The signal ends the group; the node's own error says how it left.
+		return ended
 	}
 	return err
 }
--- a/internal/commander/state.go
+++ b/internal/commander/state.go
@@ -27,7 +27,8 @@
 // StateCommand shows the state of the fleet.
 type StateCommand struct {
 	Platform
-	JSON bool `arg:"--json" help:"print the states of all nodes as JSON"`
+	JSON  bool     `arg:"--json" help:"print the states of all nodes as JSON"`
+	Peers []string `arg:"--peers,env:TOUCANHITCH_PEERS" help:"peer addresses to ask instead of the platform's list, for instance in its outage" placeholder:"IP:PORT"`
 }
 
 // nodeState is the part of a node's state that is shown.
@@ -47,6 +48,7 @@
 	Peers       []any
 	Endpoints   []endpointState
 	Troubles    []troubleState
+	Placement   any `json:",omitempty"`
 }
 
 type troubleState struct {
@@ -102,6 +104,12 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b standing) int { return strings.Compare(a.instance.Name, b.instance.Name) })
+	askAll(env, all)
+	return all, nil
+}
+
+// askAll fills in the states, a bounded number at a time.
+func askAll(env environment, all []standing) {
 	var group sync.WaitGroup
 	permits := make(chan struct{}, statesAtOnce)
 	for i := range all {
@@ -112,7 +120,6 @@
 		})
 	}
 	group.Wait()
-	return all, nil
 }
 
 func readState(env environment, address string) (nodeState, error) {
@@ -205,10 +212,7 @@
 }
 
 func (c *StateCommand) run(env environment) error {
-	if err := c.check(false); err != nil {
-		return err
-	}
-	all, err := c.standings(env)
+	all, err := c.collect(env)
 	if err != nil {
 		return err
 	}
@@ -230,6 +234,27 @@
 	return printTroubles(env, all)
 }
 
+// collect asks the nodes that the platform lists, or those that were named.
+func (c *StateCommand) collect(env environment) ([]standing, error) {
+	if len(c.Peers) == 0 {
+		if err := c.check(false); err != nil {
+			return nil, err
+		}
+		return c.standings(env)
+	}
+	var wrong mistakes
+	var all []standing
+	for _, peer := range c.Peers {
+		wrong.address("--peers", peer)
+		all = append(all, standing{instance: tracker.Instance{Name: peer, PeerAddress: peer}})
+	}
+	if err := wrong.err(); err != nil {
+		return nil, err
+	}
+	askAll(env, all)
+	return all, nil
+}
+
 func printTroubles(env environment, all []standing) error {
 	var rows []troubleState
 	for _, node := range all {
--- a/internal/encoder/json.go
+++ b/internal/encoder/json.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -75,6 +76,9 @@
 	return data
 }
 
+// unknownField starts the decoder's text for a field that the target lacks.
+const unknownField = "json: unknown field "
+
 func malformed(data []byte, offset int64, err error) error {
 	var syntax *json.SyntaxError
 	var kind *json.UnmarshalTypeError
@@ -85,6 +89,11 @@
 	case errors.As(err, &kind):
 		offset = kind.Offset
 		detail = fmt.Sprintf("field %q is a %s; want %s", kind.Field, kind.Value, kind.Type)
+	case strings.HasPrefix(detail, unknownField):
+		// The decoder reports the end of the value; the name tells the place.
+		if at := bytes.Index(data, []byte(strings.TrimPrefix(detail, unknownField))); at >= 0 {
+			offset = int64(at)
+		}
 	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
 		offset = int64(len(data))
 		detail = "the text ends before the value does"
--- a/internal/filter/authenticate.go
+++ b/internal/filter/authenticate.go
@@ -13,6 +13,10 @@
 // withdrawn while it waited or ran.
 var ErrKeyWithdrawn = merry.Sentinel("key withdrawn")
 
+// ErrDraining is the cause of a request's context when its node can wait for
+// it no longer.
+var ErrDraining = merry.Sentinel("node is leaving")
+
 // ErrTargetWithdrawn is the cause of a request's context when its model,
 // adapter or route has been withdrawn while it waited for a slot.
 var ErrTargetWithdrawn = merry.Sentinel("model, adapter or route withdrawn")
--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -284,10 +284,10 @@
 	var failure Failure
 	if errors.As(err, &failure) && failure.Run == NotRun {
 		if f.Recorder.Abandon(ctx, recorded) == nil {
-			return refuse(NoEndpoint, "no endpoint took the call: %v", failure.Err)
+			return refuse(NoEndpoint, "no endpoint took the call").causedBy(failure.Err)
 		}
 	}
-	return broke(OutcomeUnknown, Unknown, CallTokens, "the call was sent and its outcome is not known: %v", err)
+	return broke(OutcomeUnknown, Unknown, CallTokens, "the call was sent and its outcome is not known").causedBy(err)
 }
 
 func callAttempt(request *Request, call Call) Attempt {
--- a/internal/filter/failure.go
+++ b/internal/filter/failure.go
@@ -42,12 +42,14 @@
 	switch {
 	case errors.Is(context.Cause(ctx), ErrKeyWithdrawn):
 		return broke(KeyWithdrawn, runOf(failure, delivered), used, "the key was withdrawn")
+	case errors.Is(context.Cause(ctx), ErrDraining):
+		return broke(Draining, runOf(failure, delivered), used, "the node left before the request ended")
 	case delivered > 0:
-		return broke(StreamBroken, Ran, used, "the answer broke off after %d tokens: %v", delivered, failure.Err)
+		return broke(StreamBroken, Ran, used, "the answer broke off after %d tokens", delivered).causedBy(failure.Err)
 	case failure.Run == NotRun:
-		return refuse(NoEndpoint, "no endpoint took the request: %v", failure.Err)
+		return refuse(NoEndpoint, "no endpoint took the request").causedBy(failure.Err)
 	default:
-		return broke(EndpointFailed, failure.Run, used, "%v", failure.Err)
+		return broke(EndpointFailed, failure.Run, used, "the endpoint failed").causedBy(failure.Err)
 	}
 }
 
@@ -64,3 +66,9 @@
 		Used:    used,
 	}
 }
+
+// causedBy adds what only the logs may say.
+func (r Refuse) causedBy(err error) Refuse {
+	r.Refusal.Cause = err
+	return r
+}
--- a/internal/filter/limit.go
+++ b/internal/filter/limit.go
@@ -110,6 +110,8 @@
 		return refuse(KeyWithdrawn, "the key was withdrawn while the request waited")
 	case errors.Is(cause, ErrTargetWithdrawn):
 		return refuse(UnknownModel, "the model, adapter or route was withdrawn while the request waited")
+	case errors.Is(cause, ErrDraining):
+		return refuse(Draining, "the node left before the request could start")
 	case cause != nil:
 		return refuse(DeadlinePassed, "the request ended while it waited")
 	default:
--- a/internal/filter/verdict.go
+++ b/internal/filter/verdict.go
@@ -83,6 +83,8 @@
 	Run    Run
 	// RetryAfter is when asking again may help; 0 means unknown.
 	RetryAfter time.Duration
+	// Cause is for logs only: it may name internal addresses.
+	Cause error
 }
 
 // Error makes a refusal usable as an error between a controller's front and
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -17,6 +17,7 @@
 	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
+	"go.opentelemetry.io/otel/sdk/resource"
 
 	"toucanhitch.example/toucanhitch/internal/filter"
 )
@@ -28,6 +29,7 @@
 	requests metric.Int64Counter
 	tokens   metric.Int64Counter
 	duration metric.Float64Histogram
+	first    metric.Float64Histogram
 }
 
 // durationBounds are the bounds of the request duration histogram in seconds.
@@ -40,7 +42,8 @@
 	if err != nil {
 		return nil, nil, merry.Wrap(err, merry.PrependMessage("metrics exporter"))
 	}
-	provider := sdk.NewMeterProvider(sdk.WithReader(reader))
+	identity := resource.NewSchemaless(attribute.String("service.name", "toucanhitch"))
+	provider := sdk.NewMeterProvider(sdk.WithReader(reader), sdk.WithResource(identity))
 	m := &Meter{registry: registry, meter: provider.Meter("toucanhitch")}
 	if err := m.create(); err != nil {
 		return nil, nil, err
@@ -58,6 +61,11 @@
 		metric.WithDescription("Generated tokens that went to callers.")); err != nil {
 		return merry.Wrap(err)
 	}
+	if m.first, err = m.meter.Float64Histogram("toucanhitch.first_token.duration",
+		metric.WithDescription("Time from a request's arrival to its first token."),
+		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(durationBounds...)); err != nil {
+		return merry.Wrap(err)
+	}
 	m.duration, err = m.meter.Float64Histogram("toucanhitch.request.duration",
 		metric.WithDescription("Time from a request's arrival to its end."),
 		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(durationBounds...))
@@ -73,11 +81,27 @@
 		reason = "answered"
 	}
 	attributes := metric.WithAttributes(
-		attribute.String("class", string(class)), attribute.String("reason", string(reason)))
+		attribute.String("class", label(class)), attribute.String("reason", string(reason)))
 	m.requests.Add(context.Background(), 1, attributes)
 	m.duration.Record(context.Background(), duration.Seconds(), attributes)
 }
 
+// FirstToken implements server.Observer.
+func (m *Meter) FirstToken(class filter.Class, duration time.Duration) {
+	m.first.Record(context.Background(), duration.Seconds(),
+		metric.WithAttributes(attribute.String("class", label(class))))
+}
+
+// label keeps a caller's text out of the labels.
+func label(class filter.Class) string {
+	switch class {
+	case filter.Interactive, filter.Assured, filter.Deferred:
+		return string(class)
+	default:
+		return "none"
+	}
+}
+
 // Gauge adds a gauge whose value is read when it is asked for.
 func (m *Meter) Gauge(name, description string, read func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
@@ -19,7 +20,9 @@
 type Observer interface {
 	// Token counts one token that went to a caller.
 	Token()
-	// Ended counts a request. firstToken and the reason may be empty.
+	// FirstToken counts the time to the first token of an answer.
+	FirstToken(class filter.Class, duration time.Duration)
+	// Ended counts a request. The reason is empty if it was answered.
 	Ended(class filter.Class, reason filter.Reason, duration time.Duration)
 }
 
@@ -93,6 +96,9 @@
 		entry.Debug("request answered")
 		return
 	}
+	if refusal.Cause != nil {
+		entry = entry.WithError(refusal.Cause)
+	}
 	entry.WithFields(logrus.Fields{"Reason": refusal.Reason, "Run": refusal.Run}).Info("request refused: " + refusal.Detail)
 }
 
@@ -188,13 +194,21 @@
 	_, _ = w.Write(reply.Body)
 }
 
+// ErrCut reports that requests were still running when the grace time of a
+// shutdown ended.
+var ErrCut = merry.Sentinel("requests were cut by the shutdown")
+
 // Serve serves a handler on a listener until ctx ends, then waits for running
-// requests, at most for the given time.
+// requests, at most for the given time. Those that still run then are told
+// why they end, and Serve returns ErrCut.
 func Serve(ctx context.Context, clock clockwork.Clock, listener net.Listener, handler http.Handler, grace time.Duration) error {
+	requests, cut := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cut(nil)
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
+		BaseContext:       func(net.Listener) context.Context { return requests },
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
@@ -203,9 +217,23 @@
 		return err
 	case <-ctx.Done():
 	}
-	shutdown, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), clock, grace)
+	if shutDown(ctx, clock, server, grace) == nil {
+		return nil
+	}
+	cut(filter.ErrDraining)
+	if err := shutDown(ctx, clock, server, cutGrace); err != nil {
+		_ = server.Close()
+	}
+	return merry.Wrap(ErrCut, merry.AppendMessagef("after %s", grace))
+}
+
+// cutGrace is the time in which requests that are cut can tell their callers.
+const cutGrace = time.Second
+
+func shutDown(ctx context.Context, clock clockwork.Clock, server *http.Server, grace time.Duration) error {
+	ctx, cancel := clockwork.WithTimeout(context.WithoutCancel(ctx), clock, grace)
 	defer cancel()
-	return server.Shutdown(shutdown)
+	return server.Shutdown(ctx)
 }
 
 const (
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -135,7 +135,7 @@
 	work.Emit = func(event filter.Event) error {
 		switch event := event.(type) {
 		case filter.Token:
-			h.observer.Token()
+			h.observeToken(request, event)
 			text.WriteString(event.Text)
 		case filter.Finish:
 			finish = event
@@ -151,6 +151,13 @@
 	}
 }
 
+func (h *Callers) observeToken(request *filter.Request, token filter.Token) {
+	if token.Index == 0 {
+		h.observer.FirstToken(request.Class, h.clock.Since(request.Arrived))
+	}
+	h.observer.Token()
+}
+
 func (h *Callers) completion(request *filter.Request, work filter.Generation, text string, finish filter.Finish) chatCompletion {
 	return chatCompletion{
 		ID:      "chatcmpl-" + request.Identity,
@@ -174,8 +181,8 @@
 	events := newEventWriter(h.clock, w, work.Model)
 	events.includeUsage = wire.StreamOptions != nil && wire.StreamOptions.IncludeUsage
 	work.Emit = func(event filter.Event) error {
-		if _, ok := event.(filter.Token); ok {
-			h.observer.Token()
+		if token, ok := event.(filter.Token); ok {
+			h.observeToken(request, token)
 		}
 		return events.emit(request, event)
 	}
--- a/internal/supervisor/peers.go
+++ b/internal/supervisor/peers.go
@@ -63,6 +63,8 @@
 	// Troubles are the faults that the placer of the region reports, at the
 	// node that holds its lease.
 	Troubles []troubleState
+	// Placement is the decided placement of the region, at the same node.
+	Placement *placer.Placement `json:",omitempty"`
 }
 
 type troubleState struct {
@@ -130,6 +132,7 @@
 		state.Endpoints = append(state.Endpoints, describeEndpoint(now, endpoint))
 	}
 	if view := n.placement.Load(); view.Leading {
+		state.Placement = &view.Placement
 		for _, trouble := range view.Troubles {
 			state.Troubles = append(state.Troubles, troubleState{
 				Endpoint: trouble.Endpoint,
--- a/pkg/releaser/apply.go
+++ b/pkg/releaser/apply.go
@@ -1,6 +1,9 @@
 package releaser
 
-import "maps"
+import (
+	"maps"
+	"strings"
+)
 
 // Empty returns the configuration before the first change.
 func Empty() *Configuration {
@@ -116,24 +119,58 @@
 }
 
 // dropNewest makes another version of name the newest after key was
-// withdrawn. Versions are compared as text, the greatest one wins.
+// withdrawn. Numbers in versions are compared as numbers, so that 10 is newer
+// than 9.
 func (c *Configuration) dropNewest(name, key string) {
 	if c.Newest[name] != key {
 		return
 	}
 	delete(c.Newest, name)
 	for other, model := range c.Models {
-		if model.Name == name && other > c.Newest[name] {
+		if model.Name == name && newer(other, c.Newest[name]) {
 			c.Newest[name] = other
 		}
 	}
 	for other, adapter := range c.Adapters {
-		if adapter.Name == name && other > c.Newest[name] {
+		if adapter.Name == name && newer(other, c.Newest[name]) {
 			c.Newest[name] = other
 		}
 	}
 }
 
+// newer says whether a key's version is above another's. Digits that stand
+// together count as one number.
+func newer(key, than string) bool {
+	for key != "" && than != "" {
+		a, b := leading(key), leading(than)
+		key, than = key[len(a):], than[len(b):]
+		if a == b {
+			continue
+		}
+		if isDigit(a[0]) && isDigit(b[0]) {
+			a, b = strings.TrimLeft(a, "0"), strings.TrimLeft(b, "0")
+			if len(a) != len(b) {
+				return len(a) > len(b)
+			}
+		}
+		if a != b {
+			return a > b
+		}
+	}
+	return key != ""
+}
+
+// leading returns the digits or the other characters that a text starts with.
+func leading(text string) string {
+	end := 1
+	for end < len(text) && isDigit(text[end]) == isDigit(text[0]) {
+		end++
+	}
+	return text[:end]
+}
+
+func isDigit(char byte) bool { return char >= '0' && char <= '9' }
+
 func (c *Configuration) dropGrants(workspace string) {
 	for digest, grant := range c.Grants {
 		if grant.Workspace == workspace {
--- a/pkg/releaser/validate.go
+++ b/pkg/releaser/validate.go
@@ -5,7 +5,10 @@
 	"maps"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Bounds of the values in a note.
@@ -37,7 +40,7 @@
 	check.next.applyNote(note)
 	check.references()
 	if len(check.mistakes) > 0 {
-		return wrapf(ErrInvalid, "%s", strings.Join(check.mistakes, "\n"))
+		return merry.Wrap(ErrInvalid, merry.AppendMessage("\n"+strings.Join(check.mistakes, "\n")))
 	}
 	return nil
 }
@@ -77,10 +80,15 @@
 
 func (c *checker) between(location string, value, low, high float64, unit string) {
 	if !(value >= low && value <= high) {
-		c.mistake(location, "%g is out of range; want %g to %g %s", value, low, high, unit)
+		c.mistake(location, "%s is out of range; want %s to %s %s", plain(value), plain(low), plain(high), unit)
 	}
 }
 
+// plain writes a number without an exponent.
+func plain(value float64) string {
+	return strconv.FormatFloat(value, 'f', -1, 64)
+}
+
 func (c *checker) models(entries []ModelEntry) {
 	seen := map[string]bool{}
 	for i, entry := range entries {
