--- /dev/null
+++ b/internal/recorder/apply.go
@@ -0,0 +1,127 @@
+package recorder
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+)
+
+// outdated says whether a result may be wrong because another writer changed
+// the bucket. A recorded outcome never changes.
+func (b *Bucket) outdated() bool {
+	for _, result := range b.after.results[min(b.Covered, len(b.after.results)):] {
+		done, ok := result.(Done)
+		if !ok {
+			return true
+		}
+		if _, known := done.Record.(filter.Known); !known {
+			return true
+		}
+	}
+	return false
+}
+
+// apply computes the bucket's state after the pending operations.
+func (b *Bucket) apply(now time.Time) bool {
+	b.takeBatch()
+	b.after = written{records: clone(b.Records), sealed: b.Sealed, segments: b.Segments}
+	changed := false
+	for _, waiting := range b.Writing {
+		result, wrote := b.after.operate(now, waiting.Operation)
+		b.after.results = append(b.after.results, result)
+		changed = changed || wrote
+	}
+	return changed
+}
+
+func clone(records map[Key]Record) map[Key]Record {
+	copied := make(map[Key]Record, len(records)+1)
+	for key, record := range records {
+		copied[key] = record
+	}
+	return copied
+}
+
+// find returns the record of a key that has not expired.
+// The record is also returned if it only names abandoned operations, then with
+// false.
+func (a *written) find(now time.Time, key Key) (Record, bool) {
+	record, ok := a.records[key]
+	if !ok {
+		record, ok = a.sealed[key]
+	}
+	if !ok || now.Sub(record.At) > Lifetime {
+		return Record{}, false
+	}
+	return record, record.Operation != ""
+}
+
+// operate applies one operation and says whether it changed the bucket.
+func (a *written) operate(now time.Time, operation Operation) (Result, bool) {
+	record, found := a.find(now, operation.Key)
+	switch action := operation.Action.(type) {
+	case Begin:
+		return a.begin(now, operation, record, found)
+	case Finish:
+		if !found || record.Operation != operation.ID {
+			return Failed{"the intent is not recorded"}, false
+		}
+		if record.Reply != nil {
+			return Done{filter.Known{Reply: *record.Reply}}, false
+		}
+		record.Reply = &action.Reply
+		a.records[operation.Key] = record
+		return Done{filter.Known{Reply: action.Reply}}, true
+	case Abandon:
+		return a.abandon(now, operation, record, found)
+	default:
+		panic(fmt.Sprintf("unknown action %T", action))
+	}
+}
+
+// abandon removes the intent of an operation, or makes sure that it is not
+// recorded when it arrives later.
+func (a *written) abandon(now time.Time, operation Operation, record Record, found bool) (Result, bool) {
+	switch {
+	case found && record.Operation == operation.ID && record.Reply != nil:
+		return Done{filter.Uncertain{}}, false
+	case slices.Contains(record.Abandoned, operation.ID):
+		return Done{filter.Fresh{}}, false
+	}
+	abandoned := append(slices.Clone(record.Abandoned), operation.ID)
+	abandoned = abandoned[max(0, len(abandoned)-maxAbandoned):]
+	if !found || record.Operation == operation.ID {
+		// An empty operation hides the record of a segment.
+		record = Record{Key: operation.Key, At: now}
+	}
+	record.Abandoned = abandoned
+	a.records[operation.Key] = record
+	return Done{filter.Fresh{}}, true
+}
+
+func (a *written) begin(now time.Time, operation Operation, record Record, found bool) (Result, bool) {
+	switch {
+	case slices.Contains(record.Abandoned, operation.ID):
+		return Done{filter.Uncertain{}}, false
+	case !found:
+		a.records[operation.Key] = Record{
+			Key:       operation.Key,
+			Operation: operation.ID,
+			Digest:    operation.Digest,
+			At:        now,
+			Abandoned: record.Abandoned,
+		}
+		return Done{filter.Fresh{}}, true
+	case record.Digest != operation.Digest:
+		return Mismatch{}, false
+	case record.Operation == operation.ID && record.Reply == nil:
+		// The write whose outcome was unknown took effect.
+		return Done{filter.Fresh{}}, false
+	case record.Reply != nil:
+		return Done{filter.Known{Reply: *record.Reply}}, false
+	default:
+		return Done{filter.Uncertain{}}, false
+	}
+}
