--- /dev/null
+++ b/internal/recorder/world_test.go
@@ -0,0 +1,101 @@
+package recorder
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// patience is how long after its first question a node may still send a call.
+const patience = time.Hour
+
+// attempt is a node's request, as the oracle sees it.
+type attempt struct {
+	operation Operation
+	asked     time.Time
+	fresh     bool // the node was told Fresh
+	over      bool // the node has crashed, given up or finished
+	abandoned bool // the node has given up and asked to abandon the intent
+	released  bool // a writer has answered that the intent is abandoned
+	sent      bool
+	outcome   bool // the endpoint answered
+}
+
+// question is an operation on its way to a writer.
+type question struct {
+	writer    int
+	operation Operation
+	attempt   *attempt
+}
+
+// answer is a result on its way to a node.
+type answer struct {
+	attempt *attempt
+	result  Result
+}
+
+// access is a read or a write on its way to the store.
+type access struct {
+	writer, run int
+	effect      Effect
+	gaveUp      bool // its writer was told that it failed
+}
+
+// news is a result of the store on its way to a writer.
+type news struct {
+	writer, run int
+	message     Message
+}
+
+// world holds two or three writers of one bucket, a store, and the messages
+// between them and the nodes.
+type world struct {
+	now       time.Time
+	writers   []*Writer
+	runs      []int
+	version   uint64
+	content   Content
+	segments  map[string][]Record
+	questions []question
+	answers   []answer
+	accesses  []access
+	news      []news
+	attempts  []*attempt
+	calls     map[runner.Call]question
+	nextCall  runner.Call
+	// holder is the attempt of each key that was told Fresh and has not
+	// abandoned its intent, running the one whose call may have run.
+	holder  map[Key]*attempt
+	running map[Key]*attempt
+	keys    []Key
+}
+
+// sealBytes makes a bucket of a few records large.
+const sealBytes = 4 * recordBytes
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		now: tester.Start, segments: map[string][]Record{}, calls: map[runner.Call]question{},
+		holder: map[Key]*attempt{}, running: map[Key]*attempt{},
+	}
+	for number := 0; len(w.keys) < 6; number++ {
+		if key := Key(fmt.Sprint(number)); BucketOf(key) == 0 {
+			w.keys = append(w.keys, key)
+		}
+	}
+	w.runs = make([]int, rapid.IntRange(2, 3).Draw(t, "writers"))
+	for i := range w.runs {
+		w.writers = append(w.writers, newSmallWriter(i))
+	}
+	return w
+}
+
+func newSmallWriter(number int) *Writer {
+	writer := NewWriter(fmt.Sprintf("n%d", number))
+	writer.SealBytes = sealBytes
+	return writer
+}
