--- a/internal/filter/admit.go
+++ b/internal/filter/admit.go
@@ -84,7 +84,7 @@
 		for {
 			changed := f.View.Changed()
 			if !inForce(f.View.Configuration(), request) {
-				cancel(ErrTargetWithdrawn)
+				cancel(withdrawn(request))
 				return
 			}
 			select {
@@ -97,6 +97,13 @@
 	return ctx, func() { cancel(context.Canceled) }
 }
 
+func withdrawn(request *Request) error {
+	if _, ok := request.Work.(Call); ok {
+		return ErrRouteWithdrawn
+	}
+	return ErrTargetWithdrawn
+}
+
 func inForce(configuration *releaser.Configuration, request *Request) bool {
 	if call, ok := request.Work.(Call); ok {
 		_, err := configuration.Route(call.Service, call.Method, call.Path)
--- a/internal/filter/authenticate.go
+++ b/internal/filter/authenticate.go
@@ -13,9 +13,13 @@
 // withdrawn while it waited or ran.
 var ErrKeyWithdrawn = merry.Sentinel("key withdrawn")
 
-// ErrTargetWithdrawn is the cause of a request's context when its model,
-// adapter or route has been withdrawn while it waited for a slot.
-var ErrTargetWithdrawn = merry.Sentinel("model, adapter or route withdrawn")
+// ErrTargetWithdrawn is the cause of a request's context when its model or
+// adapter has been withdrawn while it waited for a slot, ErrRouteWithdrawn when
+// its route has.
+var (
+	ErrTargetWithdrawn = merry.Sentinel("model or adapter withdrawn")
+	ErrRouteWithdrawn  = merry.Sentinel("route withdrawn")
+)
 
 // Authenticate finds the workspace of a request's key and ends the request
 // when the key is withdrawn.
--- a/internal/filter/limit.go
+++ b/internal/filter/limit.go
@@ -109,7 +109,9 @@
 	case errors.Is(cause, ErrKeyWithdrawn):
 		return refuse(KeyWithdrawn, "the key was withdrawn while the request waited")
 	case errors.Is(cause, ErrTargetWithdrawn):
-		return refuse(UnknownModel, "the model, adapter or route was withdrawn while the request waited")
+		return refuse(UnknownModel, "the model or adapter was withdrawn while the request waited")
+	case errors.Is(cause, ErrRouteWithdrawn):
+		return refuse(UnknownRoute, "the route was withdrawn while the request waited")
 	case cause != nil:
 		return refuse(DeadlinePassed, "the request ended while it waited")
 	default:
