Read only the segments that a writer does not know

Each read of a bucket, and so each conflict and each repeat without an outcome, read all segments again, with one API call each. Segments never change; a read now names those that the writer has. TestSegmentsAreReadOnce: one call for a repeat.

--- a/internal/recorder/message.go
+++ b/internal/recorder/message.go
@@ -120,7 +120,8 @@
 	Operation Operation
 }
 
-// BucketRead brings a bucket's head, and the records of its segments.
+// BucketRead brings a bucket's head, and the records of its segments that the
+// writer does not know.
 // ObjectVersion is 0 if there is no object yet.
 type BucketRead struct {
 	Bucket        int
@@ -156,8 +157,12 @@
 // Effect is what a Writer wants done.
 type Effect interface{ isEffect() }
 
-// ReadBucket reads a bucket.
-type ReadBucket struct{ Bucket int }
+// ReadBucket reads a bucket. Segments never change, so those that the writer
+// knows are not read again.
+type ReadBucket struct {
+	Bucket int
+	Known  []string
+}
 
 // WriteBucket writes a bucket's head if it has the version IfVersion. A
 // segment, unless it is nil, is created first.
--- a/internal/recorder/oracle_test.go
+++ b/internal/recorder/oracle_test.go
@@ -89,6 +89,9 @@
 	case ReadBucket:
 		read := BucketRead{ObjectVersion: w.version, Content: w.content}
 		for _, segment := range w.content.Segments {
+			if slices.Contains(effect.Known, segment.Name) {
+				continue
+			}
 			read.Sealed = append(read.Sealed, w.segments[segment.Name]...)
 		}
 		return read
--- a/internal/recorder/task.go
+++ b/internal/recorder/task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -51,7 +52,7 @@
 func (p performer) perform(hands runner.Hands[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case ReadBucket:
-		hands.Start(func(ctx context.Context) Message { return p.read(ctx, effect.Bucket) })
+		hands.Start(func(ctx context.Context) Message { return p.read(ctx, effect) })
 	case WriteBucket:
 		hands.Start(func(ctx context.Context) Message { return p.write(ctx, effect) })
 	case AnswerCall:
@@ -63,7 +64,8 @@
 	return storer.ID{Kind: bucketKind, Name: strconv.Itoa(bucket)}
 }
 
-func (p performer) read(ctx context.Context, bucket int) Message {
+func (p performer) read(ctx context.Context, effect ReadBucket) Message {
+	bucket := effect.Bucket
 	object, err := p.store.Get(ctx, bucketID(bucket))
 	if errors.Is(err, storer.ErrNotFound) {
 		return BucketRead{Bucket: bucket}
@@ -77,6 +79,9 @@
 	}
 	read := BucketRead{Bucket: bucket, ObjectVersion: object.Version, Content: wire.decode()}
 	for _, segment := range read.Content.Segments {
+		if slices.Contains(effect.Known, segment.Name) {
+			continue
+		}
 		records, err := p.readSegment(ctx, segment.Name)
 		if err != nil {
 			return BucketFailed{Bucket: bucket, Detail: err.Error()}
--- a/internal/recorder/task_test.go
+++ b/internal/recorder/task_test.go
@@ -89,6 +89,30 @@
 	})
 }
 
+// Guards against a writer that reads all segments again for each answer that
+// must not come from its copy.
+func TestSegmentsAreReadOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := storer.NewMemory(clockwork.NewRealClock())
+		writer := NewWriter("n1")
+		writer.SealBytes = 4 * recordBytes
+		task, stop := run(t, store, writer)
+		defer stop()
+		keys := bucketKeys(30)
+		for _, key := range keys {
+			operateAll[filter.Fresh](t, task, []Key{key}, Begin{})
+		}
+		before := store.Calls()
+		operation := Operation{Key: keys[0], ID: "other", Digest: "d", Action: Begin{}}
+		if result, err := Operate(t.Context(), task, operation); err != nil || result != (Done{filter.Uncertain{}}) {
+			t.Errorf("repeat: %#v, %v; want Uncertain", result, err)
+		}
+		if calls := store.Calls() - before; calls != 1 {
+			t.Errorf("%d API calls for a repeat; want 1", calls)
+		}
+	})
+}
+
 // Guards against a burst whose records do not fit into one object, so that no
 // write of the bucket succeeds any more.
 func TestBurstFitsIntoObjects(t *testing.T) {
--- a/internal/recorder/writer.go
+++ b/internal/recorder/writer.go
@@ -88,7 +88,7 @@
 	case Asked:
 		effects = w.asked(message)
 	case BucketRead:
-		w.read(message)
+		w.read(now, message)
 	case BucketWritten:
 		effects = w.written(message)
 	case BucketFailed:
@@ -110,14 +110,25 @@
 	return nil
 }
 
-func (w *Writer) read(message BucketRead) {
+func (b *Bucket) segmentNames() []string {
+	var names []string
+	for _, segment := range b.Segments {
+		names = append(names, segment.Name)
+	}
+	return names
+}
+
+func (w *Writer) read(now time.Time, message BucketRead) {
 	bucket := &w.Buckets[message.Bucket]
 	bucket.Busy = false
 	bucket.Loaded = true
 	bucket.ObjectVersion = message.ObjectVersion
 	bucket.Segments = message.Content.Segments
 	bucket.Records = index(message.Content.Records)
-	bucket.Sealed = index(message.Sealed)
+	bucket.Sealed = unexpired(now, bucket.Sealed)
+	for _, record := range message.Sealed {
+		bucket.Sealed[record.Key] = record
+	}
 }
 
 func index(records []Record) map[Key]Record {
@@ -185,7 +196,7 @@
 	bucket.Busy = true
 	if !bucket.Loaded {
 		bucket.Covered = len(bucket.Pending)
-		return []Effect{ReadBucket{number}}
+		return []Effect{ReadBucket{number, bucket.segmentNames()}}
 	}
 	return w.commit(now, number)
 }
@@ -199,7 +210,7 @@
 	if !changed && bucket.outdated() {
 		bucket.putBack()
 		bucket.Covered = len(bucket.Pending)
-		return []Effect{ReadBucket{number}}
+		return []Effect{ReadBucket{number, bucket.segmentNames()}}
 	}
 	bucket.Next = now.Add(CommitEvery)
 	bucket.Covered = 0
