--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -21,6 +21,7 @@
 	Scheduling *schedulingArguments `arg:"subcommand:scheduling" help:"compare the scheduler with simpler policies in virtual time"`
 	Placement  *placementArguments  `arg:"subcommand:placement" help:"compare keep-alive policies at the first users' sizes in virtual time"`
 	Limits     *limitsArguments     `arg:"subcommand:limits" help:"compare ways to keep workspaces within their limits in virtual time"`
+	Journal    *journalArguments    `arg:"subcommand:journal" help:"compare ways to write intents, with a store in memory"`
 	Relay      *relayArguments      `arg:"subcommand:relay" help:"compare a node with a direct call and a bare relay"`
 	Slopes     *slopesArguments     `arg:"subcommand:slopes" help:"measure how costs grow with the size of a deployment"`
 }
@@ -36,6 +37,8 @@
 		measure = arguments.Placement.run
 	case arguments.Limits != nil:
 		measure = arguments.Limits.run
+	case arguments.Journal != nil:
+		measure = arguments.Journal.run
 	case arguments.Relay != nil:
 		measure = arguments.Relay.run
 	case arguments.Slopes != nil:
--- a/cmd/benchmark/simulations.go
+++ b/cmd/benchmark/simulations.go
@@ -4,6 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 
 	"toucanhitch.example/toucanhitch/internal/benchmarker"
 )
@@ -64,3 +67,32 @@
 	}
 	return printJSON(wires)
 }
+
+type journalArguments struct {
+	output
+	Period time.Duration `arg:"--period" default:"1s" help:"time of each row, by the real clock"`
+}
+
+// journalWire names the way, which is an interface in the row.
+type journalWire struct {
+	Way string
+	benchmarker.JournalRow
+}
+
+// run uses the real clock, as only tests have a virtual one for goroutines.
+// With many callers the figures depend on the machine.
+func (a *journalArguments) run() error {
+	var rows []benchmarker.JournalRow
+	var wires []journalWire
+	for _, way := range []benchmarker.JournalWay{benchmarker.GroupCommit{}, benchmarker.WriteEach{}, benchmarker.ObjectEach{}} {
+		for _, callers := range []int{1, 10, 100, 1000} {
+			row := benchmarker.Journal(clockwork.NewRealClock(), a.Seed, way, callers, a.Period)
+			rows = append(rows, row)
+			wires = append(wires, journalWire{Way: benchmarker.JournalWayName(way), JournalRow: row})
+		}
+	}
+	if a.JSON {
+		return printJSON(wires)
+	}
+	return benchmarker.PrintJournal(os.Stdout, rows)
+}
--- a/internal/benchmarker/journal.go
+++ b/internal/benchmarker/journal.go
@@ -198,12 +198,13 @@
 	fmt.Fprintln(table, "way\tcallers\toperations/s\tAPI calls/s\tp50\tp99")
 	for _, row := range rows {
 		fmt.Fprintf(table, "%s\t%d\t%.0f\t%.1f\t%s\t%s\n",
-			journalWayName(row.Way), row.Callers, row.Operations, row.Calls, milliseconds(row.P50), milliseconds(row.P99))
+			JournalWayName(row.Way), row.Callers, row.Operations, row.Calls, milliseconds(row.P50), milliseconds(row.P99))
 	}
 	return table.Flush()
 }
 
-func journalWayName(way JournalWay) string {
+// JournalWayName returns the name of a way in tables.
+func JournalWayName(way JournalWay) string {
 	switch way.(type) {
 	case GroupCommit:
 		return "group commit"
