Send every node the tokens that workspaces used in the whole fleet

Holders report used tokens, from grants and standing shares, as a total since they turned to the owner, so that lost and repeated exchanges neither lose nor double them. The owner keeps a count with a half-life of 10 s and answers with the counts that differ by a tenth from what the holder knows. Holders let them decay and publish them once a second, with or without an owner; a new owner starts with what its node knew. The supervisor gives them to the scheduler.

TestAttainedAgreesWithUse was seen to fail when the owner counts a total again and when it does not repeat counts of a lost answer.

--- a/internal/limiter/account.go
+++ b/internal/limiter/account.go
@@ -21,7 +21,7 @@
 
 // account returns the pool's part of an exchange.
 func (p *Pool) account(now time.Time, epoch uint64) (Account, bool) {
-	account := Account{Workspace: p.Workspace, Refunds: p.Refunds, Overdrawn: p.Overdrawn}
+	account := Account{Workspace: p.Workspace, Refunds: p.Refunds, Overdrawn: p.Overdrawn, Used: p.Used}
 	account.Donated = p.surplus(now)
 	account.Need, account.Waiting = p.waitingFor()
 	account.Ahead = p.ahead(now)
@@ -33,21 +33,27 @@
 	}
 	withdraws := p.Pledged && account.Waiting == 0
 	p.Refunds, p.Overdrawn, p.Pledged = nil, 0, account.Need > 0
-	wanted := withdraws || account.Waiting+account.Ahead+account.Donated+account.Overdrawn > 0
-	return account, wanted || len(account.Grants)+len(account.Refunds) > 0
+	wanted := withdraws || p.Used != p.UsedSent || account.Waiting+account.Ahead+account.Donated+account.Overdrawn > 0
+	if !wanted && len(account.Grants)+len(account.Refunds) == 0 {
+		return Account{}, false
+	}
+	p.UsedSent = p.Used
+	return account, true
 }
 
 // known notes that the owner has handled the last exchange.
 func (p *Pool) known() {
+	p.UsedKnown = p.UsedSent
 	for _, held := range p.Held {
 		held.Known = held.Sent
 	}
 }
 
 // unknown notes that the owner may not have handled the last exchange. What
-// became of grants is told again; refunds, donations and overdrafts are not,
+// became of grants and how much was used is told again; refunds, donations and overdrafts are not,
 // since they must not count twice.
 func (p *Pool) unknown() {
+	p.UsedSent = p.UsedKnown
 	for _, held := range p.Held {
 		held.Sent = held.Known
 	}
@@ -90,3 +96,10 @@
 	}
 	return time.Time{}, false
 }
+
+// turn starts the count of used tokens for a new owner with those that the
+// former one was not told of.
+func (p *Pool) turn() {
+	p.Used -= p.UsedKnown
+	p.UsedSent, p.UsedKnown = 0, 0
+}
--- a/internal/limiter/exchange.go
+++ b/internal/limiter/exchange.go
@@ -54,6 +54,10 @@
 	Workspace string
 	// Grants says what became of grants of the same epoch.
 	Grants []GrantUse
+	// Used counts the tokens that requests used, from grants and standing
+	// shares, since the holder turned to this owner. Requests count when they
+	// end.
+	Used float64
 	// Donated are standing tokens that the holder gives to the owner.
 	Donated float64
 	// Overdrawn are tokens that requests used beyond their reservations.
@@ -96,6 +100,17 @@
 	Grants   []Grant
 	// Short names the workspaces that lack tokens somewhere.
 	Short []string
+	// Attained are the counts of used tokens that differ noticeably from what
+	// the holder was told before, decayed since.
+	Attained []AttainedService
+}
+
+// AttainedService is the number of tokens that requests of a workspace used
+// lately in the whole fleet: a sum in which the weight of a token halves every
+// AttainedHalfLife.
+type AttainedService struct {
+	Workspace string
+	Tokens    float64
 }
 
 // Standing says whether a holder has a standing share.
--- a/internal/limiter/holder.go
+++ b/internal/limiter/holder.go
@@ -39,6 +39,10 @@
 	Origin time.Time
 	// WakeAt is not after the next time at which something is due.
 	WakeAt time.Time
+	// Attained is what the owner said of the use in the whole fleet.
+	// PublishAt is when it is next published; zero if there is none.
+	Attained  AttainedCounts
+	PublishAt time.Time
 }
 
 // NewHolder returns a holder without limits and without an owner.
@@ -50,6 +54,7 @@
 		Pools:        map[string]*Pool{},
 		Reservations: map[uint64]*Reservation{},
 		Calls:        map[runner.Call]uint64{},
+		Attained:     AttainedCounts{},
 	}
 }
 
@@ -91,6 +96,7 @@
 	case HolderTick:
 		effects = h.tick(now)
 	}
+	effects = append(effects, h.publish(now)...)
 	return h.send(now, effects)
 }
 
--- a/internal/limiter/holder_messages.go
+++ b/internal/limiter/holder_messages.go
@@ -95,9 +95,14 @@
 	Exchange Exchange
 }
 
-func (Reserved) isHolderEffect()     {}
-func (Refused) isHolderEffect()      {}
-func (SendExchange) isHolderEffect() {}
+// PublishAttained gives the tokens that the workspaces used lately in the whole
+// fleet. Workspaces that are not named used none.
+type PublishAttained struct{ Tokens map[string]float64 }
+
+func (Reserved) isHolderEffect()        {}
+func (Refused) isHolderEffect()         {}
+func (SendExchange) isHolderEffect()    {}
+func (PublishAttained) isHolderEffect() {}
 
 // Reason says why tokens were refused.
 type Reason string
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -33,15 +33,18 @@
 	task  *runner.Task[HolderMessage, HolderEffect]
 	clock clockwork.Clock
 	send  Send
+	// attained is told what the workspaces used lately in the whole fleet.
+	attained func(tokens map[string]float64)
 }
 
 var _ filter.Limits = (*Limits)(nil)
 
 // New returns the limits of a node, to be run as a task. The session of the
 // holder is the time at which it starts, so that a later run of the node has a
-// larger one.
-func New(node string, slotCount int, clock clockwork.Clock, send Send) *Limits {
-	l := &Limits{clock: clock, send: send}
+// larger one. The function attained is told what the workspaces used lately in
+// the whole fleet, once a second while any used tokens; it must not block.
+func New(node string, slotCount int, clock clockwork.Clock, send Send, attained func(tokens map[string]float64)) *Limits {
+	l := &Limits{clock: clock, send: send, attained: attained}
 	l.task = runner.New(runner.Settings[HolderMessage, HolderEffect]{
 		Name:       "limits",
 		Clock:      clock,
@@ -65,6 +68,8 @@
 		hands.Answer(effect.Call, effect)
 	case Refused:
 		hands.Answer(effect.Call, effect)
+	case PublishAttained:
+		l.attained(effect.Tokens)
 	case SendExchange:
 		hands.Start(func(ctx context.Context) HolderMessage {
 			answer, err := l.send(ctx, effect.Address, effect.Exchange)
--- a/internal/limiter/link.go
+++ b/internal/limiter/link.go
@@ -109,6 +109,8 @@
 		h.Link.due(h.Link.SentAt.Add(reportGap))
 	case p.Standing != nil || p.free() > 0:
 		h.Link.due(h.Link.SentAt.Add(pollGap))
+	case p.Used != p.UsedSent:
+		h.Link.due(h.Link.SentAt.Add(attainedGap))
 	}
 }
 
@@ -160,6 +162,7 @@
 	l.Busy, l.Fails, l.HoldOff, l.Received = false, 0, time.Time{}, l.Sequence
 	l.Stamp, l.Epoch = answer.Stamp, answer.Epoch
 	h.date(answer)
+	h.attained(now, answer.Attained)
 	h.changeStanding(now, answer.Standing)
 	for _, name := range h.Names {
 		p := h.Pools[name]
@@ -228,5 +231,6 @@
 	for _, name := range h.Names {
 		p := h.Pools[name]
 		p.Refunds, p.RetryAt, p.Short, p.Pledged = nil, time.Time{}, false, false
+		p.turn()
 	}
 }
--- a/internal/limiter/owner.go
+++ b/internal/limiter/owner.go
@@ -31,6 +31,9 @@
 	Dropped map[string]time.Duration
 	Peers   map[string]*Peer
 	Slots   SlotTable
+	// Attained counts the use in the whole fleet. While another node is the
+	// owner it holds what this node was told.
+	Attained AttainedCounts
 }
 
 // NewOwner returns an owner without a lease.
@@ -40,6 +43,7 @@
 		Ledgers:   map[string]*Ledger{},
 		Dropped:   map[string]time.Duration{},
 		Peers:     map[string]*Peer{},
+		Attained:  AttainedCounts{},
 	}
 }
 
@@ -64,6 +68,8 @@
 		return o.listed(now, message.Names)
 	case ExchangeReceived:
 		return o.answer(now, message)
+	case AttainedHeard:
+		o.heard(now, message.Counts)
 	case HandOverAsked:
 		return []OwnerEffect{HandedOver{Call: message.Call, Data: o.handOver(now)}}
 	case StateAsked:
@@ -137,6 +143,7 @@
 	for name := range o.Ledgers {
 		if kept[name] == nil {
 			o.Dropped[name] = elapsed
+			delete(o.Attained, name)
 		}
 	}
 	o.Ledgers = kept
--- a/internal/limiter/owner_exchange.go
+++ b/internal/limiter/owner_exchange.go
@@ -15,6 +15,10 @@
 	// Granted names the workspaces of the grants of the last exchange.
 	Granted []string
 	Seen    time.Time
+	// Used is the reported use and Told are the counts that the holder knows,
+	// by workspace.
+	Used map[string]float64
+	Told AttainedCounts
 }
 
 // exchange answers a holder. An exchange that is repeated, late or meant for
@@ -29,9 +33,11 @@
 	o.takeBack(exchange, peer)
 	for _, account := range exchange.Accounts {
 		o.settle(exchange, account)
+		o.attain(now, peer, account)
 	}
 	o.Stamp++
-	answer := Answer{Epoch: o.Epoch, Stamp: o.Stamp, Standing: o.Slots.standing(now, exchange.Holder)}
+	told := o.tell(now, exchange, peer)
+	answer := Answer{Epoch: o.Epoch, Stamp: o.Stamp, Standing: o.Slots.standing(now, exchange.Holder), Attained: told}
 	peer.Sequence, peer.Granted, peer.Seen = exchange.Sequence, nil, now
 	for _, account := range exchange.Accounts {
 		if grant, ok := o.grant(now, exchange, account); ok {
@@ -51,7 +57,7 @@
 	}
 	peer := o.Peers[exchange.Holder]
 	if peer == nil || exchange.Session > peer.Session {
-		peer = &Peer{Session: exchange.Session}
+		peer = &Peer{Session: exchange.Session, Used: map[string]float64{}, Told: AttainedCounts{}}
 		o.Peers[exchange.Holder] = peer
 	}
 	if exchange.Session < peer.Session || exchange.Sequence <= peer.Sequence {
--- a/internal/limiter/owner_messages.go
+++ b/internal/limiter/owner_messages.go
@@ -41,6 +41,9 @@
 	Exchange Exchange
 }
 
+// AttainedHeard brings the counts of used tokens that this node's holder knows.
+type AttainedHeard struct{ Counts []AttainedService }
+
 // HandOverAsked asks for the data for the next owner. The owner grants nothing
 // afterwards in this epoch.
 type HandOverAsked struct{ Call runner.Call }
@@ -57,6 +60,7 @@
 func (WorkspacesChanged) isOwnerMessage() {}
 func (InstancesListed) isOwnerMessage()   {}
 func (ExchangeReceived) isOwnerMessage()  {}
+func (AttainedHeard) isOwnerMessage()     {}
 func (HandOverAsked) isOwnerMessage()     {}
 func (StateAsked) isOwnerMessage()        {}
 func (OwnerTick) isOwnerMessage()         {}
--- a/internal/limiter/pool.go
+++ b/internal/limiter/pool.go
@@ -37,6 +37,12 @@
 	// Refunds are for the present owner, sorted by Since.
 	Refunds   []Refund
 	Overdrawn float64
+	// Used counts the used tokens since the holder turned to the present
+	// owner; UsedSent and UsedKnown are its values in the last exchange sent
+	// and answered.
+	Used      float64
+	UsedSent  float64
+	UsedKnown float64
 	// RetryAt is when the owner may have tokens for the first waiter.
 	RetryAt time.Time
 	// Short says that the owner reported the workspace as short.
--- a/internal/limiter/reservation.go
+++ b/internal/limiter/reservation.go
@@ -59,6 +59,7 @@
 		return nil
 	}
 	p.advance(now, h.Origin)
+	p.Used += max(0, message.Used)
 	if message.Used > 0 && !r.Confirmed {
 		p.dropExpired(r)
 		h.spend(r)
--- a/internal/limiter/script_test.go
+++ b/internal/limiter/script_test.go
@@ -35,6 +35,7 @@
 			limiter.WorkspacesChanged{},
 			limiter.InstancesListed{},
 			limiter.ExchangeReceived{},
+			limiter.AttainedHeard{},
 			limiter.HandOverAsked{},
 			limiter.StateAsked{},
 		},
--- a/internal/limiter/tasks_test.go
+++ b/internal/limiter/tasks_test.go
@@ -25,7 +25,7 @@
 	limits := limiter.New("a", limiter.DefaultSlots, clock,
 		func(ctx context.Context, _ string, exchange limiter.Exchange) (limiter.Answer, error) {
 			return lending.Exchange(ctx, exchange)
-		})
+		}, func(map[string]float64) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	go func() { ended <- limits.Run(ctx) }()
--- a/internal/messenger/limits.go
+++ b/internal/messenger/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -25,6 +26,7 @@
 type limitsAccount struct {
 	Workspace string
 	Grants    []limitsUse    `json:",omitempty"`
+	Used      float64        `json:",omitempty"`
 	Donated   float64        `json:",omitempty"`
 	Overdrawn float64        `json:",omitempty"`
 	Refunds   []limitsRefund `json:",omitempty"`
@@ -53,6 +55,13 @@
 	Standing string        `json:",omitempty"`
 	Grants   []limitsGrant `json:",omitempty"`
 	Short    []string      `json:",omitempty"`
+	// Attained is rounded to whole tokens.
+	Attained []limitsAttained `json:",omitempty"`
+}
+
+type limitsAttained struct {
+	Workspace string
+	Tokens    int64
 }
 
 type limitsGrant struct {
@@ -102,6 +111,7 @@
 func encodeAccount(account limiter.Account) limitsAccount {
 	encoded := limitsAccount{
 		Workspace: account.Workspace,
+		Used:      account.Used,
 		Donated:   account.Donated,
 		Overdrawn: account.Overdrawn,
 		Need:      account.Need,
@@ -142,14 +152,15 @@
 func decodeAccount(account limitsAccount) (limiter.Account, error) {
 	decoded := limiter.Account{
 		Workspace: account.Workspace,
+		Used:      account.Used,
 		Donated:   account.Donated,
 		Overdrawn: account.Overdrawn,
 		Need:      account.Need,
 		Waiting:   account.Waiting,
 		Ahead:     account.Ahead,
 	}
-	if min(account.Donated, account.Overdrawn, account.Need, account.Waiting, account.Ahead) < 0 {
-		return decoded, merry.New("Donated, Overdrawn, Need, Waiting and Ahead are at least 0")
+	if min(account.Used, account.Donated, account.Overdrawn, account.Need, account.Waiting, account.Ahead) < 0 {
+		return decoded, merry.New("Used, Donated, Overdrawn, Need, Waiting and Ahead are at least 0")
 	}
 	for at, use := range account.Grants {
 		if min(use.Spent, use.Returned) < 0 {
@@ -182,6 +193,10 @@
 		}
 		encoded.Grants = append(encoded.Grants, item)
 	}
+	for _, item := range answer.Attained {
+		tokens := int64(math.Round(item.Tokens))
+		encoded.Attained = append(encoded.Attained, limitsAttained{Workspace: item.Workspace, Tokens: tokens})
+	}
 	return encoded
 }
 
@@ -210,5 +225,9 @@
 		}
 		decoded.Grants = append(decoded.Grants, grant)
 	}
+	for _, item := range answer.Attained {
+		told := limiter.AttainedService{Workspace: item.Workspace, Tokens: float64(item.Tokens)}
+		decoded.Attained = append(decoded.Attained, told)
+	}
 	return decoded, nil
 }
--- a/internal/messenger/limits_test.go
+++ b/internal/messenger/limits_test.go
@@ -22,13 +22,14 @@
 		Accounts: []limiter.Account{{
 			Workspace: "large",
 			Grants:    []limiter.GrantUse{{Grant: 6, Spent: 1.25, Returned: 2.5}},
-			Donated:   3, Overdrawn: 4, Need: 5, Waiting: 6, Ahead: 7,
+			Used:      9.5, Donated: 3, Overdrawn: 4, Need: 5, Waiting: 6, Ahead: 7,
 			Refunds: []limiter.Refund{{Since: 123456789 * time.Nanosecond, Tokens: 0.1}},
 		}},
 	}
 	want := limiter.Answer{
 		Epoch: 3, Stamp: 5*time.Second + 1, Standing: limiter.StandingKept, Short: []string{"large"},
-		Grants: []limiter.Grant{{Workspace: "large", Tokens: 0.3, RetryAfter: time.Millisecond}},
+		Grants:   []limiter.Grant{{Workspace: "large", Tokens: 0.3, RetryAfter: time.Millisecond}},
+		Attained: []limiter.AttainedService{{Workspace: "large", Tokens: 12345}},
 	}
 	mux := http.NewServeMux()
 	messenger.HandleLimits(mux, func(_ context.Context, got limiter.Exchange) (limiter.Answer, error) {
--- a/internal/supervisor/limits.go
+++ b/internal/supervisor/limits.go
@@ -13,6 +13,7 @@
 	"toucanhitch.example/toucanhitch/internal/limiter"
 	"toucanhitch.example/toucanhitch/internal/messenger"
 	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/scheduler"
 	"toucanhitch.example/toucanhitch/internal/tracker"
 	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
@@ -29,12 +30,23 @@
 func (n *Node) newLimits() *limits {
 	l := &limits{node: n, logger: n.logger.WithField("Task", "limits")}
 	l.owner = limiter.NewLending(n.settings.LimitSlots, n.clock, l.store)
-	l.front = limiter.New(n.settings.Name, n.settings.LimitSlots, n.clock, l.send)
+	l.front = limiter.New(n.settings.Name, n.settings.LimitSlots, n.clock, l.send, l.attained)
 	return l
 }
 
 func (l *limits) tasks() []runner.Runnable { return []runner.Runnable{l.front, l.owner} }
 
+// attained makes the priority of attempts fair over all nodes, and keeps the
+// counts for the time when this node becomes the owner.
+func (l *limits) attained(tokens map[string]float64) {
+	l.node.post("scheduler", l.node.scheduler.Post(scheduler.AttainedService{Tokens: tokens}))
+	var counts []limiter.AttainedService
+	for _, workspace := range slices.Sorted(maps.Keys(tokens)) {
+		counts = append(counts, limiter.AttainedService{Workspace: workspace, Tokens: tokens[workspace]})
+	}
+	l.log(l.owner.Post(limiter.AttainedHeard{Counts: counts}))
+}
+
 // send carries an exchange to the owner, which may be on this node.
 func (l *limits) send(ctx context.Context, address string, exchange limiter.Exchange) (limiter.Answer, error) {
 	if address == l.node.settings.PeerAddress {
