Tell every node of a region which prefixes its engines have cached

The node that observes an engine reads its prefix-cache events once a second while it serves and every 5 s otherwise, and pushes up to 64 of them as one item to the region; what is left out shows as a gap. A region spends at most 16 items and 32 events a second on it, whatever its size. An engine stand-in that had started again said that its newest sequence was the one it was asked for; now it says its own, and its events are read from the beginning.

The process script prefix fails without the events at the scheduler: the engines store 11 prefixes for 6 prompts that two nodes send in turn; with them 6.

--- /dev/null
+++ b/internal/commander/prefix_test.go
@@ -0,0 +1,31 @@
+package commander_test
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"toucanhitch.example/toucanhitch/internal/poller"
+)
+
+// prefixes counts the prefixes that engines have stored. An engine that has a
+// prefix stores it once, so the sum is the number of different prompts if every
+// prompt went to the engine that had it.
+func prefixes(ts *testscript.TestScript, _ bool, arguments []string) {
+	want, err := strconv.Atoi(arguments[0])
+	ts.Check(err)
+	engines, cleanUp := poller.New(clockwork.NewRealClock())
+	defer cleanUp()
+	stored := 0
+	for _, address := range arguments[1:] {
+		events, err := engines.Events(context.Background(), address, address, 0)
+		ts.Check(err)
+		ts.Logf("%s has stored %d prefixes", address, len(events.Events))
+		stored += len(events.Events)
+	}
+	if stored != want {
+		ts.Fatalf("the engines have stored %d prefixes; want %d", stored, want)
+	}
+}
--- a/internal/commander/script_test.go
+++ b/internal/commander/script_test.go
@@ -30,6 +30,7 @@
 //	match DURATION REGEXP COMMAND...  repeats until the output matches
 //	capture VARIABLE REGEXP COMMAND... sets a variable to the first submatch
 //	lacks NAME TEXT           fails if the process has written the text
+//	prefixes N ADDRESS...     fails unless the engines have stored N prefixes together
 //	fleet N                   starts the platform, N nodes in N data centres
 //
 // PLATFORM, NODE1.. and PEER1.. hold addresses on free ports, and PORT1.. free
@@ -54,6 +55,8 @@
 			"capture": capture,
 			"lacks":   lacks,
 			"fleet":   fleet,
+
+			"prefixes": prefixes,
 		},
 	})
 }
--- a/internal/emulator/engine_cache.go
+++ b/internal/emulator/engine_cache.go
@@ -104,14 +104,16 @@
 }
 
 // Since returns the events after a sequence that happened until a time, but
-// for every gap-th one, and the last sequence until then.
+// for every gap-th one, and the newest sequence until then.
 func (c *EnginePrefixCache) Since(after uint64, until time.Time, gap int) (last uint64, events []EnginePrefixEvent) {
-	last = after
+	if len(c.Events) > 0 {
+		last = c.Events[0].Sequence - 1
+	}
 	for _, event := range c.Events {
 		if event.At.After(until) {
 			break
 		}
-		last = max(last, event.Sequence)
+		last = event.Sequence
 		lost := gap > 0 && event.Sequence%uint64(gap) == 0
 		if event.Sequence > after && !lost {
 			events = append(events, event)
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -1,7 +1,7 @@
-// Package poller asks engines for their load.
+// Package poller asks engines for their load and their prefix-cache events.
 //
-// It is the only place that knows how a load report is written, so that an
-// engine with another report can be adapted here.
+// It is the only place that knows how load reports and events are written, so
+// that an engine with other ones can be adapted here.
 package poller
 
 import (
@@ -18,7 +18,8 @@
 	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
 
-// ErrNoReport reports that an engine did not answer with a report in time.
+// ErrNoReport reports that an engine did not answer with a report, or with
+// its events, in time.
 var ErrNoReport = merry.Sentinel("no load report")
 
 const (
@@ -81,28 +82,38 @@
 
 // Poll asks the engine at an address for its load. It returns ErrNoReport.
 func (p *Poller) Poll(ctx context.Context, endpoint, address string) (tracker.Report, error) {
+	started := p.clock.Now()
+	wire, err := get[report](ctx, p, endpoint, address, "/v1/load")
+	if err != nil {
+		return tracker.Report{}, err
+	}
+	return wire.decode(endpoint, started)
+}
+
+// get reads a JSON value from an engine. It returns ErrNoReport.
+func get[T any](ctx context.Context, p *Poller, endpoint, address, path string) (T, error) {
+	var none T
 	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, pollTimeout)
 	defer cancel()
-	started := p.clock.Now()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return tracker.Report{}, merry.Wrap(ErrNoReport, merry.AppendMessagef("address %q: %v", address, err))
+		return none, merry.Wrap(ErrNoReport, merry.AppendMessagef("address %q: %v", address, err))
 	}
 	response, err := p.transport.RoundTrip(request)
 	if err != nil {
 		// The connection may be silent; the next poll dials a new one.
 		p.transport.CloseIdleConnections()
-		return tracker.Report{}, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %v", endpoint, err))
+		return none, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %v", endpoint, err))
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return tracker.Report{}, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %s", endpoint, response.Status))
+		return none, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %s", endpoint, response.Status))
 	}
-	wire, err := encoder.DecodeFrom[report](response.Body, maxReportBytes)
+	wire, err := encoder.DecodeFrom[T](response.Body, maxReportBytes)
 	if err != nil {
-		return tracker.Report{}, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %v", endpoint, err))
+		return none, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %v", endpoint, err))
 	}
-	return wire.decode(endpoint, started)
+	return wire, nil
 }
 
 // decode dates the report from the start of the poll, so that it looks older
--- a/internal/spreader/message.go
+++ b/internal/spreader/message.go
@@ -13,6 +13,8 @@
 	List Kind = "List"
 	// Report holds the load report of the endpoint that Name names.
 	Report Kind = "Report"
+	// Events holds prefix-cache events of the endpoint that Name names.
+	Events Kind = "Events"
 	// Load holds the state of the node that Name names.
 	Load Kind = "Load"
 	// Leaseholder holds the holder of the lease that Name names.
--- a/internal/supervisor/items.go
+++ b/internal/supervisor/items.go
@@ -73,6 +73,16 @@
 	n.spread(spreader.Report, report.Endpoint, 0, spreader.Region, encoder.Encode(item))
 }
 
+// pushEvents also gives the events to this node's scheduler.
+func (n *Node) pushEvents(events tracker.CacheEvents) {
+	n.adoptEvents(events)
+	n.spread(spreader.Events, events.Endpoint, 0, spreader.Region, encoder.Encode(events))
+}
+
+func (n *Node) adoptEvents(events tracker.CacheEvents) {
+	n.post("scheduler", n.scheduler.Post(scheduler.CacheEvents(events)))
+}
+
 func (n *Node) pushPlacement(view placer.View) {
 	if !view.Leading {
 		return
@@ -123,6 +133,11 @@
 		})
 	case spreader.Report:
 		return deliverDecoded(item, n.deliverReport)
+	case spreader.Events:
+		return deliverDecoded(item, func(events tracker.CacheEvents) error {
+			n.adoptEvents(events)
+			return nil
+		})
 	case spreader.Load:
 		return deliverDecoded(item, func(load tracker.NodeLoad) error {
 			return n.tracker.Post(tracker.LoadPushed{Load: load})
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -211,7 +211,9 @@
 		Lister:       n.store,
 		Poll:         n.poller.Poll,
 		PushList:     n.pushList,
+		Events:       n.poller.Events,
 		PushReport:   n.pushReport,
+		PushEvents:   n.pushEvents,
 		PublishFleet: n.fleetChanged,
 		PublishPeers: n.peersChanged,
 	})
--- a/internal/tracker/message.go
+++ b/internal/tracker/message.go
@@ -43,6 +43,12 @@
 // ReportFailed says that an endpoint did not report.
 type ReportFailed struct{ Endpoint string }
 
+// EventsRead brings prefix-cache events that this node asked for.
+type EventsRead struct{ Events CacheEvents }
+
+// EventsFailed says that an endpoint did not give its events.
+type EventsFailed struct{ Endpoint string }
+
 // ReportPushed brings a load report from a peer.
 type ReportPushed struct{ Report Report }
 
@@ -70,6 +76,8 @@
 func (ListPushed) isMessage()   {}
 func (ReportRead) isMessage()   {}
 func (ReportFailed) isMessage() {}
+func (EventsRead) isMessage()   {}
+func (EventsFailed) isMessage() {}
 func (ReportPushed) isMessage() {}
 func (Evidence) isMessage()     {}
 func (PeerEvidence) isMessage() {}
@@ -91,6 +99,16 @@
 	Address  string
 }
 
+// PollEvents asks an endpoint for its prefix-cache events after a sequence.
+type PollEvents struct {
+	Endpoint string
+	Address  string
+	After    uint64
+}
+
+// PushEvents sends events to the other nodes of the region.
+type PushEvents struct{ Events CacheEvents }
+
 // PushReport sends a report to the other nodes of the region.
 type PushReport struct{ Report Report }
 
@@ -104,6 +122,8 @@
 func (PushList) isEffect()     {}
 func (PollReport) isEffect()   {}
 func (PushReport) isEffect()   {}
+func (PollEvents) isEffect()   {}
+func (PushEvents) isEffect()   {}
 func (PublishFleet) isEffect() {}
 func (PublishPeers) isEffect() {}
 
--- a/internal/tracker/peers.go
+++ b/internal/tracker/peers.go
@@ -125,10 +125,12 @@
 			mine[instance.Name] = true
 			if _, ok := t.Polls[instance.Name]; !ok {
 				t.Polls[instance.Name] = now
+				t.Events[instance.Name] = EventsPoll{At: now}
 			}
 		}
 	}
 	maps.DeleteFunc(t.Polls, func(name string, _ time.Time) bool { return !mine[name] })
+	maps.DeleteFunc(t.Events, func(name string, _ EventsPoll) bool { return !mine[name] })
 }
 
 func (t *Tracker) observes(nodes map[string][]spreader.Peer, endpoint Instance) bool {
--- a/internal/tracker/task.go
+++ b/internal/tracker/task.go
@@ -28,9 +28,12 @@
 	Lister     Lister
 	// Poll asks an endpoint for its load.
 	Poll func(ctx context.Context, endpoint, address string) (Report, error)
-	// PushList and PushReport take what goes to other nodes.
+	// Events asks an endpoint for its prefix-cache events.
+	Events func(ctx context.Context, endpoint, address string, after uint64) (CacheEvents, error)
+	// PushList, PushReport and PushEvents take what goes to other nodes.
 	PushList   func(InstanceList)
 	PushReport func(Report)
+	PushEvents func(CacheEvents)
 	// PublishFleet and PublishPeers are told of new views.
 	PublishFleet func(*Fleet)
 	PublishPeers func(Peers)
@@ -66,6 +69,16 @@
 			}
 			return ReportRead{report}
 		})
+	case PollEvents:
+		hands.Start(func(ctx context.Context) Message {
+			events, err := s.Events(ctx, effect.Endpoint, effect.Address, effect.After)
+			if err != nil {
+				return EventsFailed{effect.Endpoint}
+			}
+			return EventsRead{events}
+		})
+	case PushEvents:
+		s.PushEvents(effect.Events)
 	case PushList:
 		s.PushList(effect.List)
 	case PushReport:
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -51,7 +51,9 @@
 	// Polls holds the endpoints that this node observes, with the time of
 	// the next poll; a zero time means that a poll is under way.
 	Polls map[string]time.Time
-	Loads map[string]NodeLoad
+	// Events has the same endpoints as Polls.
+	Events map[string]EventsPoll
+	Loads  map[string]NodeLoad
 	// PublishAt is when the changed view is published; zero if unchanged.
 	PublishAt time.Time
 }
@@ -74,6 +76,7 @@
 		Reports:    map[string]Report{},
 		Suspicions: map[string]Suspicion{},
 		Polls:      map[string]time.Time{},
+		Events:     map[string]EventsPoll{},
 		Loads:      map[string]NodeLoad{},
 	}
 }
@@ -89,6 +92,11 @@
 			wake = earliest(wake, at)
 		}
 	}
+	for _, poll := range t.Events {
+		if !poll.At.IsZero() {
+			wake = earliest(wake, poll.At)
+		}
+	}
 	for _, suspicion := range t.Suspicions {
 		if suspicion.Ended {
 			wake = earliest(wake, suspicion.Until.Add(suspicion.Length))
@@ -124,9 +132,16 @@
 	case ReportFailed:
 		t.pollDone(now, message.Endpoint, false)
 		t.suspect(now, message.Endpoint, maxSuspicion)
+	case EventsRead:
+		effects = t.eventsRead(now, message.Events)
+	case EventsFailed:
+		t.eventsFailed(now, message.Endpoint)
 	case ReportPushed:
 		t.adoptReport(now, message.Report)
 	case Evidence:
+		if message.Answered {
+			t.served(now, message.Endpoint)
+		}
 		t.weigh(now, message.Endpoint, message.Answered, maxSuspicion)
 	case PeerEvidence:
 		t.weigh(now, message.Node, message.Answered, maxNodeSuspicion)
@@ -140,6 +155,7 @@
 	}
 	effects = append(effects, t.watch(now)...)
 	effects = append(effects, t.poll(now)...)
+	effects = append(effects, t.eventsDue(now)...)
 	t.endSuspicions(now)
 	return append(effects, t.publish(now)...)
 }
@@ -179,6 +195,9 @@
 func (t *Tracker) reportRead(now time.Time, report Report) []Effect {
 	t.pollDone(now, report.Endpoint, report.loading())
 	t.weigh(now, report.Endpoint, true, maxSuspicion)
+	if report.Running+report.Queued > 0 {
+		t.served(now, report.Endpoint)
+	}
 	t.adoptReport(now, report)
 	return []Effect{PushReport{report}}
 }
