--- a/internal/benchmarker/scheduling.go
+++ b/internal/benchmarker/scheduling.go
@@ -55,6 +55,26 @@
 	{name: "152%, one workspace at 4 times its rate", scale: 1, heavy: 4},
 }
 
+// The loads for what nodes tell each other, in pairs without and with it.
+var toldLoads = []workload{
+	{name: "82%, prefixes, no events", scale: 1, heavy: 1, prefixes: 100, silent: true},
+	{name: "82%, prefixes, events", scale: 1, heavy: 1, prefixes: 100},
+	{name: "152%, 4 times its rate at two nodes, attained service not told", scale: 1, heavy: 4, heavyNodes: 2, alone: true},
+	{name: "152%, 4 times its rate at two nodes, attained service told", scale: 1, heavy: 4, heavyNodes: 2, slow: true},
+}
+
+// Told measures the Scheduler controller without and with prefix-cache events,
+// and without and with the fleet-wide attained service.
+func Told(seed uint64) []SchedulingRow {
+	var rows []SchedulingRow
+	for _, load := range toldLoads {
+		simulation := newSimulation(seed, FairScheduling{}, load)
+		simulation.run()
+		rows = append(rows, simulation.rows()...)
+	}
+	return rows
+}
+
 // Scheduling measures the policies in virtual time: 7 nodes, 12 engines of
 // which a third each is 1, 2 and 4 times as fast as the slowest, reports every
 // 250 ms that are 500 ms late, and bursts at all nodes every 10 seconds.
--- a/internal/benchmarker/scheduling_engine.go
+++ b/internal/benchmarker/scheduling_engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/emulator"
 	"toucanhitch.example/toucanhitch/internal/tracker"
 )
 
@@ -29,6 +30,9 @@
 	models  []tracker.ModelState
 	running int
 	waiting []*request
+	cache   emulator.EnginePrefixCache
+	// told is the newest cache event that the nodes were told.
+	told uint64
 }
 
 func newEngines() []*engine {
@@ -36,6 +40,7 @@
 	for index := range engineCount {
 		engines = append(engines, &engine{
 			name:   string(rune('a' + index)),
+			cache:  emulator.EnginePrefixCache{Limit: enginePrefixes},
 			tokens: slowestTokens * float64(int(1)<<(index%3)),
 			models: []tracker.ModelState{
 				{Model: modelName(index / 3), State: tracker.Loaded},
@@ -84,7 +89,7 @@
 		e.running++
 		r.running = true
 		slow := 1 + batchCost*float64(e.running-1)
-		prefill := seconds(slow * float64(promptStart+r.admission.PromptTokens) / (e.tokens * enginePrefill))
+		prefill := seconds(slow * (promptStart + e.promptWork(r)) / (e.tokens * enginePrefill))
 		decode := seconds(slow * float64(r.admission.MaxTokens) / e.tokens)
 		s.at(s.now.Add(prefill), func() { s.firstToken(r) })
 		s.at(s.now.Add(prefill+decode), func() { s.complete(r) })
@@ -95,6 +100,9 @@
 	if r.ended.IsZero() {
 		r.first = s.now
 	}
+	if r.admission.Prefix != 0 {
+		r.engine.cache.Use(s.now, cachedPrefix(r))
+	}
 }
 
 func (s *simulation) complete(r *request) {
--- a/internal/benchmarker/scheduling_load.go
+++ b/internal/benchmarker/scheduling_load.go
@@ -15,6 +15,18 @@
 	scale float64
 	// heavy is the factor of the workspace heavyWorkspace.
 	heavy float64
+	// heavyNodes is the number of nodes that get all requests of
+	// heavyWorkspace; 0 means all nodes.
+	heavyNodes int
+	// prefixes is the number of prompt starts for each model; 0 means that
+	// all prompts differ.
+	prefixes int
+	// silent means that nodes are not told of cached prefixes, and alone that
+	// they are not told of the service that workspaces attained.
+	silent bool
+	alone  bool
+	// slow makes attained service decay as the limiter's count does.
+	slow bool
 }
 
 // workspace has a rate that was agreed, which is also its weight. It sends a
@@ -84,7 +96,11 @@
 
 func (s *simulation) schedule(source *router.Source, at time.Duration, workspace int) {
 	r := &request{call: uint64(len(s.requests) + 1), workspace: workspace, arrived: s.now.Add(at)}
-	r.node = s.nodes[source.Below(len(s.nodes))]
+	nodes := len(s.nodes)
+	if workspace == heavyWorkspace && s.load.heavyNodes > 0 {
+		nodes = s.load.heavyNodes
+	}
+	r.node = s.nodes[source.Below(nodes)]
 	class, patience := class(source.Fraction())
 	r.admission = filter.Admission{
 		Model:        fmt.Sprint("model-", source.Below(modelCount), "@1"),
@@ -95,6 +111,9 @@
 		PromptTokens: 50 + source.Below(500),
 		MaxTokens:    10 + source.Below(100),
 	}
+	if s.load.prefixes > 0 {
+		r.admission.Prefix = 1 + uint64(source.Below(s.load.prefixes))
+	}
 	s.requests = append(s.requests, r)
 	s.at(r.arrived, func() { s.arrive(r) })
 }
--- a/internal/benchmarker/scheduling_simulation.go
+++ b/internal/benchmarker/scheduling_simulation.go
@@ -4,9 +4,11 @@
 	"container/heap"
 	"fmt"
 	"maps"
+	"math"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/limiter"
 	"toucanhitch.example/toucanhitch/internal/router"
 	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/scheduler"
@@ -67,6 +69,7 @@
 	s.deliver(s.fleet())
 	s.measure()
 	s.tellAttained()
+	s.tellPrefixes()
 	for len(s.events) > 0 && s.open > 0 {
 		next := heap.Pop(&s.events).(event)
 		s.now = next.at
@@ -103,8 +106,15 @@
 }
 
 func (s *simulation) tellAttained() {
+	if s.load.alone {
+		return
+	}
+	decay := attainedDecay
+	if s.load.slow {
+		decay = math.Exp2(-attainedPeriod.Seconds() / limiter.AttainedHalfLife.Seconds())
+	}
 	for name := range s.attained {
-		s.attained[name] *= attainedDecay
+		s.attained[name] *= decay
 	}
 	told := scheduler.AttainedService{Tokens: maps.Clone(s.attained)}
 	s.at(s.now.Add(reportLag), func() {
