--- a/internal/dispatcher/generate.go
+++ b/internal/dispatcher/generate.go
@@ -128,7 +128,7 @@
 		if err != nil {
 			return filter.Finish{}, brokenOff(err)
 		}
-		line, err := decoder.decode(data[:len(data)-1])
+		line, err := decoder.decode(data[:len(data)-1], moreFollows(decoder, reader))
 		if err != nil {
 			return filter.Finish{}, err
 		}
@@ -147,6 +147,14 @@
 	}
 }
 
+// moreFollows says whether the whole line of another token has arrived. It is
+// asked before a line is decoded, since an event that is changed afterwards is
+// allocated twice.
+func moreFollows(decoder lineDecoder, reader *bufio.Reader) bool {
+	next, _ := reader.Peek(reader.Buffered()) // never reads
+	return bytes.HasPrefix(next, decoder.prefix) && bytes.IndexByte(next, '\n') >= 0
+}
+
 func brokenOff(err error) error {
 	if errors.Is(err, bufio.ErrBufferFull) {
 		return merry.Wrap(ErrMalformedLine, merry.AppendMessagef("a line is longer than %d bytes", maxLineBytes))
--- a/internal/poller/poller.go
+++ b/internal/poller/poller.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -49,6 +50,8 @@
 	Version  string
 	State    tracker.State
 	Fence    uint64
+	Running  int
+	Served   uint64
 	Adapters []adapterState
 }
 
@@ -56,6 +59,8 @@
 	Adapter string
 	Version string
 	State   tracker.State
+	Running int
+	Served  uint64
 }
 
 type cachedModel struct {
@@ -109,13 +114,25 @@
 	if response.StatusCode != http.StatusOK {
 		return none, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %s", endpoint, response.Status))
 	}
-	wire, err := encoder.DecodeFrom[T](response.Body, maxReportBytes)
+	wire, err := decode[T](response.Body)
 	if err != nil {
 		return none, merry.Wrap(ErrNoReport, merry.AppendMessagef("%s: %v", endpoint, err))
 	}
 	return wire, nil
 }
 
+// decode reads a report or events. Fields that this version does not know are ignored,
+// since engines are updated independently of nodes: a strict reader once took
+// every engine with a new field for silent.
+func decode[T any](body io.Reader) (T, error) {
+	data, err := encoder.Read(body, maxReportBytes)
+	if err != nil {
+		var none T
+		return none, err
+	}
+	return encoder.DecodeKnown[T](data)
+}
+
 // decode dates the report from the start of the poll, so that it looks older
 // rather than younger.
 func (r report) decode(endpoint string, started time.Time) (tracker.Report, error) {
@@ -153,11 +170,13 @@
 }
 
 func (m modelState) decode() tracker.ModelState {
-	state := tracker.ModelState{Model: releaser.Key(m.Model, m.Version), State: m.State, Fence: m.Fence}
+	state := tracker.ModelState{Model: releaser.Key(m.Model, m.Version), State: m.State, Fence: m.Fence, Running: m.Running, Served: m.Served}
 	for _, adapter := range m.Adapters {
 		state.Adapters = append(state.Adapters, tracker.AdapterState{
 			Adapter: releaser.Key(adapter.Adapter, adapter.Version),
 			State:   adapter.State,
+			Running: adapter.Running,
+			Served:  adapter.Served,
 		})
 	}
 	return state
--- /dev/null
+++ b/internal/supervisor/events_test.go
@@ -0,0 +1,61 @@
+package supervisor
+
+import (
+	"encoding/base64"
+	"math"
+	"reflect"
+	"testing"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/router"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+func manyEvents(count int) tracker.CacheEvents {
+	events := tracker.CacheEvents{Endpoint: "engine-1234", Last: 1 << 20}
+	for at := range count {
+		events.Events = append(events.Events, router.CacheEvent{
+			Sequence: 1<<20 - uint64(count-at), Model: []string{"forecast-large@12", "gusts@2"}[at%2],
+			Prefix: math.MaxUint64 - uint64(at), Stored: at%3 > 0,
+		})
+	}
+	return events
+}
+
+// Guards against events that arrive as others than they were sent, and against
+// items whose lists do not fit together.
+func TestEventsItemKeepsEvents(t *testing.T) {
+	for _, count := range []int{0, 1, tracker.MaxEvents} {
+		sent := manyEvents(count)
+		item, err := encoder.Decode[eventsItem](encoder.Encode(newEventsItem(sent)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := item.events(); err != nil || !reflect.DeepEqual(got, sent) {
+			t.Errorf("%d events: %+v, %v; want %+v", count, got, err, sent)
+		}
+	}
+	for _, item := range []eventsItem{
+		{Sequences: []uint64{1}},
+		{Sequences: []uint64{1}, Prefixes: []uint64{1}, Models: []int{0}},
+		{Sequences: []uint64{1}, Prefixes: []uint64{1}, Models: []int{-1}, Names: []string{"m@1"}},
+		newEventsItem(manyEvents(tracker.MaxEvents + 1)),
+	} {
+		if events, err := item.events(); err == nil {
+			t.Errorf("%+v gave %+v; want an error", item, events)
+		}
+	}
+}
+
+// Guards against items that outgrow what docs/scheduling.md says they cost a
+// node. With -v it prints the sizes.
+func TestEventsItemIsSmall(t *testing.T) {
+	size := func(count int) int {
+		return base64.StdEncoding.EncodedLen(len(encoder.Encode(newEventsItem(manyEvents(count)))))
+	}
+	empty, each := size(0), (size(tracker.MaxEvents)-size(0))/tracker.MaxEvents
+	t.Logf("an item takes %d bytes and %d for each event", empty, each)
+	if empty > 100 || each > 60 {
+		t.Errorf("an item takes %d bytes and %d for each event; want at most 100 and 60", empty, each)
+	}
+}
--- a/internal/supervisor/items.go
+++ b/internal/supervisor/items.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"errors"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -9,6 +10,7 @@
 	"toucanhitch.example/toucanhitch/internal/configurer"
 	"toucanhitch.example/toucanhitch/internal/encoder"
 	"toucanhitch.example/toucanhitch/internal/placer"
+	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/scheduler"
 	"toucanhitch.example/toucanhitch/internal/spreader"
 	"toucanhitch.example/toucanhitch/internal/tracker"
@@ -58,6 +60,25 @@
 	}
 }
 
+// postRetry is the time between two tries of postSurely.
+const postRetry = 50 * time.Millisecond
+
+// postSurely delivers a message that nothing repeats: while the task's inbox
+// is full it tries again in the background. Each try makes the message anew,
+// so that an older state never follows a newer one.
+func (n *Node) postSurely(task string, post func() error) {
+	err := post()
+	if !errors.Is(err, runner.ErrFull) {
+		return
+	}
+	n.post(task, err)
+	go func() {
+		for errors.Is(post(), runner.ErrFull) {
+			<-n.clock.After(postRetry)
+		}
+	}()
+}
+
 func (n *Node) pushChanges(version uint64, changes []releaser.Change) {
 	item := configurer.PushedItem(version, changes)
 	n.post("spreader", n.spreader.Post(spreader.Publish{Item: item}))
@@ -73,16 +94,6 @@
 	n.spread(spreader.Report, report.Endpoint, 0, spreader.Region, encoder.Encode(item))
 }
 
-// pushEvents also gives the events to this node's scheduler.
-func (n *Node) pushEvents(events tracker.CacheEvents) {
-	n.adoptEvents(events)
-	n.spread(spreader.Events, events.Endpoint, 0, spreader.Region, encoder.Encode(events))
-}
-
-func (n *Node) adoptEvents(events tracker.CacheEvents) {
-	n.post("scheduler", n.scheduler.Post(scheduler.CacheEvents(events)))
-}
-
 func (n *Node) pushPlacement(view placer.View) {
 	if !view.Leading {
 		return
@@ -134,10 +145,7 @@
 	case spreader.Report:
 		return deliverDecoded(item, n.deliverReport)
 	case spreader.Events:
-		return deliverDecoded(item, func(events tracker.CacheEvents) error {
-			n.adoptEvents(events)
-			return nil
-		})
+		return deliverDecoded(item, n.deliverEvents)
 	case spreader.Load:
 		return deliverDecoded(item, func(load tracker.NodeLoad) error {
 			return n.tracker.Post(tracker.LoadPushed{Load: load})
--- a/internal/tracker/events.go
+++ b/internal/tracker/events.go
@@ -19,10 +19,10 @@
 	// MaxEvents bounds the events of one item.
 	MaxEvents = 64
 	// regionEvents bounds the events a second of all endpoints of a region,
-	// each of which every node receives with about 110 bytes.
+	// each of which every node receives with about 45 bytes.
 	regionEvents = 32
 	// regionItems bounds the items a second of a region, since an item costs
-	// about 250 bytes without its events.
+	// about 200 bytes without its events.
 	regionItems = 16
 )
 
