--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -215,6 +216,11 @@
 	bandWidth = 1_000_000
 )
 
+// doubling is the part of a band for each doubling of the attained service. A
+// band has room for 40 doublings; in single tokens a workspace with 70,000
+// tokens a second would have reached its end.
+const doubling = bandWidth / 40
+
 // priority is what the endpoint orders its own queue by. A deferred request
 // that got a slot out of turn keeps its advantage there.
 func (c *Controller) priority(now time.Time, w *Waiting, spare bool) int {
@@ -228,6 +234,6 @@
 		band = assuredBand
 	}
 	// An assured request that is due has the interactive priority.
-	attained := c.Attained[w.Admission.Workspace] / w.Admission.Weight
-	return band*bandWidth + int(min(max(attained, 0), bandWidth-1))
+	attained := max(0, c.Attained[w.Admission.Workspace]/w.Admission.Weight)
+	return band*bandWidth + int(min(doubling*math.Log2(1+attained), bandWidth-1))
 }
