--- a/internal/commander/script_test.go
+++ b/internal/commander/script_test.go
@@ -31,6 +31,7 @@
 //	capture VARIABLE REGEXP COMMAND... sets a variable to the first submatch
 //	lacks NAME TEXT           fails if the process has written the text
 //	wrote NAME REGEXP         fails unless the process has written a match
+//	prefixes N ADDRESS...     fails unless the engines have stored N prefixes together
 //	fleet N                   starts the platform, N nodes in N data centres
 //
 // PLATFORM, NODE1.. and PEER1.. hold addresses on free ports, and PORT1.. free
@@ -56,6 +57,8 @@
 			"lacks":   lacks,
 			"wrote":   wrote,
 			"fleet":   fleet,
+
+			"prefixes": prefixes,
 		},
 	})
 }
--- /dev/null
+++ b/internal/supervisor/events.go
@@ -0,0 +1,86 @@
+package supervisor
+
+import (
+	"slices"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/router"
+	"toucanhitch.example/toucanhitch/internal/scheduler"
+	"toucanhitch.example/toucanhitch/internal/spreader"
+	"toucanhitch.example/toucanhitch/internal/tracker"
+)
+
+// eventsItem holds prefix-cache events on their way between nodes, one event
+// at each index of the lists. Lists take 44 bytes for an event where a list of
+// objects takes 122.
+type eventsItem struct {
+	Endpoint  string
+	Last      uint64
+	Sequences []uint64 `json:",omitempty"`
+	Prefixes  []uint64 `json:",omitempty"`
+	// Models are indexes in Names.
+	Models []int `json:",omitempty"`
+	// Dropped are the indexes of the events that say that a prefix is no
+	// longer cached.
+	Dropped []int    `json:",omitempty"`
+	Names   []string `json:",omitempty"`
+}
+
+func newEventsItem(events tracker.CacheEvents) eventsItem {
+	item := eventsItem{Endpoint: events.Endpoint, Last: events.Last}
+	for at, event := range events.Events {
+		model := slices.Index(item.Names, event.Model)
+		if model < 0 {
+			model = len(item.Names)
+			item.Names = append(item.Names, event.Model)
+		}
+		item.Sequences = append(item.Sequences, event.Sequence)
+		item.Prefixes = append(item.Prefixes, event.Prefix)
+		item.Models = append(item.Models, model)
+		if !event.Stored {
+			item.Dropped = append(item.Dropped, at)
+		}
+	}
+	return item
+}
+
+func (i eventsItem) events() (tracker.CacheEvents, error) {
+	events := tracker.CacheEvents{Endpoint: i.Endpoint, Last: i.Last}
+	count := len(i.Sequences)
+	if len(i.Prefixes) != count || len(i.Models) != count || count > tracker.MaxEvents {
+		return events, merry.Errorf("%d sequences, %d prefixes and %d models; want the same number, at most %d",
+			count, len(i.Prefixes), len(i.Models), tracker.MaxEvents)
+	}
+	for at, model := range i.Models {
+		if model < 0 || model >= len(i.Names) {
+			return events, merry.Errorf("Models[%d] is %d; want an index of the %d Names", at, model, len(i.Names))
+		}
+		events.Events = append(events.Events, router.CacheEvent{
+			Sequence: i.Sequences[at],
+			Model:    i.Names[model],
+			Prefix:   i.Prefixes[at],
+			Stored:   !slices.Contains(i.Dropped, at),
+		})
+	}
+	return events, nil
+}
+
+// pushEvents also gives the events to this node's scheduler.
+func (n *Node) pushEvents(events tracker.CacheEvents) {
+	n.adoptEvents(events)
+	n.spread(spreader.Events, events.Endpoint, 0, spreader.Region, encoder.Encode(newEventsItem(events)))
+}
+
+func (n *Node) adoptEvents(events tracker.CacheEvents) {
+	n.post("scheduler", n.scheduler.Post(scheduler.CacheEvents(events)))
+}
+
+func (n *Node) deliverEvents(item eventsItem) error {
+	events, err := item.events()
+	if err == nil {
+		n.adoptEvents(events)
+	}
+	return err
+}
--- a/internal/supervisor/items.go
+++ b/internal/supervisor/items.go
@@ -144,6 +144,8 @@
 		})
 	case spreader.Report:
 		return deliverDecoded(item, n.deliverReport)
+	case spreader.Events:
+		return deliverDecoded(item, n.deliverEvents)
 	case spreader.Load:
 		return deliverDecoded(item, func(load tracker.NodeLoad) error {
 			return n.tracker.Post(tracker.LoadPushed{Load: load})
