--- a/internal/messenger/push.go
+++ b/internal/messenger/push.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 
 	"toucanhitch.example/toucanhitch/internal/spreader"
@@ -19,7 +20,8 @@
 	Version uint64
 	Origin  string
 	Scope   spreader.Scope
-	Value   []byte
+	// Value is JSON already; as bytes it would travel in base64.
+	Value json.RawMessage
 }
 
 type empty struct{}
@@ -28,7 +30,10 @@
 func (c *Client) Push(ctx context.Context, address string, items []spreader.Item) error {
 	request := pushRequest{Items: make([]pushedItem, 0, len(items))}
 	for _, item := range items {
-		request.Items = append(request.Items, pushedItem(item))
+		request.Items = append(request.Items, pushedItem{
+			Kind: item.Kind, Name: item.Name, Version: item.Version,
+			Origin: item.Origin, Scope: item.Scope, Value: item.Value,
+		})
 	}
 	_, err := Exchange[pushRequest, empty](ctx, c, address, pushPath, request)
 	return err
@@ -39,7 +44,10 @@
 	mux.Handle("POST "+pushPath, Handle(func(_ context.Context, request pushRequest) (empty, error) {
 		items := make([]spreader.Item, 0, len(request.Items))
 		for _, item := range request.Items {
-			items = append(items, spreader.Item(item))
+			items = append(items, spreader.Item{
+				Kind: item.Kind, Name: item.Name, Version: item.Version,
+				Origin: item.Origin, Scope: item.Scope, Value: item.Value,
+			})
 		}
 		return empty{}, receive(items)
 	}))
