--- a/internal/tracker/controller_test.go
+++ b/internal/tracker/controller_test.go
@@ -91,6 +91,8 @@
 			ReportRead{},
 			ReportFailed{},
 			ReportPushed{},
+			EventsRead{},
+			EventsFailed{},
 			Evidence{},
 			PeerEvidence{},
 			LoadPushed{},
--- /dev/null
+++ b/internal/tracker/events_test.go
@@ -0,0 +1,72 @@
+package tracker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/router"
+	"toucanhitch.example/toucanhitch/internal/spreader"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// Guards against events whose traffic grows with the number of engines, and
+// against items above their bound: one node observes all engines of a region,
+// and every reading brings many new events.
+func TestEventsStayWithinTheRegionsBounds(t *testing.T) {
+	const period = time.Minute
+	for _, engines := range []int{1, 9, 100, 300} {
+		tracker := New(spreader.Peer{Name: "n1", DataCentre: "dc-1", Region: "north"})
+		list := InstanceList{Version: 1}
+		for number := range engines {
+			list.Instances = append(list.Instances, Instance{
+				Name: fmt.Sprint("e", number), Kind: Engine, Phase: Live, DataCentre: "dc-1", Region: "north",
+			})
+		}
+		items, events, largest := readMany(tracker, list, period)
+		seconds := period.Seconds()
+		// The first reading of each engine comes at once.
+		if limit := float64(engines) + seconds*regionItems; float64(items) > limit {
+			t.Errorf("%d engines: %d items in %s; want at most %.0f", engines, items, period, limit)
+		}
+		if limit := float64(engines*MaxEvents) + seconds*max(regionEvents, regionItems); float64(events) > limit {
+			t.Errorf("%d engines: %d events in %s; want at most %.0f", engines, events, period, limit)
+		}
+		if items == 0 || largest > MaxEvents {
+			t.Errorf("%d engines: %d items with up to %d events; want some with at most %d", engines, items, largest, MaxEvents)
+		}
+	}
+}
+
+// readMany answers every reading with 100 new events of an engine that serves.
+func readMany(tracker *Tracker, list InstanceList, period time.Duration) (items, events, largest int) {
+	now := tester.Start
+	messages := []Message{ListPushed{list}}
+	last := map[string]uint64{}
+	for now.Before(tester.Start.Add(period)) {
+		var effects []Effect
+		if len(messages) > 0 {
+			effects = tracker.Step(now, messages[0])
+			messages = messages[1:]
+		} else {
+			now = tracker.Wake()
+			effects = tracker.Step(now, Tick{})
+		}
+		for _, effect := range effects {
+			switch effect := effect.(type) {
+			case PollEvents:
+				read := CacheEvents{Endpoint: effect.Endpoint, Last: last[effect.Endpoint] + 100}
+				for sequence := effect.After + 1; sequence <= read.Last; sequence++ {
+					read.Events = append(read.Events, router.CacheEvent{Sequence: sequence, Model: "m@1", Prefix: sequence, Stored: true})
+				}
+				last[effect.Endpoint] = read.Last
+				messages = append(messages, Evidence{Endpoint: effect.Endpoint, Answered: true}, EventsRead{read})
+			case PushEvents:
+				items++
+				events += len(effect.Events.Events)
+				largest = max(largest, len(effect.Events.Events))
+			}
+		}
+	}
+	return items, events, largest
+}
