Hold back load reports that say nothing new

Cause: every report went to every node of the region every 250 ms, also of idle endpoints. A report that repeats the last one now goes every 2 s, of a busy endpoint every second; changes go at once.

--- a/internal/tracker/peers.go
+++ b/internal/tracker/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -183,3 +184,25 @@
 		})
 	})
 }
+
+const (
+	// repeatBusy and repeatIdle are how often a report that says nothing new
+	// goes to the other nodes. Most endpoints idle most of the time, and every
+	// node of the region pays for every report.
+	repeatBusy = time.Second
+	repeatIdle = 2 * time.Second
+)
+
+// repeats says whether a report tells other nodes nothing that the last one
+// did not.
+func (r Report) repeats(last Report) bool {
+	interval := repeatIdle
+	if r.Running+r.Queued > 0 {
+		interval = repeatBusy
+	}
+	if r.Measured.Sub(last.Measured) >= interval {
+		return false
+	}
+	last.Sequence, last.Measured = r.Sequence, r.Measured
+	return reflect.DeepEqual(r, last)
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -56,6 +56,9 @@
 	// Events has the same endpoints as Polls.
 	Events map[string]EventsPoll
 	Loads  map[string]NodeLoad
+	// Pushed holds the last report of each observed endpoint that went to
+	// the other nodes.
+	Pushed map[string]Report
 	// PublishAt is when the changed view is published; zero if unchanged.
 	PublishAt time.Time
 }
@@ -80,6 +83,7 @@
 		Polls:      map[string]time.Time{},
 		Events:     map[string]EventsPoll{},
 		Loads:      map[string]NodeLoad{},
+		Pushed:     map[string]Report{},
 	}
 }
 
@@ -190,6 +194,7 @@
 		present[instance.Name] = true
 	}
 	maps.DeleteFunc(t.Reports, func(name string, _ Report) bool { return !present[name] })
+	maps.DeleteFunc(t.Pushed, func(name string, _ Report) bool { return !present[name] })
 	maps.DeleteFunc(t.Suspicions, func(name string, _ Suspicion) bool { return !present[name] })
 	maps.DeleteFunc(t.Loads, func(name string, _ NodeLoad) bool { return !present[name] })
 }
@@ -201,6 +206,10 @@
 		t.served(now, report.Endpoint)
 	}
 	t.adoptReport(now, report)
+	if last, ok := t.Pushed[report.Endpoint]; ok && report.repeats(last) {
+		return nil
+	}
+	t.Pushed[report.Endpoint] = report
 	return []Effect{PushReport{report}}
 }
 
