--- a/internal/filter/failure.go
+++ b/internal/filter/failure.go
@@ -69,6 +69,6 @@
 
 // causedBy adds what only the logs may say.
 func (r Refuse) causedBy(err error) Refuse {
-	r.Refusal.Cause = err
+	r.Cause = err
 	return r
 }
--- a/internal/filter/verdict.go
+++ b/internal/filter/verdict.go
@@ -22,6 +22,8 @@
 	Refusal Refusal
 	// Used is the number of tokens that the request took before it failed.
 	Used int
+	// Cause is for logs only: it may name internal addresses.
+	Cause error
 }
 
 // Accept ends the request with an answer. For a generation the answer has
@@ -83,8 +85,6 @@
 	Run    Run
 	// RetryAfter is when asking again may help; 0 means unknown.
 	RetryAfter time.Duration
-	// Cause is for logs only: it may name internal addresses.
-	Cause error
 }
 
 // Error makes a refusal usable as an error between a controller's front and
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -74,15 +74,13 @@
 // run takes a request through the chain, and logs and counts its end.
 func (h *Callers) run(r *http.Request, request *filter.Request) filter.Verdict {
 	verdict := h.chain.Run(r.Context(), request)
-	refusal := filter.Refusal{}
-	if refused, ok := verdict.(filter.Refuse); ok {
-		refusal = refused.Refusal
-	}
-	h.ended(request, refusal)
+	refused, _ := verdict.(filter.Refuse) // empty if the request was answered
+	h.ended(request, refused)
 	return verdict
 }
 
-func (h *Callers) ended(request *filter.Request, refusal filter.Refusal) {
+func (h *Callers) ended(request *filter.Request, refused filter.Refuse) {
+	refusal := refused.Refusal
 	duration := h.clock.Since(request.Arrived)
 	h.observer.Ended(request.Class, refusal.Reason, duration)
 	entry := h.logger.WithFields(logrus.Fields{
@@ -96,14 +94,14 @@
 		entry.Debug("request answered")
 		return
 	}
-	if refusal.Cause != nil {
-		entry = entry.WithError(refusal.Cause)
+	if refused.Cause != nil {
+		entry = entry.WithError(refused.Cause)
 	}
 	entry.WithFields(logrus.Fields{"Reason": refusal.Reason, "Run": refusal.Run}).Info("request refused: " + refusal.Detail)
 }
 
 func (h *Callers) refuse(w http.ResponseWriter, request *filter.Request, refusal filter.Refusal) {
-	h.ended(request, refusal)
+	h.ended(request, filter.Refuse{Refusal: refusal})
 	writeProblem(w, request.Identity, refusal)
 }
 
