--- a/internal/commander/state.go
+++ b/internal/commander/state.go
@@ -28,7 +28,7 @@
 type StateCommand struct {
 	Platform
 	JSON  bool     `arg:"--json" help:"print the states of all nodes as JSON"`
-	Peers []string `arg:"--peers,env:TOUCANHITCH_PEERS" help:"peer addresses to ask instead of the platform's list, for instance in its outage" placeholder:"IP:PORT"`
+	Peers []string `arg:"--peer,separate,env:TOUCANHITCH_PEERS" help:"peer address to ask, repeatable, instead of the platform's list, for instance in its outage" placeholder:"IP:PORT"`
 }
 
 // nodeState is the part of a node's state that is shown.
@@ -245,7 +245,7 @@
 	var wrong mistakes
 	var all []standing
 	for _, peer := range c.Peers {
-		wrong.address("--peers", peer)
+		wrong.address("--peer", peer)
 		all = append(all, standing{instance: tracker.Instance{Name: peer, PeerAddress: peer}})
 	}
 	if err := wrong.err(); err != nil {
--- a/internal/storer/call.go
+++ b/internal/storer/call.go
@@ -30,9 +30,9 @@
 func (a answer) refused() error {
 	switch a.status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest:
-		return merry.Wrap(ErrUnavailable, merry.AppendMessagef("status %d: %s", a.status, a.body))
+		return merry.Wrap(ErrUnavailable, merry.AppendMessagef("status %d: %s", a.status, bytes.TrimSpace(a.body)))
 	}
-	return merry.Wrap(ErrUncertain, merry.AppendMessagef("status %d: %s", a.status, a.body))
+	return merry.Wrap(ErrUncertain, merry.AppendMessagef("status %d: %s", a.status, bytes.TrimSpace(a.body)))
 }
 
 // call sends one request. Its errors are ErrUnavailable if the platform
