Keep evidence young at the far nodes of a data centre

Cause: a relay dated its evidence from the start of a 2 s watch, and every third pull went to a random peer instead of the parent. Change: the watch waits 1 s, and the random pull comes beside the parent's.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -11,16 +11,17 @@
 // Periods of the controller.
 const (
 	// WatchWait is how long one watch of the head waits. Its end without a
-	// change is evidence that nothing changed.
-	WatchWait = 2 * time.Second
+	// change is evidence that nothing had changed at its beginning, so that a
+	// relay's evidence is up to twice as old.
+	WatchWait = time.Second
 	// PullEvery is how often a node pulls from its parent.
 	PullEvery = time.Second
-	// randomPullEvery is the number of pulls of which one goes to a random
-	// peer instead of the parent.
+	// randomPullEvery is the number of rounds of which one also pulls from a
+	// random peer.
 	randomPullEvery = 3
 	// directAfter is the age of the last contact with the object API after
 	// which a node that is no relay asks the API itself.
-	directAfter = 5 * time.Second
+	directAfter = 6 * time.Second
 	// minBackOff bounds the delay after a failed read from below, the other
 	// two from above: relays come back soon after an outage, and the other
 	// 3,500 nodes stay below 120 reads a second during one.
--- a/internal/configurer/fleet_test.go
+++ b/internal/configurer/fleet_test.go
@@ -32,6 +32,10 @@
 	// and each other.
 	cutAPI map[string]bool
 	cut    map[[2]string]bool
+	// answerDelay bounds the drawn delay of answers to pulls.
+	answerDelay time.Duration
+	// directWatches counts the watches of nodes that are no relays.
+	directWatches int
 }
 
 type node struct {
@@ -78,6 +82,7 @@
 	f := &fleet{
 		now: tester.Start, random: rand.New(rand.NewPCG(seed, 1)), current: releaser.Empty(),
 		accepted: map[uint64]time.Time{}, cutAPI: map[string]bool{}, cut: map[[2]string]bool{},
+		answerDelay: 900 * time.Millisecond,
 	}
 	for i := range dataCentres * perDataCentre {
 		dataCentre := fmt.Sprintf("dc-%d", i/perDataCentre)
@@ -90,7 +95,7 @@
 }
 
 // start begins a new run of a node. The first two nodes of a data centre are
-// its relays; the others have one of them as parent.
+// its relays; the others have parents as in the tree of tracker.Peers.
 func (f *fleet) start(index, perDataCentre, dataCentres int) {
 	n := f.nodes[index]
 	n.run++
@@ -104,7 +109,7 @@
 		case other == index:
 		case peer.dataCentre == n.dataCentre:
 			message.Local = append(message.Local, described)
-			if !message.Relay && other%perDataCentre == place%2 {
+			if !message.Relay && other%perDataCentre == (place-2)/spreader.Fanout {
 				message.Parent = &described
 			}
 		case other%perDataCentre < 2:
@@ -136,6 +141,9 @@
 	run, started := n.run, f.now
 	switch effect := effect.(type) {
 	case configurer.WatchHead:
+		if !n.controller.Relay {
+			f.directWatches++
+		}
 		f.after(delay, func() { f.watch(n, run, started, effect.After, started.Add(effect.Wait)) })
 	case configurer.Pull:
 		f.after(delay, func() { f.pull(n, run, started, effect) })
@@ -185,7 +193,7 @@
 	for _, reply := range peer.controller.Step(f.now, configurer.PullAsked{Call: 1, Version: effect.Version}) {
 		if answer, ok := reply.(configurer.AnswerPull); ok {
 			// A slow answer must not make contacts look younger.
-			wait := delay + time.Duration(f.random.IntN(900))*time.Millisecond
+			wait := delay + time.Duration(f.random.Int64N(int64(f.answerDelay)))
 			f.after(wait, func() {
 				f.deliver(n, run, configurer.PullAnswered{Peer: peer.name, Started: started, Answer: answer.Answer})
 			})
@@ -342,3 +350,24 @@
 	}
 	t.Errorf("not in force on all nodes after 11 s")
 }
+
+// Guards against a data centre whose lower nodes hear of the object API so late
+// that they ask it themselves, or stop counting as current.
+func TestFarNodesStayCurrentWithoutTheirOwnReads(t *testing.T) {
+	f := newFleet(5, 3, 150)
+	// Nodes of a data centre are about a millisecond apart.
+	f.answerDelay = 20 * time.Millisecond
+	f.advance(20*time.Second, func() {})
+	f.directWatches = 0
+	oldest := time.Duration(0)
+	for range 300 {
+		f.advance(100*time.Millisecond, func() {})
+		for _, n := range f.nodes {
+			oldest = max(oldest, f.now.Sub(n.contacts.At[configurer.API]))
+		}
+	}
+	t.Logf("oldest contact with the object API: %s; reads of nodes that are no relays: %d", oldest, f.directWatches)
+	if oldest > configurer.MaxAge || f.directWatches > 0 {
+		t.Errorf("oldest contact %s, %d direct reads; want at most %s and none", oldest, f.directWatches, configurer.MaxAge)
+	}
+}
--- a/internal/configurer/pull.go
+++ b/internal/configurer/pull.go
@@ -8,7 +8,7 @@
 	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
 
-// pull asks the parent, or now and then a random peer, for what is new.
+// pull asks the parent, and now and then a random peer, for what is new.
 func (c *Configurer) pull(now time.Time) []Effect {
 	if c.PullAt.IsZero() {
 		c.PullAt = now
@@ -18,18 +18,32 @@
 	}
 	c.PullAt = now.Add(PullEvery)
 	c.Pulls++
-	peer, ok := c.choosePeer(now)
-	if !ok {
-		return nil
+	var effects []Effect
+	for _, peer := range c.choosePeers(now) {
+		effects = append(effects, Pull{Peer: peer, Version: c.InForce.Version})
 	}
-	return []Effect{Pull{Peer: peer, Version: c.InForce.Version}}
+	return effects
 }
 
-func (c *Configurer) choosePeer(now time.Time) (spreader.Peer, bool) {
+// choosePeers returns the parent, and now and then a random peer beside it.
+// The random pull does not replace the one from the parent: with a pull less
+// at each of three levels, contacts came near MaxAge.
+func (c *Configurer) choosePeers(now time.Time) []spreader.Peer {
 	random := c.Pulls%randomPullEvery == 0
-	if c.Parent != nil && !random && !c.suspected(now, *c.Parent) {
-		return *c.Parent, true
+	var chosen []spreader.Peer
+	if c.Parent != nil && !c.suspected(now, *c.Parent) {
+		chosen = append(chosen, *c.Parent)
+		if !random {
+			return chosen
+		}
 	}
+	if peer, ok := c.randomPeer(now, random); ok {
+		chosen = append(chosen, peer)
+	}
+	return chosen
+}
+
+func (c *Configurer) randomPeer(now time.Time, random bool) (spreader.Peer, bool) {
 	// Relays ask other data centres, whose contact they bring home; the
 	// others ask in their own data centre, and elsewhere if nobody is left.
 	first, second := c.Local, c.Relays
