--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
+	"toucanhitch.example/toucanhitch/internal/predictor"
 	"toucanhitch.example/toucanhitch/internal/supervisor"
 )
 
@@ -29,6 +30,7 @@
 	StoreRate   float64       `arg:"--store-rate,env:TOUCANHITCH_STORE_RATE" default:"3" help:"loads a second from the weight store in this region" placeholder:"N"`
 	StoreAtOnce int           `arg:"--store-at-once,env:TOUCANHITCH_STORE_AT_ONCE" default:"4" help:"loads in progress at a time in this region" placeholder:"N"`
 	LimitSlots  int           `arg:"--limit-slots,env:TOUCANHITCH_LIMIT_SLOTS" default:"8" help:"standing shares of each workspace's limit; at least the number of entry instances, the same on all" placeholder:"N"`
+	KeepAlive   string        `arg:"--keep-alive,env:TOUCANHITCH_KEEP_ALIVE" default:"fixed-time" help:"how long idle models stay loaded: fixed-time, least-recently-used or idle-histogram; the same on all nodes" placeholder:"POLICY"`
 	DrainGrace  time.Duration `arg:"--drain-grace,env:TOUCANHITCH_DRAIN_GRACE" default:"10m" help:"longest wait for running requests when leaving" placeholder:"DURATION"`
 	LogLevel    string        `arg:"--log-level,env:TOUCANHITCH_LOG_LEVEL" default:"info" help:"error, warn, info or debug" placeholder:"LEVEL"`
 }
@@ -59,6 +61,9 @@
 	wrong.number("--store-at-once", float64(c.StoreAtOnce), 1, maxStoreAtOnce)
 	wrong.number("--limit-slots", float64(c.LimitSlots), 1, maxLimitSlots)
 	wrong.duration("--drain-grace", c.DrainGrace, time.Second, maxDrainGrace)
+	if _, err := predictor.ByName(c.KeepAlive); err != nil {
+		wrong.add("--keep-alive", c.KeepAlive, "fixed-time, least-recently-used or idle-histogram")
+	}
 	if _, err := logrus.ParseLevel(c.LogLevel); err != nil {
 		wrong.add("--log-level", c.LogLevel, "error, warn, info or debug")
 	}
@@ -71,6 +76,7 @@
 	logger.SetFormatter(&logrus.JSONFormatter{})
 	level, _ := logrus.ParseLevel(c.LogLevel) // checked before
 	logger.SetLevel(level)
+	policy, _ := predictor.ByName(c.KeepAlive) // checked before
 	regions := c.Regions
 	if len(regions) == 0 {
 		regions = []string{c.Region}
@@ -87,6 +93,7 @@
 		StoreRate:       c.StoreRate,
 		StoreAtOnce:     c.StoreAtOnce,
 		LimitSlots:      c.LimitSlots,
+		KeepAlive:       policy,
 		DrainGrace:      c.DrainGrace,
 		Clock:           env.clock,
 		Logger:          logger.WithField("Node", c.Name),
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -247,6 +247,9 @@
 	settings := placer.DefaultSettings(n.settings.Region, n.settings.StoreRate)
 	settings.Regions = n.settings.Regions
 	settings.StoreAtOnce = n.settings.StoreAtOnce
+	if n.settings.KeepAlive != nil {
+		settings.Policy = n.settings.KeepAlive
+	}
 	return settings
 }
 
--- a/internal/supervisor/settings.go
+++ b/internal/supervisor/settings.go
@@ -6,6 +6,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+
+	"toucanhitch.example/toucanhitch/internal/predictor"
 )
 
 // Settings describes a node.
@@ -31,6 +33,9 @@
 	// LimitSlots is the number of standing shares of every workspace, at
 	// least the number of entry instances.
 	LimitSlots int
+	// KeepAlive decides how long idle models stay loaded; nil means the
+	// placer's default.
+	KeepAlive predictor.Policy
 	// DrainGrace bounds the wait for running requests of a leaving node.
 	DrainGrace time.Duration
 	// Listen opens the node's listeners, so that measurements can count what
