--- a/internal/benchmarker/relay_test.go
+++ b/internal/benchmarker/relay_test.go
@@ -7,13 +7,15 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/tester"
 )
 
 // Guards against a relay measurement whose answers are incomplete, and against
 // tables whose rows do not fit their columns. With -v it prints the tables.
 func TestRelay(t *testing.T) {
 	tables, err := Relay(context.Background(), RelaySettings{
-		Clock: clockwork.NewRealClock(), Seed: 1, BasePort: freePorts(t), Rate: 20, Callers: 4,
+		Clock: clockwork.NewRealClock(), Seed: 1, BasePort: tester.Ports(t, portsOfATest), Rate: 20, Callers: 4,
 		Tokens: 8, PhaseTime: 300 * time.Millisecond, TokenInterval: time.Millisecond,
 	})
 	if err != nil {
--- a/internal/commander/script_test.go
+++ b/internal/commander/script_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +16,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"toucanhitch.example/toucanhitch/internal/tester"
 )
 
 // TestScripts runs the scripts of testdata/script against separate processes
@@ -46,7 +47,8 @@
 			env.Values[processesKey{}] = processes
 			env.Defer(processes.killAll)
 			env.Setenv("PATH", binaries+string(os.PathListSeparator)+env.Getenv("PATH"))
-			return setAddresses(env)
+			setAddresses(t, env)
+			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"start":   start,
@@ -75,27 +77,19 @@
 
 const addressesOfEachKind = 6
 
-func setAddresses(env *testscript.Env) error {
+func setAddresses(t *testing.T, env *testscript.Env) {
 	names := []string{"PLATFORM"}
 	for i := 1; i <= addressesOfEachKind; i++ {
 		names = append(names, fmt.Sprint("NODE", i), fmt.Sprint("PEER", i), fmt.Sprint("PORT", i))
 	}
-	// All listeners stay open until every port is chosen, so that no port is
-	// chosen twice.
 	for _, name := range names {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		defer listener.Close()
-		env.Setenv(name, listener.Addr().String())
+		env.Setenv(name, tester.Address(t))
 	}
 	env.Setenv("TOUCANHITCH_PLATFORM", env.Getenv("PLATFORM"))
 	env.Setenv("STANDIN_PLATFORM", env.Getenv("PLATFORM"))
 	env.Setenv("TOUCANHITCH_ACTOR", "tester")
 	env.Setenv("TOUCANHITCH_REGION", "pl-north")
 	env.Setenv("STANDIN_REGION", "pl-north")
-	return nil
 }
 
 type processesKey struct{}
--- a/internal/supervisor/peers.go
+++ b/internal/supervisor/peers.go
@@ -133,15 +133,7 @@
 	}
 	if view := n.placement.Load(); view.Leading {
 		state.Placement = &view.Placement
-		for _, trouble := range view.Troubles {
-			state.Troubles = append(state.Troubles, troubleState{
-				Endpoint: trouble.Endpoint,
-				Model:    trouble.Key.Model,
-				Adapter:  trouble.Key.Adapter,
-				Text:     trouble.Text,
-				Age:      age(now, trouble.At),
-			})
-		}
+		state.Troubles = append(describeTroubles(now, view.Troubles), silentEngines(now, n.fleet.Load())...)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(encoder.Encode(state))
@@ -182,3 +174,46 @@
 	}
 	return state
 }
+
+func describeTroubles(now time.Time, troubles []placer.Trouble) []troubleState {
+	var states []troubleState
+	for _, trouble := range troubles {
+		states = append(states, troubleState{
+			Endpoint: trouble.Endpoint,
+			Model:    trouble.Key.Model,
+			Adapter:  trouble.Key.Adapter,
+			Text:     trouble.Text,
+			Age:      age(now, trouble.At),
+		})
+	}
+	return states
+}
+
+// reportSilence is how old the last report of an engine may be before
+// operators are told.
+const reportSilence = 10 * time.Second
+
+// silentEngines lists the live engines that do not report. What was decided
+// for them keeps counting, since nobody knows whether they still have it, so
+// that a model with one replica stays away until the platform drops them.
+func silentEngines(now time.Time, fleet *tracker.Fleet) []troubleState {
+	var states []troubleState
+	for _, endpoint := range fleet.Endpoints {
+		if endpoint.Kind != tracker.Engine || endpoint.Phase != tracker.Live {
+			continue
+		}
+		state := troubleState{
+			Endpoint: endpoint.Name,
+			Text:     "no load report; what it had still counts until the platform's list drops it",
+		}
+		switch {
+		case endpoint.Report == nil:
+		case now.Sub(endpoint.Report.Measured) > reportSilence:
+			state.Age = age(now, endpoint.Report.Measured)
+		default:
+			continue
+		}
+		states = append(states, state)
+	}
+	return states
+}
