--- a/internal/configurer/task.go
+++ b/internal/configurer/task.go
@@ -55,18 +55,18 @@
 	})
 }
 
-func (s TaskSettings) perform(hands runner.Hands[Message], effect Effect) {
+func (s TaskSettings) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case WatchHead:
 		started := s.Clock.Now()
-		hands.Start(func(ctx context.Context) Message { return s.watchHead(ctx, started, effect) })
+		handle.Start(func(ctx context.Context) Message { return s.watchHead(ctx, started, effect) })
 	case ReadBase:
-		hands.Start(func(ctx context.Context) Message { return s.readBase(ctx, effect.Head) })
+		handle.Start(func(ctx context.Context) Message { return s.readBase(ctx, effect.Head) })
 	case Pull:
 		started := s.Clock.Now()
-		hands.Start(func(ctx context.Context) Message { return s.pull(ctx, started, effect) })
+		handle.Start(func(ctx context.Context) Message { return s.pull(ctx, started, effect) })
 	case AnswerPull:
-		hands.Answer(effect.Call, effect.Answer)
+		handle.Answer(effect.Call, effect.Answer)
 	case Publish:
 		s.View.publish(effect.Configuration)
 		s.InForce(effect.Configuration)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -74,7 +74,7 @@
 }
 
 // perform carries out the pool's effects on the task's goroutine.
-func (d *Dispatcher) perform(hands runner.Hands[PoolMessage], effect PoolEffect) {
+func (d *Dispatcher) perform(handle runner.Handle[PoolMessage], effect PoolEffect) {
 	switch effect := effect.(type) {
 	case Create:
 		// A new endpoint counts as used, since an attempt asked for it.
@@ -88,15 +88,15 @@
 		d.retire(effect)
 	case Ready:
 		found, _ := d.endpoints.Load(effect.Address)
-		hands.Answer(effect.Call, found)
+		handle.Answer(effect.Call, found)
 	case Cancel:
-		hands.Start(func(ctx context.Context) PoolMessage {
+		handle.Start(func(ctx context.Context) PoolMessage {
 			d.cancel(ctx, effect)
 			return Cancelled{Attempt: effect.Attempt}
 		})
 	case Sweep:
 		unused := d.unused()
-		hands.Start(func(context.Context) PoolMessage { return Unused{Addresses: unused} })
+		handle.Start(func(context.Context) PoolMessage { return Unused{Addresses: unused} })
 	default:
 		panic(fmt.Sprintf("unknown effect %T", effect))
 	}
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -37,13 +37,13 @@
 	}
 	engine := &Engine{clock: clock, mux: http.NewServeMux(), died: make(chan struct{})}
 	engine.die = sync.OnceFunc(func() { close(engine.died) })
-	hands := newEngineHands(settings.WeightStore, clock)
+	performer := newEnginePerformer(settings.WeightStore, clock)
 	engine.task = runner.New(runner.Settings[EngineMessage, EngineEffect]{
 		Name:       "engine " + settings.Name,
 		Clock:      clock,
 		Controller: NewEngineController(settings),
 		Tick:       EngineTick{},
-		Perform:    hands.perform,
+		Perform:    performer.perform,
 		Inbox:      engineInbox,
 	})
 	engine.routes()
@@ -53,7 +53,7 @@
 		defer close(ended)
 		_ = engine.task.Run(ctx)
 	}()
-	return engine, func() { cancel(); <-ended; hands.close() }, nil
+	return engine, func() { cancel(); <-ended; performer.close() }, nil
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/emulator/engine_hands.go
+++ b/internal/emulator/engine_perform.go
@@ -28,17 +28,17 @@
 	after int
 }
 
-// engineHands carries out an engine's effects. Only its task's goroutine uses
+// enginePerformer carries out an engine's effects. Only its task's goroutine uses
 // the streams.
-type engineHands struct {
+type enginePerformer struct {
 	clock       clockwork.Clock
 	weightStore string
 	transport   *http.Transport
 	streams     map[string]*engineStream
 }
 
-func newEngineHands(weightStore string, clock clockwork.Clock) *engineHands {
-	return &engineHands{
+func newEnginePerformer(weightStore string, clock clockwork.Clock) *enginePerformer {
+	return &enginePerformer{
 		clock:       clock,
 		weightStore: weightStore,
 		transport:   &http.Transport{DisableKeepAlives: true},
@@ -46,9 +46,9 @@
 	}
 }
 
-func (h *engineHands) close() { h.transport.CloseIdleConnections() }
+func (h *enginePerformer) close() { h.transport.CloseIdleConnections() }
 
-func (h *engineHands) perform(hands runner.Hands[EngineMessage], effect EngineEffect) {
+func (h *enginePerformer) perform(handle runner.Handle[EngineMessage], effect EngineEffect) {
 	switch effect := effect.(type) {
 	case EngineAccept:
 		stream := &engineStream{
@@ -57,35 +57,35 @@
 			after: effect.After,
 		}
 		h.streams[effect.Attempt] = stream
-		hands.Answer(effect.Call, stream)
+		handle.Answer(effect.Call, stream)
 	case EngineRefuse:
-		hands.Answer(effect.Call, effect.Refusal)
+		handle.Answer(effect.Call, effect.Refusal)
 	case EngineObey:
-		hands.Answer(effect.Call, EngineRefusal{})
+		handle.Answer(effect.Call, EngineRefusal{})
 	case EngineEmit:
-		h.emit(hands, effect)
+		h.emit(handle, effect)
 	case EngineEnd:
 		if stream, ok := h.streams[effect.Attempt]; ok {
 			delete(h.streams, effect.Attempt)
 			close(stream.lines)
 		}
 	case EngineFetch:
-		hands.Start(func(ctx context.Context) EngineMessage {
+		handle.Start(func(ctx context.Context) EngineMessage {
 			return EngineFetched{Model: effect.Model, Fetch: effect.Fetch, Result: h.fetch(ctx, effect)}
 		})
 	case EngineReport:
-		hands.Answer(effect.Call, effect)
+		handle.Answer(effect.Call, effect)
 	case EngineEvents:
-		hands.Answer(effect.Call, effect)
+		handle.Answer(effect.Call, effect)
 	case EngineShowFaults:
-		hands.Answer(effect.Call, effect.Faults)
+		handle.Answer(effect.Call, effect.Faults)
 	default:
 		panic(fmt.Sprintf("unknown effect %T", effect))
 	}
 }
 
 // emit passes a line on, or cancels the answer if its reader is too slow.
-func (h *engineHands) emit(hands runner.Hands[EngineMessage], effect EngineEmit) {
+func (h *enginePerformer) emit(handle runner.Handle[EngineMessage], effect EngineEmit) {
 	stream, ok := h.streams[effect.Attempt]
 	if !ok {
 		return
@@ -95,12 +95,12 @@
 	default:
 		delete(h.streams, effect.Attempt)
 		close(stream.lines)
-		hands.Start(func(context.Context) EngineMessage { return EngineCancel{Attempt: effect.Attempt} })
+		handle.Start(func(context.Context) EngineMessage { return EngineCancel{Attempt: effect.Attempt} })
 	}
 }
 
 // fetch transfers a checkpoint from the weight store.
-func (h *engineHands) fetch(ctx context.Context, effect EngineFetch) EngineFetchResult {
+func (h *enginePerformer) fetch(ctx context.Context, effect EngineFetch) EngineFetchResult {
 	ctx, cancel := clockwork.WithTimeout(ctx, h.clock, fetchTimeout)
 	defer cancel()
 	name, version, _ := strings.Cut(effect.Model, "@")
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -44,8 +44,8 @@
 		Clock:      clock,
 		Controller: NewPlatformController(settings),
 		Tick:       PlatformTick{},
-		Perform: func(hands runner.Hands[PlatformMessage], effect AnswerPlatformCall) {
-			hands.Answer(effect.Call, effect)
+		Perform: func(handle runner.Handle[PlatformMessage], effect AnswerPlatformCall) {
+			handle.Answer(effect.Call, effect)
 		},
 		Inbox: platformInbox,
 	})
--- a/internal/emulator/service.go
+++ b/internal/emulator/service.go
@@ -55,14 +55,14 @@
 	return service, func() { cancel(); <-ended }, nil
 }
 
-func performService(hands runner.Hands[ServiceMessage], effect ServiceEffect) {
+func performService(handle runner.Handle[ServiceMessage], effect ServiceEffect) {
 	switch effect := effect.(type) {
 	case ServicePlan:
-		hands.Answer(effect.Call, effect)
+		handle.Answer(effect.Call, effect)
 	case ServiceExecutions:
-		hands.Answer(effect.Call, effect)
+		handle.Answer(effect.Call, effect)
 	case ServiceShowFaults:
-		hands.Answer(effect.Call, effect.Faults)
+		handle.Answer(effect.Call, effect.Faults)
 	default:
 		panic(fmt.Sprintf("unknown effect %T", effect))
 	}
--- a/internal/leaser/task.go
+++ b/internal/leaser/task.go
@@ -79,12 +79,12 @@
 		func(call runner.Call) Message { return Release{Call: call, Name: name, Data: data} }, nil)
 }
 
-func (t *Task) perform(hands runner.Hands[Message], effect Effect) {
+func (t *Task) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case Read:
-		hands.Start(func(ctx context.Context) Message { return t.read(ctx, effect) })
+		handle.Start(func(ctx context.Context) Message { return t.read(ctx, effect) })
 	case Write:
-		hands.Start(func(ctx context.Context) Message { return t.write(ctx, effect) })
+		handle.Start(func(ctx context.Context) Message { return t.write(ctx, effect) })
 	case Held:
 		t.settings.Publish(effect)
 	case Lost:
@@ -92,7 +92,7 @@
 	case Stored:
 		t.settings.Publish(effect)
 	case AnswerRelease:
-		hands.Answer(effect.Call, effect.Released)
+		handle.Answer(effect.Call, effect.Released)
 	}
 }
 
--- a/internal/limiter/lending.go
+++ b/internal/limiter/lending.go
@@ -92,14 +92,14 @@
 	}, nil)
 }
 
-func (l *Lending) perform(hands runner.Hands[OwnerMessage], effect OwnerEffect) {
+func (l *Lending) perform(handle runner.Handle[OwnerMessage], effect OwnerEffect) {
 	switch effect := effect.(type) {
 	case ExchangeAnswered:
-		hands.Answer(effect.Call, effect.Answer)
+		handle.Answer(effect.Call, effect.Answer)
 	case StateTold:
-		hands.Answer(effect.Call, effect.State)
+		handle.Answer(effect.Call, effect.State)
 	case HandedOver:
-		hands.Answer(effect.Call, effect.Data)
+		handle.Answer(effect.Call, effect.Data)
 	case StoreLeaseData:
 		l.store(encoder.Encode(leaseData(effect.Data)))
 	}
--- a/internal/limiter/limits.go
+++ b/internal/limiter/limits.go
@@ -62,16 +62,16 @@
 // Post delivers OwnerChanged and WorkspacesChanged.
 func (l *Limits) Post(message HolderMessage) error { return l.task.Post(message) }
 
-func (l *Limits) perform(hands runner.Hands[HolderMessage], effect HolderEffect) {
+func (l *Limits) perform(handle runner.Handle[HolderMessage], effect HolderEffect) {
 	switch effect := effect.(type) {
 	case Reserved:
-		hands.Answer(effect.Call, effect)
+		handle.Answer(effect.Call, effect)
 	case Refused:
-		hands.Answer(effect.Call, effect)
+		handle.Answer(effect.Call, effect)
 	case PublishAttained:
 		l.attained(effect.Tokens)
 	case SendExchange:
-		hands.Start(func(ctx context.Context) HolderMessage {
+		handle.Start(func(ctx context.Context) HolderMessage {
 			answer, err := l.send(ctx, effect.Address, effect.Exchange)
 			if err != nil {
 				return ExchangeFailed{Sequence: effect.Exchange.Sequence}
--- a/internal/placer/task.go
+++ b/internal/placer/task.go
@@ -33,7 +33,7 @@
 
 // NewTask returns a placer's task. It does nothing until it runs.
 func NewTask(settings TaskSettings) *Task {
-	hand := hand{
+	performer := performer{
 		settings: settings,
 		object:   storer.ID{Kind: ObjectKind, Name: settings.Placer.Region},
 	}
@@ -42,36 +42,36 @@
 		Clock:      settings.Clock,
 		Controller: New(settings.Placer),
 		Tick:       Tick{},
-		Perform:    hand.perform,
+		Perform:    performer.perform,
 		Inbox:      inboxSize,
 	})
 }
 
-// hand carries out the effects of a placer.
-type hand struct {
+// performer carries out the effects of a placer.
+type performer struct {
 	settings TaskSettings
 	object   storer.ID
 }
 
-func (h hand) perform(hands runner.Hands[Message], effect Effect) {
+func (p performer) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case ReadObject:
-		hands.Start(func(ctx context.Context) Message { return h.read(ctx, effect) })
+		handle.Start(func(ctx context.Context) Message { return p.read(ctx, effect) })
 	case WriteObject:
-		hands.Start(func(ctx context.Context) Message { return h.write(ctx, effect) })
+		handle.Start(func(ctx context.Context) Message { return p.write(ctx, effect) })
 	case SendOrder:
-		hands.Start(func(ctx context.Context) Message { return h.settings.Sender.Send(ctx, effect.Order) })
+		handle.Start(func(ctx context.Context) Message { return p.settings.Sender.Send(ctx, effect.Order) })
 	case Publish:
-		if h.settings.Published != nil {
-			h.settings.Published(effect.View)
+		if p.settings.Published != nil {
+			p.settings.Published(effect.View)
 		}
 	default:
 		panic(fmt.Sprintf("unknown effect %T", effect))
 	}
 }
 
-func (h hand) read(ctx context.Context, effect ReadObject) Message {
-	object, err := h.settings.Store.Get(ctx, h.object)
+func (p performer) read(ctx context.Context, effect ReadObject) Message {
+	object, err := p.settings.Store.Get(ctx, p.object)
 	if errors.Is(err, storer.ErrNotFound) {
 		return ObjectRead{Ticket: effect.Ticket}
 	}
@@ -85,8 +85,8 @@
 	return ObjectRead{Ticket: effect.Ticket, Version: object.Version, Placement: placement}
 }
 
-func (h hand) write(ctx context.Context, effect WriteObject) Message {
-	object, err := h.settings.Store.Put(ctx, h.object, effect.IfVersion, Encode(effect.Placement))
+func (p performer) write(ctx context.Context, effect WriteObject) Message {
+	object, err := p.settings.Store.Put(ctx, p.object, effect.IfVersion, Encode(effect.Placement))
 	switch {
 	case err == nil:
 		return ObjectWritten{Ticket: effect.Ticket, Version: object.Version}
--- a/internal/recorder/task.go
+++ b/internal/recorder/task.go
@@ -49,14 +49,14 @@
 	store storer.Store
 }
 
-func (p performer) perform(hands runner.Hands[Message], effect Effect) {
+func (p performer) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case ReadBucket:
-		hands.Start(func(ctx context.Context) Message { return p.read(ctx, effect) })
+		handle.Start(func(ctx context.Context) Message { return p.read(ctx, effect) })
 	case WriteBucket:
-		hands.Start(func(ctx context.Context) Message { return p.write(ctx, effect) })
+		handle.Start(func(ctx context.Context) Message { return p.write(ctx, effect) })
 	case AnswerCall:
-		hands.Answer(effect.Call, effect.Result)
+		handle.Answer(effect.Call, effect.Result)
 	}
 }
 
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -48,14 +48,14 @@
 	Tick M
 	// Perform carries out one effect. It runs on the task's goroutine and
 	// must not block; an effect that uses the network goes through
-	// Hands.Start.
-	Perform func(hands Hands[M], effect E)
+	// Handle.Start.
+	Perform func(handle Handle[M], effect E)
 	// Inbox is the number of messages that may wait, at least 1.
 	Inbox int
 }
 
-// Hands is what a Perform function may use of its task.
-type Hands[M any] struct {
+// Handle is what a Perform function may use of its task.
+type Handle[M any] struct {
 	// Context ends when the task stops.
 	Context context.Context
 	// Answer gives the answer to a call. A call that is unknown or already
@@ -183,7 +183,7 @@
 func (t *Task[M, E]) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	loop := loop[M, E]{task: t, pending: map[Call]chan any{}}
-	loop.hands = Hands[M]{
+	loop.handle = Handle[M]{
 		Context: ctx,
 		Answer:  loop.answer,
 		Start:   func(work func(context.Context) M) { t.start(ctx, work) },
@@ -206,7 +206,7 @@
 // loop is the state of a running task. Only the task's goroutine uses it.
 type loop[M, E any] struct {
 	task    *Task[M, E]
-	hands   Hands[M]
+	handle  Handle[M]
 	pending map[Call]chan any
 }
 
@@ -255,7 +255,7 @@
 func (l *loop[M, E]) step(message M) {
 	now := l.task.settings.Clock.Now()
 	for _, effect := range l.task.settings.Controller.Step(now, message) {
-		l.task.settings.Perform(l.hands, effect)
+		l.task.settings.Perform(l.handle, effect)
 	}
 }
 
--- a/internal/runner/task_test.go
+++ b/internal/runner/task_test.go
@@ -64,8 +64,8 @@
 		Clock:      clockwork.NewRealClock(),
 		Controller: controller,
 		Tick:       tick{},
-		Perform: func(hands runner.Hands[any], effect reply) {
-			hands.Answer(effect.Call, "answered")
+		Perform: func(handle runner.Handle[any], effect reply) {
+			handle.Answer(effect.Call, "answered")
 		},
 		Inbox: inbox,
 	})
--- a/internal/scheduler/front.go
+++ b/internal/scheduler/front.go
@@ -60,12 +60,12 @@
 	return New(settings)
 }
 
-func (s Settings) perform(hands runner.Hands[Message], effect Effect) {
+func (s Settings) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case Grant:
-		hands.Answer(effect.Call, effect)
+		handle.Answer(effect.Call, effect)
 	case RefuseCall:
-		hands.Answer(effect.Call, effect)
+		handle.Answer(effect.Call, effect)
 	case WantModel:
 		if s.Want != nil {
 			s.Want(effect)
--- a/internal/spreader/task.go
+++ b/internal/spreader/task.go
@@ -38,10 +38,10 @@
 	})
 }
 
-func (s TaskSettings) perform(hands runner.Hands[Message], effect Effect) {
+func (s TaskSettings) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case Push:
-		hands.Start(func(ctx context.Context) Message {
+		handle.Start(func(ctx context.Context) Message {
 			err := s.Push(ctx, effect.Peer.Address, effect.Items)
 			s.Answered(effect.Peer.Name, err == nil)
 			return Tick{}
--- a/internal/supervisor/demand.go
+++ b/internal/supervisor/demand.go
@@ -129,14 +129,14 @@
 	})
 }
 
-func (n *Node) performDemand(hands runner.Hands[demandMessage], effect demandEffect) {
+func (n *Node) performDemand(handle runner.Handle[demandMessage], effect demandEffect) {
 	switch effect := effect.(type) {
 	case decideDemand:
 		for _, demand := range effect.Demands {
 			n.post("placer", n.placer.Post(demand))
 		}
 	case sendDemand:
-		hands.Start(func(ctx context.Context) demandMessage {
+		handle.Start(func(ctx context.Context) demandMessage {
 			err := messenger.SendDemand(ctx, n.messenger, effect.Address, n.settings.Name, effect.Demands)
 			return demandSent{Demands: effect.Demands, Failed: err != nil}
 		})
--- a/internal/tracker/task.go
+++ b/internal/tracker/task.go
@@ -51,10 +51,10 @@
 	})
 }
 
-func (s TaskSettings) perform(hands runner.Hands[Message], effect Effect) {
+func (s TaskSettings) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case WatchList:
-		hands.Start(func(ctx context.Context) Message {
+		handle.Start(func(ctx context.Context) Message {
 			list, err := s.Lister.Instances(ctx, effect.After, ListWait)
 			if err != nil {
 				return ListFailed{}
@@ -62,7 +62,7 @@
 			return ListRead{list}
 		})
 	case PollReport:
-		hands.Start(func(ctx context.Context) Message {
+		handle.Start(func(ctx context.Context) Message {
 			report, err := s.Poll(ctx, effect.Endpoint, effect.Address)
 			if err != nil {
 				return ReportFailed{effect.Endpoint}
@@ -70,7 +70,7 @@
 			return ReportRead{report}
 		})
 	case PollEvents:
-		hands.Start(func(ctx context.Context) Message {
+		handle.Start(func(ctx context.Context) Message {
 			events, err := s.Events(ctx, effect.Endpoint, effect.Address, effect.After)
 			if err != nil {
 				return EventsFailed{effect.Endpoint}
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -118,12 +118,12 @@
 }
 
 // perform carries out the directory's effects.
-func (c *Client) perform(hands runner.Hands[DirectoryMessage], effect DirectoryEffect) {
+func (c *Client) perform(handle runner.Handle[DirectoryMessage], effect DirectoryEffect) {
 	switch effect := effect.(type) {
 	case AskNode:
-		hands.Start(func(ctx context.Context) DirectoryMessage { return c.ask(ctx, effect.Node) })
+		handle.Start(func(ctx context.Context) DirectoryMessage { return c.ask(ctx, effect.Node) })
 	case UseAddress:
-		hands.Answer(effect.Call, effect)
+		handle.Answer(effect.Call, effect)
 	default:
 		panic(fmt.Sprintf("unknown effect %T", effect))
 	}
