--- a/internal/supervisor/demand.go
+++ b/internal/supervisor/demand.go
@@ -1,7 +1,9 @@
 package supervisor
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/messenger"
@@ -108,6 +110,9 @@
 	for _, demand := range d.Waiting {
 		demands = append(demands, demand)
 	}
+	slices.SortFunc(demands, func(a, b placer.Demand) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
 	clear(d.Waiting)
 	if d.Node == d.Self {
 		return []demandEffect{decideDemand{demands}}
--- /dev/null
+++ b/internal/supervisor/demand_test.go
@@ -0,0 +1,20 @@
+package supervisor
+
+import (
+	"testing"
+
+	"toucanhitch.example/toucanhitch/internal/placer"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// Guards against the failures that the scripts name.
+func TestDemandScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[demandMessage, demandEffect]{
+		Directory: "testdata/demands",
+		New: func(*testing.T, []byte) tester.Controller[demandMessage, demandEffect] {
+			return &Demands{Self: "n1", Waiting: map[placer.Key]placer.Demand{}}
+		},
+		Messages: []demandMessage{placerChanged{}, demandWanted{}, demandSent{}},
+		Tick:     demandTick{},
+	})
+}
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -152,38 +151,6 @@
 	return n.createGauges()
 }
 
-func (n *Node) createGauges() error {
-	gauges := []struct {
-		name, description string
-		read              func() float64
-	}{
-		{"toucanhitch.configuration.version", "Version of the configuration in force.", func() float64 {
-			return float64(n.view.Configuration().Version)
-		}},
-		{"toucanhitch.current", "1 if the node can show that its configuration is up to date.", func() float64 {
-			if n.view.Current() {
-				return 1
-			}
-			return 0
-		}},
-		{"toucanhitch.requests.waiting", "Requests that wait for a slot.", func() float64 {
-			return float64(n.load.Load().Waiting)
-		}},
-		{"toucanhitch.requests.running", "Requests that have a slot.", func() float64 {
-			return float64(n.load.Load().InUse)
-		}},
-		{"toucanhitch.leases", "Leases that the node holds.", func() float64 {
-			return float64(len(n.validLeases()))
-		}},
-	}
-	for _, gauge := range gauges {
-		if err := n.meter.Gauge(gauge.name, gauge.description, gauge.read); err != nil {
-			return merry.Wrap(ErrSettings, merry.AppendMessage(err.Error()))
-		}
-	}
-	return nil
-}
-
 // createTasks creates the tasks. The functions that they call post to other
 // tasks, so none of them may run before all exist.
 func (n *Node) createTasks() {
@@ -324,37 +291,3 @@
 	}
 	return addresses
 }
-
-// observedDispatcher tells the tracker how endpoints answered.
-type observedDispatcher struct {
-	filter.Dispatcher
-	answered func(endpoint string, answered bool)
-}
-
-// Generate implements filter.Dispatcher.
-func (d observedDispatcher) Generate(ctx context.Context, attempt filter.Attempt, emit func(filter.Event) error) (filter.Finish, error) {
-	finish, err := d.Dispatcher.Generate(ctx, attempt, emit)
-	d.observe(ctx, attempt, err)
-	return finish, err
-}
-
-// Call implements filter.Dispatcher.
-func (d observedDispatcher) Call(ctx context.Context, attempt filter.Attempt) (filter.Reply, error) {
-	reply, err := d.Dispatcher.Call(ctx, attempt)
-	d.observe(ctx, attempt, err)
-	return reply, err
-}
-
-// observe counts a failure against the endpoint, unless the caller went away
-// or the endpoint answered with a refusal.
-func (d observedDispatcher) observe(ctx context.Context, attempt filter.Attempt, err error) {
-	var failure filter.Failure
-	switch {
-	case err == nil:
-		d.answered(attempt.Slot.Endpoint, true)
-	case ctx.Err() != nil:
-	case errors.As(err, &failure) && (failure.Gone || failure.Refused):
-	default:
-		d.answered(attempt.Slot.Endpoint, false)
-	}
-}
--- /dev/null
+++ b/internal/supervisor/observed.go
@@ -0,0 +1,42 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+)
+
+// observedDispatcher tells the tracker how endpoints answered.
+type observedDispatcher struct {
+	filter.Dispatcher
+	answered func(endpoint string, answered bool)
+}
+
+// Generate implements filter.Dispatcher.
+func (d observedDispatcher) Generate(ctx context.Context, attempt filter.Attempt, emit func(filter.Event) error) (filter.Finish, error) {
+	finish, err := d.Dispatcher.Generate(ctx, attempt, emit)
+	d.observe(ctx, attempt, err)
+	return finish, err
+}
+
+// Call implements filter.Dispatcher.
+func (d observedDispatcher) Call(ctx context.Context, attempt filter.Attempt) (filter.Reply, error) {
+	reply, err := d.Dispatcher.Call(ctx, attempt)
+	d.observe(ctx, attempt, err)
+	return reply, err
+}
+
+// observe counts a failure against the endpoint, unless the caller went away
+// or the endpoint answered with a refusal.
+func (d observedDispatcher) observe(ctx context.Context, attempt filter.Attempt, err error) {
+	var failure filter.Failure
+	switch {
+	case err == nil:
+		d.answered(attempt.Slot.Endpoint, true)
+	case ctx.Err() != nil:
+	case errors.As(err, &failure) && (failure.Gone || failure.Refused):
+	default:
+		d.answered(attempt.Slot.Endpoint, false)
+	}
+}
