--- a/internal/placer/sender.go
+++ b/internal/orderer/sender.go
@@ -1,4 +1,9 @@
-package placer
+// Package orderer sends the placer's orders to engines.
+//
+// It is the only place that knows how an order is written, so that an engine
+// with another interface can be adapted here, and the placer's decisions know
+// no HTTP.
+package orderer
 
 import (
 	"bytes"
@@ -11,39 +16,33 @@
 	"github.com/jonboulle/clockwork"
 
 	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/placer"
 	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
 
-// Sender sends orders to endpoints.
-type Sender interface {
-	// Send sends an order once, unless its lease has ended, and returns what
-	// is known of its result.
-	Send(ctx context.Context, order Order) OrderAnswered
-}
-
 // tokenHeader carries the shared secret by which endpoints know the sender.
 const tokenHeader = "Toucanhitch-Order-Token"
 
 // maxAnswerBytes bounds an endpoint's answer to an order.
 const maxAnswerBytes = 4 << 10
 
-// HTTPSender sends orders to engines over HTTP.
-type HTTPSender struct {
+// Sender sends orders to engines over HTTP.
+type Sender struct {
 	clock     clockwork.Clock
 	transport *http.Transport
 	token     string
 	timeout   time.Duration
 }
 
-// NewHTTPSender returns a sender and a function that closes its connections.
+// New returns a sender and a function that closes its connections.
 // The token is empty if the endpoints do not check senders.
-func NewHTTPSender(clock clockwork.Clock, token string, timeout time.Duration) (*HTTPSender, func()) {
+func New(clock clockwork.Clock, token string, timeout time.Duration) (*Sender, func()) {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
 		IdleConnTimeout:     5 * time.Second,
 		MaxIdleConnsPerHost: 1,
 	}
-	sender := &HTTPSender{clock: clock, transport: transport, token: token, timeout: timeout}
+	sender := &Sender{clock: clock, transport: transport, token: token, timeout: timeout}
 	return sender, transport.CloseIdleConnections
 }
 
@@ -62,20 +61,20 @@
 	Fence uint64
 }
 
-// Send implements Sender. The request ends with the order's lease, so that a
+// Send implements placer.Sender. The request ends with the order's lease, so that a
 // process that was paused does not go on sending.
-func (s *HTTPSender) Send(ctx context.Context, order Order) OrderAnswered {
-	answered := OrderAnswered{Endpoint: order.Endpoint, Key: order.Key, Fence: order.Fence}
+func (s *Sender) Send(ctx context.Context, order placer.Order) placer.OrderAnswered {
+	answered := placer.OrderAnswered{Endpoint: order.Endpoint, Key: order.Key, Fence: order.Fence}
 	left := order.Until.Sub(s.clock.Now())
 	if left <= 0 {
-		answered.Outcome, answered.Detail = NotSent, "the lease ended before the order was sent"
+		answered.Outcome, answered.Detail = placer.NotSent, "the lease ended before the order was sent"
 		return answered
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, min(left, s.timeout))
 	defer cancel()
 	request, err := s.request(ctx, order)
 	if err != nil {
-		answered.Outcome, answered.Detail = NotSent, err.Error()
+		answered.Outcome, answered.Detail = placer.NotSent, err.Error()
 		return answered
 	}
 	response, err := s.transport.RoundTrip(request)
@@ -88,7 +87,7 @@
 	return answer(answered, response)
 }
 
-func (s *HTTPSender) request(ctx context.Context, order Order) (*http.Request, error) {
+func (s *Sender) request(ctx context.Context, order placer.Order) (*http.Request, error) {
 	body := orderRequest{Order: string(order.Kind), MemoryMB: order.MemoryMB, Fence: order.Fence}
 	body.Model, body.Version = releaser.SplitKey(order.Key.Model)
 	body.Adapter, body.AdapterVersion = releaser.SplitKey(order.Key.Adapter)
@@ -109,15 +108,15 @@
 
 // outcomeOf tells an order that was certainly not sent from one that may have
 // arrived.
-func outcomeOf(err error) Outcome {
+func outcomeOf(err error) placer.Outcome {
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
-		return NotSent
+		return placer.NotSent
 	}
-	return Uncertain
+	return placer.Uncertain
 }
 
-func answer(answered OrderAnswered, response *http.Response) OrderAnswered {
+func answer(answered placer.OrderAnswered, response *http.Response) placer.OrderAnswered {
 	refusal, err := encoder.DecodeFrom[orderRefusal](response.Body, maxAnswerBytes)
 	answered.Detail = response.Status
 	if err == nil && refusal.Error != "" {
@@ -125,15 +124,15 @@
 	}
 	switch {
 	case response.StatusCode == http.StatusAccepted:
-		answered.Outcome, answered.Detail = Accepted, ""
+		answered.Outcome, answered.Detail = placer.Accepted, ""
 	case response.StatusCode == http.StatusConflict:
-		answered.Outcome, answered.Current = StaleFence, refusal.Fence
+		answered.Outcome, answered.Current = placer.StaleFence, refusal.Fence
 	case response.StatusCode == http.StatusInsufficientStorage:
-		answered.Outcome = NoMemory
+		answered.Outcome = placer.NoMemory
 	case response.StatusCode < http.StatusInternalServerError:
-		answered.Outcome = Refused
+		answered.Outcome = placer.Refused
 	default:
-		answered.Outcome = Uncertain
+		answered.Outcome = placer.Uncertain
 	}
 	return answered
 }
--- /dev/null
+++ b/internal/orderer/sender_test.go
@@ -0,0 +1,65 @@
+package orderer
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/placer"
+)
+
+// TestSenderOutcomes guards against an order that counts as refused although
+// it may have arrived, and against an order sent after its lease.
+func TestSenderOutcomes(t *testing.T) {
+	cases := []struct {
+		status int
+		body   string
+		want   placer.Outcome
+	}{
+		{http.StatusAccepted, "", placer.Accepted},
+		{http.StatusConflict, `{"Error":"StaleFence","Fence":7}`, placer.StaleFence},
+		{http.StatusInsufficientStorage, `{"Error":"NoMemory"}`, placer.NoMemory},
+		{http.StatusForbidden, `{"Error":"UnknownSender"}`, placer.Refused},
+		{http.StatusBadGateway, "", placer.Uncertain},
+	}
+	sender, cleanUp := New(clockwork.NewRealClock(), "secret", time.Second)
+	defer cleanUp()
+	order := placer.Order{Kind: placer.LoadModel, Endpoint: "e1", Key: placer.Key{Model: "m@1"}, MemoryMB: 5, Fence: 9, Until: time.Now().Add(time.Hour)}
+	for _, c := range cases {
+		var got map[string]any
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(tokenHeader) != "secret" || r.URL.Path != "/v1/orders" {
+				t.Errorf("%s with header %v", r.URL.Path, r.Header)
+			}
+			_ = json.NewDecoder(r.Body).Decode(&got)
+			w.WriteHeader(c.status)
+			_, _ = w.Write([]byte(c.body))
+		}))
+		order.Address = strings.TrimPrefix(server.URL, "http://")
+		answered := sender.Send(t.Context(), order)
+		server.Close()
+		if answered.Outcome != c.want {
+			t.Errorf("status %d: %s; want %s", c.status, answered.Outcome, c.want)
+		}
+		want := map[string]any{"Order": "LoadModel", "Model": "m", "Version": "1", "MemoryMB": 5.0, "Fence": 9.0}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("the endpoint got %v; want %v", got, want)
+		}
+	}
+	// A pooled connection that breaks is uncertain: this sender has none.
+	fresh, cleanUpFresh := New(clockwork.NewRealClock(), "secret", time.Second)
+	defer cleanUpFresh()
+	if answered := fresh.Send(t.Context(), order); answered.Outcome != placer.NotSent {
+		t.Errorf("closed endpoint: %s; want %s", answered.Outcome, placer.NotSent)
+	}
+	order.Until = time.Now()
+	if answered := sender.Send(t.Context(), order); answered.Outcome != placer.NotSent {
+		t.Errorf("ended lease: %s; want %s", answered.Outcome, placer.NotSent)
+	}
+}
--- a/internal/placer/task.go
+++ b/internal/placer/task.go
@@ -25,6 +25,13 @@
 	Published func(View)
 }
 
+// Sender sends orders to endpoints.
+type Sender interface {
+	// Send sends an order once, unless its lease has ended, and returns what
+	// is known of its result.
+	Send(ctx context.Context, order Order) OrderAnswered
+}
+
 // Task is a running placer.
 type Task = runner.Task[Message, Effect]
 
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -17,6 +17,7 @@
 	"toucanhitch.example/toucanhitch/internal/leaser"
 	"toucanhitch.example/toucanhitch/internal/messenger"
 	"toucanhitch.example/toucanhitch/internal/meter"
+	"toucanhitch.example/toucanhitch/internal/orderer"
 	"toucanhitch.example/toucanhitch/internal/placer"
 	"toucanhitch.example/toucanhitch/internal/poller"
 	"toucanhitch.example/toucanhitch/internal/recorder"
@@ -48,7 +49,7 @@
 	poller    *poller.Poller
 	meter     *meter.Meter
 	budget    *dispatcher.Budget
-	sender    *placer.HTTPSender
+	sender    *orderer.Sender
 
 	view       *configurer.View
 	configurer *configurer.Task
@@ -140,7 +141,7 @@
 	n.budget = dispatcher.NewBudget(n.clock)
 	n.dispatcher, cleanUp = dispatcher.New(dispatcher.Settings{Clock: n.clock, Budget: n.budget})
 	cleanUps.add(cleanUp)
-	n.sender, cleanUp = placer.NewHTTPSender(n.clock, n.settings.OrderToken, n.placerSettings().OrderTimeout)
+	n.sender, cleanUp = orderer.New(n.clock, n.settings.OrderToken, n.placerSettings().OrderTimeout)
 	cleanUps.add(cleanUp)
 	var err error
 	n.meter, cleanUp, err = meter.New()
