--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -29,24 +29,11 @@
 func main() {
 	var arguments arguments
 	parser := arg.MustParse(&arguments)
-	var measure func() error
-	switch {
-	case arguments.Scheduling != nil:
-		measure = arguments.Scheduling.run
-	case arguments.Placement != nil:
-		measure = arguments.Placement.run
-	case arguments.Limits != nil:
-		measure = arguments.Limits.run
-	case arguments.Journal != nil:
-		measure = arguments.Journal.run
-	case arguments.Relay != nil:
-		measure = arguments.Relay.run
-	case arguments.Slopes != nil:
-		measure = arguments.Slopes.run
-	default:
+	chosen, ok := parser.Subcommand().(interface{ run() error })
+	if !ok {
 		parser.Fail("name a subcommand")
 	}
-	if err := measure(); err != nil {
+	if err := chosen.run(); err != nil {
 		logrus.WithError(err).Error("measurement failed")
 		os.Exit(1)
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -27,24 +27,11 @@
 	var arguments arguments
 	parser := arg.MustParse(&arguments)
 	logrus.SetFormatter(&logrus.JSONFormatter{})
-	var serve func(context.Context) error
-	switch {
-	case arguments.Platform != nil:
-		serve = arguments.Platform.run
-	case arguments.Engine != nil:
-		serve = arguments.Engine.run
-	case arguments.Service != nil:
-		serve = arguments.Service.run
-	case arguments.Register != nil:
-		serve = arguments.Register.run
-	case arguments.Faults != nil:
-		serve = arguments.Faults.run
-	case arguments.Caller != nil:
-		serve = arguments.Caller.run
-	default:
+	chosen, ok := parser.Subcommand().(interface{ run(context.Context) error })
+	if !ok {
 		parser.Fail("name a subcommand")
 	}
-	if err := runUntilSignal(serve); err != nil {
+	if err := runUntilSignal(chosen.run); err != nil {
 		logrus.WithError(err).Error("stand-in ended")
 		os.Exit(1)
 	}
