Use the standard library's map functions and one wire type per message

Read-through: the emulator had the instance entry's wire type twice, parser, recorder and tracker had own copies of maps.Copy, maps.Clone and cmp.Compare, and a node computed its load twice for each announcement. No behaviour changes.

--- a/internal/emulator/endpoint_process.go
+++ b/internal/emulator/endpoint_process.go
@@ -93,7 +93,7 @@
 		return nil
 	}
 	p.Instance.Phase = phase
-	body := encoder.Encode(instanceWire(p.Instance))
+	body := encoder.Encode(wireInstance(p.Instance))
 	var err error
 	for range registerTries {
 		if err = p.call(ctx, http.MethodPut, body); err == nil {
@@ -108,21 +108,6 @@
 	return err
 }
 
-// instanceWire is an entry of the platform's instance list.
-type instanceWire struct {
-	Name         string
-	Kind         tracker.Kind
-	Service      string
-	Address      string
-	PeerAddress  string
-	DataCentre   string
-	Region       string
-	Phase        tracker.Phase
-	MemoryMB     int
-	HonoursFence bool
-	ChecksOrders bool
-}
-
 func (p EndpointProcess) call(ctx context.Context, method string, body []byte) error {
 	ctx, cancel := clockwork.WithTimeout(ctx, p.Clock, registerTimeout)
 	defer cancel()
--- a/internal/recorder/apply.go
+++ b/internal/recorder/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,7 +27,7 @@
 // apply computes the bucket's state after the pending operations.
 func (b *Bucket) apply(now time.Time) bool {
 	b.takeBatch()
-	b.after = written{records: clone(b.Records), sealed: b.Sealed, segments: b.Segments}
+	b.after = written{records: maps.Clone(b.Records), sealed: b.Sealed, segments: b.Segments}
 	changed := false
 	for _, waiting := range b.Writing {
 		result, wrote := b.after.operate(now, waiting.Operation)
@@ -36,14 +37,6 @@
 	return changed
 }
 
-func clone(records map[Key]Record) map[Key]Record {
-	copied := make(map[Key]Record, len(records)+1)
-	for key, record := range records {
-		copied[key] = record
-	}
-	return copied
-}
-
 // find returns the record of a key that has not expired.
 // The record is also returned if it only names abandoned operations, then with
 // false.
--- a/internal/recorder/seal.go
+++ b/internal/recorder/seal.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"time"
 
@@ -91,7 +92,7 @@
 	}
 	w.Sealings++
 	sealing := &Sealing{Name: w.segmentName(number)}
-	sealed := clone(a.sealed)
+	sealed := maps.Clone(a.sealed)
 	until := time.Time{}
 	for _, record := range a.sorted() {
 		if size <= w.SealBytes/2 {
--- a/internal/supervisor/run.go
+++ b/internal/supervisor/run.go
@@ -39,9 +39,9 @@
 	for _, task := range n.tasks() {
 		runner.Add(working, group, task)
 	}
-	n.addServer(working, group, peerGrace, func(ctx context.Context, grace time.Duration) error {
-		return server.Serve(ctx, n.clock, n.peerListener, n.peerHandler(), grace)
-	})
+	runner.Add(working, group, runnable(func(ctx context.Context) error {
+		return server.Serve(ctx, n.clock, n.peerListener, n.peerHandler(), peerGrace)
+	}))
 	runner.Add(working, group, runnable(n.publishLoads))
 	runner.Add(ctx, group, runnable(n.serveCallers))
 	return group.Run()
@@ -60,10 +60,6 @@
 	return append(tasks, n.limits.tasks()...)
 }
 
-func (n *Node) addServer(ctx context.Context, group *run.Group, grace time.Duration, serve func(context.Context, time.Duration) error) {
-	runner.Add(ctx, group, runnable(func(ctx context.Context) error { return serve(ctx, grace) }))
-}
-
 // serveCallers serves until ctx ends and then drains. Its return ends the
 // group.
 func (n *Node) serveCallers(ctx context.Context) error {
@@ -80,7 +76,7 @@
 	}
 	n.logger.Info("leaving: taken out of the address answers")
 	n.draining.Store(true)
-	n.publishLoad()
+	n.publishLoad(n.nodeLoad())
 	<-n.clock.After(tracker.AddressLifetime + drainMargin)
 	n.logger.Info("leaving: finishing running requests")
 	n.postSurely("scheduler", func() error { return n.scheduler.Post(scheduler.Drain{}) })
@@ -105,14 +101,13 @@
 		load := n.nodeLoad()
 		changed := load.Current != said.Current || load.Version != said.Version || load.Draining != said.Draining
 		if changed || n.clock.Since(saidAt) >= loadEvery {
-			n.publishLoad()
+			n.publishLoad(load)
 			said, saidAt = load, n.clock.Now()
 		}
 	}
 }
 
-func (n *Node) publishLoad() {
-	load := n.nodeLoad()
+func (n *Node) publishLoad(load tracker.NodeLoad) {
 	n.post("tracker", n.tracker.Post(tracker.LoadPushed{Load: load}))
 	n.spread(spreader.Load, n.settings.Name, 0, spreader.Region, encoder.Encode(load))
 }
--- a/internal/tracker/peers.go
+++ b/internal/tracker/peers.go
@@ -1,7 +1,6 @@
 package tracker
 
 import (
-	"cmp"
 	"maps"
 	"reflect"
 	"slices"
@@ -18,8 +17,6 @@
 // relayKey is the rendezvous key by which relays are chosen.
 const relayKey = "relay"
 
-func compare(a, b string) int { return cmp.Compare(a, b) }
-
 // nodes returns the live nodes of the list that are not suspected, and this
 // node itself, by data centre.
 func (t *Tracker) nodes(now time.Time) map[string][]spreader.Peer {
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -307,6 +308,6 @@
 		}
 		fleet.Endpoints = append(fleet.Endpoints, endpoint)
 	}
-	slices.SortFunc(fleet.Endpoints, func(a, b Endpoint) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(fleet.Endpoints, func(a, b Endpoint) int { return cmp.Compare(a.Name, b.Name) })
 	return fleet
 }
--- a/pkg/parser/log.go
+++ b/pkg/parser/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/encoder"
@@ -92,18 +93,12 @@
 // fill copies a decoded configuration, keeping maps that were null empty.
 func fill(into, from *releaser.Configuration) {
 	into.Version, into.NoteVersion = from.Version, from.NoteVersion
-	copyMap(into.Models, from.Models)
-	copyMap(into.Adapters, from.Adapters)
-	copyMap(into.Newest, from.Newest)
-	copyMap(into.Services, from.Services)
-	copyMap(into.Workspaces, from.Workspaces)
-	copyMap(into.Grants, from.Grants)
-}
-
-func copyMap[V any](into, from map[string]V) {
-	for key, value := range from {
-		into[key] = value
-	}
+	maps.Copy(into.Models, from.Models)
+	maps.Copy(into.Adapters, from.Adapters)
+	maps.Copy(into.Newest, from.Newest)
+	maps.Copy(into.Services, from.Services)
+	maps.Copy(into.Workspaces, from.Workspaces)
+	maps.Copy(into.Grants, from.Grants)
 }
 
 func encodeChanges(changes []releaser.Change) []change {
