--- /dev/null
+++ b/internal/assembler/connect.go
@@ -0,0 +1,143 @@
+package assembler
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"toucanhitch.example/toucanhitch/internal/balancer"
+	"toucanhitch.example/toucanhitch/internal/leaser"
+	"toucanhitch.example/toucanhitch/internal/planner"
+	"toucanhitch.example/toucanhitch/internal/rationer"
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+	"toucanhitch.example/toucanhitch/internal/syncer"
+)
+
+// seed derives a seed for random choices from the identity of a run.
+func seed(run string) uint64 { return xxhash.Sum64String(run) }
+
+// post logs a message that a task did not take: its inbox is far above what
+// comes in practice.
+func (n *Node) post(task string, err error) {
+	if err != nil {
+		n.logger.WithField("Task", task).WithError(err).Error("message not taken")
+	}
+}
+
+// believe passes on what the surveyor publishes.
+func (n *Node) believe(effect surveyor.Effect) {
+	switch effect := effect.(type) {
+	case surveyor.PublishConfiguration:
+		n.view.configuration.Store(&provenConfiguration{effect.Configuration, effect.ProvenAt})
+		n.post("planner", n.planner.Post(planner.Configured{Configuration: effect.Configuration, ProvenAt: effect.ProvenAt}))
+	case surveyor.PublishListed:
+		n.post("planner", n.planner.Post(planner.Listed{Replicas: effect.Replicas, ProvenAt: effect.ProvenAt}))
+	case surveyor.PublishReplicas:
+		n.post("balancer", n.balancer.Post(balancer.SetReplicas{Replicas: effect.Replicas}))
+	case surveyor.PublishNodes:
+		n.setNodes(effect)
+	case surveyor.Note:
+		fields := logrus.Fields{"Source": effect.Source, "Age": effect.Age.String()}
+		if configuration, _ := n.view.Configuration(); configuration != nil {
+			fields["Version"] = configuration.Version
+		}
+		n.logger.WithFields(fields).Info(effect.Text)
+	}
+}
+
+// setNodes tells the tasks of the registered nodes. A node that is missing
+// from the list registers again.
+func (n *Node) setNodes(effect surveyor.PublishNodes) {
+	names := make([]string, 0, len(effect.Nodes))
+	addresses := make([]string, 0, len(effect.Nodes))
+	for _, node := range effect.Nodes {
+		names = append(names, node.Name)
+		addresses = append(addresses, node.Callers)
+	}
+	if !n.draining.Load() && !slices.Contains(names, n.self.Name) {
+		names = append(names, n.self.Name)
+		n.wantRegistration()
+	}
+	known := directory{registered: addresses}
+	if old := n.view.directory.Load(); old != nil {
+		known.callers, known.heardAt = old.callers, old.heardAt
+	}
+	n.view.directory.Store(&known)
+	if !n.draining.Load() {
+		n.post("leaser", n.leaser.SetNodes(names))
+	}
+	n.post("syncer", n.syncer.Post(syncer.SetNodes{Nodes: effect.Nodes}))
+	n.post("planner", n.planner.Post(planner.NodesListed{Nodes: effect.Nodes, ProvenAt: effect.ProvenAt}))
+}
+
+// leased passes on the events of the placement lease.
+func (n *Node) leased(event leaser.Event) {
+	switch event := event.(type) {
+	case leaser.Held:
+		n.post("planner", n.planner.Post(planner.Held{Epoch: event.Epoch, Until: event.Until, First: event.Epoch == 1}))
+		n.post("surveyor", n.surveyor.Post(surveyor.Lead{Held: true}))
+		n.post("syncer", n.syncer.Post(syncer.SetHolding{Holding: true}))
+	case leaser.Lost:
+		n.logger.WithField("Lease", event.Name).Warn("placement lease lost")
+		n.post("planner", n.planner.Post(planner.Lost{}))
+		n.post("surveyor", n.surveyor.Post(surveyor.Lead{}))
+		n.post("syncer", n.syncer.Post(syncer.SetHolding{}))
+	}
+}
+
+// collect makes this node's report to the holder.
+func (n *Node) collect(ctx context.Context) (planner.Report, error) {
+	activity, err := n.balancer.Collect(ctx)
+	if err != nil {
+		return planner.Report{}, err
+	}
+	spent, err := n.rationer.Collect(ctx)
+	if err != nil {
+		return planner.Report{}, err
+	}
+	return planner.Report{
+		Node:    n.self,
+		Leaving: n.draining.Load(),
+		Running: activity.Running,
+		Demands: activity.Demands,
+		Uses:    activity.Uses,
+		Spent:   spent,
+	}, nil
+}
+
+// synced passes on what the holder answered.
+func (n *Node) synced(effect syncer.Effect) {
+	switch effect := effect.(type) {
+	case syncer.Heard:
+		n.heard(effect)
+	case syncer.Note:
+		n.logger.WithFields(logrus.Fields{"Holder": effect.Holder, "Age": effect.Age.String()}).Info(effect.Text)
+	}
+}
+
+func (n *Node) heard(effect syncer.Heard) {
+	answer := effect.Answer
+	n.post("surveyor", n.surveyor.Post(surveyor.HolderHeard{
+		StartedAt:             effect.StartedAt,
+		ConfigurationRevision: answer.ConfigurationRevision,
+		ConfigurationAge:      answer.ConfigurationAge,
+		ReplicasAge:           answer.ReplicasAge,
+		NodesAge:              answer.NodesAge,
+		Replicas:              answer.Replicas,
+		Nodes:                 answer.Nodes,
+	}))
+	n.post("rationer", n.rationer.Post(rationer.Heard{Epoch: answer.Epoch, Spent: answer.SpentByOthers, Nodes: answer.Peers}))
+	known := directory{callers: answer.Callers, heardAt: effect.StartedAt}
+	if old := n.view.directory.Load(); old != nil {
+		known.registered = old.registered
+	}
+	n.view.directory.Store(&known)
+	n.post("balancer", n.balancer.Post(balancer.SetOthers{Active: answer.Active, Ordering: answer.Ordering}))
+}
+
+func (n *Node) removeNode(ctx context.Context, name string, revision uint64) {
+	err := n.store.Unregister(ctx, name, revision)
+	n.logger.WithField("Node", name).WithError(err).Info("removed the entry of a node that is gone")
+}
--- /dev/null
+++ b/internal/assembler/logs.go
@@ -0,0 +1,67 @@
+package assembler
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/forwarder"
+	"toucanhitch.example/toucanhitch/internal/planner"
+)
+
+// logAttempt logs what became of an attempt.
+func (n *Node) logAttempt(event forwarder.Event) {
+	fields := logrus.Fields{
+		"Request":          event.Forward.Attempt,
+		"Route":            event.Forward.Route.Name,
+		"Service":          event.Forward.Service,
+		"Workspace":        event.Workspace,
+		"Sends":            event.Sends,
+		"WaitedMs":         event.Waited.Milliseconds(),
+		"TookMs":           event.Took.Milliseconds(),
+		"ConfigurationAge": event.ConfigurationAge.Milliseconds(),
+	}
+	if event.Forward.Model != "" {
+		fields["Model"] = event.Forward.Model
+		fields["Adapter"] = event.Forward.Adapter
+	}
+	if event.Replica != "" {
+		fields["Replica"] = event.Replica
+		fields["Candidates"] = event.Candidates
+		fields["FirstByteMs"] = event.FirstByte.Milliseconds()
+		fields["Status"] = event.Status
+	}
+	if event.Err != nil {
+		fields["Error"] = event.Err.Error()
+	}
+	n.logger.WithFields(fields).Info(event.Text)
+}
+
+// logEnd logs a request that was refused and counts every request.
+func (n *Node) logEnd(request *filter.Request, verdict filter.Verdict) {
+	forward := request.Work.(*filter.Forward)
+	reason := filter.Reason("")
+	took := n.clock.Since(request.Arrived)
+	if refused, ok := verdict.(filter.Refuse); ok {
+		reason = refused.Refusal.Reason
+		n.logger.WithFields(logrus.Fields{
+			"Request":      forward.Attempt,
+			"Route":        forward.Route.Name,
+			"Workspace":    request.Workspace,
+			"Reason":       reason,
+			"Run":          refused.Refusal.Run,
+			"RetryAfterMs": refused.Refusal.RetryAfter.Milliseconds(),
+			"TookMs":       took.Milliseconds(),
+		}).Info("refused: " + refused.Refusal.Detail)
+	}
+	n.meter.Ended(filter.Class(forward.Route.Kind), reason, took)
+}
+
+// logPlan logs a decision of the planner.
+func (n *Node) logPlan(note planner.Note) {
+	n.logger.WithFields(logrus.Fields{
+		"Replica": note.Replica,
+		"Model":   note.Model,
+		"Reason":  note.Reason,
+		"Age":     note.Age.String(),
+	}).Info(note.Text)
+}
--- a/internal/commander/command.go
+++ b/internal/commander/command.go
@@ -16,6 +16,7 @@
 	"toucanhitch.example/toucanhitch/internal/storer"
 	"toucanhitch.example/toucanhitch/internal/supervisor"
 	"toucanhitch.example/toucanhitch/pkg/releaser"
+	"toucanhitch.example/toucanhitch/platform"
 )
 
 // Exit codes of the command line.
@@ -45,6 +46,7 @@
 // Arguments are the commands of toucanhitch.
 type Arguments struct {
 	Node     *NodeCommand     `arg:"subcommand:node" help:"run a node on an entry instance"`
+	Serve    *ServeCommand    `arg:"subcommand:serve" help:"run a node on the users' platform"`
 	Check    *CheckCommand    `arg:"subcommand:check" help:"check a release note and show what it would change"`
 	Apply    *ApplyCommand    `arg:"subcommand:apply" help:"put a release note in force"`
 	Follow   *FollowCommand   `arg:"subcommand:follow" help:"wait until a change is in force on every node"`
@@ -130,7 +132,7 @@
 		return ExitUncertain
 	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, publisher.ErrContended), errors.Is(err, ErrNotInForce):
 		return ExitUnavailable
-	case errors.Is(err, ErrSettings), errors.Is(err, supervisor.ErrSettings), errors.Is(err, releaser.ErrInvalid), errors.Is(err, releaser.ErrUnknown),
+	case errors.Is(err, ErrSettings), errors.Is(err, platform.ErrSettings), errors.Is(err, supervisor.ErrSettings), errors.Is(err, releaser.ErrInvalid), errors.Is(err, releaser.ErrUnknown),
 		errors.Is(err, encoder.ErrMalformed), errors.Is(err, encoder.ErrTooLarge), errors.Is(err, os.ErrNotExist):
 		return ExitInvalid
 	default:
--- /dev/null
+++ b/internal/commander/serve.go
@@ -0,0 +1,65 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"syscall"
+
+	"github.com/oklog/run"
+	"github.com/sirupsen/logrus"
+
+	"toucanhitch.example/toucanhitch/internal/assembler"
+	"toucanhitch.example/toucanhitch/internal/logger"
+	"toucanhitch.example/toucanhitch/internal/timer"
+	"toucanhitch.example/toucanhitch/platform"
+)
+
+// ServeCommand runs a node on the users' platform.
+type ServeCommand struct {
+	Settings string `arg:"--settings,env:TOUCANHITCH_CONFIG,required" help:"settings file of the platform" placeholder:"FILE"`
+	LogLevel string `arg:"--log-level,env:TOUCANHITCH_LOG_LEVEL" default:"info" help:"error, warn, info or debug" placeholder:"LEVEL"`
+}
+
+// run serves until SIGTERM or SIGINT, then lets the node leave.
+func (c *ServeCommand) run(env environment) error {
+	level, err := logrus.ParseLevel(c.LogLevel)
+	if err != nil {
+		var wrong mistakes
+		wrong.add("--log-level", c.LogLevel, "error, warn, info or debug")
+		return wrong.err()
+	}
+	logs, endLogs := logger.New(env.output, level)
+	defer endLogs()
+	settings, err := platform.ReadSettings(c.Settings)
+	if err != nil {
+		logs.WithError(err).Error("not started")
+		return err
+	}
+	node, cleanUp, err := assembler.New(env.ctx, assembler.Settings{
+		Settings:     settings,
+		SettingsPath: c.Settings,
+		Clock:        timer.New(),
+		Logger:       logs.WithField("Node", settings.Node),
+	})
+	if err != nil {
+		logs.WithError(err).Error("not started")
+		return err
+	}
+	defer cleanUp()
+	group := &run.Group{}
+	ctx, leave := context.WithCancel(env.ctx)
+	var ended error
+	group.Add(
+		func() error {
+			ended = node.Run(ctx)
+			return ended
+		},
+		func(error) { leave() },
+	)
+	group.Add(run.SignalHandler(env.ctx, syscall.SIGTERM, syscall.SIGINT))
+	err = group.Run()
+	if errors.Is(err, run.ErrSignal) {
+		return ended
+	}
+	return err
+}
--- a/internal/dispatcher/budget.go
+++ b/internal/dispatcher/budget.go
@@ -21,21 +21,42 @@
 	budgetUnit = 1000
 )
 
+// BudgetSettings describes a budget.
+type BudgetSettings struct {
+	// Share is the part of requests that may be retried.
+	Share float64
+	// Savings bounds the retries that a quiet time leaves for a bad one, and
+	// Opening is what the budget begins with.
+	Savings, Opening float64
+	// Floor is how often a retry is allowed whatever the requests; 0 means
+	// never.
+	Floor time.Duration
+}
+
 // Budget bounds retries and hedges to a part of the requests. It is a token
 // bucket that requests fill. Requests share no lock: the balance is an atomic
 // number.
 type Budget struct {
-	clock   clockwork.Clock
-	started time.Time
-	balance atomic.Int64
+	settings BudgetSettings
+	clock    clockwork.Clock
+	started  time.Time
+	balance  atomic.Int64
 	// floorAt is when the floor next allows a retry, in nanoseconds since
 	// started.
 	floorAt atomic.Int64
 }
 
-// NewBudget returns an empty budget.
+// NewBudget returns an empty budget for the attempts of a node that shares
+// none with others.
 func NewBudget(clock clockwork.Clock) *Budget {
-	return &Budget{clock: clock, started: clock.Now()}
+	return NewBudgetWith(clock, BudgetSettings{Share: retryShare, Savings: maxRetrySavings, Floor: retryFloor})
+}
+
+// NewBudgetWith returns a budget with the given settings.
+func NewBudgetWith(clock clockwork.Clock, settings BudgetSettings) *Budget {
+	budget := &Budget{settings: settings, clock: clock, started: clock.Now()}
+	budget.balance.Store(int64(settings.Opening * budgetUnit))
+	return budget
 }
 
 // Attempt counts an attempt. The attempt of a retry counts too; Spend takes
@@ -43,7 +64,7 @@
 func (b *Budget) Attempt() {
 	for {
 		balance := b.balance.Load()
-		filled := min(balance+int64(retryShare*budgetUnit), maxRetrySavings*budgetUnit)
+		filled := min(balance+int64(b.settings.Share*budgetUnit), int64(b.settings.Savings*budgetUnit))
 		if filled == balance || b.balance.CompareAndSwap(balance, filled) {
 			return
 		}
@@ -53,7 +74,7 @@
 // Spend implements filter.Budget. A retry costs one unit and the share that
 // its own attempt adds.
 func (b *Budget) Spend() bool {
-	const cost = budgetUnit + int64(retryShare*budgetUnit)
+	cost := budgetUnit + int64(b.settings.Share*budgetUnit)
 	for {
 		balance := b.balance.Load()
 		if balance < cost {
@@ -66,7 +87,10 @@
 }
 
 func (b *Budget) spendFloor() bool {
+	if b.settings.Floor == 0 {
+		return false
+	}
 	now := int64(b.clock.Since(b.started))
 	at := b.floorAt.Load()
-	return now >= at && b.floorAt.CompareAndSwap(at, now+int64(retryFloor))
+	return now >= at && b.floorAt.CompareAndSwap(at, now+int64(b.settings.Floor))
 }
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -1,8 +1,10 @@
 package filter
 
 import (
+	"net/http"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
 
@@ -61,7 +63,7 @@
 	Slot Slot
 }
 
-// Work is what the caller asks for: Generation or Call.
+// Work is what the caller asks for: Generation, Call or *Forward.
 type Work interface{ isWork() }
 
 // Generation asks a model for text.
@@ -89,8 +91,49 @@
 	Body        []byte
 }
 
+// Forward is a request of any method that goes to a replica byte for byte.
+type Forward struct {
+	// Attempt is the caller's identity of this request, which the replica
+	// echoes.
+	Attempt string
+	Method  string
+	// Target is the request target as it was received, and Path its path.
+	Target string
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Model and Adapter are empty for requests that run no model.
+	Model, Adapter string
+	// PromptTokens and OutputTokens are the caller's count of prompt tokens
+	// and bound of output tokens, 0 without one.
+	PromptTokens, OutputTokens int
+	// Affinity names the last shared part of a long prompt prefix.
+	Affinity string
+	// LastEvent is the ID of the last event that the caller has, empty at the
+	// start of a stream.
+	LastEvent string
+	// Writer receives the answer.
+	Writer Writer
+
+	// Route, Service and Customer are set by filters.
+	Route    resolver.Route
+	Service  string
+	Customer resolver.Workspace
+}
+
+// Writer writes an answer to the caller. An error means that the caller is
+// gone.
+type Writer interface {
+	// Begin sends the status and the header of an answer whose body follows.
+	Begin(status int, header http.Header) error
+	// Write sends a part of the body without delay.
+	Write(part []byte) error
+}
+
 func (Generation) isWork() {}
 func (Call) isWork()       {}
+func (*Forward) isWork()   {}
 
 // Event is a part of a generation's answer: Token, Finish or KeepAlive.
 type Event interface{ isEvent() }
@@ -141,6 +184,8 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// Header holds the header of a forwarded answer.
+	Header http.Header
 	// Replayed says that the answer is the recorded outcome of an earlier
 	// request with the same identity.
 	Replayed bool
--- /dev/null
+++ b/internal/forwarder/exchange.go
@@ -0,0 +1,204 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// inlineBytes is the size of a request up to which it is written before
+	// the answer is read: it fits in the connection's buffers.
+	inlineBytes = 8 << 10
+	// maxStale is how many answers to other requests are skipped.
+	maxStale = 3
+	// maxReplyBytes bounds an answer that is kept until it is complete.
+	maxReplyBytes = 8 << 20
+)
+
+// exchange is one attempt on one connection. Whatever ends it early closes the
+// connection, so that no later request can get its bytes.
+type exchange struct {
+	pool    *Pool
+	attempt Attempt
+	conn    *connection
+	head    Head
+	// silent is set when the watchdog has closed the connection.
+	silent   atomic.Bool
+	watchdog clockwork.Timer
+	// forget ends the closing of the connection when the caller leaves.
+	forget func() bool
+	// written receives the result of a write that goes on while the answer is
+	// read, nil if the request was written before.
+	written chan error
+}
+
+// open sends an attempt and reads the head of its answer. It returns ErrUnsent
+// if nothing reached the replica; after any other error the request may run.
+func (p *Pool) open(ctx context.Context, codec Codec, attempt Attempt, limit time.Duration) (*exchange, error) {
+	conn, err := p.get(ctx, attempt.Address)
+	if err != nil {
+		return nil, err
+	}
+	e := &exchange{pool: p, attempt: attempt, conn: conn}
+	e.forget = context.AfterFunc(ctx, func() { conn.Close() })
+	e.watchdog = p.clock.AfterFunc(limit, func() {
+		e.silent.Store(true)
+		conn.Close()
+	})
+	if err := e.send(codec.Encode(attempt)); err != nil {
+		e.close()
+		return nil, err
+	}
+	if err := e.receive(codec); err != nil {
+		e.close()
+		return nil, e.explain(ctx, err)
+	}
+	return e, nil
+}
+
+func (e *exchange) send(request []byte) error {
+	if len(request) > inlineBytes {
+		e.written = make(chan error, 1)
+		go func() {
+			_, err := e.conn.Write(request)
+			e.written <- err
+		}()
+		return nil
+	}
+	n, err := e.conn.Write(request)
+	switch {
+	case err != nil && n == 0 && !e.conn.reused:
+		return merry.Wrap(ErrUnsent, merry.AppendMessagef("%v", err))
+	case err != nil:
+		return merry.Wrap(ErrBroken, merry.AppendMessagef("write: %v", err))
+	}
+	return nil
+}
+
+// receive reads heads until one belongs to the attempt: a replica may send a
+// second answer to an earlier request where the next one is expected.
+func (e *exchange) receive(codec Codec) error {
+	for range maxStale {
+		head, err := codec.Decode(e.conn.reader, e.attempt.Forward.Method)
+		if err != nil {
+			return err
+		}
+		e.head = head
+		if head.Status < 200 {
+			continue
+		}
+		if head.Attempt == "" || head.Attempt == e.attempt.Forward.Attempt {
+			return nil
+		}
+		if _, err := io.Copy(io.Discard, head.Body); err != nil {
+			return err
+		}
+	}
+	return merry.Wrap(ErrGarbled, merry.AppendMessage("answers belong to other requests"))
+}
+
+// explain names the cause of a failed read.
+func (e *exchange) explain(ctx context.Context, err error) error {
+	switch {
+	case ctx.Err() != nil:
+		return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", context.Cause(ctx)))
+	case e.silent.Load():
+		return merry.Wrap(ErrSilent, merry.AppendMessagef("%v", err))
+	case errors.Is(err, ErrGarbled), errors.Is(err, ErrOrder):
+		return err
+	}
+	return merry.Wrap(ErrBroken, merry.AppendMessagef("%v", err))
+}
+
+// extend gives the replica more time, counted from now.
+func (e *exchange) extend(limit time.Duration) { e.watchdog.Reset(limit) }
+
+// close ends the exchange with its connection.
+func (e *exchange) close() {
+	e.watchdog.Stop()
+	e.forget()
+	e.conn.Close()
+}
+
+// finish keeps the connection after a complete answer if it can be used again.
+func (e *exchange) finish() {
+	stopped := e.watchdog.Stop()
+	if !e.forget() || !stopped || e.head.Closes || !e.isWritten() {
+		e.conn.Close()
+		return
+	}
+	e.pool.put(e.attempt.Address, e.conn, e.head.KeepFor)
+}
+
+// isWritten says whether the whole request was written. A replica that answers
+// early may still read the rest of the body from the connection.
+func (e *exchange) isWritten() bool {
+	if e.written == nil {
+		return true
+	}
+	select {
+	case err := <-e.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// readAll reads the body of an answer to its end.
+func (e *exchange) readAll(ctx context.Context) ([]byte, error) {
+	size := max(0, min(e.head.Length, maxReplyBytes))
+	body := make([]byte, 0, size+512)
+	for {
+		if len(body) == cap(body) {
+			body = append(body, 0)[:len(body)]
+		}
+		n, err := e.head.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, e.explain(ctx, err)
+		case len(body) > maxReplyBytes:
+			return nil, merry.Wrap(ErrGarbled, merry.AppendMessage("answer is too long"))
+		}
+	}
+}
+
+// pass hands the events of a stream on as they come. It returns nil when the
+// stream has ended as complete. An error of write is ErrCallerGone.
+func (e *exchange) pass(ctx context.Context, events *Events, gap time.Duration, write func([]byte) error) error {
+	reader := bufio.NewReaderSize(e.head.Body, streamBuffer)
+	for {
+		e.extend(gap)
+		event, err := events.next(reader)
+		switch {
+		case errors.Is(err, io.EOF) && len(event) == 0:
+			return nil
+		case errors.Is(err, io.EOF):
+			return merry.Wrap(ErrBroken, merry.AppendMessage("stream ends within an event"))
+		case err != nil:
+			return e.explain(ctx, err)
+		}
+		wanted, err := events.follows(event)
+		if err != nil {
+			return err
+		}
+		if !wanted {
+			continue
+		}
+		if err := write(event); err != nil {
+			return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", err))
+		}
+	}
+}
+
+// streamBuffer holds a few events of a stream.
+const streamBuffer = 2 << 10
--- a/internal/leaser/task.go
+++ b/internal/leaser/task.go
@@ -24,12 +24,18 @@
 	inbox = 64
 )
 
+// Store keeps the lease objects. Its errors are those of storer.Store.
+type Store interface {
+	Get(ctx context.Context, id storer.ID) (storer.Object, error)
+	Put(ctx context.Context, id storer.ID, ifVersion uint64, data []byte) (storer.Object, error)
+}
+
 // Settings describes a node's task for leases.
 type Settings struct {
 	Node string
 	// Names are the leases that the node may hold.
 	Names []string
-	Store storer.Store
+	Store Store
 	Clock clockwork.Clock
 	// Publish receives events in order, on the task's goroutine. It must not
 	// block.
--- /dev/null
+++ b/internal/planner/controller.go
@@ -0,0 +1,289 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+)
+
+// planEvery is the longest time between two looks at the whole placement;
+// reports and results of orders are acted on at once.
+const planEvery = 100 * time.Millisecond
+
+// Settings of a controller.
+type Settings struct {
+	// Node is the name of this node, and Spacing the time that must lie
+	// between the orders of two holders at one replica.
+	Node    string
+	Spacing time.Duration
+}
+
+// Controller plans while its node holds the lease.
+type Controller struct {
+	Settings Settings
+
+	// Tenure is nil while another node holds the lease.
+	Tenure *Tenure
+
+	Configuration     *resolver.Configuration
+	ConfigurationAsOf time.Time
+	Replicas          []surveyor.Replica
+	ReplicasAsOf      time.Time
+	Nodes             []surveyor.Node
+	NodesAsOf         time.Time
+}
+
+// Tenure is the state of one time of holding the lease.
+type Tenure struct {
+	Epoch uint64
+	Since time.Time
+	Until time.Time
+	// OrdersFrom is when the orders of an earlier holder lie far enough back.
+	OrdersFrom time.Time
+	Version    uint64
+	// Endpoints holds the replicas of engines by ID.
+	Endpoints map[string]*Endpoint
+	// Table is the published table, rebuilt when Stale is set.
+	Table  []surveyor.Replica
+	Stale  bool
+	Peers  map[string]*Peer
+	Demand map[DemandKey]*Waiting
+	Rates  map[ModelKey]*Rate
+	// PlannedAt is when the placement was last looked at.
+	PlannedAt time.Time
+	// StoreLoads holds the estimated ends of loads from the weight store.
+	StoreLoads []time.Time
+}
+
+// ModelKey names a model of a service.
+type ModelKey struct{ Service, Model string }
+
+// DemandKey names what requests wait for.
+type DemandKey struct {
+	ModelKey
+	Adapter string
+}
+
+// NewController returns the controller of a node.
+func NewController(settings Settings) *Controller { return &Controller{Settings: settings} }
+
+// Wake returns when the next order, read or look at the placement is due.
+func (c *Controller) Wake() time.Time {
+	if c.Tenure == nil {
+		return time.Time{}
+	}
+	wake := c.Tenure.PlannedAt.Add(planEvery)
+	for _, endpoint := range c.Tenure.Endpoints {
+		for _, due := range []time.Time{endpoint.orderAt(), endpoint.endsAt(), endpoint.readAt()} {
+			if !due.IsZero() && due.Before(wake) {
+				wake = due
+			}
+		}
+	}
+	return wake
+}
+
+// Step handles one message.
+func (c *Controller) Step(now time.Time, message Message) []Effect {
+	if c.Tenure != nil && !now.Before(c.Tenure.Until) {
+		// A node that stood still past its lease must not go on with it.
+		c.Tenure = nil
+	}
+	var effects []Effect
+	switch message := message.(type) {
+	case Tick:
+	case Held:
+		effects = c.held(now, message)
+	case Lost:
+		c.Tenure = nil
+	case Configured:
+		c.Configuration, c.ConfigurationAsOf = message.Configuration, message.ProvenAt
+	case Listed:
+		c.Replicas, c.ReplicasAsOf = message.Replicas, message.ProvenAt
+		effects = c.listed(now)
+	case NodesListed:
+		c.Nodes, c.NodesAsOf = message.Nodes, message.ProvenAt
+	case OrderDone:
+		effects = c.orderDone(now, message)
+	case StateRead:
+		effects = c.stateRead(now, message)
+	case Reported:
+		return c.reported(now, message)
+	}
+	return append(effects, c.act(now)...)
+}
+
+func (c *Controller) held(now time.Time, message Held) []Effect {
+	if c.Tenure != nil && c.Tenure.Epoch == message.Epoch {
+		c.Tenure.Until = message.Until
+		return nil
+	}
+	c.Tenure = &Tenure{
+		Epoch:      message.Epoch,
+		Since:      now,
+		Until:      message.Until,
+		OrdersFrom: now.Add(c.Settings.Spacing),
+		Endpoints:  map[string]*Endpoint{},
+		Peers:      map[string]*Peer{},
+		Demand:     map[DemandKey]*Waiting{},
+		Rates:      map[ModelKey]*Rate{},
+		Stale:      true,
+	}
+	if message.First {
+		c.Tenure.OrdersFrom = now
+	}
+	return append([]Effect{Note{Text: "holding the placement lease", Age: c.Tenure.OrdersFrom.Sub(now)}}, c.listed(now)...)
+}
+
+// act ends what is over, plans, and sends what is due.
+func (c *Controller) act(now time.Time) []Effect {
+	if c.Tenure == nil || c.Configuration == nil {
+		return nil
+	}
+	var effects []Effect
+	for _, id := range c.endpointIDs() {
+		effects = append(effects, c.finish(now, id, c.Tenure.Endpoints[id])...)
+	}
+	if !now.Before(c.Tenure.OrdersFrom) {
+		effects = append(effects, c.plan(now)...)
+	}
+	c.Tenure.PlannedAt = now
+	for _, id := range c.endpointIDs() {
+		effects = append(effects, c.send(now, id, c.Tenure.Endpoints[id])...)
+	}
+	return effects
+}
+
+// endpointIDs returns the IDs in order, so that steps are deterministic.
+func (c *Controller) endpointIDs() []string {
+	ids := make([]string, 0, len(c.Tenure.Endpoints))
+	for id := range c.Tenure.Endpoints {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// engine returns the engine of a service, or nil.
+func (c *Controller) engine(service string) *resolver.Engine {
+	if c.Configuration == nil {
+		return nil
+	}
+	return c.Configuration.Services[service].Engine
+}
+
+// listed compares the endpoints with the store's list.
+func (c *Controller) listed(now time.Time) []Effect {
+	if c.Tenure == nil {
+		return nil
+	}
+	c.Tenure.Stale = true
+	found := map[string]bool{}
+	var effects []Effect
+	for _, replica := range c.Replicas {
+		if c.engine(replica.Service) == nil {
+			continue
+		}
+		found[replica.ID] = true
+		effects = append(effects, c.see(now, replica)...)
+	}
+	for _, id := range c.endpointIDs() {
+		if !found[id] {
+			effects = append(effects, Note{Text: "replica left the list", Replica: id})
+			delete(c.Tenure.Endpoints, id)
+		}
+	}
+	return effects
+}
+
+func (c *Controller) see(now time.Time, replica surveyor.Replica) []Effect {
+	endpoint := c.Tenure.Endpoints[replica.ID]
+	if endpoint == nil || endpoint.Listed.Born != replica.Born {
+		c.Tenure.Endpoints[replica.ID] = &Endpoint{Listed: replica, ReadAt: later(now, c.Tenure.OrdersFrom.Add(-readBefore))}
+		return []Effect{Note{Text: "replica joined the list", Replica: replica.ID}}
+	}
+	endpoint.Listed = replica
+	if endpoint.Known && replica.Sequence > endpoint.Sequence && endpoint.Sending == nil {
+		endpoint.forget(now)
+		return []Effect{Note{Text: "replica accepted an order that is not known", Replica: replica.ID}}
+	}
+	return nil
+}
+
+// readBefore is how long before its first orders a holder reads what the
+// replicas hold.
+const readBefore = 200 * time.Millisecond
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// table returns the published table of all replicas.
+func (c *Controller) table(now time.Time) []surveyor.Replica {
+	t := c.Tenure
+	if !t.Stale && t.Table != nil {
+		return t.Table
+	}
+	table := make([]surveyor.Replica, 0, len(c.Replicas))
+	for _, replica := range c.Replicas {
+		replica.InMemory, replica.OnDisk = nil, nil
+		if endpoint := t.Endpoints[replica.ID]; endpoint != nil && endpoint.Known {
+			replica.Models, replica.Pending = endpoint.models(), endpoint.pending(now)
+		}
+		table = append(table, replica)
+	}
+	slices.SortFunc(table, func(a, b surveyor.Replica) int { return cmp.Compare(a.ID, b.ID) })
+	if t.Table == nil || !sameTable(t.Table, table) {
+		t.Version++
+	}
+	t.Table, t.Stale = table, false
+	return table
+}
+
+// sameTable compares what nodes act on; the time left of a load is estimated
+// once and counts down at the nodes.
+func sameTable(a, b []surveyor.Replica) bool {
+	return slices.EqualFunc(a, b, func(a, b surveyor.Replica) bool {
+		return a.ID == b.ID && a.Born == b.Born && a.Address == b.Address && a.Leaving == b.Leaving &&
+			slices.EqualFunc(a.Models, b.Models, func(a, b surveyor.Loaded) bool {
+				return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
+			}) &&
+			slices.EqualFunc(a.Pending, b.Pending, func(a, b surveyor.Pending) bool {
+				return a.Model == b.Model && a.Adapter == b.Adapter
+			})
+	})
+}
+
+// models returns what requests may be sent for.
+func (e *Endpoint) models() []surveyor.Loaded {
+	var models []surveyor.Loaded
+	for name, resident := range e.Models {
+		if e.unloading(name) {
+			continue
+		}
+		loaded := surveyor.Loaded{Name: name}
+		for adapter := range resident.Adapters {
+			if !e.planned(Order{Model: name, Adapter: adapter}) {
+				loaded.Adapters = append(loaded.Adapters, adapter)
+			}
+		}
+		slices.Sort(loaded.Adapters)
+		models = append(models, loaded)
+	}
+	slices.SortFunc(models, func(a, b surveyor.Loaded) int { return cmp.Compare(a.Name, b.Name) })
+	return models
+}
+
+// pending returns the load that is being carried out.
+func (e *Endpoint) pending(now time.Time) []surveyor.Pending {
+	if e.Running == nil || !e.Running.Load {
+		return nil
+	}
+	return []surveyor.Pending{{Model: e.Running.Model, Adapter: e.Running.Adapter, Left: max(0, e.Running.EndsAt.Sub(now))}}
+}
--- /dev/null
+++ b/internal/planner/endpoint.go
@@ -0,0 +1,223 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+)
+
+// Tier is where a replica gets the weights of a model from.
+type Tier int
+
+// The tiers, from fast to slow.
+const (
+	FromMemory Tier = iota
+	FromDisk
+	FromStore
+)
+
+// Endpoint is what the holder knows of a replica of an engine.
+type Endpoint struct {
+	// Listed is the replica's entry in the store.
+	Listed surveyor.Replica
+	// Known says that the fields below agree with the replica as of Sequence.
+	Known    bool
+	Sequence uint64
+	Models   map[string]*Resident
+	// InMemory and OnDisk are the copies of weights, the latest used last.
+	InMemory, OnDisk []string
+
+	// Sending is the order whose answer is awaited, and Running the accepted
+	// order that is being carried out.
+	Sending *Order
+	Running *Operation
+	// Queue holds the orders that follow, in order.
+	Queue []Order
+	// RetryAt is when the next order may be sent after one that was refused.
+	RetryAt time.Time
+	// Refused counts refusals of the first order of the queue in a row.
+	Refused int
+
+	// Reading says that a ReadState is under way; the next one may start at
+	// ReadAt.
+	Reading bool
+	ReadAt  time.Time
+	// ChangedAt is when the last order was accepted.
+	ChangedAt time.Time
+}
+
+// Resident is a model in a replica's memory.
+type Resident struct {
+	// Adapters holds the time of the last use by adapter.
+	Adapters map[string]time.Time
+	LoadedAt time.Time
+	UsedAt   time.Time
+	// Active is the number of requests that run on it.
+	Active int
+}
+
+// Operation is an order that a replica carries out.
+type Operation struct {
+	Order
+	Tier Tier
+	// EndsAt is the estimated end.
+	EndsAt time.Time
+}
+
+// idle says whether a chain of orders may be planned for the endpoint.
+func (e *Endpoint) idle() bool {
+	return e.Known && !e.Listed.Leaving && e.Sending == nil && e.Running == nil && len(e.Queue) == 0
+}
+
+// holds says whether the endpoint has a model, or will have it after its
+// orders.
+func (e *Endpoint) holds(model string) bool {
+	if e.Models[model] != nil && !e.unloading(model) {
+		return true
+	}
+	return e.loading(model, "")
+}
+
+func (e *Endpoint) holdsAdapter(model, adapter string) bool {
+	if resident := e.Models[model]; resident != nil {
+		if _, ok := resident.Adapters[adapter]; ok {
+			return true
+		}
+	}
+	return e.loading(model, adapter)
+}
+
+func (e *Endpoint) loading(model, adapter string) bool {
+	return e.planned(Order{Load: true, Model: model, Adapter: adapter})
+}
+
+func (e *Endpoint) unloading(model string) bool {
+	return e.planned(Order{Model: model})
+}
+
+// planned says whether an order is queued, sent or being carried out.
+func (e *Endpoint) planned(order Order) bool {
+	same := func(other Order) bool {
+		return other.Load == order.Load && other.Model == order.Model && other.Adapter == order.Adapter
+	}
+	return e.Sending != nil && same(*e.Sending) ||
+		e.Running != nil && same(e.Running.Order) ||
+		slices.ContainsFunc(e.Queue, same)
+}
+
+// tier returns where the endpoint gets a model from.
+func (e *Endpoint) tier(model string) Tier {
+	switch {
+	case slices.Contains(e.InMemory, model):
+		return FromMemory
+	case slices.Contains(e.OnDisk, model):
+		return FromDisk
+	}
+	return FromStore
+}
+
+// loadTime returns the time of a load from a tier.
+func loadTime(model resolver.Model, tier Tier) time.Duration {
+	switch tier {
+	case FromMemory:
+		return model.MemoryLoad
+	case FromDisk:
+		return model.DiskLoad
+	}
+	return model.StoreLoad
+}
+
+// used returns the memory that the endpoint's models and adapters take, with
+// those that are being loaded.
+func (e *Endpoint) used(engine *resolver.Engine) float64 {
+	total := 0.0
+	for name, resident := range e.Models {
+		model := engine.Models[name]
+		total += model.MemoryMB + model.AdapterMB*float64(len(resident.Adapters))
+	}
+	if e.Running != nil && e.Running.Load {
+		total += sizeOf(engine, e.Running.Order)
+	}
+	if e.Sending != nil && e.Sending.Load {
+		total += sizeOf(engine, *e.Sending)
+	}
+	return total
+}
+
+func sizeOf(engine *resolver.Engine, order Order) float64 {
+	model := engine.Models[order.Model]
+	if order.Adapter != "" {
+		return model.AdapterMB
+	}
+	return model.MemoryMB
+}
+
+// adapters counts the adapters that the endpoint holds or loads.
+func (e *Endpoint) adapters() int {
+	count := 0
+	for _, resident := range e.Models {
+		count += len(resident.Adapters)
+	}
+	if e.Running != nil && e.Running.Load && e.Running.Adapter != "" {
+		count++
+	}
+	if e.Sending != nil && e.Sending.Load && e.Sending.Adapter != "" {
+		count++
+	}
+	return count
+}
+
+// keepCopies records the copies that a load leaves in host memory and on disk,
+// where the least recently used ones yield.
+func (e *Endpoint) keepCopies(engine *resolver.Engine, model string) {
+	e.InMemory = keepCopy(engine, e.InMemory, model, engine.HostMB)
+	e.OnDisk = keepCopy(engine, e.OnDisk, model, engine.DiskMB)
+}
+
+func keepCopy(engine *resolver.Engine, copies []string, model string, room float64) []string {
+	copies = slices.DeleteFunc(slices.Clone(copies), func(name string) bool { return name == model })
+	copies = append(copies, model)
+	total := 0.0
+	for _, name := range copies {
+		total += engine.Models[name].MemoryMB
+	}
+	for len(copies) > 1 && total > room {
+		total -= engine.Models[copies[0]].MemoryMB
+		copies = copies[1:]
+	}
+	return copies
+}
+
+// adopt takes over what the replica said of itself.
+func (e *Endpoint) adopt(now time.Time, state surveyor.Replica) {
+	models := make(map[string]*Resident, len(state.Models))
+	for _, loaded := range state.Models {
+		resident := e.Models[loaded.Name]
+		if resident == nil {
+			resident = &Resident{LoadedAt: now, UsedAt: now}
+		}
+		adapters := make(map[string]time.Time, len(loaded.Adapters))
+		for _, name := range loaded.Adapters {
+			adapters[name] = resident.Adapters[name]
+		}
+		resident.Adapters = adapters
+		models[loaded.Name] = resident
+	}
+	for _, pending := range state.Pending {
+		if resident := models[pending.Model]; resident != nil && pending.Adapter != "" {
+			resident.Adapters[pending.Adapter] = now
+		}
+	}
+	e.Known, e.Sequence, e.Models = true, state.Sequence, models
+	e.InMemory, e.OnDisk = slices.Clone(state.InMemory), slices.Clone(state.OnDisk)
+	e.Sending, e.Running, e.Queue, e.Refused = nil, nil, nil, 0
+}
+
+// forget drops what is known, so that the replica's own report is read.
+func (e *Endpoint) forget(now time.Time) {
+	e.Known = false
+	e.Running, e.Queue, e.Refused = nil, nil, 0
+	e.ReadAt = now
+}
--- /dev/null
+++ b/internal/planner/report.go
@@ -0,0 +1,87 @@
+package planner
+
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+)
+
+// Report is what a node tells the holder.
+type Report struct {
+	Node surveyor.Node
+	// Leaving nodes take no new callers.
+	Leaving bool
+	// Epoch and Version say which table of replicas the node has.
+	Epoch, Version uint64
+	// Running counts the node's running requests.
+	Running []Running `json:",omitempty"`
+	// Demands are what requests wait for.
+	Demands []Demand `json:",omitempty"`
+	// Uses are the requests that were sent since the last report.
+	Uses []Use `json:",omitempty"`
+	// Spent counts the units of each workspace's limit since the process
+	// started.
+	Spent []Spent `json:",omitempty"`
+}
+
+// Running counts running requests of a model at a replica; Model is empty at
+// a plain service.
+type Running struct {
+	Replica string
+	Model   string `json:",omitempty"`
+	Count   int
+}
+
+// Demand is a model or adapter that requests wait for.
+type Demand struct {
+	Service string
+	Model   string
+	Adapter string `json:",omitempty"`
+	Waiting int
+	// Left is the time until the first of them is given up.
+	Left time.Duration
+}
+
+// Use counts requests that were sent for a model, and their tokens.
+type Use struct {
+	Service string
+	Model   string
+	Adapter string `json:",omitempty"`
+	Count   int
+	Tokens  int
+}
+
+// Spent is a number of units of a workspace's limit.
+type Spent struct {
+	Workspace string
+	Units     float64
+}
+
+// Answer is what the holder tells a node.
+type Answer struct {
+	// Holding is false at a node that does not hold the lease. Leader then
+	// names the node that it takes for the holder.
+	Holding bool
+	Leader  string `json:",omitempty"`
+	// Epoch and Version identify the table of replicas. Replicas is nil if
+	// the node has this version.
+	Epoch, Version uint64
+	Replicas       []surveyor.Replica `json:",omitempty"`
+	// Active counts the requests that the other nodes run, by replica.
+	Active map[string]int `json:",omitempty"`
+	// Nodes is nil unless the table is sent too.
+	Nodes []surveyor.Node `json:",omitempty"`
+	// Callers are the addresses of the nodes that callers may use.
+	Callers               []string
+	ConfigurationRevision uint64
+	ConfigurationAge      time.Duration
+	ReplicasAge           time.Duration
+	NodesAge              time.Duration
+	// SpentByOthers counts what the other nodes took of the limits since the
+	// holder first heard of them.
+	SpentByOthers []Spent `json:",omitempty"`
+	// Peers is the number of live nodes.
+	Peers int
+	// Ordering says that the holder may give orders now.
+	Ordering bool
+}
--- /dev/null
+++ b/internal/planner/task.go
@@ -0,0 +1,109 @@
+package planner
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+)
+
+const (
+	// inbox takes one report of every node and the results of orders.
+	inbox = 1024
+	// callTimeout ends an order or a read on a connection that has gone silent.
+	callTimeout = 500 * time.Millisecond
+)
+
+// Replicas calls the replicas of engines.
+type Replicas interface {
+	// Order sends an order.
+	Order(ctx context.Context, order SendOrder) Outcome
+	// State reads what a replica says of itself, and whether it is busy with
+	// an order.
+	State(ctx context.Context, id, address string) (state surveyor.Replica, busy bool, err error)
+}
+
+// TaskSettings describes a node's planner.
+type TaskSettings struct {
+	Settings
+	Clock    clockwork.Clock
+	Replicas Replicas
+	// RemoveNode removes the entry of a node that is gone.
+	RemoveNode func(ctx context.Context, name string, revision uint64)
+	// Log receives the Notes. It must not block.
+	Log func(Note)
+}
+
+// Task plans while its node holds the lease.
+type Task struct {
+	settings TaskSettings
+	task     *runner.Task[Message, Effect]
+}
+
+// New returns a task. It does nothing until Run is called.
+func New(settings TaskSettings) *Task {
+	t := &Task{settings: settings}
+	t.task = runner.New(runner.Settings[Message, Effect]{
+		Name:       "planner",
+		Clock:      settings.Clock,
+		Controller: NewController(settings.Settings),
+		Tick:       Tick{},
+		Perform:    t.perform,
+		Inbox:      inbox,
+	})
+	return t
+}
+
+// Run works until ctx ends.
+func (t *Task) Run(ctx context.Context) error { return t.task.Run(ctx) }
+
+// Post delivers a message.
+func (t *Task) Post(message Message) error { return t.task.Post(message) }
+
+// Report delivers a node's report and returns the answer.
+func (t *Task) Report(ctx context.Context, report Report) (Answer, error) {
+	return runner.Ask[Answer](ctx, t.task,
+		func(call runner.Call) Message { return Reported{Call: call, Report: report} }, nil)
+}
+
+func (t *Task) perform(handle runner.Handle[Message], effect Effect) {
+	switch effect := effect.(type) {
+	case SendOrder:
+		handle.Start(func(ctx context.Context) Message {
+			return OrderDone{Replica: effect.Replica, Order: effect.Order, Outcome: t.order(ctx, effect)}
+		})
+	case ReadState:
+		handle.Start(func(ctx context.Context) Message { return t.read(ctx, effect) })
+	case AnswerReport:
+		handle.Answer(effect.Call, effect.Answer)
+	case RemoveNode:
+		handle.Start(func(ctx context.Context) Message {
+			t.settings.RemoveNode(ctx, effect.Name, effect.Revision)
+			return Tick{}
+		})
+	case Note:
+		t.settings.Log(effect)
+	}
+}
+
+// order sends an order unless the lease has ended. The clock counts the time
+// that the machine stands still, so that a holder that wakes up sends nothing.
+func (t *Task) order(ctx context.Context, effect SendOrder) Outcome {
+	if !t.settings.Clock.Now().Before(effect.NotAfter) {
+		return Unsent
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, t.settings.Clock, callTimeout)
+	defer cancel()
+	return t.settings.Replicas.Order(ctx, effect)
+}
+
+func (t *Task) read(ctx context.Context, effect ReadState) Message {
+	askedAt := t.settings.Clock.Now()
+	ctx, cancel := clockwork.WithTimeout(ctx, t.settings.Clock, callTimeout)
+	defer cancel()
+	state, busy, err := t.settings.Replicas.State(ctx, effect.Replica, effect.Address)
+	return StateRead{Replica: effect.Replica, AskedAt: askedAt, Failed: err != nil, Busy: busy, State: state}
+}
--- /dev/null
+++ b/internal/surveyor/task.go
@@ -0,0 +1,79 @@
+package surveyor
+
+import (
+	"context"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// inbox is far above the messages that come between two steps.
+const inbox = 256
+
+// Store reads the platform's store.
+type Store interface {
+	// Configuration returns nil if the revision in the store is known.
+	Configuration(ctx context.Context, known uint64) (*resolver.Configuration, error)
+	Replicas(ctx context.Context) ([]Replica, error)
+	Nodes(ctx context.Context) ([]Node, error)
+}
+
+// Settings describes a node's surveyor.
+type Settings struct {
+	Store Store
+	Clock clockwork.Clock
+	// Publish receives the Publish effects and Notes in order, on the task's
+	// goroutine. It must not block.
+	Publish func(Effect)
+}
+
+// Task keeps the beliefs of a node.
+type Task struct {
+	settings Settings
+	task     *runner.Task[Message, Effect]
+}
+
+// New returns a task. It does nothing until Run is called.
+func New(settings Settings) *Task {
+	t := &Task{settings: settings}
+	t.task = runner.New(runner.Settings[Message, Effect]{
+		Name:       "surveyor",
+		Clock:      settings.Clock,
+		Controller: NewController(),
+		Tick:       Tick{},
+		Perform:    t.perform,
+		Inbox:      inbox,
+	})
+	return t
+}
+
+// Run works until ctx ends.
+func (t *Task) Run(ctx context.Context) error { return t.task.Run(ctx) }
+
+// Post delivers a message.
+func (t *Task) Post(message Message) error { return t.task.Post(message) }
+
+func (t *Task) perform(handle runner.Handle[Message], effect Effect) {
+	startedAt := t.settings.Clock.Now()
+	switch effect := effect.(type) {
+	case ReadConfiguration:
+		handle.Start(func(ctx context.Context) Message {
+			found, err := t.settings.Store.Configuration(ctx, effect.Known)
+			return ConfigurationRead{StartedAt: startedAt, Failed: err != nil, Configuration: found}
+		})
+	case ReadReplicas:
+		handle.Start(func(ctx context.Context) Message {
+			found, err := t.settings.Store.Replicas(ctx)
+			return ReplicasRead{StartedAt: startedAt, Failed: err != nil, Replicas: found}
+		})
+	case ReadNodes:
+		handle.Start(func(ctx context.Context) Message {
+			found, err := t.settings.Store.Nodes(ctx)
+			return NodesRead{StartedAt: startedAt, Failed: err != nil, Nodes: found}
+		})
+	default:
+		t.settings.Publish(effect)
+	}
+}
