Wake tasks only when something is due, and send the registered nodes when they change

The list of nodes was only sent with a new table of replicas, so that nodes lost the holder for 4 s after the start.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -113,7 +113,7 @@
 	case syncer.Heard:
 		n.heard(effect)
 	case syncer.Note:
-		n.logger.WithFields(logrus.Fields{"Holder": effect.Holder, "Age": effect.Age.String()}).Info(effect.Text)
+		n.logger.WithFields(logrus.Fields{"Holder": effect.Holder, "Age": effect.Age.String(), "Error": effect.Cause}).Info(effect.Text)
 	}
 }
 
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -30,6 +30,8 @@
 	overloadRetry = 400 * time.Millisecond
 	// waitingCheck is the longest time between two looks at waiting requests.
 	waitingCheck = 20 * time.Millisecond
+	// waitingPause is the shortest such time.
+	waitingPause = time.Millisecond
 	// maxWaiting bounds the waiting requests of a node.
 	maxWaiting = 2000
 )
@@ -44,6 +46,8 @@
 	Grants map[runner.Call]*grant
 	// Uses counts what was sent since the last Collect.
 	Uses map[useKey]*planner.Use
+	// LookedAt is when the waiting requests were last looked at.
+	LookedAt time.Time
 	// Random makes the choices of this node differ from those of the others.
 	Random *rand.Rand
 }
@@ -77,33 +81,35 @@
 	}
 }
 
-// Wake returns when the waiting requests are looked at next.
+// Wake returns when the waiting requests are looked at next: when a load ends,
+// when one of them is given up, and otherwise at intervals.
 func (c *Controller) Wake() time.Time {
-	var wake time.Time
+	if len(c.Waits) == 0 {
+		return time.Time{}
+	}
+	wake := c.LookedAt.Add(waitingCheck)
+	soonest := c.LookedAt.Add(waitingPause)
 	for _, wait := range c.Waits {
-		at := wait.Need.GiveUpAt
-		wanted := item{wait.Need.Model, wait.Need.Adapter}
+		wake = earlier(wake, wait.Need.GiveUpAt)
 		for _, replica := range c.Replicas {
-			if ready, ok := replica.readyAt(wanted); ok && ready.Before(at) {
-				at = ready
-			}
-			if until, ok := replica.MissingUntil[wanted]; ok && until.Before(at) {
-				at = until
-			}
-			if !replica.RefusedUntil.IsZero() && replica.RefusedUntil.Before(at) {
-				at = replica.RefusedUntil
+			if ready, ok := replica.readyAt(item{wait.Need.Model, wait.Need.Adapter}); ok && ready.After(c.LookedAt) {
+				wake = earlier(wake, ready)
 			}
 		}
-		if least := wait.Since.Add(waitingCheck); at.Before(least) {
-			at = least
-		}
-		if wake.IsZero() || at.Before(wake) {
-			wake = at
-		}
+	}
+	if wake.Before(soonest) {
+		return soonest
 	}
 	return wake
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Step handles one message.
 func (c *Controller) Step(now time.Time, message Message) []Effect {
 	switch message := message.(type) {
@@ -160,6 +166,7 @@
 		return []Effect{Grant{message.Call, Placement{Refused: refusal}}}
 	}
 	c.Waits = append(c.Waits, wait)
+	c.LookedAt = now
 	if message.Need.Model != "" && !c.coming(message.Need) {
 		return []Effect{Demanded{}}
 	}
@@ -329,6 +336,7 @@
 
 // serveWaits grants what has become possible and refuses what is over.
 func (c *Controller) serveWaits(now time.Time) []Effect {
+	c.LookedAt = now
 	var effects []Effect
 	c.Waits = slices.DeleteFunc(c.Waits, func(wait *Wait) bool {
 		if placement, ok := c.choose(now, wait); ok {
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -77,7 +77,11 @@
 	}
 	wake := c.Tenure.PlannedAt.Add(planEvery)
 	for _, endpoint := range c.Tenure.Endpoints {
-		for _, due := range []time.Time{endpoint.orderAt(), endpoint.endsAt(), endpoint.readAt()} {
+		orderAt := endpoint.orderAt()
+		if !orderAt.IsZero() {
+			orderAt = later(orderAt, c.Tenure.OrdersFrom)
+		}
+		for _, due := range []time.Time{orderAt, endpoint.endsAt(), endpoint.readAt()} {
 			if !due.IsZero() && due.Before(wake) {
 				wake = due
 			}
@@ -105,7 +109,7 @@
 		c.Replicas, c.ReplicasAsOf = message.Replicas, message.ProvenAt
 		effects = c.listed(now)
 	case NodesListed:
-		c.Nodes, c.NodesAsOf = message.Nodes, message.ProvenAt
+		c.nodesListed(message)
 	case OrderDone:
 		effects = c.orderDone(now, message)
 	case StateRead:
@@ -140,7 +144,11 @@
 
 // act ends what is over, plans, and sends what is due.
 func (c *Controller) act(now time.Time) []Effect {
-	if c.Tenure == nil || c.Configuration == nil {
+	if c.Tenure == nil {
+		return nil
+	}
+	c.Tenure.PlannedAt = now
+	if c.Configuration == nil {
 		return nil
 	}
 	var effects []Effect
@@ -150,7 +158,6 @@
 	if !now.Before(c.Tenure.OrdersFrom) {
 		effects = append(effects, c.plan(now)...)
 	}
-	c.Tenure.PlannedAt = now
 	for _, id := range c.endpointIDs() {
 		effects = append(effects, c.send(now, id, c.Tenure.Endpoints[id])...)
 	}
@@ -167,6 +174,16 @@
 	return ids
 }
 
+// nodesListed takes over the registered nodes. They travel with the table of
+// replicas, which gets a new version when they change.
+func (c *Controller) nodesListed(message NodesListed) {
+	same := slices.EqualFunc(c.Nodes, message.Nodes, func(a, b surveyor.Node) bool { return a == b })
+	c.Nodes, c.NodesAsOf = message.Nodes, message.ProvenAt
+	if c.Tenure != nil && !same {
+		c.Tenure.Version++
+	}
+}
+
 // engine returns the engine of a service, or nil.
 func (c *Controller) engine(service string) *resolver.Engine {
 	if c.Configuration == nil {
@@ -206,10 +223,6 @@
 		return []Effect{Note{Text: "replica joined the list", Replica: replica.ID}}
 	}
 	endpoint.Listed = replica
-	if endpoint.Known && replica.Sequence > endpoint.Sequence && endpoint.Sending == nil {
-		endpoint.forget(now)
-		return []Effect{Note{Text: "replica accepted an order that is not known", Replica: replica.ID}}
-	}
 	return nil
 }
 
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -195,7 +195,7 @@
 		return nil
 	}
 	operation := *e.Running
-	listed := operation.Adapter == "" && e.Listed.Sequence >= e.Sequence && e.Listed.Has(operation.Model, "")
+	listed := operation.Adapter == "" && e.Listed.Has(operation.Model, "")
 	switch {
 	case listed:
 	case now.Before(operation.EndsAt):
--- a/internal/surveyor/replica.go
+++ b/internal/surveyor/replica.go
@@ -19,8 +19,9 @@
 	Slots      int
 	// Leaving replicas take no new requests.
 	Leaving bool
-	// Sequence counts the orders that the replica accepted.
-	Sequence uint64
+	// Sequence counts the orders that the replica accepted. Only the replica's
+	// own report tells it.
+	Sequence uint64 `json:",omitempty"`
 	Models   []Loaded
 	// InMemory and OnDisk name the models with a copy of their weights.
 	InMemory []string `json:",omitempty"`
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -42,7 +42,9 @@
 	With      string
 	StartedAt time.Time
 	Failed    bool
-	Answer    planner.Answer
+	// Cause says why an exchange failed.
+	Cause  string
+	Answer planner.Answer
 }
 
 func (Tick) isMessage()       {}
@@ -74,6 +76,7 @@
 	Text   string
 	Holder string
 	Age    time.Duration
+	Cause  string
 }
 
 func (Exchange) isEffect() {}
@@ -125,6 +128,9 @@
 		}
 	case SetNodes:
 		c.Nodes = message.Nodes
+		if c.DueAt.IsZero() {
+			c.DueAt = now
+		}
 	case SetHolding:
 		c.Holding = message.Holding
 		c.DueAt = now
@@ -198,7 +204,7 @@
 func (c *Controller) missed(now time.Time, message Exchanged) []Effect {
 	var effects []Effect
 	if c.Holder == message.With {
-		effects = append(effects, Note{Text: "lost the holder of the placement lease", Holder: message.With, Age: now.Sub(c.HeardAt)})
+		effects = append(effects, Note{Text: "lost the holder of the placement lease", Holder: message.With, Age: now.Sub(c.HeardAt), Cause: message.Cause})
 	}
 	c.Holder, c.Hint = "", ""
 	if hint := message.Answer.Leader; !message.Failed && hint != message.With {
--- a/internal/syncer/task.go
+++ b/internal/syncer/task.go
@@ -83,5 +83,8 @@
 		result.Answer, err = t.settings.Send(ctx, effect.Address, report)
 	}
 	result.Failed = err != nil
+	if err != nil {
+		result.Cause = err.Error()
+	}
 	return result
 }
