--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -60,7 +60,9 @@
 	self     surveyor.Node
 	view     view
 	draining atomic.Bool
-	meter    *meter.Meter
+	// bounds are those of the settings file in force.
+	bounds atomic.Pointer[platform.Bounds]
+	meter  *meter.Meter
 
 	store    *platform.Store
 	surveyor *surveyor.Task
@@ -95,6 +97,7 @@
 			Peers:      settings.Peers,
 		},
 	}
+	n.bounds.Store(&settings.Bounds)
 	if err := n.create(ctx); err != nil {
 		n.cleanUp()
 		return nil, nil, err
@@ -166,10 +169,9 @@
 
 // chain returns the filters of a forwarded request.
 func (n *Node) chain() filter.Chain {
-	currency := n.settings.Bounds.RevokeWithin - currencyMargin
 	return filter.Chain{
 		forwarder.Locate{View: &n.view, Clock: n.clock},
-		forwarder.Authorize{View: &n.view, Clock: n.clock, Currency: currency},
+		forwarder.Authorize{View: &n.view, Clock: n.clock, Currency: n.currency},
 		forwarder.Ration{Limits: n.rationer},
 		&forwarder.Dispatch{
 			Pool:     n.pool,
@@ -177,7 +179,7 @@
 			Places:   n.balancer,
 			View:     &n.view,
 			Clock:    n.clock,
-			Currency: currency,
+			Currency: n.currency,
 			Budgets:  n.budgets,
 			Log:      n.logAttempt,
 		},
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -48,6 +48,7 @@
 	n.serve(working, group, n.listeners.readiness, platform.Readiness(n.ready))
 	n.serve(working, group, n.listeners.directory, platform.Directory(n.addresses))
 	runner.Add(working, group, runnable(n.register))
+	runner.Add(working, group, runnable(n.reload))
 	runner.Add(ctx, group, runnable(n.serveCallers))
 	n.logger.WithField("Run", n.self.Run).Info("started")
 	err := group.Run()
@@ -98,7 +99,7 @@
 // leave ends the node's part in the fleet and then its requests.
 func (n *Node) leave(server *http.Server) error {
 	startedAt := n.clock.Now()
-	grace := n.settings.Bounds.DrainGrace
+	grace := n.bounds.Load().DrainGrace
 	n.draining.Store(true)
 	n.logger.Info("leaving: taken out of the address answers")
 	n.post("syncer", n.syncer.Post(syncer.Urgent{}))
@@ -166,7 +167,7 @@
 
 // addresses answers callers that ask where to connect.
 func (n *Node) addresses(platform.Query) ([]string, time.Duration) {
-	lifetime := min(addressLifetime, n.settings.Bounds.AddressLifetime)
+	lifetime := min(addressLifetime, n.bounds.Load().AddressLifetime)
 	return n.view.addresses(n.clock.Now(), n.self.Callers, !n.ready()), lifetime
 }
 
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -68,8 +68,8 @@
 	Places Places
 	View   View
 	Clock  clockwork.Clock
-	// Currency is the longest time since the keys were known to be current.
-	Currency time.Duration
+	// Currency returns the longest time since the keys were known to be current.
+	Currency func() time.Duration
 	Budgets  *Budgets
 	Log      func(Event)
 }
@@ -227,7 +227,7 @@
 		return true
 	}
 	configuration, provenAt := j.View.Configuration()
-	if now.Sub(provenAt) > j.Currency {
+	if now.Sub(provenAt) > j.Currency() {
 		return false
 	}
 	_, granted := configuration.Authorize(j.request.KeyDigest)
--- a/internal/forwarder/filters.go
+++ b/internal/forwarder/filters.go
@@ -73,9 +73,9 @@
 type Authorize struct {
 	View  View
 	Clock clockwork.Clock
-	// Currency is the longest time since the configuration was known to be
+	// Currency returns the longest time since the configuration was known to be
 	// the newest.
-	Currency time.Duration
+	Currency func() time.Duration
 }
 
 // Filter implements filter.Filter.
@@ -86,7 +86,7 @@
 	}
 	configuration, provenAt := f.View.Configuration()
 	age := f.Clock.Since(provenAt)
-	if age > f.Currency {
+	if age > f.Currency() {
 		return refuse(filter.NotCurrent, filter.NotRun, elsewhereRetry, fmt.Sprintf("keys were last current %v ago", age))
 	}
 	customer, ok := configuration.Authorize(request.KeyDigest)
