Find the holder by what candidates read, share suspects and keep streams going

Cause: the first node that listed itself took the lease while nobody else knew it, and was no candidate of the full list, so that the others did not find it for up to 16 s; until then they kept to an eighth of each limit and refused cold models.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -51,20 +51,13 @@
 // from the list registers again.
 func (n *Node) setNodes(effect surveyor.PublishNodes) {
 	names := make([]string, 0, len(effect.Nodes))
-	addresses := make([]string, 0, len(effect.Nodes))
 	for _, node := range effect.Nodes {
 		names = append(names, node.Name)
-		addresses = append(addresses, node.Callers)
 	}
 	if !n.draining.Load() && !slices.Contains(names, n.self.Name) {
 		names = append(names, n.self.Name)
 		n.wantRegistration()
 	}
-	known := directory{registered: addresses}
-	if old := n.view.directory.Load(); old != nil {
-		known.callers, known.heardAt = old.callers, old.heardAt
-	}
-	n.view.directory.Store(&known)
 	if !n.draining.Load() {
 		n.post("leaser", n.leaser.SetNodes(names))
 	}
@@ -76,7 +69,14 @@
 func (n *Node) leased(event leaser.Event) {
 	switch event := event.(type) {
 	case leaser.Held:
-		n.post("planner", n.planner.Post(planner.Held{Epoch: event.Epoch, Until: event.Until, First: event.Epoch == 1}))
+		n.post("planner", n.planner.Post(planner.Held{
+			Epoch: event.Epoch,
+			Until: event.Until,
+			First: event.Epoch == 1,
+			// Whoever releases the lease leaves data in it.
+			HandedOver: len(event.Data) > 0,
+			Callers:    n.view.told(n.clock.Now()),
+		}))
 		n.post("surveyor", n.surveyor.Post(surveyor.Lead{Held: true}))
 		n.post("syncer", n.syncer.Post(syncer.SetHolding{Holding: true}))
 	case leaser.Lost:
@@ -84,7 +84,20 @@
 		n.post("planner", n.planner.Post(planner.Lost{}))
 		n.post("surveyor", n.surveyor.Post(surveyor.Lead{}))
 		n.post("syncer", n.syncer.Post(syncer.SetHolding{}))
+	case leaser.Observed:
+		n.holder.Store(&event.Holder)
+		n.post("syncer", n.syncer.Post(syncer.Hinted{Holder: event.Holder}))
+	}
+}
+
+// report answers another node's report. A node that does not hold the lease
+// names the holder that it knows.
+func (n *Node) report(ctx context.Context, report planner.Report) (planner.Answer, error) {
+	answer, err := n.planner.Report(ctx, report)
+	if holder := n.holder.Load(); err == nil && !answer.Holding && holder != nil {
+		answer.Leader = *holder
 	}
+	return answer, err
 }
 
 // collect makes this node's report to the holder.
@@ -98,12 +111,13 @@
 		return planner.Report{}, err
 	}
 	return planner.Report{
-		Node:    n.self,
-		Leaving: n.draining.Load(),
-		Running: activity.Running,
-		Demands: activity.Demands,
-		Uses:    activity.Uses,
-		Spent:   spent,
+		Node:     n.self,
+		Leaving:  n.draining.Load(),
+		Running:  activity.Running,
+		Suspects: activity.Suspects,
+		Demands:  activity.Demands,
+		Uses:     activity.Uses,
+		Spent:    spent,
 	}, nil
 }
 
@@ -119,6 +133,7 @@
 
 func (n *Node) heard(effect syncer.Heard) {
 	answer := effect.Answer
+	n.holder.Store(&answer.Leader)
 	n.post("surveyor", n.surveyor.Post(surveyor.HolderHeard{
 		StartedAt:             effect.StartedAt,
 		ConfigurationRevision: answer.ConfigurationRevision,
@@ -129,12 +144,12 @@
 		Nodes:                 answer.Nodes,
 	}))
 	n.post("rationer", n.rationer.Post(rationer.Heard{Epoch: answer.Epoch, Spent: answer.SpentByOthers, Nodes: answer.Peers}))
-	known := directory{callers: answer.Callers, heardAt: effect.StartedAt}
-	if old := n.view.directory.Load(); old != nil {
-		known.registered = old.registered
-	}
-	n.view.directory.Store(&known)
-	n.post("balancer", n.balancer.Post(balancer.SetOthers{Active: answer.Active, Ordering: answer.Ordering}))
+	n.view.directory.Store(&directory{callers: answer.Callers, heardAt: effect.StartedAt})
+	n.post("balancer", n.balancer.Post(balancer.SetOthers{
+		Active:   answer.Active,
+		Suspects: answer.Suspects,
+		Ordering: answer.Ordering,
+	}))
 }
 
 func (n *Node) removeNode(ctx context.Context, name string, revision uint64) {
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
+	"toucanhitch.example/toucanhitch/internal/balancer"
 	"toucanhitch.example/toucanhitch/internal/filter"
 	"toucanhitch.example/toucanhitch/internal/forwarder"
 	"toucanhitch.example/toucanhitch/internal/planner"
@@ -21,6 +22,7 @@
 		"ConfigurationAge": event.ConfigurationAge.Milliseconds(),
 	}
 	if event.Forward.Model != "" {
+		fields["Tokens"] = event.Forward.PromptTokens + event.Forward.OutputTokens
 		fields["Model"] = event.Forward.Model
 		fields["Adapter"] = event.Forward.Adapter
 	}
@@ -56,6 +58,15 @@
 	n.meter.Ended(filter.Class(forward.Route.Kind), reason, took)
 }
 
+// logReplica logs a change of what this node believes of a replica.
+func (n *Node) logReplica(note balancer.Note) {
+	n.logger.WithFields(logrus.Fields{
+		"Replica":  note.Replica,
+		"Result":   note.Result,
+		"Failures": note.Failures,
+	}).Info(note.Text)
+}
+
 // logPlan logs a decision of the planner.
 func (n *Node) logPlan(note planner.Note) {
 	n.logger.WithFields(logrus.Fields{
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -35,7 +35,7 @@
 	currencyMargin = 1500 * time.Millisecond
 	// orderMargin is added to the spacing of two holders' orders for the time
 	// that an order takes on its way.
-	orderMargin = 150 * time.Millisecond
+	orderMargin = 300 * time.Millisecond
 	// retryShare is the part of the allowed retry ratio and slack that the
 	// nodes use together: windows slide, and nodes restart with an opening.
 	retryShare = 0.6
@@ -43,6 +43,15 @@
 	budgetNodes = 8
 )
 
+// leaseTiming keeps the time without orders short: after a crash of the holder
+// its successor must also wait out the spacing of orders. The platform's store
+// answers in 4 ms, and in 240 ms when it is slow.
+var leaseTiming = leaser.Timing{
+	Duration: 1800 * time.Millisecond,
+	Renew:    600 * time.Millisecond,
+	Poll:     600 * time.Millisecond,
+}
+
 // Settings describes a node.
 type Settings struct {
 	platform.Settings
@@ -60,6 +69,9 @@
 	self     surveyor.Node
 	view     view
 	draining atomic.Bool
+	// holder is the node that held the placement lease when this node last
+	// learnt of it.
+	holder atomic.Pointer[string]
 	// bounds are those of the settings file in force.
 	bounds atomic.Pointer[platform.Bounds]
 	meter  *meter.Meter
@@ -132,7 +144,11 @@
 	bounds := n.settings.Bounds
 	n.surveyor = surveyor.New(surveyor.Settings{Store: n.store, Clock: n.clock, Publish: n.believe})
 	n.planner = planner.New(planner.TaskSettings{
-		Settings:   planner.Settings{Node: n.settings.Node, Spacing: bounds.OrderSpacing + orderMargin},
+		Settings: planner.Settings{
+			Node:    n.settings.Node,
+			Spacing: bounds.OrderSpacing + orderMargin,
+			Overlap: leaseTiming.Overlap(),
+		},
 		Clock:      n.clock,
 		Replicas:   engines,
 		RemoveNode: n.removeNode,
@@ -142,6 +158,7 @@
 		Clock:    n.clock,
 		Seed:     seed(n.self.Run),
 		Demanded: func() { n.post("syncer", n.syncer.Post(syncer.Urgent{})) },
+		Log:      n.logReplica,
 	})
 	n.rationer = rationer.New(n.clock, bounds.QuotaSlack)
 	n.syncer = syncer.New(syncer.Settings{
@@ -158,6 +175,7 @@
 		Names:   []string{placementLease},
 		Store:   n.store,
 		Clock:   n.clock,
+		Timing:  leaseTiming,
 		Publish: n.leased,
 	})
 	n.budgets = &forwarder.Budgets{Clock: n.clock, Settings: dispatcher.BudgetSettings{
@@ -218,7 +236,7 @@
 // peerHandler serves other nodes and monitoring.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	messenger.HandleReport(mux, n.planner.Report)
+	messenger.HandleReport(mux, n.report)
 	mux.Handle("GET /metrics", n.meter.Handler())
 	return mux
 }
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -8,6 +8,7 @@
 
 	"github.com/oklog/run"
 
+	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/syncer"
 	"toucanhitch.example/toucanhitch/platform"
@@ -105,7 +106,8 @@
 	n.post("syncer", n.syncer.Post(syncer.Urgent{}))
 	ctx, cancel := context.WithTimeout(context.Background(), grace-finishMargin)
 	defer cancel()
-	if _, err := n.leaser.Release(ctx, placementLease, nil); err != nil {
+	n.post("planner", n.planner.Post(planner.Lost{}))
+	if _, err := n.leaser.Release(ctx, placementLease, []byte(n.self.Name)); err != nil {
 		n.logger.WithError(err).Warn("placement lease was not handed over; it will expire")
 	}
 	if err := n.store.Unregister(ctx, n.self.Name, 0); err != nil {
--- a/internal/assembler/view.go
+++ b/internal/assembler/view.go
@@ -25,8 +25,6 @@
 	// callers are the addresses that the holder gave at a time.
 	callers []string
 	heardAt time.Time
-	// registered are the addresses of all registered nodes.
-	registered []string
 }
 
 // Configuration implements forwarder.View.
@@ -39,21 +37,21 @@
 }
 
 // directoryAge is how long the holder's addresses are used after it was last
-// heard; then all registered nodes are named, because one of them must be
-// reachable.
-const directoryAge = 5 * time.Second
+// heard. It is longer than the time without a holder after a crash.
+const directoryAge = 8 * time.Second
 
-// addresses returns the addresses to name to callers, in random order.
-func (v *view) addresses(now time.Time, self string, draining bool) []string {
+// told returns the addresses that a holder gave not long ago.
+func (v *view) told(now time.Time) []string {
 	known := v.directory.Load()
-	var addresses []string
-	switch {
-	case known == nil:
-	case now.Sub(known.heardAt) < directoryAge && len(known.callers) > 0:
-		addresses = slices.Clone(known.callers)
-	default:
-		addresses = slices.Clone(known.registered)
+	if known == nil || now.Sub(known.heardAt) > directoryAge {
+		return nil
 	}
+	return known.callers
+}
+
+// addresses returns the addresses to name to callers, in random order.
+func (v *view) addresses(now time.Time, self string, draining bool) []string {
+	addresses := slices.Clone(v.told(now))
 	addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == self })
 	if !draining {
 		addresses = append(addresses, self)
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -18,8 +18,13 @@
 	unknownLatency = 50 * time.Millisecond
 	// affinityGain is the advantage of the replica that has a long prefix.
 	affinityGain = 0.6
+	// suspectCost is the disadvantage of a replica that fails other nodes.
+	suspectCost = 2
 	// noiseShare spreads the choices of nodes that know the same.
 	noiseShare = 0.15
+	// relaxAfter is how long a request waits for another replica than those
+	// that failed: about the time of a load from disk.
+	relaxAfter = 900 * time.Millisecond
 	// fullLoad is the share of a plain replica's slots from which on requests
 	// wait at the node: the replica would queue them without order.
 	fullLoad = 2.0
@@ -120,6 +125,9 @@
 		c.Ordering = message.Ordering
 		for id, replica := range c.Replicas {
 			replica.Others = message.Active[id]
+			if slices.Contains(message.Suspects, id) {
+				replica.SuspectedUntil = now.Add(suspectSpan)
+			}
 		}
 	case Place:
 		return c.place(now, message)
@@ -127,7 +135,7 @@
 		c.Waits = slices.DeleteFunc(c.Waits, func(wait *Wait) bool { return wait.Call == message.Call })
 		c.ended(now, Ended{Ticket: message.Call, Result: Abandoned})
 	case Ended:
-		c.ended(now, message)
+		return append(c.ended(now, message), c.serveWaits(now)...)
 	case Collect:
 		return []Effect{c.collect(now, message.Call)}
 	}
@@ -232,13 +240,14 @@
 	bestSuspect := false
 	candidates := 0
 	home := c.home(now, need, wanted)
+	relaxed := now.Sub(wait.Since) > relaxAfter
 	for _, id := range c.ids() {
 		replica := c.Replicas[id]
-		if !c.usable(now, replica, need, wanted) {
+		suspect := replica.suspect(now)
+		if !c.usable(now, replica, need, wanted) || !relaxed && c.avoids(need, id, suspect) {
 			continue
 		}
 		candidates++
-		suspect := replica.failures(now) >= suspectFailures
 		cost := c.cost(now, replica) * (1 + noiseShare*c.Random.Float64())
 		if id == home {
 			cost *= affinityGain
@@ -261,9 +270,16 @@
 	}, true
 }
 
+// avoids says whether a request rather waits than goes to a replica: one that
+// failed it before, or one that fails requests while the holder can have the
+// model loaded elsewhere.
+func (c *Controller) avoids(need Need, id string, suspect bool) bool {
+	return slices.Contains(need.Excluded, id) || suspect && need.Model != "" && c.Ordering
+}
+
 func (c *Controller) usable(now time.Time, replica *Replica, need Need, wanted item) bool {
 	switch {
-	case replica.Told.Service != need.Service, replica.Told.Leaving, slices.Contains(need.Excluded, replica.Told.ID):
+	case replica.Told.Service != need.Service, replica.Told.Leaving:
 		return false
 	case now.Before(replica.RefusedUntil):
 		return false
@@ -279,7 +295,11 @@
 	if latency == 0 {
 		latency = unknownLatency
 	}
-	return float64(latency) * (1 + 3*replica.load()) * (1 + replica.failures(now))
+	cost := float64(latency) * (1 + 3*replica.load()) * (1 + replica.failures(now))
+	if now.Before(replica.SuspectedUntil) {
+		cost *= suspectCost
+	}
+	return cost
 }
 
 // home returns the replica that requests with a long common prefix go to, the
@@ -325,13 +345,26 @@
 	use.Tokens += need.Tokens
 }
 
-func (c *Controller) ended(now time.Time, message Ended) {
+// ended settles a placement and notes when a replica becomes suspect or is
+// trusted again.
+func (c *Controller) ended(now time.Time, message Ended) []Effect {
 	granted := c.Grants[message.Ticket]
 	if granted == nil {
-		return
+		return nil
 	}
 	delete(c.Grants, message.Ticket)
-	granted.replica.settle(now, granted.need, message)
+	replica := granted.replica
+	replica.settle(now, granted.need, message)
+	suspect := replica.failures(now) >= suspectFailures
+	if suspect == replica.Noted {
+		return nil
+	}
+	replica.Noted = suspect
+	text := "replica trusted again"
+	if suspect {
+		text = "replica suspected"
+	}
+	return []Effect{Note{Text: text, Replica: replica.Told.ID, Result: message.Result, Failures: replica.failures(now)}}
 }
 
 // serveWaits grants what has become possible and refuses what is over.
@@ -372,6 +405,11 @@
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
 	clear(c.Uses)
+	for _, id := range c.ids() {
+		if c.Replicas[id].failures(now) >= suspectFailures {
+			answer.Suspects = append(answer.Suspects, id)
+		}
+	}
 	answer.Demands = c.demands(now)
 	return answer
 }
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -17,9 +17,12 @@
 // SetReplicas replaces the replicas to send to.
 type SetReplicas struct{ Replicas []surveyor.Replica }
 
-// SetOthers tells how many requests the other nodes run, by replica.
+// SetOthers tells what the other nodes see.
 type SetOthers struct {
+	// Active counts the requests that they run, by replica.
 	Active map[string]int
+	// Suspects are the replicas that fail their requests.
+	Suspects []string
 	// Ordering says that the holder may order loads now.
 	Ordering bool
 }
@@ -82,13 +85,15 @@
 	Missing Result = "missing"
 	// Failed attempts ended without a whole answer.
 	Failed Result = "failed"
+	// Silent attempts had no answer, or none that went on, for too long.
+	Silent Result = "silent"
 	// Erred attempts were answered with a server error.
 	Erred Result = "erred"
 	// Abandoned attempts were ended by the caller.
 	Abandoned Result = "abandoned"
 )
 
-// Effect is an output of Controller: Grant, Demanded or AnswerCollect.
+// Effect is an output of Controller: Grant, Demanded, AnswerCollect or Note.
 type Effect interface{ isEffect() }
 
 // Grant answers a Place.
@@ -129,8 +134,19 @@
 	Running []planner.Running
 	Demands []planner.Demand
 	Uses    []planner.Use
+	// Suspects are the replicas that failed requests lately.
+	Suspects []string
 }
 
+// Note is a change of a belief, for the log.
+type Note struct {
+	Text     string
+	Replica  string
+	Result   Result
+	Failures float64
+}
+
+func (Note) isEffect()          {}
 func (Grant) isEffect()         {}
 func (Demanded) isEffect()      {}
 func (AnswerCollect) isEffect() {}
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -14,6 +14,8 @@
 	// suspectFailures is the weight of failures from which on a replica is
 	// used only if there is no other.
 	suspectFailures = 1.5
+	// suspectSpan is how long the word of the other nodes holds.
+	suspectSpan = 600 * time.Millisecond
 	// successFactor lowers the weight of failures with each answer.
 	successFactor = 0.6
 	// latencyShare is the weight of a new measurement in the moving average.
@@ -36,6 +38,10 @@
 	// Failures is the weight of recent failures as of FailedAt.
 	Failures float64
 	FailedAt time.Time
+	// SuspectedUntil is set while other nodes' requests fail.
+	SuspectedUntil time.Time
+	// Noted says that the log tells that the replica is suspected.
+	Noted bool
 	// RefusedUntil is set when the replica was full.
 	RefusedUntil time.Time
 	// Latency is the moving average of the time to the first byte.
@@ -72,6 +78,12 @@
 	return weight * (1 - float64(age)/float64(2*failureHalfLife))
 }
 
+// suspect says whether requests fail at the replica, as this node or another
+// one saw.
+func (r *Replica) suspect(now time.Time) bool {
+	return r.failures(now) >= suspectFailures || now.Before(r.SuspectedUntil) && r.failures(now) > 0
+}
+
 func (r *Replica) fail(now time.Time, weight float64) {
 	r.Failures = r.failures(now) + weight
 	r.FailedAt = now
@@ -133,6 +145,8 @@
 		r.FailedAt = now
 	case Failed:
 		r.fail(now, 1)
+	case Silent:
+		r.fail(now, silentWeight)
 	case Erred:
 		r.fail(now, erredWeight)
 	case Missing:
@@ -144,6 +158,9 @@
 }
 
 const (
+	// silentWeight makes a silent replica suspect for two seconds: the list
+	// shows that it is gone about that much later.
+	silentWeight = 3
 	// erredWeight counts a server error as less than a broken answer: some
 	// requests fail on every replica.
 	erredWeight = 0.4
--- a/internal/balancer/task.go
+++ b/internal/balancer/task.go
@@ -19,6 +19,8 @@
 	// Demanded tells that the holder should hear of a demand at once. It must
 	// not block.
 	Demanded func()
+	// Log receives the Notes. It must not block.
+	Log func(Note)
 }
 
 // Task chooses replicas for the requests of a node.
@@ -67,6 +69,8 @@
 		handle.Answer(effect.Call, effect.Placement)
 	case Demanded:
 		t.settings.Demanded()
+	case Note:
+		t.settings.Log(effect)
 	case AnswerCollect:
 		handle.Answer(effect.Call, effect)
 	}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -28,14 +28,21 @@
 	// silentObjectives is how many latency objectives a replica may be silent
 	// before a request that may be repeated goes to another one.
 	silentObjectives = 1.5
+	// resumeWait is how long a broken stream waits for another replica; the
+	// caller gives up after a pause of two seconds or more.
+	resumeWait = 1500 * time.Millisecond
+	// retryWait is how long a request waits for a second replica at least:
+	// the time to load its model there.
+	retryWait = 1200 * time.Millisecond
+	// aloneFactor gives the only replica with a model more time: another one
+	// would have to load it first.
+	aloneFactor = 2.5
 	// leastSilence is the shortest such time.
 	leastSilence = 250 * time.Millisecond
-	// gapFactor is how many gap objectives a stream may pause before it is
-	// resumed elsewhere, if that is allowed.
-	gapFactor = 1.5
-	// longestGap ends a stream that cannot be resumed: callers give up after
-	// eight times the longest pause.
-	longestGap = 5 * time.Second
+	// longestGap is how long a stream may pause before it is resumed elsewhere.
+	// A slow replica is no reason to end an answer: callers wait for eight
+	// times the longest pause, 4.8 s with today's routes.
+	longestGap = 2500 * time.Millisecond
 )
 
 // Places chooses replicas.
@@ -159,8 +166,11 @@
 	route := j.forward.Route
 	hold := min(time.Duration(holdShare*float64(left)), holdObjectives*route.Objective)
 	giveUpAt := j.request.Arrived.Add(hold)
-	if j.sends > 0 {
-		giveUpAt = now.Add(min(hold, route.Objective))
+	switch {
+	case j.begun:
+		giveUpAt = now.Add(min(left, resumeWait))
+	case j.sends > 0:
+		giveUpAt = now.Add(min(hold, max(route.Objective, retryWait)))
 	}
 	return balancer.Need{
 		Service:  j.forward.Service,
@@ -198,7 +208,7 @@
 		LastEvent: j.resumeFrom(),
 		Priority:  j.priority(),
 		Left:      left,
-	}, j.silence(left, placement.Expected))
+	}, j.silence(left, placement))
 	if err != nil {
 		result = j.failed(placement, err)
 		return j.again(ctx, err)
@@ -259,12 +269,15 @@
 }
 
 // silence returns how long the replica may take for its first byte.
-func (j *job) silence(left, expected time.Duration) time.Duration {
+func (j *job) silence(left time.Duration, placement balancer.Placement) time.Duration {
 	route := j.forward.Route
 	if !route.Repeatable() || j.runs+1 >= route.MaxAttempts {
 		return left
 	}
-	limit := max(leastSilence, time.Duration(silentObjectives*float64(route.Objective)), 3*expected)
+	limit := max(leastSilence, time.Duration(silentObjectives*float64(route.Objective)), 3*placement.Expected)
+	if placement.Candidates == 1 {
+		limit = time.Duration(aloneFactor * float64(limit))
+	}
 	return min(left, limit)
 }
 
@@ -345,13 +358,13 @@
 	return filter.Accept{}, nil
 }
 
-// gap returns how long a stream may pause.
+// gap returns how long a stream may pause. One that cannot be resumed goes on
+// as long as its caller waits.
 func (j *job) gap() time.Duration {
-	route := j.forward.Route
-	if !route.Repeatable() || route.GapObjective == 0 {
-		return longestGap
+	if !j.forward.Route.Repeatable() {
+		return max(leastTime, j.request.Deadline.Sub(j.Clock.Now()))
 	}
-	return time.Duration(gapFactor * float64(route.GapObjective))
+	return longestGap
 }
 
 // failed records a failed attempt and returns what it says of the replica.
@@ -366,6 +379,9 @@
 		j.Pool.drop(placement.Address)
 	}
 	j.log("attempt failed", placement.Replica, 0, 0, err)
+	if errors.Is(err, ErrSilent) {
+		return balancer.Silent
+	}
 	return balancer.Failed
 }
 
--- a/internal/leaser/controller.go
+++ b/internal/leaser/controller.go
@@ -13,15 +13,16 @@
 	Node string
 	// Run identifies this run of the node's process.
 	Run     string
+	Timing  Timing
 	Entries []*Entry
 }
 
 // NewController returns the controller of a node for the named leases. It is
 // no candidate before it is told the nodes.
-func NewController(node, run string, names []string) *Controller {
-	controller := &Controller{Node: node, Run: run}
+func NewController(node, run string, names []string, timing Timing) *Controller {
+	controller := &Controller{Node: node, Run: run, Timing: timing}
 	for _, name := range slices.Compact(slices.Sorted(slices.Values(names))) {
-		controller.Entries = append(controller.Entries, &Entry{Name: name, MustRead: true})
+		controller.Entries = append(controller.Entries, &Entry{Name: name, Timing: timing, MustRead: true})
 	}
 	return controller
 }
@@ -139,7 +140,7 @@
 }
 
 func (c *Controller) lease(epoch uint64, data []byte) Lease {
-	return Lease{Holder: c.Node, Run: c.Run, Epoch: epoch, Duration: Duration, Data: data}
+	return Lease{Holder: c.Node, Run: c.Run, Epoch: epoch, Duration: c.Timing.Duration, Data: data}
 }
 
 func first(nodes []string, count int) []string { return nodes[:min(count, len(nodes))] }
--- a/internal/leaser/controller_test.go
+++ b/internal/leaser/controller_test.go
@@ -20,7 +20,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			return leaser.NewController(decoded.Node, decoded.Run, decoded.Names)
+			return leaser.NewController(decoded.Node, decoded.Run, decoded.Names, leaser.DefaultTiming)
 		},
 		Messages: []leaser.Message{
 			leaser.Tick{}, leaser.SetNodes{}, leaser.Release{}, leaser.Keep{}, leaser.ReadDone{}, leaser.WriteDone{},
--- a/internal/leaser/entry.go
+++ b/internal/leaser/entry.go
@@ -8,7 +8,8 @@
 
 // Entry is what a node knows of one lease.
 type Entry struct {
-	Name string
+	Name   string
+	Timing Timing
 	// Candidate says that this node is one of the first by rank.
 	Candidate bool
 
@@ -17,6 +18,8 @@
 	Version uint64
 	Lease   Lease
 	SeenAt  time.Time
+	// Told is the holder that was published last.
+	Told string
 	// Epoch is the highest epoch seen.
 	Epoch uint64
 
--- a/internal/leaser/lease.go
+++ b/internal/leaser/lease.go
@@ -2,17 +2,24 @@
 
 import "time"
 
-const (
+// Timing says how long a lease lasts and how often it is written and read.
+type Timing struct {
 	// Duration is how long a lease lasts without a renewal. It bounds the
 	// time without a holder after a crash, and it must leave room for a
 	// second renewal after one that timed out.
-	Duration = 3 * time.Second
-	// renewInterval is the time from one renewal to the next.
-	renewInterval = time.Second
-	// pollInterval is the time from one read of a candidate to the next. The
-	// read and the takeover that follow a handover fit in the rest of the
-	// second that it may take; with 1 s a single candidate took longer.
-	pollInterval = 900 * time.Millisecond
+	Duration time.Duration
+	// Renew is the time from one renewal to the next.
+	Renew time.Duration
+	// Poll is the time from one read of a candidate to the next.
+	Poll time.Duration
+}
+
+// DefaultTiming is for an object API that answers within a second. The read
+// and the takeover that follow a handover fit in the rest of the second that
+// it may take; with a poll of 1 s a single candidate took longer.
+var DefaultTiming = Timing{Duration: 3 * time.Second, Renew: time.Second, Poll: 900 * time.Millisecond}
+
+const (
 	// retryDelay is the pause of a holder after a call that had no effect.
 	retryDelay = 250 * time.Millisecond
 	// driftDivisor makes the margin for clock drift: 1/10 of the duration on
@@ -46,6 +53,13 @@
 // before it takes it.
 func (l Lease) Patience() time.Duration { return l.Duration + l.Duration/driftDivisor }
 
+// Overlap is the least time from the end of a lease at its holder to the
+// moment at which another node takes it.
+func (t Timing) Overlap() time.Duration {
+	lease := Lease{Duration: t.Duration}
+	return lease.Patience() - lease.Validity()
+}
+
 // Event tells other controllers about a lease: Held, Lost or Stored.
 type Event interface{ isEvent() }
 
@@ -77,6 +91,12 @@
 	Data  []byte
 }
 
-func (Held) isEvent()   {}
-func (Lost) isEvent()   {}
-func (Stored) isEvent() {}
+// Observed says which node another one has written into a lease, empty if it
+// was released. Only candidates read leases, so that nodes that look for the
+// holder can ask any of them.
+type Observed struct{ Name, Holder string }
+
+func (Held) isEvent()     {}
+func (Lost) isEvent()     {}
+func (Stored) isEvent()   {}
+func (Observed) isEvent() {}
--- a/internal/leaser/message.go
+++ b/internal/leaser/message.go
@@ -74,8 +74,8 @@
 	Uncertain Outcome = "Uncertain"
 )
 
-// Effect is an output of Controller: Read, Write, Held, Lost, Stored or
-// AnswerRelease.
+// Effect is an output of Controller: Read, Write, Held, Lost, Stored, Observed
+// or AnswerRelease.
 type Effect interface{ isEffect() }
 
 // Read asks for the lease object and brings a ReadDone.
@@ -102,6 +102,7 @@
 func (Held) isEffect()          {}
 func (Lost) isEffect()          {}
 func (Stored) isEffect()        {}
+func (Observed) isEffect()      {}
 func (AnswerRelease) isEffect() {}
 
 // Purpose is what a write is for.
--- a/internal/leaser/release.go
+++ b/internal/leaser/release.go
@@ -9,7 +9,7 @@
 	if entry == nil || entry.Leave != nil {
 		return []Effect{AnswerRelease{Call: message.Call}}
 	}
-	entry.Leave = &Leave{Call: message.Call, GiveUpAt: now.Add(Duration)}
+	entry.Leave = &Leave{Call: message.Call, GiveUpAt: now.Add(entry.Timing.Duration)}
 	entry.DueAt = now
 	switch {
 	case entry.Tenure != nil:
@@ -38,7 +38,7 @@
 	case entry.MustRead:
 		return []Effect{entry.read(now)}
 	case entry.isOf(c.Run) && entry.Lease.Epoch == entry.Leave.Epoch:
-		released := Lease{Epoch: entry.Leave.Epoch, Duration: Duration, Data: entry.Leave.Data}
+		released := Lease{Epoch: entry.Leave.Epoch, Duration: entry.Timing.Duration, Data: entry.Leave.Data}
 		return []Effect{entry.write(now, Handover, released)}
 	}
 	return entry.finishLeave(entry.Lease.Holder == "" && entry.Lease.Epoch == entry.Leave.Epoch)
--- a/internal/leaser/result.go
+++ b/internal/leaser/result.go
@@ -7,13 +7,22 @@
 
 // readDone handles what a read found.
 func (c *Controller) readDone(now time.Time, entry *Entry, message ReadDone) []Effect {
+	effects := c.settleRead(now, entry, message)
+	if holder := entry.Lease.Holder; message.Outcome == Done && holder != entry.Told {
+		entry.Told = holder
+		effects = append([]Effect{Observed{entry.Name, holder}}, effects...)
+	}
+	return effects
+}
+
+func (c *Controller) settleRead(now time.Time, entry *Entry, message ReadDone) []Effect {
 	entry.Busy = false
 	if message.Outcome == Unavailable {
 		entry.postpone(now)
 		return nil
 	}
 	entry.MustRead = false
-	entry.DueAt = entry.SentAt.Add(pollInterval)
+	entry.DueAt = entry.SentAt.Add(entry.Timing.Poll)
 	changed := entry.see(now, message.Version, message.Lease)
 	sentAt := entry.Unsettled
 	if changed {
@@ -94,13 +103,13 @@
 	}
 	data := e.Lease.Data
 	e.Tenure = &Tenure{Epoch: e.Lease.Epoch, Until: until, Inherited: data, Keep: data, Stored: true}
-	e.DueAt = sentAt.Add(renewInterval)
+	e.DueAt = sentAt.Add(e.Timing.Renew)
 	return []Effect{e.held()}
 }
 
 // extend prolongs the tenure by a renewal that was sent at the given time.
 func (e *Entry) extend(now, sentAt time.Time) []Effect {
-	e.DueAt = sentAt.Add(renewInterval)
+	e.DueAt = sentAt.Add(e.Timing.Renew)
 	effects := e.stored()
 	until := sentAt.Add(e.Lease.Validity())
 	if !until.After(e.Tenure.Until) {
@@ -126,7 +135,7 @@
 
 // postpone sets when to try again after a call that had no effect.
 func (e *Entry) postpone(now time.Time) {
-	e.DueAt = e.SentAt.Add(pollInterval)
+	e.DueAt = e.SentAt.Add(e.Timing.Poll)
 	if e.Tenure != nil || e.Leave != nil {
 		e.DueAt = now.Add(retryDelay)
 	}
--- a/internal/leaser/task.go
+++ b/internal/leaser/task.go
@@ -37,6 +37,8 @@
 	Names []string
 	Store Store
 	Clock clockwork.Clock
+	// Timing is DefaultTiming if it is zero.
+	Timing Timing
 	// Publish receives events in order, on the task's goroutine. It must not
 	// block.
 	Publish func(Event)
@@ -50,11 +52,14 @@
 
 // New returns a task. It does nothing until Run is called.
 func New(settings Settings) *Task {
+	if settings.Timing == (Timing{}) {
+		settings.Timing = DefaultTiming
+	}
 	t := &Task{settings: settings}
 	t.task = runner.New(runner.Settings[Message, Effect]{
 		Name:       "leaser",
 		Clock:      settings.Clock,
-		Controller: NewController(settings.Node, uuid.NewString(), settings.Names),
+		Controller: NewController(settings.Node, uuid.NewString(), settings.Names, settings.Timing),
 		Tick:       Tick{},
 		Perform:    t.perform,
 		Inbox:      inbox,
@@ -97,6 +102,8 @@
 		t.settings.Publish(effect)
 	case Stored:
 		t.settings.Publish(effect)
+	case Observed:
+		t.settings.Publish(effect)
 	case AnswerRelease:
 		handle.Answer(effect.Call, effect.Released)
 	}
--- a/internal/leaser/world_test.go
+++ b/internal/leaser/world_test.go
@@ -139,7 +139,7 @@
 func (w *world) start(n *node) {
 	n.run++
 	n.validUntil, n.pausedUntil, n.leaving = 0, 0, nil
-	n.controller = leaser.NewController(n.name, fmt.Sprintf("%s/%d", n.name, n.run), []string{name})
+	n.controller = leaser.NewController(n.name, fmt.Sprintf("%s/%d", n.name, n.run), []string{name}, leaser.DefaultTiming)
 	w.deliver(n, n.run, leaser.SetNodes{Names: w.names()})
 }
 
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -19,14 +19,19 @@
 	// between the orders of two holders at one replica.
 	Node    string
 	Spacing time.Duration
+	// Overlap is the least time from the end of a lapsed lease at its holder
+	// to the moment at which another node takes it.
+	Overlap time.Duration
 }
 
 // Controller plans while its node holds the lease.
 type Controller struct {
 	Settings Settings
 
-	// Tenure is nil while another node holds the lease.
+	// Tenure is nil while another node holds the lease. Former is the last
+	// one that ended at this node.
 	Tenure *Tenure
+	Former *Tenure
 
 	Configuration     *resolver.Configuration
 	ConfigurationAsOf time.Time
@@ -47,11 +52,13 @@
 	// Endpoints holds the replicas of engines by ID.
 	Endpoints map[string]*Endpoint
 	// Table is the published table, rebuilt when Stale is set.
-	Table  []surveyor.Replica
-	Stale  bool
-	Peers  map[string]*Peer
-	Demand map[DemandKey]*Waiting
-	Rates  map[ModelKey]*Rate
+	Table []surveyor.Replica
+	Stale bool
+	Peers map[string]*Peer
+	// Presumed are the addresses for callers that the former holder gave.
+	Presumed []string
+	Demand   map[DemandKey]*Waiting
+	Rates    map[ModelKey]*Rate
 	// PlannedAt is when the placement was last looked at.
 	PlannedAt time.Time
 	// StoreLoads holds the estimated ends of loads from the weight store.
@@ -94,7 +101,7 @@
 func (c *Controller) Step(now time.Time, message Message) []Effect {
 	if c.Tenure != nil && !now.Before(c.Tenure.Until) {
 		// A node that stood still past its lease must not go on with it.
-		c.Tenure = nil
+		c.lose()
 	}
 	var effects []Effect
 	switch message := message.(type) {
@@ -102,7 +109,7 @@
 	case Held:
 		effects = c.held(now, message)
 	case Lost:
-		c.Tenure = nil
+		c.lose()
 	case Configured:
 		c.Configuration, c.ConfigurationAsOf = message.Configuration, message.ProvenAt
 	case Listed:
@@ -120,18 +127,34 @@
 	return append(effects, c.act(now)...)
 }
 
+// lose ends the tenure.
+func (c *Controller) lose() {
+	if c.Tenure != nil {
+		c.Former, c.Tenure = c.Tenure, nil
+	}
+}
+
+// held begins or goes on with a tenure.
 func (c *Controller) held(now time.Time, message Held) []Effect {
 	if c.Tenure != nil && c.Tenure.Epoch == message.Epoch {
 		c.Tenure.Until = message.Until
 		return nil
 	}
+	if c.Former != nil && c.Former.Epoch+1 == message.Epoch {
+		// Nobody else can have held the lease in between.
+		c.Tenure, c.Former = c.Former, nil
+		c.Tenure.Epoch, c.Tenure.Until, c.Tenure.Stale = message.Epoch, message.Until, true
+		c.recall(now)
+		return append([]Effect{Note{Text: "holding the placement lease again"}}, c.listed(now)...)
+	}
 	c.Tenure = &Tenure{
 		Epoch:      message.Epoch,
 		Since:      now,
 		Until:      message.Until,
-		OrdersFrom: now.Add(c.Settings.Spacing),
+		OrdersFrom: now.Add(c.spacing(message)),
 		Endpoints:  map[string]*Endpoint{},
 		Peers:      map[string]*Peer{},
+		Presumed:   message.Callers,
 		Demand:     map[DemandKey]*Waiting{},
 		Rates:      map[ModelKey]*Rate{},
 		Stale:      true,
@@ -142,6 +165,27 @@
 	return append([]Effect{Note{Text: "holding the placement lease", Age: c.Tenure.OrdersFrom.Sub(now)}}, c.listed(now)...)
 }
 
+// spacing returns how long a new holder waits with its orders. A lease that
+// lapsed ended at its holder some time before it could be taken; one that was
+// handed over may have ended just before.
+func (c *Controller) spacing(message Held) time.Duration {
+	if message.HandedOver {
+		return c.Settings.Spacing
+	}
+	return c.Settings.Spacing - c.Settings.Overlap
+}
+
+// recall reads the replicas again whose answers may have come while this node
+// did not hold the lease.
+func (c *Controller) recall(now time.Time) {
+	for _, endpoint := range c.Tenure.Endpoints {
+		if endpoint.Sending != nil || endpoint.Reading || endpoint.Running != nil {
+			endpoint.Sending, endpoint.Reading = nil, false
+			endpoint.forget(now.Add(reportLag))
+		}
+	}
+}
+
 // act ends what is over, plans, and sends what is due.
 func (c *Controller) act(now time.Time) []Effect {
 	if c.Tenure == nil {
@@ -151,7 +195,7 @@
 	if c.Configuration == nil {
 		return nil
 	}
-	var effects []Effect
+	effects := c.removeNodes(now)
 	for _, id := range c.endpointIDs() {
 		effects = append(effects, c.finish(now, id, c.Tenure.Endpoints[id])...)
 	}
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -20,6 +20,11 @@
 	Epoch uint64
 	Until time.Time
 	First bool
+	// HandedOver says that the former holder may have released the lease.
+	HandedOver bool
+	// Callers are the addresses for callers that the former holder gave, as
+	// far as this node knows them.
+	Callers []string
 }
 
 // Lost says that this node does not hold the lease any more.
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -15,7 +15,7 @@
 	peerTimeout = 1500 * time.Millisecond
 	// goneAfter is how long a registered node may be silent before its entry
 	// is removed. Nodes register again when they find theirs missing.
-	goneAfter = 30 * time.Second
+	goneAfter = 12 * time.Second
 	// rateWindow is the time constant of the rates of requests by model.
 	rateWindow = 4 * time.Second
 	// demandLifetime ends a demand that its node does not repeat.
@@ -28,6 +28,8 @@
 	HeardAt time.Time
 	Leaving bool
 	Running []Running
+	// Suspects are the replicas that failed the node's requests.
+	Suspects []string
 	// Base and Spent count units by workspace, at the first report of this
 	// run and at the latest one.
 	Base, Spent map[string]float64
@@ -95,6 +97,7 @@
 		c.Tenure.Peers[report.Node.Name] = peer
 	}
 	peer.Node, peer.HeardAt, peer.Leaving, peer.Running = report.Node, now, report.Leaving, report.Running
+	peer.Suspects = report.Suspects
 	for _, spent := range report.Spent {
 		peer.Spent[spent.Workspace] = spent.Units
 	}
@@ -136,6 +139,16 @@
 	}
 }
 
+// suspected says whether a live node's requests have failed at a replica.
+func (c *Controller) suspected(now time.Time, id string) bool {
+	for _, peer := range c.Tenure.Peers {
+		if now.Sub(peer.HeardAt) < peerTimeout && slices.Contains(peer.Suspects, id) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Controller) demand(now time.Time, demand Demand) {
 	key := DemandKey{ModelKey{demand.Service, demand.Model}, demand.Adapter}
 	waiting := c.Tenure.Demand[key]
@@ -155,6 +168,7 @@
 		Epoch:            c.Tenure.Epoch,
 		Version:          c.Tenure.Version,
 		Active:           c.othersActive(peer),
+		Suspects:         c.othersSuspects(now, peer),
 		Callers:          c.callers(now),
 		ConfigurationAge: now.Sub(c.ConfigurationAsOf),
 		ReplicasAge:      now.Sub(c.ReplicasAsOf),
@@ -186,6 +200,18 @@
 	return active
 }
 
+// othersSuspects returns the replicas that fail the requests of live nodes.
+func (c *Controller) othersSuspects(now time.Time, self *Peer) []string {
+	var suspects []string
+	for _, peer := range c.Tenure.Peers {
+		if peer != self && now.Sub(peer.HeardAt) < peerTimeout {
+			suspects = append(suspects, peer.Suspects...)
+		}
+	}
+	slices.Sort(suspects)
+	return slices.Compact(suspects)
+}
+
 func (c *Controller) spentByOthers(self *Peer) []Spent {
 	totals := map[string]float64{}
 	for _, peer := range c.Tenure.Peers {
@@ -215,19 +241,43 @@
 }
 
 // callers returns the addresses of the nodes that callers may use: those that
-// report, and in the first moments of a tenure all registered ones, because
-// they need a moment to find the new holder.
+// report, and in the first moments of a tenure those that the former holder
+// named, because they need a moment to find the new one. A node that is only
+// registered may have been off for long.
 func (c *Controller) callers(now time.Time) []string {
-	young := now.Sub(c.Tenure.Since) < peerTimeout
 	var addresses []string
-	for _, node := range c.Nodes {
-		peer := c.Tenure.Peers[node.Name]
-		switch {
-		case peer == nil && !young, peer != nil && now.Sub(peer.HeardAt) >= peerTimeout, peer != nil && peer.Leaving:
+	silent := map[string]bool{}
+	for _, peer := range c.Tenure.Peers {
+		if peer.Leaving || now.Sub(peer.HeardAt) >= peerTimeout {
+			silent[peer.Node.Callers] = true
 			continue
 		}
-		addresses = append(addresses, node.Callers)
+		addresses = append(addresses, peer.Node.Callers)
+	}
+	if now.Sub(c.Tenure.Since) < peerTimeout {
+		for _, address := range c.Tenure.Presumed {
+			if !silent[address] {
+				addresses = append(addresses, address)
+			}
+		}
 	}
 	slices.Sort(addresses)
 	return slices.Compact(addresses)
 }
+
+// removeNodes removes the entries of nodes that have not reported for long.
+func (c *Controller) removeNodes(now time.Time) []Effect {
+	if now.Sub(c.Tenure.Since) < goneAfter {
+		return nil
+	}
+	var effects []Effect
+	c.Nodes = slices.DeleteFunc(slices.Clone(c.Nodes), func(node surveyor.Node) bool {
+		peer := c.Tenure.Peers[node.Name]
+		if peer != nil && now.Sub(peer.HeardAt) < goneAfter {
+			return false
+		}
+		effects = append(effects, RemoveNode{Name: node.Name, Revision: node.Revision})
+		return true
+	})
+	return effects
+}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -50,16 +50,16 @@
 
 func (c *Controller) expireDemand(now time.Time) {
 	for key, waiting := range c.Tenure.Demand {
-		if now.Sub(waiting.HeardAt) > demandLifetime || !now.Before(waiting.GiveUpAt) || c.satisfied(key) {
+		if now.Sub(waiting.HeardAt) > demandLifetime || !now.Before(waiting.GiveUpAt) || c.satisfied(now, key) {
 			delete(c.Tenure.Demand, key)
 		}
 	}
 }
 
-// satisfied says whether a replica has what requests wait for.
-func (c *Controller) satisfied(key DemandKey) bool {
-	for _, e := range c.Tenure.Endpoints {
-		if e.Listed.Service != key.Service || e.Listed.Leaving || !e.Known {
+// satisfied says whether a sound replica has what requests wait for.
+func (c *Controller) satisfied(now time.Time, key DemandKey) bool {
+	for id, e := range c.Tenure.Endpoints {
+		if e.Listed.Service != key.Service || e.Listed.Leaving || !e.Known || c.suspected(now, id) {
 			continue
 		}
 		if resident := e.Models[key.Model]; resident != nil && !e.unloading(key.Model) {
@@ -91,14 +91,11 @@
 		return nil
 	}
 	model, ok := engine.Models[key.Model]
-	if !ok || c.replicas(key, (*Endpoint).holds) > 0 {
-		return nil
-	}
-	best, victims, bestCost := c.cheapest(now, key, engine, model)
-	if best == nil {
+	if !ok || c.sound(now, key) {
 		return nil
 	}
-	if best.tier(model.Name) == FromStore && c.copyComing(key, bestCost) {
+	best, victims := c.cheapest(now, key, engine, model)
+	if best == nil || best.tier(model.Name) == FromStore && c.copyComing(now, key) {
 		return nil
 	}
 	return c.queueLoad(best, victims, model, "requests wait")
@@ -106,9 +103,19 @@
 
 // copyComing says whether a replica that is busy now has a copy of the model,
 // so that waiting for it takes less time than the weight store.
-func (c *Controller) copyComing(key ModelKey, _ time.Duration) bool {
-	for _, e := range c.Tenure.Endpoints {
-		if e.Listed.Service == key.Service && !e.Listed.Leaving && e.Known && e.tier(key.Model) != FromStore {
+func (c *Controller) copyComing(now time.Time, key ModelKey) bool {
+	for id, e := range c.Tenure.Endpoints {
+		if e.Listed.Service == key.Service && !e.Listed.Leaving && e.Known && e.tier(key.Model) != FromStore && !c.suspected(now, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// sound says whether a replica that fails no requests has a model or loads it.
+func (c *Controller) sound(now time.Time, key ModelKey) bool {
+	for id, e := range c.Tenure.Endpoints {
+		if e.Listed.Service == key.Service && e.Known && !e.Listed.Leaving && e.holds(key.Model) && !c.suspected(now, id) {
 			return true
 		}
 	}
@@ -117,13 +124,13 @@
 
 // cheapest returns the idle replica that has a model soonest, with the models
 // that must go there.
-func (c *Controller) cheapest(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model) (*Endpoint, []string, time.Duration) {
+func (c *Controller) cheapest(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model) (*Endpoint, []string) {
 	var best *Endpoint
 	var bestVictims []string
 	bestCost := time.Duration(math.MaxInt64)
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Listed.Service != key.Service || !e.idle() || e.holds(model.Name) {
+		if e.Listed.Service != key.Service || !e.idle() || e.holds(model.Name) || c.suspected(now, id) {
 			continue
 		}
 		victims, loss, ok := c.makeRoom(now, e, engine, model)
@@ -135,7 +142,7 @@
 			best, bestVictims, bestCost = e, victims, cost
 		}
 	}
-	return best, bestVictims, bestCost
+	return best, bestVictims
 }
 
 // makeRoom returns the models to unload for another one, the least recently
@@ -242,7 +249,7 @@
 		if !ok || c.replicas(key, (*Endpoint).holds) >= c.wanted(now, key) {
 			continue
 		}
-		best, victims, _ := c.cheapest(now, key, engine, model)
+		best, victims := c.cheapest(now, key, engine, model)
 		if best == nil || best.tier(model.Name) == FromStore && len(c.Tenure.StoreLoads) >= storeAtOnce {
 			continue
 		}
@@ -357,7 +364,7 @@
 	var best *Endpoint
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Listed.Service != key.Service || e.Listed.Leaving || !e.Known {
+		if e.Listed.Service != key.Service || e.Listed.Leaving || !e.Known || c.suspected(now, id) {
 			continue
 		}
 		if e.holdsAdapter(key.Model, key.Adapter) {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -15,6 +15,8 @@
 	Epoch, Version uint64
 	// Running counts the node's running requests.
 	Running []Running `json:",omitempty"`
+	// Suspects are the replicas that failed the node's requests lately.
+	Suspects []string `json:",omitempty"`
 	// Demands are what requests wait for.
 	Demands []Demand `json:",omitempty"`
 	// Uses are the requests that were sent since the last report.
@@ -69,6 +71,8 @@
 	Replicas       []surveyor.Replica `json:",omitempty"`
 	// Active counts the requests that the other nodes run, by replica.
 	Active map[string]int `json:",omitempty"`
+	// Suspects are the replicas that fail the requests of other nodes.
+	Suspects []string `json:",omitempty"`
 	// Nodes is nil unless the table is sent too.
 	Nodes []surveyor.Node `json:",omitempty"`
 	// Callers are the addresses of the nodes that callers may use.
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -128,7 +128,7 @@
 }
 
 func (c *Controller) nodesEvery() time.Duration {
-	if c.Held {
+	if c.Held || !c.FromHolder {
 		return holderNodesEvery
 	}
 	return followerNodesAge
--- /dev/null
+++ b/internal/surveyor/script_test.go
@@ -0,0 +1,20 @@
+package surveyor
+
+import (
+	"testing"
+
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// TestScripts replays the scripts in testdata; each says which failure it
+// guards against.
+func TestScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[Message, Effect]{
+		Directory: "testdata",
+		New: func(*testing.T, []byte) tester.Controller[Message, Effect] {
+			return NewController()
+		},
+		Messages: []Message{Lead{}, ConfigurationRead{}, ReplicasRead{}, NodesRead{}, HolderHeard{}, Refresh{}},
+		Tick:     Tick{},
+	})
+}
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -37,6 +37,9 @@
 // SetHolding says whether this node holds the lease.
 type SetHolding struct{ Holding bool }
 
+// Hinted names the node that the lease object shows as the holder.
+type Hinted struct{ Holder string }
+
 // Exchanged is the result of an Exchange.
 type Exchanged struct {
 	With      string
@@ -51,6 +54,7 @@
 func (Urgent) isMessage()     {}
 func (SetNodes) isMessage()   {}
 func (SetHolding) isMessage() {}
+func (Hinted) isMessage()     {}
 func (Exchanged) isMessage()  {}
 
 // Effect is an output of Controller: Exchange, Heard or Note.
@@ -134,6 +138,8 @@
 	case SetHolding:
 		c.Holding = message.Holding
 		c.DueAt = now
+	case Hinted:
+		c.hinted(now, message)
 	case Exchanged:
 		effects = c.exchanged(now, message)
 	}
@@ -143,6 +149,18 @@
 	return append(effects, c.exchange(now)...)
 }
 
+// hinted goes to the node that the lease names, unless another one answers as
+// the holder already.
+func (c *Controller) hinted(now time.Time, message Hinted) {
+	if message.Holder == c.Node || message.Holder == c.Holder && c.Holder != "" {
+		return
+	}
+	c.Holder, c.Hint = "", message.Holder
+	if !c.Busy && !c.DueAt.IsZero() {
+		c.DueAt = now
+	}
+}
+
 // exchange starts an exchange with the node that most likely holds the lease.
 func (c *Controller) exchange(now time.Time) []Effect {
 	with := c.target()
