Do not send requests on estimates of loads from the weight store, and load first what can still be in time

More than four loads from the store ran at once, which makes all of them late, and demands were served in the order of their arrival, so that all were late. Without a holder nodes went by the store's list, which lags behind orders.

--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -428,9 +428,10 @@
 		if !ok {
 			i = len(demands)
 			at[key] = i
-			demands = append(demands, planner.Demand{Service: need.Service, Model: need.Model, Adapter: need.Adapter})
+			demands = append(demands, planner.Demand{Service: need.Service, Model: need.Model, Adapter: need.Adapter, InTime: need.InTimeUntil.Sub(now)})
 		}
 		demands[i].Waiting++
+		demands[i].InTime = max(demands[i].InTime, need.InTimeUntil.Sub(now))
 		demands[i].Left = max(demands[i].Left, need.GiveUpAt.Sub(now))
 	}
 	return demands
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -66,6 +66,8 @@
 	Tokens int
 	// Affinity is equal for requests that share a long prompt prefix.
 	Affinity string
+	// InTimeUntil is when the request becomes late.
+	InTimeUntil time.Time
 	// GiveUpAt is when the request is refused if it has no replica.
 	GiveUpAt time.Time
 	// Excluded are the replicas that have failed the request.
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -27,7 +27,8 @@
 // Replica is what this node knows of a replica.
 type Replica struct {
 	Told surveyor.Replica
-	// ReadyAt holds the estimated ends of loads by model and adapter.
+	// ReadyAt holds the ends of loads by model and adapter, the zero time for
+	// a load whose end is not known.
 	ReadyAt map[item]time.Time
 	// MissingUntil holds what the replica said that it does not have.
 	MissingUntil map[item]time.Time
@@ -101,7 +102,7 @@
 		return true
 	}
 	readyAt, ok := r.ReadyAt[wanted]
-	return ok && !now.Before(readyAt)
+	return ok && !readyAt.IsZero() && !now.Before(readyAt)
 }
 
 // readyAt returns when a load of the item ends, and false if none is known.
@@ -116,6 +117,10 @@
 	for _, pending := range told.Pending {
 		wanted := item{pending.Model, pending.Adapter}
 		at := now.Add(pending.Left + pendingSlack)
+		if !pending.Sure {
+			ready[wanted] = time.Time{}
+			continue
+		}
 		if known, ok := r.ReadyAt[wanted]; ok && slices.ContainsFunc(r.Told.Pending, func(p surveyor.Pending) bool {
 			return p.Model == pending.Model && p.Adapter == pending.Adapter
 		}) {
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -61,8 +61,6 @@
 	Rates    map[ModelKey]*Rate
 	// PlannedAt is when the placement was last looked at.
 	PlannedAt time.Time
-	// StoreLoads holds the estimated ends of loads from the weight store.
-	StoreLoads []time.Time
 }
 
 // ModelKey names a model of a service.
@@ -342,5 +340,10 @@
 	if e.Running == nil || !e.Running.Load {
 		return nil
 	}
-	return []surveyor.Pending{{Model: e.Running.Model, Adapter: e.Running.Adapter, Left: max(0, e.Running.EndsAt.Sub(now))}}
+	return []surveyor.Pending{{
+		Model:   e.Running.Model,
+		Adapter: e.Running.Adapter,
+		Left:    max(0, e.Running.EndsAt.Sub(now)),
+		Sure:    e.Running.Adapter != "" || e.Running.Tier != FromStore,
+	}}
 }
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -168,24 +168,17 @@
 		tier := e.tier(order.Model)
 		took := loadTime(c.engine(e.Listed.Service).Models[order.Model], tier)
 		if tier == FromStore {
-			took = c.storeLoad(now, took)
+			took = c.storeLoad(took)
 		}
 		e.Running = &Operation{Order: order, Tier: tier, EndsAt: now.Add(took + endMargin)}
 	}
 }
 
-// storeLoad records a load from the weight store and returns its estimated
-// time: beyond a number of loads at once, each takes longer in proportion.
-func (c *Controller) storeLoad(now time.Time, alone time.Duration) time.Duration {
-	c.trimStoreLoads(now)
-	slow := max(1, float64(len(c.Tenure.StoreLoads)+1)/storeAtOnce)
-	took := time.Duration(float64(alone) * slow)
-	c.Tenure.StoreLoads = append(c.Tenure.StoreLoads, now.Add(took))
-	return took
-}
-
-func (c *Controller) trimStoreLoads(now time.Time) {
-	c.Tenure.StoreLoads = slices.DeleteFunc(c.Tenure.StoreLoads, func(end time.Time) bool { return !now.Before(end) })
+// storeLoad returns the estimated time of a load from the weight store: beyond
+// a number of loads at once, each takes longer in proportion.
+func (c *Controller) storeLoad(alone time.Duration) time.Duration {
+	slow := max(1, float64(c.storeLoading()+1)/storeAtOnce)
+	return time.Duration(float64(alone) * slow)
 }
 
 // finish ends the operation of an endpoint when it is over. A load from the
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -41,6 +41,8 @@
 	Since    time.Time
 	HeardAt  time.Time
 	GiveUpAt time.Time
+	// InTimeUntil is when the last of the requests becomes late.
+	InTimeUntil time.Time
 }
 
 // Rate is a moving average of the requests and tokens of a model.
@@ -158,6 +160,7 @@
 	}
 	waiting.Count, waiting.HeardAt = demand.Waiting, now
 	waiting.GiveUpAt = later(waiting.GiveUpAt, now.Add(demand.Left))
+	waiting.InTimeUntil = later(waiting.InTimeUntil, now.Add(demand.InTime))
 }
 
 func (c *Controller) answer(now time.Time, peer *Peer, report Report) Answer {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -35,9 +35,8 @@
 // plan queues the orders that the demand calls for.
 func (c *Controller) plan(now time.Time) []Effect {
 	c.expireDemand(now)
-	c.trimStoreLoads(now)
 	var effects []Effect
-	for _, key := range c.demands() {
+	for _, key := range c.demands(now) {
 		if key.Adapter != "" {
 			effects = append(effects, c.planAdapter(now, key)...)
 		} else {
@@ -71,14 +70,22 @@
 	return false
 }
 
-// demands returns what is waited for, the most urgent first.
-func (c *Controller) demands() []DemandKey {
+// demands returns what is waited for. What can still be in time comes first,
+// by the time that is left; when the replicas cannot load all of it, serving
+// what is late already would make the rest late too.
+func (c *Controller) demands(now time.Time) []DemandKey {
 	keys := make([]DemandKey, 0, len(c.Tenure.Demand))
 	for key := range c.Tenure.Demand {
 		keys = append(keys, key)
 	}
+	late := func(key DemandKey) int {
+		if now.After(c.Tenure.Demand[key].InTimeUntil) {
+			return 1
+		}
+		return 0
+	}
 	slices.SortFunc(keys, func(a, b DemandKey) int {
-		return cmp.Or(c.Tenure.Demand[a].Since.Compare(c.Tenure.Demand[b].Since),
+		return cmp.Or(cmp.Compare(late(a), late(b)), c.Tenure.Demand[a].InTimeUntil.Compare(c.Tenure.Demand[b].InTimeUntil),
 			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
 	return keys
@@ -95,7 +102,7 @@
 		return nil
 	}
 	best, victims := c.cheapest(now, key, engine, model)
-	if best == nil || best.tier(model.Name) == FromStore && c.copyComing(now, key) {
+	if best == nil || best.tier(model.Name) == FromStore && (c.copyComing(now, key) || c.storeLoading() >= storeAtOnce) {
 		return nil
 	}
 	return c.queueLoad(best, victims, model, "requests wait")
@@ -250,7 +257,7 @@
 			continue
 		}
 		best, victims := c.cheapest(now, key, engine, model)
-		if best == nil || best.tier(model.Name) == FromStore && len(c.Tenure.StoreLoads) >= storeAtOnce {
+		if best == nil || best.tier(model.Name) == FromStore && c.storeLoading() >= storeAtOnce {
 			continue
 		}
 		effects = append(effects, c.queueLoad(best, victims, model, "busy model")...)
@@ -297,8 +304,11 @@
 
 // storeLoading counts the loads from the weight store that run or are queued.
 func (c *Controller) storeLoading() int {
-	count := len(c.Tenure.StoreLoads)
+	count := 0
 	for _, e := range c.Tenure.Endpoints {
+		if e.Running != nil && e.Running.Load && e.Running.Adapter == "" && e.Running.Tier == FromStore {
+			count++
+		}
 		for _, order := range e.Queue {
 			if order.Load && order.Adapter == "" && e.tier(order.Model) == FromStore {
 				count++
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -40,8 +40,10 @@
 	Model   string
 	Adapter string `json:",omitempty"`
 	Waiting int
-	// Left is the time until the first of them is given up.
-	Left time.Duration
+	// Left is the time until the last of them is given up, and InTime the time
+	// until none of them can be in time any more, negative after that.
+	Left   time.Duration
+	InTime time.Duration
 }
 
 // Use counts requests that were sent for a model, and their tokens.
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -1,6 +1,7 @@
 package surveyor
 
 import (
+	"slices"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/resolver"
@@ -30,6 +31,9 @@
 	// holderSilent is how long after the last answer of the holder a node goes
 	// by the store's list, which lacks the loads in progress.
 	holderSilent = 1200 * time.Millisecond
+	// toldSpan is how long the holder's word on models goes before the store's:
+	// two heartbeats of the replicas and the lag of the list.
+	toldSpan = 4 * time.Second
 	// outageAfter is the age of the last list after which the store counts as
 	// having been away.
 	outageAfter = 2 * time.Second
@@ -236,11 +240,29 @@
 	effects = append(effects, PublishListed{Replicas: c.Listed, ProvenAt: message.StartedAt})
 	if now.Sub(c.HeardAt) > holderSilent {
 		c.FromHolder = false
-		effects = append(effects, PublishReplicas{Replicas: c.Listed, ProvenAt: c.ReplicaSource.ProvenAt})
+		effects = append(effects, PublishReplicas{Replicas: c.withTold(now), ProvenAt: c.ReplicaSource.ProvenAt})
 	}
 	return effects
 }
 
+// withTold returns the listed replicas with the models that the holder told of
+// last: nobody gives orders without a holder, and entries in the store lag
+// behind the orders.
+func (c *Controller) withTold(now time.Time) []Replica {
+	if now.Sub(c.HeardAt) > toldSpan {
+		return c.Listed
+	}
+	replicas := slices.Clone(c.Listed)
+	for i, listed := range replicas {
+		for _, told := range c.Told {
+			if told.ID == listed.ID && told.Born == listed.Born {
+				replicas[i].Models, replicas[i].Pending = told.Models, told.Pending
+			}
+		}
+	}
+	return replicas
+}
+
 // merge returns the listed replicas, with those that were listed before an
 // outage of the store and may still write their entries again. A replica that
 // was leaving stays so.
--- a/internal/surveyor/replica.go
+++ b/internal/surveyor/replica.go
@@ -43,6 +43,9 @@
 	// Left is the estimated time to the end of the load, when the message
 	// that carries it was made.
 	Left time.Duration
+	// Sure loads end in time: those from a replica's own copies. A load from
+	// the weight store takes longer the more there are.
+	Sure bool `json:",omitempty"`
 }
 
 // Has says whether the replica has a model and, unless empty, an adapter of it.
