--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -31,6 +31,9 @@
 	// holderSilent is how long after the last answer of the holder a node goes
 	// by the store's list, which lacks the loads in progress.
 	holderSilent = 1200 * time.Millisecond
+	// listSlack is how much older than this node's own list the holder's may
+	// be: it reads several times a second.
+	listSlack = 400 * time.Millisecond
 	// toldSpan is how long the holder's word on models goes before the store's:
 	// two heartbeats of the replicas and the lag of the list.
 	toldSpan = 4 * time.Second
@@ -59,6 +62,8 @@
 	// node last asked a holder that answered.
 	Told    []Replica
 	HeardAt time.Time
+	// ToldAsOf is when the holder listed the replicas in the store.
+	ToldAsOf time.Time
 	// FromHolder says that Told was published last, and not Listed.
 	FromHolder bool
 
@@ -109,7 +114,7 @@
 	case NodesRead:
 		effects = c.nodesRead(now, message)
 	case HolderHeard:
-		effects = c.holderHeard(message)
+		effects = c.holderHeard(now, message)
 	}
 	return append(effects, c.read(now)...)
 }
@@ -228,21 +233,28 @@
 }
 
 func (c *Controller) replicasRead(now time.Time, message ReplicasRead) []Effect {
+	knownAt := c.ReplicaSource.ProvenAt
 	effects := c.ReplicaSource.ended(now, message.StartedAt, message.Failed, "replicas")
 	if message.Failed {
 		return effects
 	}
-	if !c.ListedAt.IsZero() && message.StartedAt.Sub(c.ListedAt) > outageAfter {
+	if !knownAt.IsZero() && message.StartedAt.Sub(knownAt) > outageAfter {
 		c.RetainedUntil = now.Add(returnWithin)
 	}
-	c.ListedAt = message.StartedAt
 	c.Listed = c.merge(now, message.Replicas)
+	c.ListedAt = message.StartedAt
 	effects = append(effects, PublishListed{Replicas: c.Listed, ProvenAt: message.StartedAt})
-	if now.Sub(c.HeardAt) > holderSilent {
-		c.FromHolder = false
-		effects = append(effects, PublishReplicas{Replicas: c.withTold(now), ProvenAt: c.ReplicaSource.ProvenAt})
+	if c.toldIsNewer(now) {
+		return effects
 	}
-	return effects
+	c.FromHolder = false
+	return append(effects, PublishReplicas{Replicas: c.withTold(now), ProvenAt: c.ReplicaSource.ProvenAt})
+}
+
+// toldIsNewer says whether what the holder told is as new as this node's own
+// list. A holder that is cut off from the store may go on answering.
+func (c *Controller) toldIsNewer(now time.Time) bool {
+	return now.Sub(c.HeardAt) <= holderSilent && c.Told != nil && c.ToldAsOf.After(c.ListedAt.Add(-listSlack))
 }
 
 // withTold returns the listed replicas with the models that the holder told of
@@ -271,7 +283,11 @@
 	for i, replica := range listed {
 		found[replica.ID] = i
 	}
-	for _, known := range c.Listed {
+	known := c.Listed
+	if c.FromHolder {
+		known = c.Told
+	}
+	for _, known := range known {
 		i, ok := found[known.ID]
 		switch {
 		case ok && known.Leaving && listed[i].Born == known.Born:
@@ -294,7 +310,7 @@
 
 // holderHeard takes over what the holder knows. The configuration itself is
 // read from the store when the holder knows a newer one.
-func (c *Controller) holderHeard(message HolderHeard) []Effect {
+func (c *Controller) holderHeard(now time.Time, message HolderHeard) []Effect {
 	var effects []Effect
 	c.Wanted = max(c.Wanted, message.ConfigurationRevision)
 	proven := message.StartedAt.Add(-message.ConfigurationAge)
@@ -302,17 +318,7 @@
 		c.ConfigSource.ProvenAt = proven
 		effects = append(effects, c.publishConfiguration()...)
 	}
-	if proven := message.StartedAt.Add(-message.ReplicasAge); proven.After(c.ReplicaSource.ProvenAt) {
-		c.ReplicaSource.ProvenAt = proven
-	}
-	c.HeardAt = message.StartedAt
-	if message.Replicas != nil || !c.FromHolder && c.Told != nil {
-		if message.Replicas != nil {
-			c.Told = message.Replicas
-		}
-		c.FromHolder = true
-		effects = append(effects, PublishReplicas{Replicas: c.Told, FromHolder: true, ProvenAt: c.ReplicaSource.ProvenAt})
-	}
+	effects = append(effects, c.heardReplicas(now, message)...)
 	if proven := message.StartedAt.Add(-message.NodesAge); proven.After(c.NodeSource.ProvenAt) {
 		c.NodeSource.ProvenAt = proven
 	}
@@ -322,3 +328,26 @@
 	}
 	return effects
 }
+
+// heardReplicas takes over the holder's replicas, unless this node's own list
+// is newer.
+func (c *Controller) heardReplicas(now time.Time, message HolderHeard) []Effect {
+	c.HeardAt = message.StartedAt
+	c.ToldAsOf = message.StartedAt.Add(-message.ReplicasAge)
+	if c.ToldAsOf.After(c.ReplicaSource.ProvenAt) {
+		c.ReplicaSource.ProvenAt = c.ToldAsOf
+	}
+	if message.Replicas != nil {
+		c.Told = message.Replicas
+	}
+	newer := c.toldIsNewer(now)
+	if message.Replicas == nil && newer == c.FromHolder {
+		return nil
+	}
+	c.FromHolder = newer
+	replicas := c.Told
+	if !newer {
+		replicas = c.withTold(now)
+	}
+	return []Effect{PublishReplicas{Replicas: replicas, FromHolder: newer, ProvenAt: c.ReplicaSource.ProvenAt}}
+}
