--- /dev/null
+++ b/internal/emulator/fleet_store.go
@@ -0,0 +1,190 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// fleetObjects is the path of the users' object API.
+const fleetObjects = "/toucanhitch/objects/"
+
+// FleetStore is a stand-in for the object API of the users' platform.
+type FleetStore struct {
+	owner    *owner
+	clock    clockwork.Clock
+	revision uint64
+	kinds    map[string]map[string]fleetObject
+	faults   StoreFaults
+	calls    int
+}
+
+// StoreFaults are what goes wrong at the store.
+type StoreFaults struct {
+	// Busy answers 503 to everything, and Silent answers nothing.
+	Busy, Silent bool
+	// Delay comes before each answer.
+	Delay time.Duration
+	// LoseEvery loses the answer of every n-th write after it was done; 0
+	// loses none.
+	LoseEvery int
+}
+
+type fleetMetadata struct {
+	Name            string   `json:"name"`
+	Revision        uint64   `json:"revision"`
+	Created         uint64   `json:"created"`
+	Finalizers      []string `json:"finalizers"`
+	DeletionPending bool     `json:"deletion-pending"`
+}
+
+type fleetObject struct {
+	Metadata fleetMetadata   `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+// NewFleetStore returns an empty store that ends with ctx.
+func NewFleetStore(ctx context.Context, clock clockwork.Clock) *FleetStore {
+	return &FleetStore{owner: newOwner(ctx), clock: clock, revision: 1, kinds: map[string]map[string]fleetObject{}}
+}
+
+// SetFaults replaces the faults.
+func (s *FleetStore) SetFaults(faults StoreFaults) { s.owner.do(func() { s.faults = faults }) }
+
+// Put writes an object as the operator or a replica does.
+func (s *FleetStore) Put(kind, name string, spec any) {
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // specs are literals of the stand-ins
+	}
+	s.owner.do(func() { s.write(kind, fleetObject{Metadata: fleetMetadata{Name: name}, Spec: encoded}) })
+}
+
+// Remove deletes an object.
+func (s *FleetStore) Remove(kind, name string) {
+	s.owner.do(func() {
+		delete(s.kinds[kind], name)
+		s.revision++
+	})
+}
+
+// Calls returns the number of calls since the start.
+func (s *FleetStore) Calls() (calls int) {
+	s.owner.do(func() { calls = s.calls })
+	return calls
+}
+
+func (s *FleetStore) write(kind string, object fleetObject) fleetObject {
+	s.revision++
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = map[string]fleetObject{}
+	}
+	object.Metadata.Revision = s.revision
+	s.kinds[kind][object.Metadata.Name] = object
+	return object
+}
+
+// ServeHTTP implements http.Handler.
+func (s *FleetStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	var faults StoreFaults
+	var number int
+	s.owner.do(func() {
+		s.calls++
+		faults, number = s.faults, s.calls
+	})
+	if faults.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if faults.Busy {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if faults.Delay > 0 {
+		s.clock.Sleep(faults.Delay)
+	}
+	status, answer := http.StatusNotFound, any(nil)
+	s.owner.do(func() { status, answer = s.serve(r, body) })
+	if r.Method != http.MethodGet && faults.LoseEvery > 0 && number%faults.LoseEvery == 0 {
+		<-r.Context().Done()
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if answer != nil {
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+func (s *FleetStore) serve(r *http.Request, body []byte) (int, any) {
+	path, ok := strings.CutPrefix(r.URL.Path, fleetObjects)
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	kind, name, named := strings.Cut(path, "/")
+	var sent fleetObject
+	if len(body) > 0 && json.Unmarshal(body, &sent) != nil {
+		return http.StatusBadRequest, nil
+	}
+	if revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64); err == nil {
+		sent.Metadata.Revision = revision
+	}
+	switch {
+	case r.Method == http.MethodGet && !named:
+		return s.list(kind, r.URL.Query().Get("after"))
+	case r.Method == http.MethodPost:
+		if found, exists := s.kinds[kind][sent.Metadata.Name]; exists {
+			return http.StatusConflict, found
+		}
+		return http.StatusOK, s.write(kind, sent)
+	}
+	found, exists := s.kinds[kind][name]
+	switch {
+	case !exists:
+		return http.StatusNotFound, nil
+	case r.Method == http.MethodGet:
+		return http.StatusOK, found
+	case sent.Metadata.Revision != 0 && sent.Metadata.Revision != found.Metadata.Revision:
+		return http.StatusConflict, found
+	case r.Method == http.MethodDelete:
+		delete(s.kinds[kind], name)
+		s.revision++
+		return http.StatusOK, found
+	}
+	sent.Metadata.Name = name
+	return http.StatusOK, s.write(kind, sent)
+}
+
+// fleetPage is the number of objects in a page of a list. It is small, so that
+// lists of a few replicas are continued.
+const fleetPage = 3
+
+type fleetList struct {
+	Items   []fleetObject `json:"items"`
+	HasMore bool          `json:"has-more"`
+	AsOf    uint64        `json:"as-of"`
+}
+
+func (s *FleetStore) list(kind, after string) (int, any) {
+	var names []string
+	for name := range s.kinds[kind] {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	list := fleetList{Items: []fleetObject{}, HasMore: len(names) > fleetPage, AsOf: s.revision}
+	for _, name := range names[:min(fleetPage, len(names))] {
+		list.Items = append(list.Items, s.kinds[kind][name])
+	}
+	return http.StatusOK, list
+}
