--- a/internal/emulator/fleet_replica.go
+++ b/internal/emulator/fleet_replica.go
@@ -296,3 +296,12 @@
 		}
 	}
 }
+
+// Forged returns a replica that had orders of two holders at once, so that it
+// can be seen that checks of orders fail.
+func (r *FleetReplica) Forged() *FleetReplica {
+	forged := NewFleetReplica(context.Background(), r.settings)
+	now := r.settings.Clock.Now()
+	forged.orders = []FleetOrder{{r.settings.ID, "holder-1", now}, {r.settings.ID, "holder-2", now}}
+	return forged
+}
--- /dev/null
+++ b/internal/soaker/proxy_test.go
@@ -0,0 +1,97 @@
+package soaker
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// mode is what a proxy does to the bytes that pass.
+type mode int32
+
+const (
+	pass mode = iota
+	// delay holds bytes back for a while.
+	delay
+	// silence passes nothing on and keeps connections open.
+	silence
+	// oneWay passes requests on and holds the answers.
+	oneWay
+	// reset closes connections with a reset.
+	reset
+)
+
+// proxyDelay is how long delayed bytes are held back.
+const proxyDelay = 60 * time.Millisecond
+
+// proxy stands between a node and a stand-in.
+type proxy struct {
+	listener net.Listener
+	target   string
+	mode     atomic.Int32
+}
+
+func newProxy(ctx context.Context, target string) (*proxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, target: target}
+	context.AfterFunc(ctx, func() { listener.Close() })
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(m mode) { p.mode.Store(int32(m)) }
+
+func (p *proxy) accept() {
+	for {
+		near, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", p.target)
+		if err != nil {
+			near.Close()
+			continue
+		}
+		go p.copy(far, near, true)
+		go p.copy(near, far, false)
+	}
+}
+
+// copy passes bytes on in one direction; request says that they come from the
+// node.
+func (p *proxy) copy(to, from net.Conn, request bool) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			switch current := mode(p.mode.Load()); {
+			case current == delay:
+				time.Sleep(proxyDelay)
+			case current == reset:
+				_ = to.(*net.TCPConn).SetLinger(0)
+				_ = from.(*net.TCPConn).SetLinger(0)
+				return
+			case current == silence, current == oneWay && !request:
+				// What is held up now never arrives, as on a path that forgot
+				// the connection.
+				_, _ = io.Copy(io.Discard, from)
+				return
+			}
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/soaker/world_test.go
@@ -0,0 +1,243 @@
+package soaker
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/emulator"
+)
+
+const (
+	engineService = "llm"
+	plainService  = "app"
+	soakHost      = "soak.example"
+	// soakEvents is the number of events of a stream.
+	soakEvents = 6
+	// soakModelMB and soakMemoryMB let an engine hold two of the models.
+	soakModelMB, soakMemoryMB = 60, 130
+)
+
+// The bounds that the settings promise.
+const (
+	revokeWithin = 5 * time.Second
+	orderSpacing = 3 * time.Second
+	drainGrace   = 4 * time.Second
+)
+
+var soakModels = []string{"m1", "m2", "m3", "m4", "m5"}
+
+// world is a deployment: node processes, the store and the replicas.
+type world struct {
+	t        *testing.T
+	dir      string
+	binary   string
+	store    *emulator.FleetStore
+	path     *proxy // to the store
+	replicas []*replica
+	nodes    []*node
+	version  int
+	keys     []string
+}
+
+// replica is a stand-in with its proxy and its entry in the store.
+type replica struct {
+	id    string
+	stand *emulator.FleetReplica
+	path  *proxy
+	// leaving and gone are set by faults.
+	leaving, gone atomic.Bool
+}
+
+// node is a process.
+type node struct {
+	name, ip string
+	command  *exec.Cmd
+	exited   chan struct{}
+	logs     *bytes.Buffer
+}
+
+func (n *node) address(port int) string { return fmt.Sprintf("%s:%d", n.ip, port) }
+
+func newWorld(ctx context.Context, t *testing.T, binary string, base, nodes int) *world {
+	w := &world{t: t, dir: t.TempDir(), binary: binary, keys: []string{"key-a", "key-b"}}
+	clock := clockwork.NewRealClock()
+	w.store = emulator.NewFleetStore(ctx, clock)
+	w.path = w.expose(ctx, w.store)
+	for i := range 5 {
+		settings := emulator.FleetReplicaSettings{
+			ID: fmt.Sprintf("i-%d", i), Service: engineService, Zone: "z1", Slots: 8, MemoryMB: soakMemoryMB,
+			Work: 15 * time.Millisecond, Events: soakEvents, Load: 300 * time.Millisecond, Sizes: map[string]float64{}, Clock: clock,
+		}
+		for _, model := range soakModels {
+			settings.Sizes[model] = soakModelMB
+		}
+		if i >= 3 {
+			settings.Service, settings.Sizes = plainService, nil
+		}
+		w.addReplica(ctx, settings, i)
+	}
+	w.configure()
+	for i := range nodes {
+		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("node-%d", i), ip: fmt.Sprintf("127.0.%d.%d", base%200+1, i+1), logs: &bytes.Buffer{}})
+	}
+	return w
+}
+
+// expose serves a handler behind a proxy.
+func (w *world) expose(ctx context.Context, handler http.Handler) *proxy {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { server.Close() })
+	path, err := newProxy(ctx, listener.Addr().String())
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return path
+}
+
+func (w *world) addReplica(ctx context.Context, settings emulator.FleetReplicaSettings, number int) {
+	r := &replica{id: settings.ID}
+	handler := &lateHandler{}
+	r.path = w.expose(ctx, handler)
+	settings.Address = r.path.address()
+	r.stand = emulator.NewFleetReplica(ctx, settings)
+	handler.set(r.stand)
+	if settings.Sizes != nil {
+		r.stand.Hold(soakModels[number%len(soakModels)])
+	}
+	w.replicas = append(w.replicas, r)
+	go w.beat(ctx, r)
+}
+
+// lateHandler stands in for a handler that needs its own address.
+type lateHandler struct{ atomic.Value }
+
+func (h *lateHandler) set(handler http.Handler) { h.Store(handler) }
+
+func (h *lateHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.Load().(http.Handler).ServeHTTP(w, r)
+}
+
+// beat writes the replica's entry while it lives.
+func (w *world) beat(ctx context.Context, r *replica) {
+	for ctx.Err() == nil {
+		switch {
+		case r.gone.Load():
+			w.store.Remove("servers", r.id)
+		case r.leaving.Load():
+			w.store.Put("servers", r.id, r.stand.Entry("draining"))
+		default:
+			w.store.Put("servers", r.id, r.stand.Entry("ready"))
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// configure writes a new version of the desired state.
+func (w *world) configure() {
+	w.version += 3
+	route := func(prefix, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"name": "r" + prefix, "host": soakHost, "path-prefix": prefix, "route-kind": kind, "service": service,
+			"timeout-ms": 4000, "target-latency-ms": 1000, "target-gap-ms": 600, "max-attempts": 2, "resumable": resumable, "sticky": true,
+		}
+	}
+	models := []map[string]any{}
+	for _, model := range soakModels {
+		models = append(models, map[string]any{"name": model, "weights-mb": soakModelMB, "load-s": 0.3, "warm-s": 0.3, "disk-load-s": 0.3})
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route("/once/", "non_idempotent", plainService, false), route("/safe/", "idempotent", plainService, false),
+			route("/stream/", "streaming", engineService, false), route("/resume/", "streaming", engineService, true),
+		},
+		"services": []any{
+			map[string]any{"name": plainService, "max-conns": 100},
+			map[string]any{"name": engineService, "max-conns": 100, "engine": map[string]any{
+				"slots": 8, "weights-mb": soakMemoryMB, "adapter-slots": 4, "host-mb": 500, "disk-mb": 1000, "loads-per-s": 5, "models": models,
+			}},
+		},
+		"limits":  map[string]any{"max-body-bytes": 1 << 20},
+		"tenants": []any{map[string]any{"name": "tenant-1", "api-keys": w.keys, "unit": "token_stream", "plain-tokens": 10, "rate-per-s": 1e6, "burst": 1e6}},
+	})
+}
+
+const (
+	callersPort   = 8221
+	readinessPort = 8224
+	directoryPort = 8220
+	peersPort     = 7600
+)
+
+// start starts a node's process, after the end of a former one.
+func (w *world) start(n *node) {
+	if n.command != nil {
+		n.stop()
+	}
+	path := filepath.Join(w.dir, n.name+".toml")
+	settings := fmt.Sprintf(`node-name = %q
+ip = %q
+zone = "z1"
+region = "r1"
+internal-ports = [%d, %d]
+bootstrap = true
+[listen]
+front = %q
+ready = %q
+directory = %q
+[limits]
+memory-mb = 200
+[bounds]
+revoke-ms = %d
+grace-s = %g
+lease-ms = %d
+retry-budget-ratio = 0.2
+budget-slack = 50
+budget-window-s = 10
+quota-slack = 100000
+ttl_max_s = 5
+[platform]
+address = %q
+`, n.name, n.ip, peersPort, peersPort+9, n.address(callersPort), n.address(readinessPort), n.address(directoryPort),
+		revokeWithin.Milliseconds(), drainGrace.Seconds(), orderSpacing.Milliseconds(), w.path.address())
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	n.command = exec.Command(w.binary, "serve", "--settings", path)
+	n.command.Stdout, n.command.Stderr = n.logs, n.logs
+	if err := n.command.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	n.exited = make(chan struct{})
+	go func(command *exec.Cmd, exited chan struct{}) {
+		_ = command.Wait()
+		close(exited)
+	}(n.command, n.exited)
+}
+
+// signal sends a signal to the node's own process.
+func (n *node) signal(signal syscall.Signal) { _ = n.command.Process.Signal(signal) }
+
+// stop ends the node's process and waits for it.
+func (n *node) stop() {
+	n.signal(syscall.SIGCONT)
+	n.signal(syscall.SIGKILL)
+	<-n.exited
+}
