--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -36,6 +36,9 @@
 		fields["Error"] = event.Err.Error()
 	}
 	n.logger.WithFields(fields).Info(event.Text)
+	if event.Replica != "" {
+		n.meter.Attempt(filter.Class(event.Forward.Route.Kind), event.Text, event.FirstByte)
+	}
 }
 
 // logEnd logs a request that was refused and counts every request.
@@ -65,6 +68,7 @@
 		"Result":   note.Result,
 		"Failures": note.Failures,
 	}).Info(note.Text)
+	n.meter.Change("balancer", note.Text)
 }
 
 // logPlan logs a decision of the planner.
@@ -75,4 +79,37 @@
 		"Reason":  note.Reason,
 		"Age":     note.Age.String(),
 	}).Info(note.Text)
+	n.meter.Change("planner", note.Text)
+}
+
+// createGauges adds the gauges of the node's beliefs.
+func (n *Node) createGauges() error {
+	gauges := []struct {
+		name, description string
+		read              func() float64
+	}{
+		{"toucanhitch.configuration.version", "Version of the configuration in force.", func() float64 {
+			configuration, _ := n.view.Configuration()
+			if configuration == nil {
+				return 0
+			}
+			return float64(configuration.Version)
+		}},
+		{"toucanhitch.configuration.age", "Seconds since the configuration was known to be the newest.", func() float64 {
+			_, provenAt := n.view.Configuration()
+			return n.clock.Since(provenAt).Seconds()
+		}},
+		{"toucanhitch.callers", "Nodes that are named to callers.", func() float64 {
+			return float64(len(n.view.told(n.clock.Now())))
+		}},
+		{"toucanhitch.log.dropped", "Log lines that were dropped because the output was too slow.", func() float64 {
+			return float64(n.settings.Dropped())
+		}},
+	}
+	for _, gauge := range gauges {
+		if err := n.meter.Gauge(gauge.name, gauge.description, gauge.read); err != nil {
+			return err
+		}
+	}
+	return nil
 }
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -59,6 +59,8 @@
 	SettingsPath string
 	Clock        clockwork.Clock
 	Logger       logrus.FieldLogger
+	// Dropped returns the number of log lines that were dropped.
+	Dropped func() int64
 }
 
 // Node is a node on the users' platform.
@@ -124,6 +126,9 @@
 	}
 	n.meter = metrics
 	n.cleanUps = append(n.cleanUps, endMeter)
+	if err := n.createGauges(); err != nil {
+		return err
+	}
 	dialer := newDialer()
 	store, closeStore := platform.NewStore(n.settings.Store.Address, n.clock, dialer)
 	store.OnUnreadable = func(kind, name string, err error) {
--- a/internal/commander/command.go
+++ b/internal/commander/command.go
@@ -66,7 +66,7 @@
 func (Arguments) Epilogue() string {
 	return "Settings can also be given by the environment variables that the help names. " +
 		"Exit codes: 0 done, 1 failed, 2 invalid input, 3 conflict with another release note, " +
-		"4 may have been accepted, 5 platform or node not available. See docs/operations.md."
+		"4 may have been accepted, 5 platform or node not available. See docs/OPERATIONS.md."
 }
 
 // Platform is the setting of commands that read or write the change log.
--- a/internal/commander/examples_test.go
+++ b/internal/commander/examples_test.go
@@ -9,7 +9,7 @@
 	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
 
-// examples are the notes of docs/examples in the order of docs/operations.md.
+// examples are the notes of docs/examples in the order of docs/OPERATIONS.md.
 var examples = []string{"first-note.json", "second-note.json", "third-note.json"}
 
 // Guards against documented release notes that the rules no longer accept,
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -40,6 +40,7 @@
 		SettingsPath: c.Settings,
 		Clock:        timer.New(),
 		Logger:       logs.WithField("Node", settings.Node),
+		Dropped:      logs.Dropped,
 	})
 	if err != nil {
 		logs.WithError(err).Error("not started")
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -20,6 +20,7 @@
 	"go.opentelemetry.io/otel/sdk/resource"
 
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/resolver"
 )
 
 // Meter holds the instruments of a node.
@@ -30,6 +31,8 @@
 	tokens   metric.Int64Counter
 	duration metric.Float64Histogram
 	first    metric.Float64Histogram
+	attempts metric.Int64Counter
+	changes  metric.Int64Counter
 }
 
 // durationBounds are the bounds of the request duration histogram in seconds.
@@ -66,6 +69,14 @@
 		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(durationBounds...)); err != nil {
 		return merry.Wrap(err)
 	}
+	if m.attempts, err = m.meter.Int64Counter("toucanhitch.attempts",
+		metric.WithDescription("Attempts at replicas, by what became of them.")); err != nil {
+		return merry.Wrap(err)
+	}
+	if m.changes, err = m.meter.Int64Counter("toucanhitch.changes",
+		metric.WithDescription("Decisions about the fleet and changes of beliefs, by the part that made them.")); err != nil {
+		return merry.Wrap(err)
+	}
 	m.duration, err = m.meter.Float64Histogram("toucanhitch.request.duration",
 		metric.WithDescription("Time from a request's arrival to its end."),
 		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(durationBounds...))
@@ -92,10 +103,28 @@
 		metric.WithAttributes(attribute.String("class", label(class))))
 }
 
+// Attempt counts an attempt at a replica and, if there was one, the time to its
+// first byte.
+func (m *Meter) Attempt(class filter.Class, result string, firstByte time.Duration) {
+	m.attempts.Add(context.Background(), 1,
+		metric.WithAttributes(attribute.String("class", label(class)), attribute.String("result", result)))
+	if firstByte > 0 {
+		m.FirstToken(class, firstByte)
+	}
+}
+
+// Change counts a decision about the fleet or a change of a belief. The kinds
+// are those of the log lines.
+func (m *Meter) Change(part, kind string) {
+	m.changes.Add(context.Background(), 1,
+		metric.WithAttributes(attribute.String("part", part), attribute.String("kind", kind)))
+}
+
 // label keeps a caller's text out of the labels.
 func label(class filter.Class) string {
 	switch class {
-	case filter.Interactive, filter.Assured, filter.Deferred:
+	case filter.Interactive, filter.Assured, filter.Deferred,
+		filter.Class(resolver.Idempotent), filter.Class(resolver.NonIdempotent), filter.Class(resolver.Streaming):
 		return string(class)
 	default:
 		return "none"
