Let the holder keep up with a large fleet

Cause: the holder looked at the whole placement for every report; with 90 replicas, 274 models and 58 nodes that took more than its share of a core, so that reports timed out, the lease was lost again and again, and nodes kept to a 58th of each limit. A holder on a small machine also had to send 20 Mbit/s through a link of 10. Change: nodes with at least 0.7 of the largest capacity may hold the lease, answers carry what changed, demand is looked at every 10 ms and copies every 100 ms with what is looked up worked out once, exchanges take up to 0.5 s, and callers are spread by capacity.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -50,16 +50,17 @@
 // setNodes tells the tasks of the registered nodes. A node that is missing
 // from the list registers again.
 func (n *Node) setNodes(effect surveyor.PublishNodes) {
-	names := make([]string, 0, len(effect.Nodes))
+	capacities := make(map[string]float64, len(effect.Nodes))
 	for _, node := range effect.Nodes {
-		names = append(names, node.Name)
+		capacities[node.Callers] = node.Capacity
 	}
-	if !n.draining.Load() && !slices.Contains(names, n.self.Name) {
-		names = append(names, n.self.Name)
+	n.view.capacities.Store(&capacities)
+	registered := slices.ContainsFunc(effect.Nodes, func(node surveyor.Node) bool { return node.Name == n.self.Name })
+	if !n.draining.Load() && !registered {
 		n.wantRegistration()
 	}
 	if !n.draining.Load() {
-		n.post("leaser", n.leaser.SetNodes(names))
+		n.post("leaser", n.leaser.SetNodes(capable(effect.Nodes, n.self)))
 	}
 	n.post("syncer", n.syncer.Post(syncer.SetNodes{Nodes: effect.Nodes}))
 	n.post("planner", n.planner.Post(planner.NodesListed{Nodes: effect.Nodes, ProvenAt: effect.ProvenAt}))
@@ -140,7 +141,9 @@
 		ConfigurationAge:      answer.ConfigurationAge,
 		ReplicasAge:           answer.ReplicasAge,
 		NodesAge:              answer.NodesAge,
+		Full:                  answer.Full,
 		Replicas:              answer.Replicas,
+		Gone:                  answer.Gone,
 		Nodes:                 answer.Nodes,
 	}))
 	n.post("rationer", n.rationer.Post(rationer.Heard{Epoch: answer.Epoch, Spent: answer.SpentByOthers, Nodes: answer.Peers}))
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -109,6 +109,7 @@
 			DataCentre: settings.DataCentre,
 			Callers:    settings.Callers,
 			Peers:      settings.Peers,
+			Capacity:   capacity(settings.Settings),
 		},
 	}
 	n.bounds.Store(&settings.Bounds)
@@ -119,6 +120,18 @@
 	return n, n.cleanUp, nil
 }
 
+// fullLink is the bandwidth from which on a link does not limit a node.
+const fullLink = 100 // Mbit/s
+
+// capacity returns what a node can do, by its processor and its link.
+func capacity(settings platform.Settings) float64 {
+	share := settings.Cores
+	if settings.LinkMbps > 0 && settings.LinkMbps < fullLink {
+		share *= settings.LinkMbps / fullLink
+	}
+	return share
+}
+
 func (n *Node) create(ctx context.Context) error {
 	metrics, endMeter, err := meter.New()
 	if err != nil {
--- a/internal/assembler/view.go
+++ b/internal/assembler/view.go
@@ -1,18 +1,23 @@
 package assembler
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
 // view holds what requests read without asking a task.
 type view struct {
 	configuration atomic.Pointer[provenConfiguration]
 	directory     atomic.Pointer[directory]
+	// capacities holds the capacity of each registered node by its address
+	// for callers.
+	capacities atomic.Pointer[map[string]float64]
 }
 
 type provenConfiguration struct {
@@ -49,13 +54,61 @@
 	return known.callers
 }
 
-// addresses returns the addresses to name to callers, in random order.
+// capableShare is the part of the largest capacity from which on a node may
+// hold the placement lease: a small machine or link would slow all others.
+const capableShare = 0.7
+
+// leastCapable is the number of nodes that are enough to choose from.
+const leastCapable = 3
+
+// capable returns the names of the nodes that may hold the placement lease.
+func capable(nodes []surveyor.Node, self surveyor.Node) []string {
+	if !slices.ContainsFunc(nodes, func(node surveyor.Node) bool { return node.Name == self.Name }) {
+		nodes = append(slices.Clone(nodes), self)
+	}
+	most := 0.0
+	for _, node := range nodes {
+		most = max(most, node.Capacity)
+	}
+	var large, all []string
+	for _, node := range nodes {
+		all = append(all, node.Name)
+		if node.Capacity >= capableShare*most {
+			large = append(large, node.Name)
+		}
+	}
+	if len(large) < leastCapable {
+		return all
+	}
+	return large
+}
+
+// namedAtOnce is the number of addresses in an answer of a large fleet. Callers
+// pick among them at random, so that a sample by capacity spreads them by it.
+const namedAtOnce = 10
+
+// addresses returns the addresses to name to callers, in random order and more
+// often those of large nodes.
 func (v *view) addresses(now time.Time, self string, draining bool) []string {
 	addresses := slices.Clone(v.told(now))
 	addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == self })
 	if !draining {
 		addresses = append(addresses, self)
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses
+	keys := make(map[string]float64, len(addresses))
+	for _, address := range addresses {
+		// The smallest of exponential draws are a sample by weight.
+		keys[address] = rand.ExpFloat64() / v.capacity(address)
+	}
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(keys[a], keys[b]) })
+	return addresses[:min(namedAtOnce, len(addresses))]
+}
+
+// capacity returns the capacity of a node, the same for all that are unknown.
+func (v *view) capacity(address string) float64 {
+	const unknown = 0.1
+	if known := v.capacities.Load(); known != nil && (*known)[address] > 0 {
+		return (*known)[address]
+	}
+	return unknown
 }
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -13,6 +13,10 @@
 // reports and results of orders are acted on at once.
 const planEvery = 100 * time.Millisecond
 
+// planPause is the least time between two looks at the demand, so that many
+// reports and results together cost one.
+const planPause = 10 * time.Millisecond
+
 // Settings of a controller.
 type Settings struct {
 	// Node is the name of this node, and Spacing the time that must lie
@@ -39,6 +43,8 @@
 	ReplicasAsOf      time.Time
 	Nodes             []surveyor.Node
 	NodesAsOf         time.Time
+
+	outlook outlook
 }
 
 // Tenure is the state of one time of holding the lease.
@@ -48,7 +54,12 @@
 	Until time.Time
 	// OrdersFrom is when the orders of an earlier holder lie far enough back.
 	OrdersFrom time.Time
-	Version    uint64
+	// Version grows when the table changes. Changed and Removed hold the
+	// version at which each replica last changed or left the table.
+	Version      uint64
+	Changed      map[string]uint64
+	Removed      map[string]uint64
+	NodesVersion uint64
 	// Endpoints holds the replicas of engines by ID.
 	Endpoints map[string]*Endpoint
 	// Table is the published table, rebuilt when Stale is set.
@@ -59,8 +70,9 @@
 	Presumed []string
 	Demand   map[DemandKey]*Waiting
 	Rates    map[ModelKey]*Rate
-	// PlannedAt is when the placement was last looked at.
-	PlannedAt time.Time
+	// ActedAt is when the endpoints were last looked at, PlannedAt when the
+	// demand was, and CopiesAt when the copies of models were.
+	ActedAt, PlannedAt, CopiesAt time.Time
 }
 
 // ModelKey names a model of a service.
@@ -80,7 +92,12 @@
 	if c.Tenure == nil {
 		return time.Time{}
 	}
-	wake := c.Tenure.PlannedAt.Add(planEvery)
+	wake := c.Tenure.ActedAt.Add(planEvery)
+	if len(c.Tenure.Demand) > 0 {
+		if soon := later(c.Tenure.ActedAt.Add(planPause), c.Tenure.OrdersFrom); soon.Before(wake) {
+			wake = soon
+		}
+	}
 	for _, endpoint := range c.Tenure.Endpoints {
 		orderAt := endpoint.orderAt()
 		if !orderAt.IsZero() {
@@ -151,6 +168,8 @@
 		Until:      message.Until,
 		OrdersFrom: now.Add(c.spacing(message)),
 		Endpoints:  map[string]*Endpoint{},
+		Changed:    map[string]uint64{},
+		Removed:    map[string]uint64{},
 		Peers:      map[string]*Peer{},
 		Presumed:   message.Callers,
 		Demand:     map[DemandKey]*Waiting{},
@@ -189,18 +208,20 @@
 	if c.Tenure == nil {
 		return nil
 	}
-	c.Tenure.PlannedAt = now
+	c.Tenure.ActedAt = now
 	if c.Configuration == nil {
 		return nil
 	}
 	effects := c.removeNodes(now)
-	for _, id := range c.endpointIDs() {
+	ids := c.endpointIDs()
+	for _, id := range ids {
 		effects = append(effects, c.finish(now, id, c.Tenure.Endpoints[id])...)
 	}
-	if !now.Before(c.Tenure.OrdersFrom) {
+	if !now.Before(c.Tenure.OrdersFrom) && now.Sub(c.Tenure.PlannedAt) >= planPause {
+		c.Tenure.PlannedAt = now
 		effects = append(effects, c.plan(now)...)
 	}
-	for _, id := range c.endpointIDs() {
+	for _, id := range ids {
 		effects = append(effects, c.send(now, id, c.Tenure.Endpoints[id])...)
 	}
 	return effects
@@ -216,13 +237,12 @@
 	return ids
 }
 
-// nodesListed takes over the registered nodes. They travel with the table of
-// replicas, which gets a new version when they change.
+// nodesListed takes over the registered nodes.
 func (c *Controller) nodesListed(message NodesListed) {
 	same := slices.EqualFunc(c.Nodes, message.Nodes, func(a, b surveyor.Node) bool { return a == b })
 	c.Nodes, c.NodesAsOf = message.Nodes, message.ProvenAt
 	if c.Tenure != nil && !same {
-		c.Tenure.Version++
+		c.Tenure.NodesVersion++
 	}
 }
 
@@ -294,25 +314,57 @@
 		table = append(table, replica)
 	}
 	slices.SortFunc(table, func(a, b surveyor.Replica) int { return cmp.Compare(a.ID, b.ID) })
-	if t.Table == nil || !sameTable(t.Table, table) {
-		t.Version++
+	t.publish(table)
+	return table
+}
+
+// publish replaces the table and records what changed.
+func (t *Tenure) publish(table []surveyor.Replica) {
+	before := make(map[string]surveyor.Replica, len(t.Table))
+	for _, replica := range t.Table {
+		before[replica.ID] = replica
+	}
+	next := t.Version + 1
+	for _, replica := range table {
+		if old, ok := before[replica.ID]; !ok || !sameReplica(old, replica) {
+			t.Version, t.Changed[replica.ID] = next, next
+			delete(t.Removed, replica.ID)
+		}
+		delete(before, replica.ID)
+	}
+	for id := range before {
+		t.Version, t.Removed[id] = next, next
+		delete(t.Changed, id)
 	}
 	t.Table, t.Stale = table, false
-	return table
 }
 
-// sameTable compares what nodes act on; the time left of a load is estimated
+// since returns what changed in the table after a version.
+func (t *Tenure) since(version uint64) (changed []surveyor.Replica, gone []string) {
+	for _, replica := range t.Table {
+		if t.Changed[replica.ID] > version {
+			changed = append(changed, replica)
+		}
+	}
+	for id, at := range t.Removed {
+		if at > version {
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return changed, gone
+}
+
+// sameReplica compares what nodes act on; the time left of a load is estimated
 // once and counts down at the nodes.
-func sameTable(a, b []surveyor.Replica) bool {
-	return slices.EqualFunc(a, b, func(a, b surveyor.Replica) bool {
-		return a.ID == b.ID && a.Born == b.Born && a.Address == b.Address && a.Leaving == b.Leaving &&
-			slices.EqualFunc(a.Models, b.Models, func(a, b surveyor.Loaded) bool {
-				return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
-			}) &&
-			slices.EqualFunc(a.Pending, b.Pending, func(a, b surveyor.Pending) bool {
-				return a.Model == b.Model && a.Adapter == b.Adapter
-			})
-	})
+func sameReplica(a, b surveyor.Replica) bool {
+	return a.Born == b.Born && a.Address == b.Address && a.Leaving == b.Leaving &&
+		slices.EqualFunc(a.Models, b.Models, func(a, b surveyor.Loaded) bool {
+			return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
+		}) &&
+		slices.EqualFunc(a.Pending, b.Pending, func(a, b surveyor.Pending) bool {
+			return a.Model == b.Model && a.Adapter == b.Adapter
+		})
 }
 
 // models returns what requests may be sent for.
--- a/internal/planner/endpoint.go
+++ b/internal/planner/endpoint.go
@@ -80,6 +80,31 @@
 	return e.loading(model, "")
 }
 
+// held returns the models that the endpoint has, or will have after its orders.
+func (e *Endpoint) held() []string {
+	names := make([]string, 0, len(e.Models)+1)
+	for name := range e.Models {
+		if !e.unloading(name) {
+			names = append(names, name)
+		}
+	}
+	add := func(order Order) {
+		if order.Load && order.Adapter == "" {
+			names = append(names, order.Model)
+		}
+	}
+	if e.Running != nil {
+		add(e.Running.Order)
+	}
+	if e.Sending != nil {
+		add(*e.Sending)
+	}
+	for _, order := range e.Queue {
+		add(order)
+	}
+	return names
+}
+
 func (e *Endpoint) holdsAdapter(model, adapter string) bool {
 	if resident := e.Models[model]; resident != nil {
 		if _, ok := resident.Adapters[adapter]; ok {
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -141,16 +141,6 @@
 	}
 }
 
-// suspected says whether a live node's requests have failed at a replica.
-func (c *Controller) suspected(now time.Time, id string) bool {
-	for _, peer := range c.Tenure.Peers {
-		if now.Sub(peer.HeardAt) < peerTimeout && slices.Contains(peer.Suspects, id) {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *Controller) demand(now time.Time, demand Demand) {
 	key := DemandKey{ModelKey{demand.Service, demand.Model}, demand.Adapter}
 	waiting := c.Tenure.Demand[key]
@@ -166,6 +156,7 @@
 func (c *Controller) answer(now time.Time, peer *Peer, report Report) Answer {
 	table := c.table(now)
 	answer := Answer{
+		NodesVersion:     c.Tenure.NodesVersion,
 		Holding:          true,
 		Leader:           c.Settings.Node,
 		Epoch:            c.Tenure.Epoch,
@@ -183,8 +174,18 @@
 	if c.Configuration != nil {
 		answer.ConfigurationRevision = c.Configuration.Revision
 	}
-	if report.Epoch != c.Tenure.Epoch || report.Version != c.Tenure.Version {
-		answer.Replicas = table
+	if report.Epoch == c.Tenure.Epoch && report.Version <= c.Tenure.Version {
+		answer.Replicas, answer.Gone = c.Tenure.since(report.Version)
+	} else {
+		answer.Full, answer.Replicas = true, slices.Clone(table)
+	}
+	for i, replica := range answer.Replicas {
+		if endpoint := c.Tenure.Endpoints[replica.ID]; endpoint != nil && len(replica.Pending) > 0 {
+			// The time left counts from the answer, not from the change.
+			answer.Replicas[i].Pending = endpoint.pending(now)
+		}
+	}
+	if report.Epoch != c.Tenure.Epoch || report.NodesVersion != c.Tenure.NodesVersion {
 		answer.Nodes = c.Nodes
 	}
 	return answer
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -28,13 +28,59 @@
 	// recentUse is the time since the last use under which a model counts as
 	// wanted again soon.
 	recentUse = 2 * time.Second
+	// copiesEvery is the time between two looks at busy models and at models
+	// without a copy.
+	copiesEvery = 100 * time.Millisecond
 	// adapterReserve is the number of adapter places that stay free.
 	adapterReserve = 1
 )
 
+// outlook is what planning looks up again and again, worked out once for each
+// look at the placement.
+type outlook struct {
+	// suspects are the replicas that fail requests of live nodes.
+	suspects map[string]bool
+	// demanded are the models that requests wait for.
+	demanded map[ModelKey]bool
+	// holders counts the replicas that hold or will hold each model, and
+	// wanted how many a busy model needs.
+	holders, wanted map[ModelKey]int
+}
+
+func (c *Controller) look(now time.Time) outlook {
+	o := outlook{
+		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
+	}
+	for _, peer := range c.Tenure.Peers {
+		if now.Sub(peer.HeardAt) < peerTimeout {
+			for _, id := range peer.Suspects {
+				o.suspects[id] = true
+			}
+		}
+	}
+	for key := range c.Tenure.Demand {
+		o.demanded[key.ModelKey] = true
+	}
+	for _, e := range c.Tenure.Endpoints {
+		if !e.Known || e.Listed.Leaving {
+			continue
+		}
+		for _, name := range e.held() {
+			o.holders[ModelKey{e.Listed.Service, name}]++
+		}
+	}
+	for key := range c.Tenure.Rates {
+		if wanted := c.wanted(now, key); wanted > 0 {
+			o.wanted[key] = wanted
+		}
+	}
+	return o
+}
+
 // plan queues the orders that the demand calls for.
 func (c *Controller) plan(now time.Time) []Effect {
 	c.expireDemand(now)
+	c.outlook = c.look(now)
 	var effects []Effect
 	for _, key := range c.demands(now) {
 		if key.Adapter != "" {
@@ -43,22 +89,26 @@
 			effects = append(effects, c.planModel(now, key.ModelKey)...)
 		}
 	}
+	if now.Sub(c.Tenure.CopiesAt) < copiesEvery {
+		return effects
+	}
+	c.Tenure.CopiesAt = now
 	effects = append(effects, c.planCopies(now)...)
 	return append(effects, c.planPrefetch(now)...)
 }
 
 func (c *Controller) expireDemand(now time.Time) {
 	for key, waiting := range c.Tenure.Demand {
-		if now.Sub(waiting.HeardAt) > demandLifetime || !now.Before(waiting.GiveUpAt) || c.satisfied(now, key) {
+		if now.Sub(waiting.HeardAt) > demandLifetime || !now.Before(waiting.GiveUpAt) || c.satisfied(key) {
 			delete(c.Tenure.Demand, key)
 		}
 	}
 }
 
 // satisfied says whether a sound replica has what requests wait for.
-func (c *Controller) satisfied(now time.Time, key DemandKey) bool {
+func (c *Controller) satisfied(key DemandKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Listed.Service != key.Service || e.Listed.Leaving || !e.Known || c.suspected(now, id) {
+		if e.Listed.Service != key.Service || e.Listed.Leaving || !e.Known || c.outlook.suspects[id] {
 			continue
 		}
 		if resident := e.Models[key.Model]; resident != nil && !e.unloading(key.Model) {
@@ -98,11 +148,11 @@
 		return nil
 	}
 	model, ok := engine.Models[key.Model]
-	if !ok || c.sound(now, key) {
+	if !ok || c.sound(key) {
 		return nil
 	}
 	best, victims := c.cheapest(now, key, engine, model)
-	if best == nil || best.tier(model.Name) == FromStore && (c.copyComing(now, key) || c.storeLoading() >= storeAtOnce) {
+	if best == nil || best.tier(model.Name) == FromStore && (c.copyComing(key) || c.storeLoading() >= storeAtOnce) {
 		return nil
 	}
 	return c.queueLoad(best, victims, model, "requests wait")
@@ -110,9 +160,9 @@
 
 // copyComing says whether a replica that is busy now has a copy of the model,
 // so that waiting for it takes less time than the weight store.
-func (c *Controller) copyComing(now time.Time, key ModelKey) bool {
+func (c *Controller) copyComing(key ModelKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Listed.Service == key.Service && !e.Listed.Leaving && e.Known && e.tier(key.Model) != FromStore && !c.suspected(now, id) {
+		if e.Listed.Service == key.Service && !e.Listed.Leaving && e.Known && e.tier(key.Model) != FromStore && !c.outlook.suspects[id] {
 			return true
 		}
 	}
@@ -120,9 +170,9 @@
 }
 
 // sound says whether a replica that fails no requests has a model or loads it.
-func (c *Controller) sound(now time.Time, key ModelKey) bool {
+func (c *Controller) sound(key ModelKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Listed.Service == key.Service && e.Known && !e.Listed.Leaving && e.holds(key.Model) && !c.suspected(now, id) {
+		if e.Listed.Service == key.Service && e.Known && !e.Listed.Leaving && e.holds(key.Model) && !c.outlook.suspects[id] {
 			return true
 		}
 	}
@@ -137,7 +187,7 @@
 	bestCost := time.Duration(math.MaxInt64)
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Listed.Service != key.Service || !e.idle() || e.holds(model.Name) || c.suspected(now, id) {
+		if e.Listed.Service != key.Service || !e.idle() || e.holds(model.Name) || c.outlook.suspects[id] {
 			continue
 		}
 		victims, loss, ok := c.makeRoom(now, e, engine, model)
@@ -196,13 +246,11 @@
 	if now.Sub(e.Models[name].LoadedAt) < loadDelay {
 		return true
 	}
-	for demand := range c.Tenure.Demand {
-		if demand.ModelKey == key {
-			return true
-		}
+	if c.outlook.demanded[key] {
+		return true
 	}
-	wanted := c.wanted(now, key)
-	return wanted > 0 && c.replicas(key, (*Endpoint).holds) <= wanted
+	wanted := c.outlook.wanted[key]
+	return wanted > 0 && c.outlook.holders[key] <= wanted
 }
 
 // wanted returns how many replicas a busy model needs, 0 for a rare one.
@@ -219,23 +267,14 @@
 	return max(2, int(math.Ceil(tokens/tokensPerReplica)))
 }
 
-// replicas counts the replicas of a service for which a predicate holds.
-func (c *Controller) replicas(key ModelKey, predicate func(*Endpoint, string) bool) int {
-	count := 0
-	for _, e := range c.Tenure.Endpoints {
-		if e.Listed.Service == key.Service && e.Known && !e.Listed.Leaving && predicate(e, key.Model) {
-			count++
-		}
-	}
-	return count
-}
-
 // queueLoad queues the orders that replace models by another one.
 func (c *Controller) queueLoad(e *Endpoint, victims []string, model resolver.Model, reason string) []Effect {
 	c.Tenure.Stale = true
 	for _, victim := range victims {
 		e.Queue = append(e.Queue, Order{Model: victim})
+		c.outlook.holders[ModelKey{e.Listed.Service, victim}]--
 	}
+	c.outlook.holders[ModelKey{e.Listed.Service, model.Name}]++
 	e.Queue = append(e.Queue, Order{Load: true, Model: model.Name})
 	text := "load planned"
 	if e.tier(model.Name) == FromStore {
@@ -247,13 +286,13 @@
 // planCopies gives busy models more replicas.
 func (c *Controller) planCopies(now time.Time) []Effect {
 	var effects []Effect
-	for _, key := range c.rated() {
+	for _, key := range c.busy() {
 		engine := c.engine(key.Service)
 		if engine == nil {
 			continue
 		}
 		model, ok := engine.Models[key.Model]
-		if !ok || c.replicas(key, (*Endpoint).holds) >= c.wanted(now, key) {
+		if !ok || c.outlook.holders[key] >= c.outlook.wanted[key] {
 			continue
 		}
 		best, victims := c.cheapest(now, key, engine, model)
@@ -265,14 +304,14 @@
 	return effects
 }
 
-// rated returns the models with a rate, the busiest first.
-func (c *Controller) rated() []ModelKey {
-	keys := make([]ModelKey, 0, len(c.Tenure.Rates))
-	for key := range c.Tenure.Rates {
+// busy returns the models that need several replicas, the busiest first.
+func (c *Controller) busy() []ModelKey {
+	keys := make([]ModelKey, 0, len(c.outlook.wanted))
+	for key := range c.outlook.wanted {
 		keys = append(keys, key)
 	}
 	slices.SortFunc(keys, func(a, b ModelKey) int {
-		return cmp.Or(cmp.Compare(c.Tenure.Rates[b].Requests, c.Tenure.Rates[a].Requests),
+		return cmp.Or(cmp.Compare(c.outlook.wanted[b], c.outlook.wanted[a]),
 			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
 	})
 	return keys
@@ -281,19 +320,20 @@
 // planPrefetch fetches models of which no replica has a copy, so that their
 // first request finds them on a disk.
 func (c *Controller) planPrefetch(now time.Time) []Effect {
+	if c.storeLoading() >= prefetchAtOnce {
+		return nil
+	}
+	copied := c.copied()
 	var effects []Effect
 	for _, service := range c.services() {
 		engine := c.engine(service)
 		for _, name := range sortedModels(engine) {
 			key := ModelKey{service, name}
-			if c.storeLoading() >= prefetchAtOnce {
-				return effects
-			}
-			if c.replicas(key, (*Endpoint).hasCopy) > 0 {
+			if copied[key] {
 				continue
 			}
 			best, victims := c.home(now, key, engine, engine.Models[name])
-			if best == nil {
+			if best == nil || c.storeLoading() >= prefetchAtOnce {
 				return effects
 			}
 			effects = append(effects, c.queueLoad(best, victims, engine.Models[name], "first copy")...)
@@ -302,6 +342,20 @@
 	return effects
 }
 
+// copied returns the models that a replica holds or can load without the
+// weight store.
+func (c *Controller) copied() map[ModelKey]bool {
+	copied := map[ModelKey]bool{}
+	for _, e := range c.Tenure.Endpoints {
+		for _, names := range [][]string{e.held(), e.InMemory, e.OnDisk} {
+			for _, name := range names {
+				copied[ModelKey{e.Listed.Service, name}] = true
+			}
+		}
+	}
+	return copied
+}
+
 // storeLoading counts the loads from the weight store that run or are queued.
 func (c *Controller) storeLoading() int {
 	count := 0
@@ -321,11 +375,6 @@
 	return count
 }
 
-// hasCopy says whether the endpoint can load a model without the weight store.
-func (e *Endpoint) hasCopy(model string) bool {
-	return e.holds(model) || e.tier(model) != FromStore
-}
-
 // home returns the idle replica that has the fewest copies.
 func (c *Controller) home(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model) (*Endpoint, []string) {
 	var best *Endpoint
@@ -374,7 +423,7 @@
 	var best *Endpoint
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Listed.Service != key.Service || e.Listed.Leaving || !e.Known || c.suspected(now, id) {
+		if e.Listed.Service != key.Service || e.Listed.Leaving || !e.Known || c.outlook.suspects[id] {
 			continue
 		}
 		if e.holdsAdapter(key.Model, key.Adapter) {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -11,8 +11,10 @@
 	Node surveyor.Node
 	// Leaving nodes take no new callers.
 	Leaving bool
-	// Epoch and Version say which table of replicas the node has.
+	// Epoch and Version say which table of replicas the node has, and
+	// NodesVersion which list of nodes.
 	Epoch, Version uint64
+	NodesVersion   uint64
 	// Running counts the node's running requests.
 	Running []Running `json:",omitempty"`
 	// Suspects are the replicas that failed the node's requests lately.
@@ -67,16 +69,20 @@
 	// names the node that it takes for the holder.
 	Holding bool
 	Leader  string `json:",omitempty"`
-	// Epoch and Version identify the table of replicas. Replicas is nil if
-	// the node has this version.
+	// Epoch and Version identify the table of replicas. Replicas are those
+	// that changed since the version that the node has, and Gone those that
+	// left the table; if Full is set, Replicas is the whole table.
 	Epoch, Version uint64
+	Full           bool               `json:",omitempty"`
 	Replicas       []surveyor.Replica `json:",omitempty"`
+	Gone           []string           `json:",omitempty"`
 	// Active counts the requests that the other nodes run, by replica.
 	Active map[string]int `json:",omitempty"`
 	// Suspects are the replicas that fail the requests of other nodes.
 	Suspects []string `json:",omitempty"`
-	// Nodes is nil unless the table is sent too.
-	Nodes []surveyor.Node `json:",omitempty"`
+	// Nodes is nil if the node has the version NodesVersion.
+	NodesVersion uint64
+	Nodes        []surveyor.Node `json:",omitempty"`
 	// Callers are the addresses of the nodes that callers may use.
 	Callers               []string
 	ConfigurationRevision uint64
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -337,11 +337,12 @@
 	if c.ToldAsOf.After(c.ReplicaSource.ProvenAt) {
 		c.ReplicaSource.ProvenAt = c.ToldAsOf
 	}
-	if message.Replicas != nil {
-		c.Told = message.Replicas
+	changed := message.Full || len(message.Replicas)+len(message.Gone) > 0
+	if changed {
+		c.Told = updated(c.Told, message)
 	}
 	newer := c.toldIsNewer(now)
-	if message.Replicas == nil && newer == c.FromHolder {
+	if !changed && newer == c.FromHolder {
 		return nil
 	}
 	c.FromHolder = newer
@@ -351,3 +352,19 @@
 	}
 	return []Effect{PublishReplicas{Replicas: replicas, FromHolder: newer, ProvenAt: c.ReplicaSource.ProvenAt}}
 }
+
+// updated returns the holder's replicas after a change. The published slice is
+// not touched.
+func updated(told []Replica, message HolderHeard) []Replica {
+	if message.Full {
+		return message.Replicas
+	}
+	replicas := make([]Replica, 0, len(told)+len(message.Replicas))
+	for _, replica := range told {
+		same := func(other Replica) bool { return other.ID == replica.ID }
+		if !slices.Contains(message.Gone, replica.ID) && !slices.ContainsFunc(message.Replicas, same) {
+			replicas = append(replicas, replica)
+		}
+	}
+	return append(replicas, message.Replicas...)
+}
--- a/internal/surveyor/message.go
+++ b/internal/surveyor/message.go
@@ -49,9 +49,13 @@
 	ConfigurationAge      time.Duration
 	ReplicasAge           time.Duration
 	NodesAge              time.Duration
-	// Replicas and Nodes replace the known ones unless they are nil.
+	// Replicas are those that changed, and Gone those that left; if Full is
+	// set, Replicas replaces the known ones.
+	Full     bool
 	Replicas []Replica
-	Nodes    []Node
+	Gone     []string
+	// Nodes replaces the known ones unless it is nil.
+	Nodes []Node
 }
 
 // Refresh asks for the configuration to be read at once, after a sign that it
--- a/internal/surveyor/replica.go
+++ b/internal/surveyor/replica.go
@@ -67,6 +67,9 @@
 	// Callers is the address for callers and Peers the one for other nodes.
 	Callers string
 	Peers   string
+	// Capacity is the processor share of the instance, less if its link is
+	// narrow.
+	Capacity float64
 	// Revision is the store's revision of the node's entry.
 	Revision uint64 `json:",omitempty"`
 }
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -10,10 +10,15 @@
 )
 
 const (
-	// interval is the time between two exchanges without a demand. A third of
-	// it passes on average before a change of the fleet is known, and the
-	// limits of workspaces hold as well as their counts are fresh.
-	interval = 250 * time.Millisecond
+	// leastInterval and mostInterval bound the time between two exchanges
+	// without a demand. Half of it passes on average before a change of the
+	// fleet is known, and the limits of workspaces hold as well as their
+	// counts are fresh.
+	leastInterval = 250 * time.Millisecond
+	mostInterval  = 500 * time.Millisecond
+	// intervalPerNode makes the exchanges of many nodes rarer, so that the
+	// holder answers about 100 in a second.
+	intervalPerNode = 10 * time.Millisecond
 	// retryPause is the pause after an exchange that failed.
 	retryPause = 60 * time.Millisecond
 	// urgentPause is the least time between two exchanges.
@@ -65,8 +70,8 @@
 type Exchange struct {
 	With    string
 	Address string
-	Epoch   uint64
-	Version uint64
+	// Epoch, Version and NodesVersion are those that this node has.
+	Epoch, Version, NodesVersion uint64
 }
 
 // Heard publishes the answer of the holder.
@@ -100,11 +105,11 @@
 	// Turn counts the candidates that were asked in vain.
 	Turn int
 	// Epoch and Version are those of the table that this node has.
-	Epoch, Version uint64
-	Busy           bool
-	DueAt          time.Time
-	HeardAt        time.Time
-	Wanted         bool
+	Epoch, Version, NodesVersion uint64
+	Busy                         bool
+	DueAt                        time.Time
+	HeardAt                      time.Time
+	Wanted                       bool
 }
 
 // NewController returns the controller of a node for a lease.
@@ -149,6 +154,11 @@
 	return append(effects, c.exchange(now)...)
 }
 
+// interval returns the time between two exchanges.
+func (c *Controller) interval() time.Duration {
+	return min(mostInterval, max(leastInterval, time.Duration(len(c.Nodes))*intervalPerNode))
+}
+
 // hinted goes to the node that the lease names, unless another one answers as
 // the holder already.
 func (c *Controller) hinted(now time.Time, message Hinted) {
@@ -164,7 +174,7 @@
 // exchange starts an exchange with the node that most likely holds the lease.
 func (c *Controller) exchange(now time.Time) []Effect {
 	with := c.target()
-	effect := Exchange{With: with, Epoch: c.Epoch, Version: c.Version}
+	effect := Exchange{With: with, Epoch: c.Epoch, Version: c.Version, NodesVersion: c.NodesVersion}
 	if with != c.Node {
 		at := slices.IndexFunc(c.Nodes, func(node surveyor.Node) bool { return node.Name == with })
 		if at < 0 {
@@ -210,8 +220,8 @@
 	}
 	c.Holder, c.Hint, c.Turn = message.With, "", 0
 	c.HeardAt = message.StartedAt
-	c.Epoch, c.Version = answer.Epoch, answer.Version
-	c.DueAt = message.StartedAt.Add(interval)
+	c.Epoch, c.Version, c.NodesVersion = answer.Epoch, answer.Version, answer.NodesVersion
+	c.DueAt = message.StartedAt.Add(c.interval())
 	if c.Wanted {
 		c.DueAt = now.Add(urgentPause)
 	}
--- a/internal/syncer/task.go
+++ b/internal/syncer/task.go
@@ -76,7 +76,7 @@
 		result.Failed = true
 		return result
 	}
-	report.Epoch, report.Version = effect.Epoch, effect.Version
+	report.Epoch, report.Version, report.NodesVersion = effect.Epoch, effect.Version, effect.NodesVersion
 	if effect.Address == "" {
 		result.Answer, err = t.settings.Local(ctx, report)
 	} else {
