--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -28,6 +28,9 @@
 	// fullLoad is the share of a plain replica's slots from which on requests
 	// wait at the node: the replica would queue them without order.
 	fullLoad = 2.0
+	// fullEngine is that share for an engine, which admits a few requests
+	// more; what the other nodes run is known with a delay.
+	fullEngine = 1.1
 	// noHolderRetry is when a request may come back that nobody can load a
 	// model for.
 	noHolderRetry = 2500 * time.Millisecond
@@ -286,7 +289,7 @@
 	case need.Model == "":
 		return replica.load() < fullLoad
 	}
-	return replica.load() < 1 && replica.has(now, wanted)
+	return replica.load() < fullEngine && replica.has(now, wanted)
 }
 
 // cost estimates the time to the first byte, in arbitrary units.
--- a/internal/forwarder/filters.go
+++ b/internal/forwarder/filters.go
@@ -17,7 +17,7 @@
 	// staleConfiguration is the age of the configuration from which on a node
 	// does not say that a route or key does not exist: a newer version may
 	// have it.
-	staleConfiguration = 1200 * time.Millisecond
+	staleConfiguration = 1600 * time.Millisecond
 	// elsewhereRetry is when a request may come back that another node may be
 	// able to serve.
 	elsewhereRetry = 250 * time.Millisecond
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -70,6 +70,11 @@
 	Presumed []string
 	Demand   map[DemandKey]*Waiting
 	Rates    map[ModelKey]*Rate
+	// Pressed holds when requests last found all replicas of a model full.
+	Pressed map[ModelKey]time.Time
+	// StorePlaces is the number of loads from the weight store that run at
+	// full speed, 0 before it is known.
+	StorePlaces int
 	// ActedAt is when the endpoints were last looked at, PlannedAt when the
 	// demand was, and CopiesAt when the copies of models were.
 	ActedAt, PlannedAt, CopiesAt time.Time
@@ -174,6 +179,7 @@
 		Presumed:   message.Callers,
 		Demand:     map[DemandKey]*Waiting{},
 		Rates:      map[ModelKey]*Rate{},
+		Pressed:    map[ModelKey]time.Time{},
 		Stale:      true,
 	}
 	if message.First {
--- a/internal/planner/endpoint.go
+++ b/internal/planner/endpoint.go
@@ -63,7 +63,10 @@
 	Order
 	Tier Tier
 	// EndsAt is the estimated end.
-	EndsAt time.Time
+	EndsAt    time.Time
+	StartedAt time.Time
+	// Together is the number of loads from the weight store at the start.
+	Together int
 }
 
 // idle says whether a chain of orders may be planned for the endpoint.
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -170,14 +170,15 @@
 		if tier == FromStore {
 			took = c.storeLoad(took)
 		}
-		e.Running = &Operation{Order: order, Tier: tier, EndsAt: now.Add(took + endMargin)}
+		together := c.storeLoading() + 1
+		e.Running = &Operation{Order: order, Tier: tier, EndsAt: now.Add(took + endMargin), StartedAt: now, Together: together}
 	}
 }
 
 // storeLoad returns the estimated time of a load from the weight store: beyond
 // a number of loads at once, each takes longer in proportion.
 func (c *Controller) storeLoad(alone time.Duration) time.Duration {
-	slow := max(1, float64(c.storeLoading()+1)/storeAtOnce)
+	slow := max(1, float64(c.storeLoading()+1)/float64(c.storePlaces()))
 	return time.Duration(float64(alone) * slow)
 }
 
@@ -214,6 +215,7 @@
 		}
 		return
 	}
+	c.learnStore(now, e, operation)
 	e.Models[operation.Model] = &Resident{Adapters: map[string]time.Time{}, LoadedAt: now, UsedAt: now}
 	if engine := c.engine(e.Listed.Service); engine != nil {
 		e.keepCopies(engine, operation.Model)
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -10,13 +10,13 @@
 )
 
 const (
-	// storeAtOnce is the number of loads from the weight store that run at
-	// full speed; more at once take longer in proportion.
+	// storeAtOnce is the largest number of loads from the weight store at a
+	// time. Beyond the number that run at full speed, which the store does not
+	// tell, each takes longer in proportion and none is done sooner.
 	storeAtOnce = 4
-	// prefetchAtOnce leaves the other places for models that requests wait
-	// for, and keeps most replicas free for swaps: a replica carries out one
-	// order at a time.
-	prefetchAtOnce = 3
+	// prefetchReserve is the part of these places that stays free for models
+	// that requests wait for.
+	prefetchReserve = 1
 	// tokensPerReplica is the number of tokens a second above which a model
 	// gets another replica: a third of what a replica reads at full speed.
 	tokensPerReplica = 12000
@@ -31,6 +31,9 @@
 	// copiesEvery is the time between two looks at busy models and at models
 	// without a copy.
 	copiesEvery = 100 * time.Millisecond
+	// pressure is how long requests that found all replicas of a model full
+	// call for another one: about the time to load it.
+	pressure = 900 * time.Millisecond
 	// adapterReserve is the number of adapter places that stay free.
 	adapterReserve = 1
 )
@@ -74,6 +77,13 @@
 			o.wanted[key] = wanted
 		}
 	}
+	for key, at := range c.Tenure.Pressed {
+		if now.Sub(at) < pressure {
+			o.wanted[key] = max(o.wanted[key], o.holders[key]+1)
+		} else {
+			delete(c.Tenure.Pressed, key)
+		}
+	}
 	return o
 }
 
@@ -99,6 +109,10 @@
 
 func (c *Controller) expireDemand(now time.Time) {
 	for key, waiting := range c.Tenure.Demand {
+		if key.Adapter == "" && c.satisfied(key) {
+			// Requests wait although a replica has the model: all are full.
+			c.Tenure.Pressed[key.ModelKey] = now
+		}
 		if now.Sub(waiting.HeardAt) > demandLifetime || !now.Before(waiting.GiveUpAt) || c.satisfied(key) {
 			delete(c.Tenure.Demand, key)
 		}
@@ -152,7 +166,7 @@
 		return nil
 	}
 	best, victims := c.cheapest(now, key, engine, model)
-	if best == nil || best.tier(model.Name) == FromStore && (c.copyComing(key) || c.storeLoading() >= storeAtOnce) {
+	if best == nil || best.tier(model.Name) == FromStore && (c.copyComing(key) || c.storeLoading() >= c.storePlaces()) {
 		return nil
 	}
 	return c.queueLoad(best, victims, model, "requests wait")
@@ -296,7 +310,7 @@
 			continue
 		}
 		best, victims := c.cheapest(now, key, engine, model)
-		if best == nil || best.tier(model.Name) == FromStore && c.storeLoading() >= storeAtOnce {
+		if best == nil || best.tier(model.Name) == FromStore && c.storeLoading() >= c.storePlaces() {
 			continue
 		}
 		effects = append(effects, c.queueLoad(best, victims, model, "busy model")...)
@@ -320,7 +334,7 @@
 // planPrefetch fetches models of which no replica has a copy, so that their
 // first request finds them on a disk.
 func (c *Controller) planPrefetch(now time.Time) []Effect {
-	if c.storeLoading() >= prefetchAtOnce {
+	if c.storeLoading() >= max(1, c.storePlaces()-prefetchReserve) {
 		return nil
 	}
 	copied := c.copied()
@@ -333,7 +347,7 @@
 				continue
 			}
 			best, victims := c.home(now, key, engine, engine.Models[name])
-			if best == nil || c.storeLoading() >= prefetchAtOnce {
+			if best == nil || c.storeLoading() >= max(1, c.storePlaces()-prefetchReserve) {
 				return effects
 			}
 			effects = append(effects, c.queueLoad(best, victims, engine.Models[name], "first copy")...)
@@ -356,6 +370,34 @@
 	return copied
 }
 
+// storePlaces returns how many loads from the weight store may run at a time,
+// as far as earlier loads have shown.
+func (c *Controller) storePlaces() int {
+	if c.Tenure.StorePlaces == 0 {
+		return storeAtOnce
+	}
+	return c.Tenure.StorePlaces
+}
+
+// learnStore compares the time of a load from the weight store with that of a
+// load alone.
+func (c *Controller) learnStore(now time.Time, e *Endpoint, operation Operation) {
+	engine := c.engine(e.Listed.Service)
+	if engine == nil || operation.Tier != FromStore || operation.Adapter != "" {
+		return
+	}
+	alone := engine.Models[operation.Model].StoreLoad
+	ratio := float64(now.Sub(operation.StartedAt)) / float64(max(alone, time.Millisecond))
+	if ratio > slowLoad {
+		places := int(math.Round(float64(operation.Together) / ratio))
+		c.Tenure.StorePlaces = min(c.storePlaces(), max(1, places))
+	}
+}
+
+// slowLoad is the time of a load, relative to one alone, from which on it was
+// held up by others. Loads are seen to end up to half a second late.
+const slowLoad = 1.3
+
 // storeLoading counts the loads from the weight store that run or are queued.
 func (c *Controller) storeLoading() int {
 	count := 0
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -18,8 +18,8 @@
 	// Other nodes read by themselves once what they heard of the holder is
 	// older than this. Above three exchanges with the holder and below the
 	// time that is left to notice a change.
-	followerConfigurationAge = 900 * time.Millisecond
-	followerReplicasAge      = 900 * time.Millisecond
+	followerConfigurationAge = 1300 * time.Millisecond
+	followerReplicasAge      = 1100 * time.Millisecond
 	followerNodesAge         = 4 * time.Second
 	// retryEvery is the pause between two reads that fail or follow each
 	// other without a holder. Seven nodes then make 35 calls a second in the
