Ask for another replica only when all that have the model are full

On a large fleet nodes also looked for the holder among all nodes instead of those that may hold the lease, and did not find it for 13 s.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -59,9 +59,6 @@
 	if !n.draining.Load() && !registered {
 		n.wantRegistration()
 	}
-	if !n.draining.Load() {
-		n.post("leaser", n.leaser.SetNodes(capable(effect.Nodes, n.self)))
-	}
 	n.post("syncer", n.syncer.Post(syncer.SetNodes{Nodes: effect.Nodes}))
 	n.post("planner", n.planner.Post(planner.NodesListed{Nodes: effect.Nodes, ProvenAt: effect.ProvenAt}))
 }
@@ -127,7 +124,16 @@
 	switch effect := effect.(type) {
 	case syncer.Heard:
 		n.heard(effect)
+	case syncer.SetCandidates:
+		if !n.draining.Load() {
+			n.post("leaser", n.leaser.SetNodes(effect.Names))
+		}
 	case syncer.Note:
+		if effect.Lost {
+			// What this node tells others must not send them to a node that
+			// does not answer.
+			n.holder.Store(nil)
+		}
 		n.logger.WithFields(logrus.Fields{"Holder": effect.Holder, "Age": effect.Age.String(), "Error": effect.Cause}).Info(effect.Text)
 	}
 }
--- a/internal/assembler/view.go
+++ b/internal/assembler/view.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/resolver"
-	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
 // view holds what requests read without asking a task.
@@ -54,35 +53,6 @@
 	return known.callers
 }
 
-// capableShare is the part of the largest capacity from which on a node may
-// hold the placement lease: a small machine or link would slow all others.
-const capableShare = 0.7
-
-// leastCapable is the number of nodes that are enough to choose from.
-const leastCapable = 3
-
-// capable returns the names of the nodes that may hold the placement lease.
-func capable(nodes []surveyor.Node, self surveyor.Node) []string {
-	if !slices.ContainsFunc(nodes, func(node surveyor.Node) bool { return node.Name == self.Name }) {
-		nodes = append(slices.Clone(nodes), self)
-	}
-	most := 0.0
-	for _, node := range nodes {
-		most = max(most, node.Capacity)
-	}
-	var large, all []string
-	for _, node := range nodes {
-		all = append(all, node.Name)
-		if node.Capacity >= capableShare*most {
-			large = append(large, node.Name)
-		}
-	}
-	if len(large) < leastCapable {
-		return all
-	}
-	return large
-}
-
 // namedAtOnce is the number of addresses in an answer of a large fleet. Callers
 // pick among them at random, so that a sample by capacity spreads them by it.
 const namedAtOnce = 10
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -234,6 +234,21 @@
 	return false
 }
 
+// full says whether all replicas that have what the request needs are full.
+func (c *Controller) full(need Need) bool {
+	found := false
+	for _, replica := range c.Replicas {
+		if replica.Told.Service != need.Service || replica.Told.Leaving || !replica.Told.Has(need.Model, need.Adapter) {
+			continue
+		}
+		if !replica.isFull() {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // choose picks the replica with the least expected time.
 func (c *Controller) choose(now time.Time, wait *Wait) (Placement, bool) {
 	need := wait.Need
@@ -289,7 +304,7 @@
 	case need.Model == "":
 		return replica.load() < fullLoad
 	}
-	return replica.load() < fullEngine && replica.has(now, wanted)
+	return !replica.isFull() && replica.has(now, wanted)
 }
 
 // cost estimates the time to the first byte, in arbitrary units.
@@ -431,7 +446,7 @@
 		if !ok {
 			i = len(demands)
 			at[key] = i
-			demands = append(demands, planner.Demand{Service: need.Service, Model: need.Model, Adapter: need.Adapter, InTime: need.InTimeUntil.Sub(now)})
+			demands = append(demands, planner.Demand{Service: need.Service, Model: need.Model, Adapter: need.Adapter, InTime: need.InTimeUntil.Sub(now), Full: c.full(need)})
 		}
 		demands[i].Waiting++
 		demands[i].InTime = max(demands[i].InTime, need.InTimeUntil.Sub(now))
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -61,9 +61,15 @@
 	return total
 }
 
+// active returns the number of requests that all nodes run at the replica.
+func (r *Replica) active() int { return r.own() + r.Others }
+
+// isFull says whether a replica of an engine has no place for another request.
+func (r *Replica) isFull() bool { return r.active() >= int(fullEngine*float64(r.Told.Slots)) }
+
 // load returns the share of the replica's slots that is taken.
 func (r *Replica) load() float64 {
-	return float64(r.own()+r.Others) / float64(max(1, r.Told.Slots))
+	return float64(r.active()) / float64(max(1, r.Told.Slots))
 }
 
 // failures returns the weight of recent failures.
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -143,6 +143,9 @@
 
 func (c *Controller) demand(now time.Time, demand Demand) {
 	key := DemandKey{ModelKey{demand.Service, demand.Model}, demand.Adapter}
+	if demand.Full {
+		c.Tenure.Pressed[key.ModelKey] = now
+	}
 	waiting := c.Tenure.Demand[key]
 	if waiting == nil {
 		waiting = &Waiting{Since: now, GiveUpAt: now.Add(demand.Left)}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -109,10 +109,6 @@
 
 func (c *Controller) expireDemand(now time.Time) {
 	for key, waiting := range c.Tenure.Demand {
-		if key.Adapter == "" && c.satisfied(key) {
-			// Requests wait although a replica has the model: all are full.
-			c.Tenure.Pressed[key.ModelKey] = now
-		}
 		if now.Sub(waiting.HeardAt) > demandLifetime || !now.Before(waiting.GiveUpAt) || c.satisfied(key) {
 			delete(c.Tenure.Demand, key)
 		}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -42,6 +42,9 @@
 	Model   string
 	Adapter string `json:",omitempty"`
 	Waiting int
+	// Full says that replicas have what is waited for and that all of them
+	// are full.
+	Full bool `json:",omitempty"`
 	// Left is the time until the last of them is given up, and InTime the time
 	// until none of them can be in time any more, negative after that.
 	Left   time.Duration
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -62,7 +62,10 @@
 func (Hinted) isMessage()     {}
 func (Exchanged) isMessage()  {}
 
-// Effect is an output of Controller: Exchange, Heard or Note.
+// SetCandidates replaces the nodes that may hold the lease.
+type SetCandidates struct{ Names []string }
+
+// Effect is an output of Controller: Exchange, Heard, SetCandidates or Note.
 type Effect interface{ isEffect() }
 
 // Exchange reports to a node and brings an Exchanged. An empty Address means
@@ -86,11 +89,14 @@
 	Holder string
 	Age    time.Duration
 	Cause  string
+	// Lost says that the holder does not answer as such any more.
+	Lost bool
 }
 
-func (Exchange) isEffect() {}
-func (Heard) isEffect()    {}
-func (Note) isEffect()     {}
+func (Exchange) isEffect()      {}
+func (Heard) isEffect()         {}
+func (SetCandidates) isEffect() {}
+func (Note) isEffect()          {}
 
 // Controller decides for one node about its exchanges.
 type Controller struct {
@@ -108,8 +114,12 @@
 	Epoch, Version, NodesVersion uint64
 	Busy                         bool
 	DueAt                        time.Time
-	HeardAt                      time.Time
-	Wanted                       bool
+	// HeardAt is when a holder was last asked that answered, and Since when
+	// the first nodes were known.
+	HeardAt, Since time.Time
+	Wanted         bool
+	// Candidates are the nodes that may hold the lease, as published.
+	Candidates []string
 }
 
 // NewController returns the controller of a node for a lease.
@@ -137,6 +147,9 @@
 		}
 	case SetNodes:
 		c.Nodes = message.Nodes
+		if c.Since.IsZero() {
+			c.Since = now
+		}
 		if c.DueAt.IsZero() {
 			c.DueAt = now
 		}
@@ -148,6 +161,7 @@
 	case Exchanged:
 		effects = c.exchanged(now, message)
 	}
+	effects = append(effects, c.candidacy(now)...)
 	if wake := c.Wake(); wake.IsZero() || now.Before(wake) {
 		return effects
 	}
@@ -198,11 +212,7 @@
 	case c.Hint != "":
 		return c.Hint
 	}
-	names := make([]string, len(c.Nodes))
-	for i, node := range c.Nodes {
-		names[i] = node.Name
-	}
-	ranked := ranker.Rank(c.Lease, names)
+	ranked := ranker.Rank(c.Lease, capable(c.Nodes, c.Node))
 	ranked = ranked[:min(candidates, len(ranked))]
 	return ranked[c.Turn%len(ranked)]
 }
@@ -232,7 +242,7 @@
 func (c *Controller) missed(now time.Time, message Exchanged) []Effect {
 	var effects []Effect
 	if c.Holder == message.With {
-		effects = append(effects, Note{Text: "lost the holder of the placement lease", Holder: message.With, Age: now.Sub(c.HeardAt), Cause: message.Cause})
+		effects = append(effects, Note{Text: "lost the holder of the placement lease", Holder: message.With, Age: now.Sub(c.HeardAt), Cause: message.Cause, Lost: true})
 	}
 	c.Holder, c.Hint = "", ""
 	if hint := message.Answer.Leader; !message.Failed && hint != message.With {
