Divide the last units of a busy workspace among the nodes, and count no units twice

A bucket that was new at a node paid for all that the others had taken since the holder's start, which refused requests within the rate; a change of the holder lost what was not reported yet; the nodes that are cut off kept a share that the others gave out too. Ruled out: the configuration's limits, which were in force in time.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -39,7 +39,7 @@
 	case surveyor.PublishNodes:
 		n.setNodes(effect)
 	case surveyor.Note:
-		fields := logrus.Fields{"Source": effect.Source, "Age": effect.Age.String()}
+		fields := logrus.Fields{"Source": effect.Source, "Age": ageText(effect.Age)}
 		if configuration, _ := n.view.Configuration(); configuration != nil {
 			fields["Version"] = configuration.Version
 		}
@@ -134,7 +134,7 @@
 			// does not answer.
 			n.holder.Store(nil)
 		}
-		n.logger.WithFields(logrus.Fields{"Holder": effect.Holder, "Age": effect.Age.String(), "Error": effect.Cause}).Info(effect.Text)
+		n.logger.WithFields(logrus.Fields{"Holder": effect.Holder, "Age": ageText(effect.Age), "Error": effect.Cause}).Info(effect.Text)
 	}
 }
 
@@ -152,7 +152,12 @@
 		Gone:                  answer.Gone,
 		Nodes:                 answer.Nodes,
 	}))
-	n.post("rationer", n.rationer.Post(rationer.Heard{Epoch: answer.Epoch, Spent: answer.SpentByOthers, Nodes: answer.Peers}))
+	n.post("rationer", n.rationer.Post(rationer.Heard{
+		Epoch:      answer.Epoch,
+		Spent:      answer.SpentByOthers,
+		Nodes:      answer.Peers,
+		Registered: answer.Registered,
+	}))
 	n.view.directory.Store(&directory{callers: answer.Callers, heardAt: effect.StartedAt})
 	n.post("balancer", n.balancer.Post(balancer.SetOthers{
 		Active:   answer.Active,
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -1,6 +1,8 @@
 package assembler
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"toucanhitch.example/toucanhitch/internal/balancer"
@@ -9,6 +11,17 @@
 	"toucanhitch.example/toucanhitch/internal/planner"
 )
 
+// ageText formats an age; beliefs that were never held have none.
+func ageText(age time.Duration) string {
+	if age > oldest {
+		return "never"
+	}
+	return age.String()
+}
+
+// oldest is above all ages of beliefs that a node can have.
+const oldest = 10 * 365 * 24 * time.Hour
+
 // logAttempt logs what became of an attempt.
 func (n *Node) logAttempt(event forwarder.Event) {
 	fields := logrus.Fields{
@@ -77,7 +90,7 @@
 		"Replica": note.Replica,
 		"Model":   note.Model,
 		"Reason":  note.Reason,
-		"Age":     note.Age.String(),
+		"Age":     ageText(note.Age),
 	}).Info(note.Text)
 	n.meter.Change("planner", note.Text)
 }
--- /dev/null
+++ b/internal/logger/logger_test.go
@@ -0,0 +1,60 @@
+package logger
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// gate is an output that blocks until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (g *gate) Write(data []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(data)
+}
+
+// TestBlockedOutput guards against requests that wait for the log, and against
+// dropped lines that nobody is told of.
+func TestBlockedOutput(t *testing.T) {
+	output := &gate{open: make(chan struct{})}
+	logger, end := New(output, logrus.InfoLevel)
+	logged := make(chan struct{})
+	go func() {
+		for range 3 * queue {
+			logger.Info("line")
+		}
+		close(logged)
+	}()
+	select {
+	case <-logged:
+	case <-time.After(10 * time.Second):
+		t.Fatal("logging waits for the output")
+	}
+	if logger.Dropped() == 0 {
+		t.Error("no lines were dropped although the output was blocked")
+	}
+	close(output.open)
+	logger.Info("last")
+	end()
+	text := output.text.String()
+	if !strings.Contains(text, "log lines dropped") {
+		t.Error("nothing tells of the dropped lines")
+	}
+	if !strings.Contains(text, `"msg":"last"`) {
+		t.Error("the line before the end is missing")
+	}
+	if lines := strings.Count(text, "\n"); lines > 2*queue {
+		t.Errorf("%d lines waited, at most %d are allowed", lines, 2*queue)
+	}
+}
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -93,7 +93,7 @@
 			}
 		} else {
 			for _, spent := range report.Spent {
-				peer.Base[spent.Workspace] = spent.Units
+				peer.Base[spent.Workspace] = spent.Told
 			}
 		}
 		c.Tenure.Peers[report.Node.Name] = peer
@@ -172,6 +172,7 @@
 		NodesAge:         now.Sub(c.NodesAsOf),
 		SpentByOthers:    c.spentByOthers(peer),
 		Peers:            max(1, c.alive(now)),
+		Registered:       len(c.Nodes),
 		Ordering:         !now.Before(c.Tenure.OrdersFrom),
 	}
 	if c.Configuration != nil {
@@ -231,7 +232,7 @@
 	}
 	spent := make([]Spent, 0, len(totals))
 	for workspace, units := range totals {
-		spent = append(spent, Spent{workspace, units})
+		spent = append(spent, Spent{Workspace: workspace, Units: units})
 	}
 	slices.SortFunc(spent, func(a, b Spent) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return spent
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -64,6 +64,9 @@
 type Spent struct {
 	Workspace string
 	Units     float64
+	// Told is the part that a holder has heard of. A new holder counts from
+	// there, so that nothing is lost between two holders.
+	Told float64 `json:",omitempty"`
 }
 
 // Answer is what the holder tells a node.
@@ -95,8 +98,8 @@
 	// SpentByOthers counts what the other nodes took of the limits since the
 	// holder first heard of them.
 	SpentByOthers []Spent `json:",omitempty"`
-	// Peers is the number of live nodes.
-	Peers int
+	// Peers is the number of live nodes, and Registered that of all.
+	Peers, Registered int
 	// Ordering says that the holder may give orders now.
 	Ordering bool
 }
