Bound the time after which a refused request may come back

A node that keeps to its share of a limit asked callers to come back after up to minutes, though it hears of the others again within seconds.

--- a/internal/rationer/controller.go
+++ b/internal/rationer/controller.go
@@ -33,6 +33,9 @@
 	// leastRetry is the shortest time after which a refused request may come
 	// back.
 	leastRetry = 100 * time.Millisecond
+	// mostRetry is the longest such time: a node that keeps to its share hears
+	// of the others again before long.
+	mostRetry = 2 * time.Second
 )
 
 // Message is an input of Controller.
@@ -175,7 +178,7 @@
 	}
 	if decision.Level <= 0 {
 		wait := time.Duration(-min(0, bucket.Level) / (workspace.Rate * c.share(now)) * float64(time.Second))
-		decision.RetryAfter = max(leastRetry, wait)
+		decision.RetryAfter = min(mostRetry, max(leastRetry, wait))
 		return decision
 	}
 	// A request may take the bucket below zero, as its size is not known to
--- a/internal/rationer/fuzz_test.go
+++ b/internal/rationer/fuzz_test.go
@@ -79,7 +79,6 @@
 	// reported is what the holder last heard, and former what earlier
 	// processes of the node took.
 	reported, former float64
-	heardAt          time.Time
 }
 
 type taking struct {
