--- /dev/null
+++ b/internal/balancer/collect.go
@@ -0,0 +1,62 @@
+package balancer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/planner"
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// collect returns what the holder is told, and starts a new count of uses.
+func (c *Controller) collect(now time.Time, call runner.Call) AnswerCollect {
+	answer := AnswerCollect{Call: call}
+	for _, id := range c.ids() {
+		models := make([]string, 0, len(c.Replicas[id].Running))
+		for model := range c.Replicas[id].Running {
+			models = append(models, model)
+		}
+		slices.Sort(models)
+		for _, model := range models {
+			answer.Running = append(answer.Running, planner.Running{Replica: id, Model: model, Count: c.Replicas[id].Running[model]})
+		}
+	}
+	for _, use := range c.Uses {
+		answer.Uses = append(answer.Uses, *use)
+	}
+	slices.SortFunc(answer.Uses, func(a, b planner.Use) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	clear(c.Uses)
+	for _, id := range c.ids() {
+		if c.Replicas[id].failures(now) >= suspectFailures {
+			answer.Suspects = append(answer.Suspects, id)
+		}
+	}
+	answer.Demands = c.demands(now)
+	return answer
+}
+
+// demands returns what requests wait for, in the order of their arrival.
+func (c *Controller) demands(now time.Time) []planner.Demand {
+	var demands []planner.Demand
+	at := map[useKey]int{}
+	for _, wait := range c.Waits {
+		need := wait.Need
+		if need.Model == "" {
+			continue
+		}
+		key := useKey{need.Service, item{need.Model, need.Adapter}}
+		i, ok := at[key]
+		if !ok {
+			i = len(demands)
+			at[key] = i
+			demands = append(demands, planner.Demand{Service: need.Service, Model: need.Model, Adapter: need.Adapter, InTime: need.InTimeUntil.Sub(now), Full: c.full(need)})
+		}
+		demands[i].Waiting++
+		demands[i].InTime = max(demands[i].InTime, need.InTimeUntil.Sub(now))
+		demands[i].Left = max(demands[i].Left, need.GiveUpAt.Sub(now))
+	}
+	return demands
+}
--- /dev/null
+++ b/internal/forwarder/end.go
@@ -0,0 +1,93 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/balancer"
+	"toucanhitch.example/toucanhitch/internal/filter"
+)
+
+// failed records a failed attempt and returns what it says of the replica.
+func (j *job) failed(placement balancer.Placement, err error) balancer.Result {
+	j.last = err
+	j.excluded = append(j.excluded, placement.Replica)
+	if errors.Is(err, ErrCallerGone) {
+		return balancer.Abandoned
+	}
+	if !errors.Is(err, ErrUnsent) {
+		j.runs++
+		j.Pool.drop(placement.Address)
+	}
+	j.log("attempt failed", placement.Replica, 0, 0, err)
+	if errors.Is(err, ErrSilent) {
+		return balancer.Silent
+	}
+	return balancer.Failed
+}
+
+// again decides after a failed attempt whether another one may follow.
+func (j *job) again(ctx context.Context, err error) filter.Verdict {
+	switch {
+	case errors.Is(err, ErrCallerGone):
+		return j.end(ctx, filter.StreamBroken, "the caller is gone")
+	case j.sends >= maxSends:
+		return j.end(ctx, filter.EndpointFailed, "too many attempts")
+	case errors.Is(err, ErrUnsent):
+		return nil
+	case !j.forward.Route.Repeatable(), j.runs >= j.forward.Route.MaxAttempts:
+		return j.end(ctx, filter.EndpointFailed, "the replica did not answer")
+	}
+	return nil
+}
+
+// declined ends a request without a replica.
+func (j *job) declined(ctx context.Context, refusal balancer.Refusal) filter.Verdict {
+	verdict := j.end(ctx, filter.NoEndpoint, refusal.Reason)
+	if refuse, ok := verdict.(filter.Refuse); ok && refuse.Refusal.Run == filter.NotRun {
+		refuse.Refusal.RetryAfter = refusal.RetryAfter
+		return refuse
+	}
+	return verdict
+}
+
+// end ends a request without another attempt. It says "not run" only if no
+// attempt may have run.
+func (j *job) end(_ context.Context, reason filter.Reason, detail string) filter.Verdict {
+	j.log("ended: "+detail, "", 0, 0, j.last)
+	switch {
+	case j.begun:
+		return refuse(filter.StreamBroken, filter.Unknown, 0, detail)
+	case j.answer != nil:
+		return *j.answer
+	case j.runs > 0 && reason == filter.DeadlinePassed:
+		return refuse(filter.DeadlinePassed, filter.Unknown, 0, detail)
+	case j.runs > 0 && errors.Is(j.last, ErrSilent):
+		return refuse(filter.DeadlinePassed, filter.Unknown, 0, detail)
+	case j.runs > 0:
+		return refuse(filter.EndpointFailed, filter.Unknown, 0, detail)
+	case reason == filter.EndpointFailed:
+		reason = filter.Overloaded
+	}
+	return refuse(reason, filter.NotRun, elsewhereRetry, detail)
+}
+
+func (j *job) log(text, replica string, firstByte time.Duration, status int, err error) {
+	_, provenAt := j.View.Configuration()
+	now := j.Clock.Now()
+	j.Log(Event{
+		Text:             text,
+		Forward:          j.forward,
+		Workspace:        j.request.Workspace,
+		Replica:          replica,
+		Sends:            j.sends,
+		Candidates:       j.candidates,
+		Waited:           j.waited,
+		FirstByte:        firstByte,
+		Took:             now.Sub(j.request.Arrived),
+		Status:           status,
+		Err:              err,
+		ConfigurationAge: now.Sub(provenAt),
+	})
+}
--- /dev/null
+++ b/internal/planner/adapters.go
@@ -0,0 +1,80 @@
+package planner
+
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/resolver"
+)
+
+// planAdapter queues the load of an adapter at a replica that has its model.
+func (c *Controller) planAdapter(now time.Time, key DemandKey) []Effect {
+	engine := c.engine(key.Service)
+	if engine == nil {
+		return nil
+	}
+	var best *Endpoint
+	for _, id := range c.endpointIDs() {
+		e := c.Tenure.Endpoints[id]
+		if e.Listed.Service != key.Service || e.Listed.Leaving || !e.Known || c.outlook.suspects[id] {
+			continue
+		}
+		if e.holdsAdapter(key.Model, key.Adapter) {
+			return nil
+		}
+		resident := e.Models[key.Model]
+		if resident == nil || e.unloading(key.Model) || e.Running != nil && e.Running.Adapter == "" {
+			continue
+		}
+		if best == nil || len(e.Queue)*10+e.adapters() < len(best.Queue)*10+best.adapters() {
+			best = e
+		}
+	}
+	if best == nil {
+		return c.planModel(now, key.ModelKey)
+	}
+	return c.queueAdapter(best, engine, key)
+}
+
+// queueAdapter queues the load of an adapter, and the unload of the least
+// recently used one if the places are taken.
+func (c *Controller) queueAdapter(e *Endpoint, engine *resolver.Engine, key DemandKey) []Effect {
+	planned := e.adapters()
+	for _, order := range e.Queue {
+		switch {
+		case order.Adapter == "":
+		case order.Load:
+			planned++
+		default:
+			planned--
+		}
+	}
+	free := engine.MemoryMB - e.used(engine)
+	if planned+adapterReserve >= engine.AdapterSlots || free < 2*engine.Models[key.Model].AdapterMB {
+		victim, ok := e.oldestAdapter()
+		if !ok {
+			return nil
+		}
+		e.Queue = append(e.Queue, victim)
+	}
+	c.Tenure.Stale = true
+	e.Queue = append(e.Queue, Order{Load: true, Model: key.Model, Adapter: key.Adapter})
+	return []Effect{Note{Text: "adapter load planned", Replica: e.Listed.ID, Model: key.Model + "/" + key.Adapter}}
+}
+
+// oldestAdapter returns the order that unloads the least recently used adapter.
+func (e *Endpoint) oldestAdapter() (Order, bool) {
+	var oldest Order
+	var usedAt time.Time
+	for model, resident := range e.Models {
+		for adapter, at := range resident.Adapters {
+			order := Order{Model: model, Adapter: adapter}
+			if e.planned(order) {
+				continue
+			}
+			if oldest.Model == "" || at.Before(usedAt) || at.Equal(usedAt) && model+adapter < oldest.Model+oldest.Adapter {
+				oldest, usedAt = order, at
+			}
+		}
+	}
+	return oldest, oldest.Model != ""
+}
--- /dev/null
+++ b/internal/planner/room.go
@@ -0,0 +1,100 @@
+package planner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/resolver"
+)
+
+// cheapest returns the idle replica that has a model soonest, with the models
+// that must go there.
+func (c *Controller) cheapest(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model) (*Endpoint, []string) {
+	var best *Endpoint
+	var bestVictims []string
+	bestCost := time.Duration(math.MaxInt64)
+	for _, id := range c.endpointIDs() {
+		e := c.Tenure.Endpoints[id]
+		if e.Listed.Service != key.Service || !e.idle() || e.holds(model.Name) || c.outlook.suspects[id] {
+			continue
+		}
+		victims, loss, ok := c.makeRoom(now, e, engine, model)
+		if !ok {
+			continue
+		}
+		cost := loadTime(model, e.tier(model.Name)) + loss
+		if cost < bestCost {
+			best, bestVictims, bestCost = e, victims, cost
+		}
+	}
+	return best, bestVictims
+}
+
+// makeRoom returns the models to unload for another one, the least recently
+// used first, and what their loss costs as a time.
+func (c *Controller) makeRoom(now time.Time, e *Endpoint, engine *resolver.Engine, model resolver.Model) ([]string, time.Duration, bool) {
+	free := engine.MemoryMB - e.used(engine)
+	if free >= model.MemoryMB {
+		return nil, 0, true
+	}
+	names := make([]string, 0, len(e.Models))
+	for name := range e.Models {
+		if !c.needed(now, e, name) {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(min(1, e.Models[a].Active), min(1, e.Models[b].Active)),
+			e.Models[a].UsedAt.Compare(e.Models[b].UsedAt), cmp.Compare(a, b))
+	})
+	var victims []string
+	var loss time.Duration
+	for _, name := range names {
+		if free >= model.MemoryMB {
+			break
+		}
+		resident := e.Models[name]
+		free += engine.Models[name].MemoryMB + engine.Models[name].AdapterMB*float64(len(resident.Adapters))
+		victims = append(victims, name)
+		if resident.Active > 0 {
+			loss += 400 * time.Millisecond
+		}
+		if now.Sub(resident.UsedAt) < recentUse {
+			loss += 100 * time.Millisecond
+		}
+		loss += 10 * time.Millisecond
+	}
+	return victims, loss, free >= model.MemoryMB
+}
+
+// needed says whether a model must stay at a replica: requests wait for it, it
+// has just been loaded, or the model has no replica to spare.
+func (c *Controller) needed(now time.Time, e *Endpoint, name string) bool {
+	key := ModelKey{e.Listed.Service, name}
+	if now.Sub(e.Models[name].LoadedAt) < loadDelay {
+		return true
+	}
+	if c.outlook.demanded[key] {
+		return true
+	}
+	wanted := c.outlook.wanted[key]
+	return wanted > 0 && c.outlook.holders[key] <= wanted
+}
+
+// queueLoad queues the orders that replace models by another one.
+func (c *Controller) queueLoad(e *Endpoint, victims []string, model resolver.Model, reason string) []Effect {
+	c.Tenure.Stale = true
+	for _, victim := range victims {
+		e.Queue = append(e.Queue, Order{Model: victim})
+		c.outlook.holders[ModelKey{e.Listed.Service, victim}]--
+	}
+	c.outlook.holders[ModelKey{e.Listed.Service, model.Name}]++
+	e.Queue = append(e.Queue, Order{Load: true, Model: model.Name})
+	text := "load planned"
+	if e.tier(model.Name) == FromStore {
+		text = "load from the weight store planned"
+	}
+	return []Effect{Note{Text: text, Replica: e.Listed.ID, Model: model.Name, Reason: reason}}
+}
