--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanhitch.example/toucanhitch/internal/predictor"
+	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/supervisor"
 )
 
@@ -111,19 +112,24 @@
 		return err
 	}
 	defer cleanUp()
+	go exitOnSecondSignal(env.ctx)
+	return runUntilSignal(env.ctx, node)
+}
+
+// runUntilSignal runs a node until SIGTERM or SIGINT and then lets it leave.
+func runUntilSignal(ctx context.Context, node runner.Runnable) error {
 	group := &run.Group{}
-	ctx, leave := context.WithCancel(env.ctx)
+	running, leave := context.WithCancel(ctx)
 	var ended error
 	group.Add(
 		func() error {
-			ended = node.Run(ctx)
+			ended = node.Run(running)
 			return ended
 		},
 		func(error) { leave() },
 	)
-	group.Add(run.SignalHandler(env.ctx, syscall.SIGTERM, syscall.SIGINT))
-	go exitOnSecondSignal(env.ctx)
-	err = group.Run()
+	group.Add(run.SignalHandler(ctx, syscall.SIGTERM, syscall.SIGINT))
+	err := group.Run()
 	if errors.Is(err, run.ErrSignal) {
 		// The signal ends the group; the node's own error says how it left.
 		return ended
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -1,11 +1,6 @@
 package commander
 
 import (
-	"context"
-	"errors"
-	"syscall"
-
-	"github.com/oklog/run"
 	"github.com/sirupsen/logrus"
 
 	"toucanhitch.example/toucanhitch/internal/assembler"
@@ -47,20 +42,5 @@
 		return err
 	}
 	defer cleanUp()
-	group := &run.Group{}
-	ctx, leave := context.WithCancel(env.ctx)
-	var ended error
-	group.Add(
-		func() error {
-			ended = node.Run(ctx)
-			return ended
-		},
-		func(error) { leave() },
-	)
-	group.Add(run.SignalHandler(env.ctx, syscall.SIGTERM, syscall.SIGINT))
-	err = group.Run()
-	if errors.Is(err, run.ErrSignal) {
-		return ended
-	}
-	return err
+	return runUntilSignal(env.ctx, node)
 }
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -104,8 +104,6 @@
 	case Tick:
 	case Lead:
 		c.Held = message.Held
-	case Refresh:
-		c.ConfigSource.TriedAt, c.ConfigSource.ProvenAt = time.Time{}, time.Time{}
 	case ConfigurationRead:
 		effects = c.configurationRead(now, message)
 	case ReplicasRead:
--- a/internal/surveyor/message.go
+++ b/internal/surveyor/message.go
@@ -58,17 +58,12 @@
 	Nodes []Node
 }
 
-// Refresh asks for the configuration to be read at once, after a sign that it
-// has changed.
-type Refresh struct{}
-
 func (Tick) isMessage()              {}
 func (Lead) isMessage()              {}
 func (ConfigurationRead) isMessage() {}
 func (ReplicasRead) isMessage()      {}
 func (NodesRead) isMessage()         {}
 func (HolderHeard) isMessage()       {}
-func (Refresh) isMessage()           {}
 
 // Effect is an output of Controller: ReadConfiguration, ReadReplicas,
 // ReadNodes or one of the Publish effects.
