Bound what a replica can make a node read

A replica in trouble may send bytes without end, in a head or a body. The head of a response was read without bound, a body of another response until the deadline, and the bound of 8 MB on a plain body held for one request only. Comments without end restarted the timeout of a stream.

A connection now reads at most 64 KB of a head and 1 MB of a response to an earlier request. Bodies and events above 64 KB share an eighth of the memory in the settings; memory for a body is taken as it arrives, not by its claimed length. Only numbered events restart the timeout of a stream.

--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -139,6 +139,19 @@
 	return cores
 }
 
+// responseBufferBytes returns how many bytes of responses all attempts together may
+// hold: an eighth of the process's memory. Connections, requests and the view of the
+// fleet need the rest.
+func responseBufferBytes(memoryMB float64) int64 {
+	if memoryMB <= 0 {
+		memoryMB = defaultMemoryMB
+	}
+	return int64(memoryMB * (1 << 20) / 8)
+}
+
+// defaultMemoryMB is the memory of a process whose settings do not state it.
+const defaultMemoryMB = 256
+
 func (n *Node) initialize(ctx context.Context) error {
 	metrics, endMeter, err := meter.New()
 	if err != nil {
@@ -158,7 +171,7 @@
 	engines, closeEngines := platform.NewEngineClient(n.settings.Node, dialer)
 	peers, closePeers := messenger.NewClientWithDialer(n.clock, dialer)
 	n.peers = peers
-	pool, closePool := forwarder.NewPool(dialer, n.clock)
+	pool, closePool := forwarder.NewPool(dialer, n.clock, responseBufferBytes(n.settings.MemoryMB))
 	n.pool = pool
 	n.cleanUps = append(n.cleanUps, closeStore, closeEngines, closePeers, closePool)
 	n.createTasks(engines)
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -21,12 +21,16 @@
 }
 
 // next reads one event including the empty line that ends it. The returned slice
-// is valid until the next call.
-func (e *EventStream) next(reader *bufio.Reader) ([]byte, error) {
+// is valid until the next call. It calls hold with the size of the event so far and
+// returns its error.
+func (e *EventStream) next(reader *bufio.Reader, hold func(int64) error) ([]byte, error) {
 	e.partial = e.partial[:0]
 	for {
 		line, err := reader.ReadSlice('\n')
 		e.partial = append(e.partial, line...)
+		if err := hold(int64(cap(e.partial))); err != nil {
+			return e.partial, err
+		}
 		switch {
 		case err == bufio.ErrBufferFull && len(e.partial) < maxEventBytes:
 			continue
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -88,6 +88,7 @@
 // replica may send a second response to an earlier request on the connection.
 func (e *exchange) readHead(codec Codec) error {
 	for range maxStaleResponses {
+		e.conn.limited.limit(maxHeadBytes)
 		head, err := codec.Decode(e.conn.reader, e.attempt.Forward.Method)
 		if err != nil {
 			return err
@@ -97,8 +98,10 @@
 			continue
 		}
 		if head.Attempt == "" || head.Attempt == e.attempt.Forward.Attempt {
+			e.conn.limited.unlimit()
 			return nil
 		}
+		e.conn.limited.limit(maxStaleBodyBytes)
 		if _, err := io.Copy(io.Discard, head.Body); err != nil {
 			return err
 		}
@@ -157,10 +160,17 @@
 
 // readAll reads the body of a response to its end.
 func (e *exchange) readAll(ctx context.Context) ([]byte, error) {
-	size := max(0, min(e.head.ContentLength, maxReplyBytes))
+	hold := bufferHold{budget: e.pool.buffers}
+	defer hold.release()
+	// The length is what the replica claims: memory for it is taken as the body
+	// arrives.
+	size := max(0, min(e.head.ContentLength, freeBufferBytes))
 	body := make([]byte, 0, size+512)
 	for {
 		if len(body) == cap(body) {
+			if err := hold.grow(2 * int64(cap(body))); err != nil {
+				return nil, err
+			}
 			body = append(body, 0)[:len(body)]
 		}
 		n, err := e.head.Body.Read(body[len(body):cap(body)])
@@ -178,12 +188,15 @@
 
 // forwardEvents passes the events of a stream to write as they arrive. It returns
 // nil when the stream has ended as complete. An error of write is returned as
-// ErrCallerGone.
+// ErrCallerGone. Only numbered events restart the timeout, so that comments without
+// end do not keep a stream open.
 func (e *exchange) forwardEvents(ctx context.Context, events *EventStream, timeout time.Duration, write func([]byte) error) error {
 	reader := bufio.NewReaderSize(e.head.Body, streamBufferBytes)
+	hold := bufferHold{budget: e.pool.buffers}
+	defer hold.release()
+	e.resetTimeout(timeout)
 	for {
-		e.resetTimeout(timeout)
-		event, err := events.next(reader)
+		event, err := events.next(reader, hold.grow)
 		switch {
 		case errors.Is(err, io.EOF) && len(event) == 0:
 			return nil
@@ -196,6 +209,9 @@
 		if err != nil {
 			return err
 		}
+		if _, numbered := eventID(event); numbered {
+			e.resetTimeout(timeout)
+		}
 		if !isNew {
 			continue
 		}
--- /dev/null
+++ b/internal/forwarder/limit.go
@@ -0,0 +1,79 @@
+package forwarder
+
+import (
+	"io"
+	"sync/atomic"
+
+	"github.com/ansel1/merry/v2"
+)
+
+const (
+	// maxHeadBytes bounds the head of a response, and maxStaleBodyBytes the body of
+	// a response to an earlier request. A replica in trouble may send bytes without
+	// end.
+	maxHeadBytes      = 64 << 10
+	maxStaleBodyBytes = 1 << 20
+	// freeBufferBytes is the size up to which a response does not count against the
+	// budget of all attempts together.
+	freeBufferBytes = 64 << 10
+)
+
+// limitedReader reads at most a number of bytes between two calls of limit, and
+// then returns ErrInvalidResponse.
+type limitedReader struct {
+	source io.Reader
+	// remaining is negative if the reader is not limited.
+	remaining int64
+}
+
+// limit allows n more bytes to be read.
+func (r *limitedReader) limit(n int64) { r.remaining = n }
+
+// unlimit removes the limit.
+func (r *limitedReader) unlimit() { r.remaining = -1 }
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(buffer []byte) (int, error) {
+	switch {
+	case r.remaining < 0:
+		return r.source.Read(buffer)
+	case r.remaining == 0:
+		return 0, merry.Wrap(ErrInvalidResponse, merry.AppendMessage("the head of the response is too long"))
+	}
+	n, err := r.source.Read(buffer[:min(int64(len(buffer)), r.remaining)])
+	r.remaining -= int64(n)
+	return n, err
+}
+
+// bufferBudget bounds the bytes that all attempts of a node hold together.
+type bufferBudget struct {
+	limit int64
+	held  atomic.Int64
+}
+
+// bufferHold is what one attempt holds.
+type bufferHold struct {
+	budget *bufferBudget
+	held   int64
+}
+
+// grow sets the number of bytes that the attempt holds. It returns
+// ErrInvalidResponse if that exceeds the budget.
+func (h *bufferHold) grow(bytes int64) error {
+	wanted := max(0, bytes-freeBufferBytes)
+	if wanted <= h.held {
+		return nil
+	}
+	if h.budget.held.Add(wanted-h.held) > h.budget.limit {
+		h.budget.held.Add(h.held - wanted)
+		return merry.Wrap(ErrInvalidResponse, merry.AppendMessagef("%d bytes of a response exceed the memory for responses", bytes))
+	}
+	h.held = wanted
+	return nil
+}
+
+// release returns what the attempt holds.
+func (h *bufferHold) release() {
+	h.budget.held.Add(-h.held)
+	h.held = 0
+}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -37,12 +37,16 @@
 	clock  clockwork.Clock
 	// idle maps an address to a channel of idle connections.
 	idle sync.Map
+	// buffers bounds what all attempts together hold of responses.
+	buffers *bufferBudget
 }
 
 // connection is a connection to a replica that one attempt uses at a time.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
+	// reader buffers what is read through limited.
+	reader  *bufio.Reader
+	limited *limitedReader
 	// reused reports whether an earlier attempt has used the connection.
 	reused bool
 	// closeAt is the time from which an idle connection is not used any more.
@@ -50,8 +54,9 @@
 }
 
 // NewPool returns an empty pool and a function that closes its idle connections.
-func NewPool(dialer *net.Dialer, clock clockwork.Clock) (*Pool, func()) {
-	pool := &Pool{dialer: dialer, clock: clock}
+// All attempts together hold at most bufferBytes of large responses.
+func NewPool(dialer *net.Dialer, clock clockwork.Clock, bufferBytes int64) (*Pool, func()) {
+	pool := &Pool{dialer: dialer, clock: clock, buffers: &bufferBudget{limit: bufferBytes}}
 	return pool, pool.closeIdle
 }
 
@@ -83,7 +88,8 @@
 	if err != nil {
 		return nil, merry.Wrap(ErrNotSent, merry.AppendMessagef("%v", err))
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	limited := &limitedReader{source: conn}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
 }
 
 func (p *Pool) pop(address string) *connection {
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -30,6 +30,9 @@
 	// idleTimeout closes idle connections before a stateful device on the
 	// path, such as a NAT gateway, drops their state.
 	idleTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the head of a response. A server in trouble may send
+	// bytes without end.
+	maxHeaderBytes = 64 << 10
 	// maxMessageBytes limits a message; the largest is one with a full
 	// configuration.
 	maxMessageBytes = 8 << 20
@@ -50,9 +53,10 @@
 // NewClientWithDialer is like NewClient but opens connections with dialer.
 func NewClientWithDialer(clock clockwork.Clock, dialer *net.Dialer) (*Client, func()) {
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: 2,
+		DialContext:            dialer.DialContext,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    2,
 	}
 	client := &Client{clock: clock, transport: transport, timeout: exchangeTimeout}
 	return client, transport.CloseIdleConnections
