--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -50,23 +51,25 @@
 	}
 }
 
-// setNodes passes the list of registered nodes to the tasks. If this node is
-// missing from the list, it registers again.
+// setNodes passes the list of registered nodes, as read from the store, to the
+// tasks. If this node is missing from the list, it registers again. A list without
+// this node may be older than its registration and is not used until then.
 func (n *Node) setNodes(effect surveyor.PublishNodes) {
-	capacities := make(map[string]float64, len(effect.Nodes))
-	for _, node := range effect.Nodes {
-		capacities[node.CallerAddress] = node.Capacity
-	}
-	n.view.capacities.Store(&capacities)
 	registered := slices.ContainsFunc(effect.Nodes, func(node surveyor.Node) bool { return node.Name == n.self.Name })
-	if !n.draining.Load() && !registered {
+	if !registered {
 		n.requestRegistration()
 	}
-	n.logPostError("syncer", n.syncer.Post(syncer.SetNodes{Nodes: effect.Nodes}))
-	n.logPostError("rationer", n.rationer.Post(rationer.SetNodes{Registered: len(effect.Nodes)}))
+	if registered || n.clock.Since(n.startedAt) > staleListTimeout {
+		n.logPostError("syncer", n.syncer.Post(syncer.SetNodes{Nodes: effect.Nodes}))
+		n.logPostError("rationer", n.rationer.Post(rationer.SetNodes{Registered: len(effect.Nodes)}))
+	}
 	n.logPostError("planner", n.planner.Post(planner.NodesListed{Nodes: effect.Nodes, CurrentAsOf: effect.CurrentAsOf}))
 }
 
+// staleListTimeout is the time since the start of the process after which lists of
+// nodes are used although this node is missing from them.
+const staleListTimeout = 5 * time.Second
+
 // applyLeaseEvent passes the events of the placement lease to the tasks that use
 // them.
 func (n *Node) applyLeaseEvent(event leaser.Event) {
@@ -77,8 +80,8 @@
 			Until:           event.Until,
 			NoEarlierHolder: event.Epoch == 1,
 			// A holder that releases the lease leaves data in it.
-			HandedOver:      len(event.Data) > 0,
-			CallerAddresses: n.view.holderAddresses(n.clock.Now()),
+			HandedOver: len(event.Data) > 0,
+			Callers:    n.view.holderCallers(n.clock.Now()),
 		}))
 		n.logPostError("surveyor", n.surveyor.Post(surveyor.SetHolding{Holding: true}))
 		n.logPostError("syncer", n.syncer.Post(syncer.SetHolding{Holding: true}))
@@ -88,7 +91,7 @@
 		n.logPostError("surveyor", n.surveyor.Post(surveyor.SetHolding{}))
 		n.logPostError("syncer", n.syncer.Post(syncer.SetHolding{}))
 	case leaser.Observed:
-		n.holder.Store(&event.Holder)
+		n.holder.Store(&holderHint{name: event.Holder})
 		n.logPostError("syncer", n.syncer.Post(syncer.HolderHint{Holder: event.Holder}))
 	}
 }
@@ -98,7 +101,7 @@
 func (n *Node) handleReport(ctx context.Context, report planner.Report) (planner.Answer, error) {
 	answer, err := n.planner.Report(ctx, report)
 	if holder := n.holder.Load(); err == nil && !answer.Holding && holder != nil {
-		answer.Holder = *holder
+		answer.Holder, answer.HolderAddress = holder.name, holder.address
 	}
 	return answer, err
 }
@@ -109,7 +112,7 @@
 	if err != nil {
 		return planner.Report{}, err
 	}
-	spent, err := n.rationer.Collect(ctx)
+	usage, err := n.rationer.Collect(ctx)
 	if err != nil {
 		return planner.Report{}, err
 	}
@@ -120,7 +123,9 @@
 		Suspects: activity.Suspects,
 		Demands:  activity.Demands,
 		Uses:     activity.Uses,
-		Spent:    spent,
+		Spent:    usage.Spent,
+
+		UsageEpoch: usage.Epoch,
 	}, nil
 }
 
@@ -129,7 +134,16 @@
 	switch effect := effect.(type) {
 	case syncer.HolderAnswered:
 		n.applyHolderAnswer(effect)
+	case syncer.ViewReceived:
+		n.logPostError("surveyor", n.surveyor.Post(surveyor.ViewUpdate{
+			AsOf:                  effect.AsOf,
+			ConfigurationRevision: effect.View.ConfigurationRevision,
+			ConfigurationAge:      effect.View.ConfigurationAge,
+			ReplicasAge:           effect.View.ReplicasAge,
+			Replicas:              effect.View.Replicas,
+		}))
 	case syncer.SetCandidates:
+		n.logPostError("surveyor", n.surveyor.Post(surveyor.SetCandidate{Candidate: effect.Candidate}))
 		if !n.draining.Load() {
 			n.logPostError("leaser", n.leaser.SetNodes(effect.Names))
 		}
@@ -144,30 +158,33 @@
 }
 
 func (n *Node) applyHolderAnswer(effect syncer.HolderAnswered) {
-	answer := effect.Answer
-	n.holder.Store(&answer.Holder)
+	answer, state := effect.Answer, effect.Answer.State
+	n.holder.Store(&holderHint{answer.Holder, effect.HolderAddress})
+	if !answer.Registered {
+		n.requestRegistration()
+	}
 	n.logPostError("surveyor", n.surveyor.Post(surveyor.HolderUpdate{
-		StartedAt:             effect.StartedAt,
-		ConfigurationRevision: answer.ConfigurationRevision,
-		ConfigurationAge:      answer.ConfigurationAge,
-		ReplicasAge:           answer.ReplicasAge,
-		NodesAge:              answer.NodesAge,
-		Full:                  answer.Full,
-		Replicas:              answer.Replicas,
-		Removed:               answer.Removed,
-		Nodes:                 answer.Nodes,
+		StartedAt:             effect.AsOf,
+		ConfigurationRevision: state.ConfigurationRevision,
+		ConfigurationAge:      state.ConfigurationAge,
+		ReplicasAge:           state.ReplicasAge,
+		NodesAge:              state.NodesAge,
+		Full:                  state.Full,
+		Replicas:              state.Replicas,
+		Updates:               state.Updates,
+		Removed:               state.Removed,
 	}))
 	n.logPostError("rationer", n.rationer.Post(rationer.UsageUpdate{
-		Epoch:      answer.Epoch,
-		Spent:      answer.SpentByOthers,
-		LiveNodes:  answer.Peers,
-		Registered: answer.Registered,
+		Epoch:      state.Epoch,
+		Spent:      effect.Others.Spent,
+		LiveNodes:  state.Peers,
+		Registered: state.Registered,
 	}))
-	n.view.directory.Store(&directory{callers: answer.CallerAddresses, asOf: effect.StartedAt})
+	n.view.directory.Store(&directory{callers: effect.Callers, asOf: effect.AsOf})
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
-		Active:          answer.Active,
-		Suspects:        answer.Suspects,
-		OrdersAllowedIn: answer.OrdersAllowedIn,
+		Active:          effect.Others.Active,
+		Suspects:        effect.Others.Suspects,
+		OrdersAllowedIn: state.OrdersAllowedIn,
 	}))
 }
 
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -102,7 +102,7 @@
 			return n.clock.Since(currentAsOf).Seconds()
 		}},
 		{"toucanhitch.callers", "Nodes that are named to callers.", func() float64 {
-			return float64(len(n.view.holderAddresses(n.clock.Now())))
+			return float64(len(n.view.holderCallers(n.clock.Now())))
 		}},
 		{"toucanhitch.log.dropped", "Log lines that were dropped because the output was too slow.", func() float64 {
 			return float64(n.settings.Dropped())
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -73,12 +73,14 @@
 	logger   logrus.FieldLogger
 	self     surveyor.Node
 	view     view
-	draining atomic.Bool
+	// startedAt is when the node was created.
+	startedAt time.Time
+	draining  atomic.Bool
 	// cutoffAt is the time at which a node that shuts down terminates its
 	// requests; nil before the shutdown.
 	cutoffAt atomic.Pointer[time.Time]
 	// holder is the last known holder of the placement lease.
-	holder atomic.Pointer[string]
+	holder atomic.Pointer[holderHint]
 	// bounds are the bounds in the settings file that was applied last.
 	bounds atomic.Pointer[platform.Bounds]
 	meter  *meter.Meter
@@ -100,6 +102,10 @@
 	cleanUps     []func()
 }
 
+// holderHint names the holder of the placement lease to other nodes. Address is
+// empty if it is not known.
+type holderHint struct{ name, address string }
+
 // New creates a node and opens its listeners. The returned function releases
 // all resources of the node.
 func New(ctx context.Context, settings Settings) (*Node, func(), error) {
@@ -107,6 +113,7 @@
 		settings:     settings,
 		clock:        settings.Clock,
 		logger:       settings.Logger,
+		startedAt:    settings.Clock.Now(),
 		registration: make(chan struct{}, 1),
 		self: surveyor.Node{
 			Name:          settings.Node,
@@ -180,7 +187,12 @@
 
 func (n *Node) createTasks(engines *platform.EngineClient) {
 	bounds := n.settings.Bounds
-	n.surveyor = surveyor.New(surveyor.Settings{Store: n.store, Clock: n.clock, Publish: n.applySurveyorEffect})
+	n.surveyor = surveyor.New(surveyor.Settings{
+		Store:   n.store,
+		Clock:   n.clock,
+		Bounds:  surveyor.Bounds{ApplyWithin: bounds.ApplyWithin, DrainWithin: bounds.DrainWithin},
+		Publish: n.applySurveyorEffect,
+	})
 	n.planner = planner.New(planner.TaskSettings{
 		Settings: planner.Settings{
 			Node:             n.settings.Node,
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -18,6 +18,9 @@
 const (
 	// registerRetryDelay is the time between two attempts to register.
 	registerRetryDelay = 300 * time.Millisecond
+	// reregisterInterval is the minimum time between two successful
+	// registrations. Lists of nodes may be older than the last one.
+	reregisterInterval = 3 * time.Second
 	// addressLifetime is how long callers may use an address answer. Some
 	// callers use it for three times as long; the shutdown time allows for
 	// that.
@@ -160,17 +163,20 @@
 // retries after a failure.
 func (n *Node) register(ctx context.Context) error {
 	n.requestRegistration()
+	var registeredAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-n.registration:
 		}
-		if n.draining.Load() {
+		if n.draining.Load() || !registeredAt.IsZero() && n.clock.Since(registeredAt) < reregisterInterval {
 			continue
 		}
+		startedAt := n.clock.Now()
 		err := n.store.Register(ctx, n.self)
 		if err == nil {
+			registeredAt = startedAt
 			n.logger.Info("node registered")
 			continue
 		}
@@ -194,7 +200,7 @@
 // lifetime of the answer.
 func (n *Node) addresses(platform.AddressQuery) ([]string, time.Duration) {
 	lifetime := min(addressLifetime, n.bounds.Load().AddressLifetime)
-	return n.view.addresses(n.clock.Now(), n.self.CallerAddress, !n.ready()), lifetime
+	return n.view.addresses(n.clock.Now(), planner.Caller{Address: n.self.CallerAddress, Capacity: n.self.Capacity}, !n.ready()), lifetime
 }
 
 // defaultBodyLimit is the limit of a request body in bytes that applies until
--- a/internal/assembler/view.go
+++ b/internal/assembler/view.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/resolver"
 )
 
@@ -14,9 +15,6 @@
 type view struct {
 	configuration atomic.Pointer[currentConfiguration]
 	directory     atomic.Pointer[directory]
-	// capacities holds the capacity of each registered node by its caller
-	// address.
-	capacities atomic.Pointer[map[string]float64]
 }
 
 // currentConfiguration is the configuration in force. currentAsOf is the latest
@@ -26,12 +24,10 @@
 	currentAsOf   time.Time
 }
 
-// directory holds the caller addresses that this node received from the
+// directory holds the nodes that callers may use, as of asOf, as received from the
 // holder.
 type directory struct {
-	// callers are the addresses in the holder's answer to the report that was
-	// started at asOf.
-	callers []string
+	callers []planner.Caller
 	asOf    time.Time
 }
 
@@ -44,14 +40,13 @@
 	return current.configuration, current.currentAsOf
 }
 
-// maxDirectoryAge is how long the holder's addresses are used after the last
-// answer of a holder. It is longer than the time without a holder after a
-// crash.
-const maxDirectoryAge = 8 * time.Second
+// maxDirectoryAge is how long the holder's list is used after the last answer of a
+// holder. It is longer than the time without a holder after a crash.
+const maxDirectoryAge = 6 * time.Second
 
-// holderAddresses returns the addresses received from the holder, or nil if
-// they are older than maxDirectoryAge.
-func (v *view) holderAddresses(now time.Time) []string {
+// holderCallers returns the nodes that callers may use as received from the
+// holder, or nil if they are older than maxDirectoryAge.
+func (v *view) holderCallers(now time.Time) []planner.Caller {
 	current := v.directory.Load()
 	if current == nil || now.Sub(current.asOf) > maxDirectoryAge {
 		return nil
@@ -65,29 +60,25 @@
 const maxAddresses = 10
 
 // addresses returns the caller addresses of an answer, sampled by capacity and
-// in random order. Nodes with a larger capacity are included more often.
-func (v *view) addresses(now time.Time, self string, draining bool) []string {
-	addresses := slices.Clone(v.holderAddresses(now))
-	addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == self })
+// in random order. Nodes with a larger capacity are included more often. This
+// node is always a candidate for the sample unless it is draining.
+func (v *view) addresses(now time.Time, self planner.Caller, draining bool) []string {
+	callers := slices.DeleteFunc(slices.Clone(v.holderCallers(now)), func(caller planner.Caller) bool { return caller.Address == self.Address })
 	if !draining {
-		addresses = append(addresses, self)
+		callers = append(callers, self)
 	}
-	keys := make(map[string]float64, len(addresses))
-	for _, address := range addresses {
+	addresses := make([]string, 0, len(callers))
+	keys := make(map[string]float64, len(callers))
+	for _, caller := range callers {
+		addresses = append(addresses, caller.Address)
 		// The smallest keys of exponential draws with rate equal to the weight
 		// form a weighted sample without replacement.
-		keys[address] = rand.ExpFloat64() / v.capacity(address)
+		keys[caller.Address] = rand.ExpFloat64() / max(caller.Capacity, minCapacity)
 	}
 	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(keys[a], keys[b]) })
 	return addresses[:min(maxAddresses, len(addresses))]
 }
 
-// capacity returns the capacity of a node by its caller address, or the same
-// default for all nodes whose capacity is not known.
-func (v *view) capacity(address string) float64 {
-	const defaultCapacity = 0.1
-	if capacities := v.capacities.Load(); capacities != nil && (*capacities)[address] > 0 {
-		return (*capacities)[address]
-	}
-	return defaultCapacity
-}
+// minCapacity is the capacity that is assumed for a node whose settings do not
+// state one.
+const minCapacity = 0.01
--- a/internal/benchmarker/rare_planned.go
+++ b/internal/benchmarker/rare_planned.go
@@ -127,8 +127,8 @@
 			replica := n.findReplica(effect.Replica)
 			n.stepPlanner(planner.StateRead{Replica: effect.Replica, RequestedAt: n.currentTime(), Busy: replica.orderedModel != "", State: n.replicaState(replica)})
 		case planner.AnswerReport:
-			n.stepBalancer(balancer.SetReplicas{Replicas: effect.Answer.Replicas})
-			n.stepBalancer(balancer.SetPeerState{OrdersAllowedIn: effect.Answer.OrdersAllowedIn})
+			n.stepBalancer(balancer.SetReplicas{Replicas: effect.Answer.State.Replicas})
+			n.stepBalancer(balancer.SetPeerState{OrdersAllowedIn: effect.Answer.State.OrdersAllowedIn})
 		}
 	}
 }
--- a/internal/benchmarker/slopes.go
+++ b/internal/benchmarker/slopes.go
@@ -16,7 +16,7 @@
 )
 
 // SlopesPart is a part of the slopes measurement: MemoryPart, ControlPart,
-// RolloutPart, LeasePart, ColdPart or HolderPart.
+// RolloutPart, LeasePart, ColdPart, HolderPart or TakeoverPart.
 type SlopesPart interface{ isSlopesPart() }
 
 // MemoryPart measures how the memory and CPU time of a node grow.
@@ -38,21 +38,26 @@
 // users' fleet sizes.
 type HolderPart struct{}
 
-func (HolderPart) isSlopesPart()  {}
-func (MemoryPart) isSlopesPart()  {}
-func (ControlPart) isSlopesPart() {}
-func (RolloutPart) isSlopesPart() {}
-func (LeasePart) isSlopesPart()   {}
-func (ColdPart) isSlopesPart()    {}
+// TakeoverPart simulates the loss of the holder of the placement lease.
+type TakeoverPart struct{}
+
+func (TakeoverPart) isSlopesPart() {}
+func (HolderPart) isSlopesPart()   {}
+func (MemoryPart) isSlopesPart()   {}
+func (ControlPart) isSlopesPart()  {}
+func (RolloutPart) isSlopesPart()  {}
+func (LeasePart) isSlopesPart()    {}
+func (ColdPart) isSlopesPart()     {}
 
 // ErrUnknownPart reports a name that does not belong to any part.
-var ErrUnknownPart = merry.Sentinel("unknown part; want memory, control, rollout, lease, cold or holder")
+var ErrUnknownPart = merry.Sentinel("unknown part; want memory, control, rollout, lease, cold, holder or takeover")
 
 // ParsePart returns the part with the given name. It returns ErrUnknownPart if
 // there is none.
 func ParsePart(name string) (SlopesPart, error) {
 	parts := map[string]SlopesPart{
 		"memory": MemoryPart{}, "control": ControlPart{}, "rollout": RolloutPart{}, "lease": LeasePart{}, "cold": ColdPart{}, "holder": HolderPart{},
+		"takeover": TakeoverPart{},
 	}
 	part, ok := parts[name]
 	if !ok {
@@ -93,6 +98,8 @@
 		return s.measureColdStarts(ctx)
 	case HolderPart:
 		return measureHolders(settings), nil
+	case TakeoverPart:
+		return measureTakeovers(settings), nil
 	default:
 		panic(fmt.Sprintf("unknown slopes part %T", part))
 	}
--- a/internal/benchmarker/slopes_holder.go
+++ b/internal/benchmarker/slopes_holder.go
@@ -1,11 +1,11 @@
 package benchmarker
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/encoder"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
@@ -46,29 +46,45 @@
 	return []Table{table}
 }
 
-func measureHolder(settings SlopesSettings, size holderSize) []float64 {
-	random := rand.New(rand.NewPCG(settings.Seed, uint64(size.nodes)))
-	now := placementStart
-	controller := planner.NewController(planner.Settings{Node: "n0", OrderSpacing: 3 * time.Second})
+// holderFleet is the configuration, the replicas and the nodes of a fleet.
+type holderFleet struct {
+	configuration *resolver.Configuration
+	replicas      []surveyor.Replica
+	nodes         []surveyor.Node
+}
+
+func newHolderFleet(random *rand.Rand, size holderSize) holderFleet {
 	engine := &resolver.Engine{Slots: 24, MemoryMB: 200, AdapterSlots: 8, HostMB: 130, DiskMB: 1300, LoadsPerSecond: 38, Models: map[string]resolver.Model{}}
 	for i := range size.models {
 		engine.Models[rareModelName(i)] = resolver.Model{
 			Name: rareModelName(i), MemoryMB: 60, StoreLoadTime: 7 * time.Second, DiskLoadTime: 700 * time.Millisecond, MemoryLoadTime: 500 * time.Millisecond,
 		}
 	}
-	var replicas []surveyor.Replica
+	fleet := holderFleet{configuration: &resolver.Configuration{
+		Version: 1, Revision: 1, Services: map[string]resolver.Service{rareService: {Name: rareService, Engine: engine}},
+	}}
 	for i := range size.replicas {
 		replica := surveyor.Replica{ID: fmt.Sprintf("i-%08x", i), StartedMS: 1, Service: rareService, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Slots: 24}
 		for _, modelIndex := range random.Perm(size.models)[:20] {
 			replica.OnDisk = append(replica.OnDisk, rareModelName(modelIndex))
 		}
 		replica.Models = []surveyor.LoadedModel{{Name: replica.OnDisk[0]}, {Name: replica.OnDisk[1]}}
-		replicas = append(replicas, replica)
+		fleet.replicas = append(fleet.replicas, replica)
 	}
-	var nodes []surveyor.Node
 	for i := range size.nodes {
-		nodes = append(nodes, surveyor.Node{Name: fmt.Sprintf("n%d", i), RunID: "r", CallerAddress: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Capacity: 0.5})
+		fleet.nodes = append(fleet.nodes, surveyor.Node{
+			Name: fmt.Sprintf("n%d", i), RunID: "r", CallerAddress: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), PeerAddress: fmt.Sprintf("10.1.%d.%d:7600", i/250, i%250), Capacity: 0.5,
+		})
 	}
+	return fleet
+}
+
+func measureHolder(settings SlopesSettings, size holderSize) []float64 {
+	random := rand.New(rand.NewPCG(settings.Seed, uint64(size.nodes)))
+	now := placementStart
+	controller := planner.NewController(planner.Settings{Node: "n0", OrderSpacing: 3 * time.Second})
+	fleet := newHolderFleet(random, size)
+	replicas, nodes := fleet.replicas, fleet.nodes
 	// step passes a message to the planner and answers its orders and reads
 	// immediately.
 	var step func(message planner.Message) []planner.Effect
@@ -84,9 +100,7 @@
 		}
 		return effects
 	}
-	step(planner.ConfigurationChanged{CurrentAsOf: now, Configuration: &resolver.Configuration{
-		Version: 1, Revision: 1, Services: map[string]resolver.Service{rareService: {Name: rareService, Engine: engine}},
-	}})
+	step(planner.ConfigurationChanged{CurrentAsOf: now, Configuration: fleet.configuration})
 	step(planner.NodesListed{Nodes: nodes, CurrentAsOf: now})
 	step(planner.LeaseHeld{Epoch: 1, Until: now.Add(time.Hour), NoEarlierHolder: true})
 	step(planner.ReplicasListed{Replicas: replicas, CurrentAsOf: now})
@@ -98,6 +112,7 @@
 		reportsPerNode = holderReportsLargeFleet
 	}
 	lastAnswers := make([]planner.Answer, size.nodes)
+	states := stateSizes{}
 	reports, answerBytes, dueReports := 0, 0, 0.0
 	start := settings.Clock.Now()
 	for elapsed := time.Duration(0); elapsed < holderDuration; elapsed += holderTimeStep {
@@ -109,9 +124,7 @@
 			for _, effect := range step(planner.ReportReceived{Report: newHolderReport(random, nodes[nodeIndex], lastAnswers[nodeIndex], replicas, size)}) {
 				if answer, ok := effect.(planner.AnswerReport); ok {
 					lastAnswers[nodeIndex] = answer.Answer
-					if encoded, err := json.Marshal(answer.Answer); err == nil {
-						answerBytes += len(encoded)
-					}
+					answerBytes += states.encodedBytes(answer.Answer)
 				}
 			}
 		}
@@ -124,9 +137,26 @@
 	}
 }
 
+// stateSizes holds the encoded sizes of states, which are encoded once for all
+// nodes that get them.
+type stateSizes map[*planner.State]int
+
+// encodedBytes returns the number of bytes of an encoded answer.
+func (s stateSizes) encodedBytes(answer planner.Answer) int {
+	state := answer.State
+	if _, ok := s[state]; !ok {
+		s[state] = len(encoder.Encode(state))
+	}
+	answer.State = nil
+	return s[state] + len(encoder.Encode(answer))
+}
+
 // newHolderReport returns the report of a node with a few requests.
 func newHolderReport(random *rand.Rand, node surveyor.Node, lastAnswer planner.Answer, replicas []surveyor.Replica, size holderSize) planner.Report {
-	report := planner.Report{Node: node, Epoch: lastAnswer.Epoch, Version: lastAnswer.Version, NodesVersion: lastAnswer.NodesVersion}
+	report := planner.Report{Node: node, Sequence: 1}
+	if lastAnswer.State != nil {
+		report.Epoch, report.Version = lastAnswer.State.Epoch, lastAnswer.State.Version
+	}
 	for range 4 {
 		replica := replicas[random.IntN(len(replicas))]
 		report.Running = append(report.Running, planner.Running{Replica: replica.ID, Model: replica.OnDisk[0], Count: 1})
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -44,6 +44,11 @@
 	Nodes             []surveyor.Node
 	NodesAsOf         time.Time
 
+	// View is the view that this node sends to others while it does not hold the
+	// lease, as of ViewCreatedAt.
+	View          *StoreView
+	ViewCreatedAt time.Time
+
 	index planIndex
 }
 
@@ -55,26 +60,32 @@
 	// OrdersAllowedAt is when enough time has passed since the last possible
 	// order of an earlier holder.
 	OrdersAllowedAt time.Time
-	// Version is incremented when the table changes. Changed and Removed hold,
-	// by replica, the version at which it last changed or left the table.
-	Version      uint64
-	Changed      map[string]uint64
-	Removed      map[string]uint64
-	NodesVersion uint64
+	// Version is incremented when one of the published lists changes. Published is
+	// the last published state.
+	Version   uint64
+	Published *Publication
+	// Table lists the replicas, Callers the nodes that callers may use, and
+	// Candidates the nodes that may hold the lease. Table and Candidates are
+	// rebuilt if they are stale.
+	Table                       History[surveyor.Replica]
+	Callers                     History[Caller]
+	Candidates                  History[surveyor.Node]
+	TableStale, CandidatesStale bool
+	// Workspaces are the published names of workspaces, which last changed at
+	// WorkspacesVersion.
+	Workspaces        []string
+	WorkspacesVersion uint64
 	// Endpoints holds the replicas of engines by ID. SortedIDs caches the
 	// sorted keys of Endpoints and is nil after a change.
 	Endpoints map[string]*Endpoint
 	SortedIDs []string
-	// Table is the published table. It is rebuilt if TableStale is set.
-	Table      []surveyor.Replica
-	TableStale bool
-	Peers      map[string]*Peer
-	Totals     Totals
-	// InheritedAddresses are the caller-facing addresses that the previous
-	// holder published.
-	InheritedAddresses []string
-	Demand             map[DemandKey]*PendingDemand
-	Rates              map[ModelKey]*Rate
+	Peers     map[string]*Peer
+	Totals    Totals
+	// InheritedCallers are the nodes that the previous holder published for
+	// callers.
+	InheritedCallers []Caller
+	Demand           map[DemandKey]*PendingDemand
+	Rates            map[ModelKey]*Rate
 	// SaturatedAt is when a node last reported all replicas of a model as full.
 	SaturatedAt map[ModelKey]time.Time
 	// StoreConcurrency is the number of concurrent loads from the weight store
@@ -174,25 +185,30 @@
 		// The epochs are consecutive, so no other node held the lease in between.
 		c.Tenure, c.Previous = c.Previous, nil
 		c.Tenure.Epoch, c.Tenure.Until, c.Tenure.TableStale = message.Epoch, message.Until, true
+		c.Tenure.Published = nil
+		c.Tenure.resetConsumed()
 		c.rereadBusyEndpoints(now)
 		return append([]Effect{Note{Text: "holding the placement lease again"}}, c.handleReplicasListed(now)...)
 	}
 	c.Tenure = &Tenure{
-		Epoch:              message.Epoch,
-		Since:              now,
-		Until:              message.Until,
-		OrdersAllowedAt:    now.Add(c.orderDelay(message)),
-		Endpoints:          map[string]*Endpoint{},
-		Changed:            map[string]uint64{},
-		Removed:            map[string]uint64{},
-		Peers:              map[string]*Peer{},
-		Totals:             newTotals(),
-		InheritedAddresses: message.CallerAddresses,
-		Demand:             map[DemandKey]*PendingDemand{},
-		Rates:              map[ModelKey]*Rate{},
-		SaturatedAt:        map[ModelKey]time.Time{},
-		TableStale:         true,
+		Epoch:            message.Epoch,
+		Since:            now,
+		Until:            message.Until,
+		OrdersAllowedAt:  now.Add(c.orderDelay(message)),
+		Endpoints:        map[string]*Endpoint{},
+		Table:            newHistory(func(replica surveyor.Replica) string { return replica.ID }, sameReplica),
+		Callers:          newHistory(func(caller Caller) string { return caller.Address }, func(a, b Caller) bool { return a == b }),
+		Candidates:       newHistory(func(node surveyor.Node) string { return node.Name }, sameNode),
+		Peers:            map[string]*Peer{},
+		Totals:           newTotals(),
+		InheritedCallers: message.Callers,
+		Demand:           map[DemandKey]*PendingDemand{},
+		Rates:            map[ModelKey]*Rate{},
+		SaturatedAt:      map[ModelKey]time.Time{},
+		TableStale:       true,
+		CandidatesStale:  true,
 	}
+	c.Tenure.Table.Renewed = renewedReplica
 	if message.NoEarlierHolder {
 		c.Tenure.OrdersAllowedAt = now
 	}
@@ -209,6 +225,15 @@
 	return c.Settings.OrderSpacing - c.Settings.MinTakeoverDelay
 }
 
+// resetConsumed discards the counts of consumed units. In each epoch, every node
+// counts from what a holder has acknowledged before.
+func (t *Tenure) resetConsumed() {
+	clear(t.Totals.Consumed)
+	for _, peer := range t.Peers {
+		clear(peer.Consumed)
+	}
+}
+
 // rereadBusyEndpoints invalidates the state of the replicas that had a call or an
 // operation in progress, because its result may have arrived while this node did
 // not hold the lease.
@@ -260,10 +285,16 @@
 	same := slices.EqualFunc(c.Nodes, message.Nodes, func(a, b surveyor.Node) bool { return a == b })
 	c.Nodes, c.NodesAsOf = message.Nodes, message.CurrentAsOf
 	if c.Tenure != nil && !same {
-		c.Tenure.NodesVersion++
+		c.Tenure.CandidatesStale = true
 	}
 }
 
+// sameNode reports whether two entries are equal in what other nodes act on.
+func sameNode(a, b surveyor.Node) bool {
+	a.Revision = b.Revision
+	return a == b
+}
+
 // engine returns the engine of a service, or nil if the service has none or is
 // unknown.
 func (c *Controller) engine(service string) *resolver.Engine {
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -23,9 +23,9 @@
 	// HandedOver is set if the previous holder may have released the lease before
 	// it expired.
 	HandedOver bool
-	// CallerAddresses are the caller-facing addresses that the previous holder
-	// published, as far as this node knows them.
-	CallerAddresses []string
+	// Callers are the nodes that the previous holder published for callers, as far
+	// as this node knows them.
+	Callers []Caller
 }
 
 // LeaseLost reports that this node no longer holds the lease.
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -33,10 +32,12 @@
 	Running      []Running
 	// Suspects are the replicas that failed the node's requests.
 	Suspects []string
-	// Baseline is the node's unit count by workspace from which its consumption
-	// is counted. Consumed is the number of units that the node has consumed
-	// since the start of the tenure, over all its runs.
-	Baseline, Consumed map[string]float64
+	// Consumed is the number of units by workspace that the node's run has
+	// consumed, as counted in the totals.
+	Consumed map[string]float64
+	// Sequence is that of the last report, and Included that of the last report
+	// that the published state contains.
+	Sequence, Included uint64
 }
 
 // runningKey identifies a model on a replica.
@@ -105,46 +106,45 @@
 	r.UsedAt = now
 }
 
-// handleReport processes a node's report and answers it. Without the lease, it
-// answers with an empty Answer.
+// handleReport processes a node's report and answers it. Planning has a pace of its
+// own: a report makes it due only if the last pass is minPlanInterval ago, so that
+// the work of the holder does not grow with the number of reports.
 func (c *Controller) handleReport(now time.Time, message ReportReceived) []Effect {
+	report := message.Report
 	if c.Tenure == nil {
-		return []Effect{AnswerReport{Call: message.Call}}
+		return []Effect{AnswerReport{Call: message.Call, Answer: c.viewAnswer(now, report)}}
 	}
-	report := message.Report
 	peer := c.updatePeer(now, report)
 	c.recordUses(now, report)
 	for _, demand := range report.Demands {
 		c.recordDemand(now, demand)
 	}
-	effects := c.advance(now)
-	return append(effects, AnswerReport{Call: message.Call, Answer: c.buildAnswer(now, peer, report)})
+	var effects []Effect
+	if now.Sub(c.Tenure.AdvancedAt) >= minPlanInterval {
+		effects = c.advance(now)
+	}
+	return append(effects, AnswerReport{Call: message.Call, Answer: c.stateAnswer(now, peer, report)})
 }
 
+// updatePeer records a node's report. Units that an earlier run of the node has
+// consumed stay in the totals.
 func (c *Controller) updatePeer(now time.Time, report Report) *Peer {
+	totals := &c.Tenure.Totals
 	peer := c.Tenure.Peers[report.Node.Name]
 	if peer == nil || peer.Node.RunID != report.Node.RunID {
-		peer = &Peer{Baseline: map[string]float64{}, Consumed: map[string]float64{}}
-		if old := c.Tenure.Peers[report.Node.Name]; old != nil {
-			// Units that the previous run consumed stay counted.
-			c.Tenure.Totals.addRunning(old.Running, -1)
-			for workspace, units := range old.Consumed {
-				peer.Baseline[workspace], peer.Consumed[workspace] = -units, units
-			}
-		} else {
-			for _, spent := range report.Spent {
-				peer.Baseline[spent.Workspace] = spent.Acknowledged
-			}
+		if peer != nil {
+			totals.addRunning(peer.Running, -1)
 		}
+		peer = &Peer{Consumed: map[string]float64{}}
 		c.Tenure.Peers[report.Node.Name] = peer
 	}
-	c.Tenure.Totals.addRunning(peer.Running, -1)
-	c.Tenure.Totals.addRunning(report.Running, 1)
+	totals.addRunning(peer.Running, -1)
+	totals.addRunning(report.Running, 1)
 	peer.Node, peer.LastReportAt, peer.Leaving, peer.Running = report.Node, now, report.Leaving, report.Running
-	peer.Suspects = report.Suspects
+	peer.Suspects, peer.Sequence = report.Suspects, report.Sequence
 	for _, spent := range report.Spent {
-		consumed := spent.Units - peer.Baseline[spent.Workspace]
-		c.Tenure.Totals.Consumed[spent.Workspace] += consumed - peer.Consumed[spent.Workspace]
+		consumed := spent.Consumed(report.UsageEpoch, c.Tenure.Epoch)
+		totals.Consumed[spent.Workspace] += consumed - peer.Consumed[spent.Workspace]
 		peer.Consumed[spent.Workspace] = consumed
 	}
 	return peer
@@ -204,78 +204,6 @@
 	waiting.LateAt = later(waiting.LateAt, now.Add(demand.TimeToLate))
 }
 
-func (c *Controller) buildAnswer(now time.Time, peer *Peer, report Report) Answer {
-	table := c.table(now)
-	answer := Answer{
-		NodesVersion:     c.Tenure.NodesVersion,
-		Holding:          true,
-		Holder:           c.Settings.Node,
-		Epoch:            c.Tenure.Epoch,
-		Version:          c.Tenure.Version,
-		Active:           c.othersActive(peer),
-		Suspects:         c.othersSuspects(now, peer),
-		CallerAddresses:  c.callerAddresses(now),
-		ConfigurationAge: now.Sub(c.ConfigurationAsOf),
-		ReplicasAge:      now.Sub(c.ReplicasAsOf),
-		NodesAge:         now.Sub(c.NodesAsOf),
-		SpentByOthers:    c.spentByOthers(peer),
-		Peers:            max(1, c.livePeers(now)),
-		Registered:       len(c.Nodes),
-		OrdersAllowedIn:  max(0, c.Tenure.OrdersAllowedAt.Sub(now)),
-	}
-	if c.Configuration != nil {
-		answer.ConfigurationRevision = c.Configuration.Revision
-	}
-	if report.Epoch == c.Tenure.Epoch && report.Version <= c.Tenure.Version {
-		answer.Replicas, answer.Removed = c.Tenure.changesSince(report.Version)
-	} else {
-		answer.Full, answer.Replicas = true, slices.Clone(table)
-	}
-	for i, replica := range answer.Replicas {
-		if endpoint := c.Tenure.Endpoints[replica.ID]; endpoint != nil && len(replica.Pending) > 0 {
-			// The remaining load time is relative to this answer, not to the last
-			// change of the table.
-			answer.Replicas[i].Pending = endpoint.pendingLoads(now)
-		}
-	}
-	if report.Epoch != c.Tenure.Epoch || report.NodesVersion != c.Tenure.NodesVersion {
-		answer.Nodes = c.Nodes
-	}
-	return answer
-}
-
-func (c *Controller) othersActive(self *Peer) map[string]int {
-	active := maps.Clone(c.Tenure.Totals.Active)
-	for _, running := range self.Running {
-		if active[running.Replica] -= running.Count; active[running.Replica] == 0 {
-			delete(active, running.Replica)
-		}
-	}
-	return active
-}
-
-// othersSuspects returns the replicas that other live nodes suspect.
-func (c *Controller) othersSuspects(now time.Time, self *Peer) []string {
-	var suspects []string
-	for _, peer := range c.Tenure.Peers {
-		if peer != self && now.Sub(peer.LastReportAt) < peerReportTimeout {
-			suspects = append(suspects, peer.Suspects...)
-		}
-	}
-	slices.Sort(suspects)
-	return slices.Compact(suspects)
-}
-
-func (c *Controller) spentByOthers(self *Peer) []Spent {
-	totals := c.Tenure.Totals.Consumed
-	spent := make([]Spent, 0, len(totals))
-	for workspace, units := range totals {
-		spent = append(spent, Spent{Workspace: workspace, Units: units - self.Consumed[workspace]})
-	}
-	slices.SortFunc(spent, func(a, b Spent) int { return cmp.Compare(a.Workspace, b.Workspace) })
-	return spent
-}
-
 func (c *Controller) livePeers(now time.Time) int {
 	count := 0
 	for _, peer := range c.Tenure.Peers {
@@ -286,30 +214,29 @@
 	return count
 }
 
-// callerAddresses returns the addresses of the nodes that callers may use. These
-// are the nodes that report and, until peerReportTimeout after the start of a
-// tenure, the nodes that the previous holder published, because a node needs some
-// time to find the new holder. Registration alone is not enough: a registered
-// node may have been down for a long time.
-func (c *Controller) callerAddresses(now time.Time) []string {
-	var addresses []string
+// callers returns the nodes that callers may use, sorted by address. These are the
+// nodes that report and, until peerReportTimeout after the start of a tenure, the
+// nodes that the previous holder published, because a node needs some time to find
+// the new holder. Registration alone is not enough: a registered node may have been
+// down for a long time.
+func (c *Controller) callers(now time.Time) []Caller {
+	var callers []Caller
 	excluded := map[string]bool{}
 	for _, peer := range c.Tenure.Peers {
-		if peer.Leaving || now.Sub(peer.LastReportAt) >= peerReportTimeout {
-			excluded[peer.Node.CallerAddress] = true
-			continue
+		excluded[peer.Node.CallerAddress] = true
+		if !peer.Leaving && now.Sub(peer.LastReportAt) < peerReportTimeout {
+			callers = append(callers, Caller{Address: peer.Node.CallerAddress, Capacity: peer.Node.Capacity})
 		}
-		addresses = append(addresses, peer.Node.CallerAddress)
 	}
 	if now.Sub(c.Tenure.Since) < peerReportTimeout {
-		for _, address := range c.Tenure.InheritedAddresses {
-			if !excluded[address] {
-				addresses = append(addresses, address)
+		for _, caller := range c.Tenure.InheritedCallers {
+			if !excluded[caller.Address] {
+				callers = append(callers, caller)
 			}
 		}
 	}
-	slices.Sort(addresses)
-	return slices.Compact(addresses)
+	slices.SortFunc(callers, func(a, b Caller) int { return cmp.Compare(a.Address, b.Address) })
+	return slices.CompactFunc(callers, func(a, b Caller) bool { return a.Address == b.Address })
 }
 
 // removeSilentNodes removes the entries of nodes that have not reported within
@@ -325,6 +252,7 @@
 			return false
 		}
 		effects = append(effects, RemoveNode{Name: node.Name, Revision: node.Revision})
+		c.Tenure.CandidatesStale = true
 		return true
 	})
 	return effects
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -9,12 +9,16 @@
 // Report is the state that a node sends to the lease holder.
 type Report struct {
 	Node surveyor.Node
+	// Sequence counts the reports of the node's run, from 1.
+	Sequence uint64
 	// Leaving is set if the node accepts no new callers.
 	Leaving bool
-	// Epoch and Version identify the node's copy of the table of replicas, and
-	// NodesVersion its copy of the list of nodes.
+	// Epoch and Version identify the state of the fleet that the node has.
 	Epoch, Version uint64
-	NodesVersion   uint64
+	// NeedsView is set if the node has had no answer of a holder for some time.
+	// A node that does not hold the lease then answers with its own view of the
+	// store.
+	NeedsView bool `json:",omitempty"`
 	// Running counts the node's running requests.
 	Running []Running `json:",omitempty"`
 	// Suspects are the replicas that recently failed the node's requests.
@@ -23,9 +27,10 @@
 	Demands []Demand `json:",omitempty"`
 	// Uses counts the requests that were sent since the last report.
 	Uses []Use `json:",omitempty"`
-	// Spent counts the units of each workspace's limit since the process
-	// started.
-	Spent []Spent `json:",omitempty"`
+	// Spent counts the units of each workspace's limit. UsageEpoch is the epoch
+	// of the baselines in it.
+	Spent      []Spent `json:",omitempty"`
+	UsageEpoch uint64  `json:",omitempty"`
 }
 
 // Running counts the running requests of a model on a replica. Model is empty for
@@ -64,45 +69,98 @@
 // Spent is a number of units of a workspace's limit.
 type Spent struct {
 	Workspace string
-	Units     float64
+	// Units is the number of units since the process started.
+	Units float64
 	// Acknowledged is the part that a holder has acknowledged. A new holder counts
-	// from there, so that no units are lost between two holders.
+	// from there, so that no units are lost between two holders. Baseline is the
+	// part from which the holder of the report's UsageEpoch counts.
 	Acknowledged float64 `json:"Told,omitempty"`
+	Baseline     float64 `json:",omitempty"`
 }
 
-// Answer is the lease holder's reply to a Report.
+// Consumed returns the units that the holder of an epoch counts for a report with
+// the given UsageEpoch.
+func (s Spent) Consumed(usageEpoch, epoch uint64) float64 {
+	if usageEpoch == epoch {
+		return s.Units - s.Baseline
+	}
+	return s.Units - s.Acknowledged
+}
+
+// Answer is the reply to a Report.
 type Answer struct {
 	// Holding reports whether the answering node holds the lease. If not, Holder
-	// names the node that it considers to be the holder.
-	Holding bool
-	Holder  string `json:"Leader,omitempty"`
-	// Epoch and Version identify the table of replicas. Replicas are those that
-	// have changed since the node's version, and Removed the IDs of those that have
-	// left the table. If Full is set, Replicas is the whole table.
+	// names the node that it considers to be the holder, and HolderAddress is the
+	// address of that node for other nodes. Both may be empty.
+	Holding       bool
+	Holder        string `json:"Leader,omitempty"`
+	HolderAddress string `json:",omitempty"`
+	// Registered reports whether the holder knows the node's entry in the store.
+	Registered bool `json:",omitempty"`
+	// Included is the sequence number of the node's report that State contains, 0
+	// if it contains none. StateAge is the age of State.
+	Included uint64 `json:",omitempty"`
+	StateAge time.Duration
+	// State is nil if the answering node does not hold the lease. All nodes with
+	// the same version get the same State, which must not be modified.
+	State *State `json:",omitempty"`
+	// View is the view of a node that does not hold the lease, if the report
+	// requested it. It is shared as well.
+	View *StoreView `json:",omitempty"`
+}
+
+// State is what the lease holder publishes about the fleet. Ages and durations
+// are as of its creation. It contains the changes since the version of the node's
+// report or, if Full is set, everything.
+type State struct {
 	Epoch, Version uint64
-	Full           bool               `json:",omitempty"`
-	Replicas       []surveyor.Replica `json:",omitempty"`
-	Removed        []string           `json:"Gone,omitempty"`
-	// Active counts the running requests of the other nodes, by replica.
-	Active map[string]int `json:",omitempty"`
-	// Suspects are the replicas that other live nodes suspect.
-	Suspects []string `json:",omitempty"`
-	// Nodes is nil if the node already has the version NodesVersion.
-	NodesVersion uint64
-	Nodes        []surveyor.Node `json:",omitempty"`
-	// CallerAddresses are the addresses of the nodes that callers may use.
-	CallerAddresses       []string `json:"Callers"`
+	Full           bool `json:",omitempty"`
+	// Replicas are the new entries of the table of replicas, Updates the changes of
+	// other entries, and Removed the IDs of those that have left it.
+	Replicas []surveyor.Replica       `json:",omitempty"`
+	Updates  []surveyor.ReplicaUpdate `json:",omitempty"`
+	Removed  []string                 `json:"Gone,omitempty"`
+	// Callers are the nodes that callers may use, and RemovedCallers the addresses
+	// of those that they may no longer use.
+	Callers        []Caller `json:",omitempty"`
+	RemovedCallers []string `json:",omitempty"`
+	// Candidates are the nodes that may hold the lease.
+	Candidates        []surveyor.Node `json:",omitempty"`
+	RemovedCandidates []string        `json:",omitempty"`
+	// Workspaces are the names to which the entries of Spent belong. It is nil if
+	// they have not changed.
+	Workspaces []string `json:",omitempty"`
+	// Spent counts the units that all nodes have consumed since their first reports
+	// to this holder, by workspace.
+	Spent []float64 `json:",omitempty"`
+	// Active counts the running requests of all nodes. Its entries belong to the
+	// replicas of the table, sorted by ID.
+	Active []int `json:",omitempty"`
+	// Suspects counts the live nodes that suspect a replica.
+	Suspects map[string]int `json:",omitempty"`
+	// Peers is the number of live nodes, and Registered the number of registered
+	// ones.
+	Peers, Registered     int
 	ConfigurationRevision uint64
 	ConfigurationAge      time.Duration
 	ReplicasAge           time.Duration
 	NodesAge              time.Duration
-	// SpentByOthers counts the units that the other nodes have consumed since
-	// their first reports to this holder.
-	SpentByOthers []Spent `json:",omitempty"`
-	// Peers is the number of live nodes, and Registered the number of registered
-	// ones.
-	Peers, Registered int
 	// OrdersAllowedIn is the time until the holder may send orders, or 0 if it may
 	// do so already.
 	OrdersAllowedIn time.Duration `json:"OrdersIn"`
 }
+
+// Caller is a node that callers may use, by its address for them.
+type Caller struct {
+	Address  string
+	Capacity float64
+}
+
+// StoreView is what a node that does not hold the lease has read from the store.
+// Ages are as of the answer's StateAge.
+type StoreView struct {
+	ConfigurationRevision uint64
+	ConfigurationAge      time.Duration
+	ReplicasAge           time.Duration
+	Replicas              []surveyor.Replica `json:",omitempty"`
+}
--- a/internal/planner/table.go
+++ b/internal/planner/table.go
@@ -8,68 +8,97 @@
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
-// table returns the published table of all replicas.
-func (c *Controller) table(now time.Time) []surveyor.Replica {
-	t := c.Tenure
-	if !t.TableStale && t.Table != nil {
-		return t.Table
-	}
-	table := make([]surveyor.Replica, 0, len(c.Replicas))
-	for _, replica := range c.Replicas {
-		replica.InMemory, replica.OnDisk = nil, nil
-		if endpoint := t.Endpoints[replica.ID]; endpoint != nil && endpoint.Synced {
-			replica.Models, replica.Pending = endpoint.publishedModels(), endpoint.pendingLoads(now)
-		}
-		table = append(table, replica)
-	}
-	slices.SortFunc(table, func(a, b surveyor.Replica) int { return cmp.Compare(a.ID, b.ID) })
-	t.publish(table)
-	return table
+// History is a published list whose entries have unique keys, with the versions at
+// which they last changed. It allows the changes since any version to be sent.
+type History[V any] struct {
+	// Key returns the key of an entry. Same reports whether two entries are equal
+	// in what other nodes act on.
+	Key  func(V) string
+	Same func(a, b V) bool
+	// Entries are sorted by key.
+	Entries []V
+	// Added, Changed and Removed hold, by key, the version at which an entry was
+	// added, last changed or left the list. An entry for which Renewed is true counts
+	// as added.
+	Added, Changed, Removed map[string]uint64
+	Renewed                 func(old, current V) bool
 }
 
-// publish replaces the table and records the version of each change.
-func (t *Tenure) publish(table []surveyor.Replica) {
-	before := make(map[string]surveyor.Replica, len(t.Table))
-	for _, replica := range t.Table {
-		before[replica.ID] = replica
+// newHistory returns an empty history.
+func newHistory[V any](key func(V) string, same func(a, b V) bool) History[V] {
+	return History[V]{Key: key, Same: same, Added: map[string]uint64{}, Changed: map[string]uint64{}, Removed: map[string]uint64{}}
+}
+
+// publish replaces the entries, records the version for each change, and reports
+// whether there is one.
+func (h *History[V]) publish(version uint64, entries []V) bool {
+	before := make(map[string]V, len(h.Entries))
+	for _, entry := range h.Entries {
+		before[h.Key(entry)] = entry
 	}
-	next := t.Version + 1
-	for _, replica := range table {
-		if old, ok := before[replica.ID]; !ok || !sameReplica(old, replica) {
-			t.Version, t.Changed[replica.ID] = next, next
-			delete(t.Removed, replica.ID)
+	changed := false
+	for _, entry := range entries {
+		key := h.Key(entry)
+		if old, ok := before[key]; !ok || !h.Same(old, entry) {
+			h.Changed[key], changed = version, true
+			delete(h.Removed, key)
+			if !ok || h.Renewed != nil && h.Renewed(old, entry) {
+				h.Added[key] = version
+			}
 		}
-		delete(before, replica.ID)
+		delete(before, key)
 	}
-	for id := range before {
-		t.Version, t.Removed[id] = next, next
-		delete(t.Changed, id)
+	for key := range before {
+		h.Removed[key], changed = version, true
+		delete(h.Changed, key)
+		delete(h.Added, key)
 	}
-	t.Table, t.TableStale = table, false
+	h.Entries = entries
+	return changed
 }
 
-// changesSince returns the replicas that changed, and the IDs of those that were
-// removed, after a version of the table.
-func (t *Tenure) changesSince(version uint64) (changed []surveyor.Replica, removed []string) {
-	for _, replica := range t.Table {
-		if t.Changed[replica.ID] > version {
-			changed = append(changed, replica)
+// since returns the entries that changed, and the sorted keys of those that were
+// removed, after a version.
+func (h *History[V]) since(version uint64) (changed []V, removed []string) {
+	for _, entry := range h.Entries {
+		if h.Changed[h.Key(entry)] > version {
+			changed = append(changed, entry)
 		}
 	}
-	for id, at := range t.Removed {
+	for key, at := range h.Removed {
 		if at > version {
-			removed = append(removed, id)
+			removed = append(removed, key)
 		}
 	}
 	slices.Sort(removed)
 	return changed, removed
 }
 
+// table returns all replicas with the models to which requests may be sent.
+func (c *Controller) table(now time.Time) []surveyor.Replica {
+	table := make([]surveyor.Replica, 0, len(c.Replicas))
+	for _, replica := range c.Replicas {
+		replica.InMemory, replica.OnDisk = nil, nil
+		if endpoint := c.Tenure.Endpoints[replica.ID]; endpoint != nil && endpoint.Synced {
+			replica.Models, replica.Pending = endpoint.publishedModels(), endpoint.pendingLoads(now)
+		}
+		table = append(table, replica)
+	}
+	slices.SortFunc(table, func(a, b surveyor.Replica) int { return cmp.Compare(a.ID, b.ID) })
+	return table
+}
+
+// renewedReplica reports whether two entries differ in what a ReplicaUpdate does not
+// contain.
+func renewedReplica(a, b surveyor.Replica) bool {
+	return a.StartedMS != b.StartedMS || a.Address != b.Address || a.Service != b.Service || a.DataCentre != b.DataCentre || a.Slots != b.Slots
+}
+
 // sameReplica reports whether two entries are equal in the fields that nodes act
 // on. The remaining time of a load is left out, because it is estimated once and
 // then counted down by the nodes.
 func sameReplica(a, b surveyor.Replica) bool {
-	return a.StartedMS == b.StartedMS && a.Address == b.Address && a.Leaving == b.Leaving &&
+	return !renewedReplica(a, b) && a.Leaving == b.Leaving &&
 		slices.EqualFunc(a.Models, b.Models, func(a, b surveyor.LoadedModel) bool {
 			return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
 		}) &&
--- a/internal/rationer/controller.go
+++ b/internal/rationer/controller.go
@@ -111,6 +111,8 @@
 type AnswerCollect struct {
 	Call  runner.Call
 	Spent []planner.Spent
+	// Epoch is that of the baselines.
+	Epoch uint64
 }
 
 func (AnswerTake) isEffect()    {}
@@ -147,15 +149,19 @@
 	// reported, because until then units above Capacity may be needed to pay
 	// for it.
 	Level float64
-	// IsolatedLevel is the number of units left of this node's equal share. It
+	// IsolatedLevel is the number of units left of this node's isolated share. It
 	// applies while the others' usage is not known.
 	IsolatedLevel float64
 	FilledAt      time.Time
-	// Share is this node's share of the usage of all nodes. LocalLevel is the
-	// number of units that it may take before the others' usage is next
-	// reported. Without it, all nodes would take the last units at the same
-	// time.
+	// Share is this node's share of the usage of all nodes, but at least an equal
+	// share. LocalLevel is the number of units that it may take before the others'
+	// usage is next reported. Without it, all nodes would take the last units at
+	// the same time.
 	Share, LocalLevel float64
+	// UsageShare is the share without that minimum. Those of all nodes add up to
+	// about 1. It is measured once the others' usage has been reported twice.
+	UsageShare    float64
+	ShareMeasured bool
 	// RecentlySpent is this node's usage since the last report of the others'
 	// usage.
 	RecentlySpent float64
@@ -172,6 +178,9 @@
 	// also passed on to the other nodes, each of which asks once in the time
 	// between two reports of this node.
 	Collected, Acknowledged, Propagated float64
+	// Baseline is the usage from which the holder of the current epoch counts: the
+	// propagated usage when the epoch began.
+	Baseline float64
 	// Rate is the limit's rate and Capacity the bucket's capacity, both as of
 	// the last Take.
 	Rate, Capacity float64
@@ -223,7 +232,7 @@
 	switch {
 	case !c.usageIsFresh(now):
 		decision.Level = bucket.IsolatedLevel
-		available, share, limitedToShare = bucket.IsolatedLevel, c.equalShare(), true
+		available, share, limitedToShare = bucket.IsolatedLevel, c.isolatedShare(bucket), true
 	case bucket.isScarce(now.Sub(c.UpdatedAt)):
 		decision.Level = min(decision.Level, bucket.LocalLevel)
 		limitedToShare = true
@@ -279,6 +288,18 @@
 	return 1 / float64(c.Registered)
 }
 
+// isolatedShare returns the fraction of a limit that a node uses while the others'
+// usage is not known: the mean of an equal share and its part of the last known
+// usage. An equal share alone refuses requests at the nodes that get more callers
+// than others, and the part of the usage alone at those that had none before. The
+// shares of all nodes add up to 1.
+func (c *Controller) isolatedShare(bucket *Bucket) float64 {
+	if !bucket.ShareMeasured {
+		return c.equalShare()
+	}
+	return (c.equalShare() + bucket.UsageShare) / 2
+}
+
 // bucketCapacity returns the maximum number of units in a bucket for all nodes
 // together.
 func (c *Controller) bucketCapacity(workspace resolver.Workspace) float64 {
@@ -289,7 +310,7 @@
 func (c *Controller) refill(now time.Time, bucket *Bucket, workspace resolver.Workspace) {
 	elapsed := max(0, now.Sub(bucket.FilledAt).Seconds())
 	bucket.Level += elapsed * workspace.Rate * c.liveShare()
-	share := c.equalShare()
+	share := c.isolatedShare(bucket)
 	bucket.IsolatedLevel = min((workspace.Burst+c.Slack*bucketSlackShare)*share, bucket.IsolatedLevel+elapsed*workspace.Rate*share)
 	bucket.LocalLevel += elapsed * workspace.Rate * bucket.Share
 	bucket.FilledAt, bucket.Rate, bucket.Capacity = now, workspace.Rate, c.bucketCapacity(workspace)
@@ -304,7 +325,7 @@
 	c.Registered = max(c.LiveNodes, message.Registered)
 	if newEpoch {
 		for _, bucket := range c.Buckets {
-			bucket.OthersSpent = 0
+			bucket.OthersSpent, bucket.Baseline = 0, bucket.Propagated
 		}
 	}
 	others := make(map[string]float64, len(message.Spent))
@@ -328,6 +349,10 @@
 	total := b.RecentlySpent + increase
 	if total > 0 {
 		b.Share += shareSmoothing * (b.RecentlySpent/total - b.Share)
+		if !b.ShareMeasured {
+			b.UsageShare, b.ShareMeasured = b.RecentlySpent/total, true
+		}
+		b.UsageShare += shareSmoothing * (b.RecentlySpent/total - b.UsageShare)
 	}
 	b.Busy = total > busyShare*b.Rate*elapsed.Seconds()
 	b.OthersRate = increase / max(elapsed, time.Millisecond).Seconds()
@@ -350,15 +375,15 @@
 	bucket.RecentlySpent = 0
 	if c.OthersReported {
 		bucket.Level = min(bucket.Level, bucket.Capacity)
-		bucket.IsolatedLevel = bucket.Level * c.equalShare()
+		bucket.IsolatedLevel = bucket.Level * c.isolatedShare(bucket)
 	}
 	bucket.LocalLevel = max(0, bucket.Level) * bucket.Share
 }
 
 func (c *Controller) collect(call runner.Call) AnswerCollect {
-	answer := AnswerCollect{Call: call}
+	answer := AnswerCollect{Call: call, Epoch: c.Epoch}
 	for name, bucket := range c.Buckets {
-		answer.Spent = append(answer.Spent, planner.Spent{Workspace: name, Units: bucket.Spent, Acknowledged: bucket.Propagated})
+		answer.Spent = append(answer.Spent, planner.Spent{Workspace: name, Units: bucket.Spent, Acknowledged: bucket.Propagated, Baseline: bucket.Baseline})
 		bucket.Collected = bucket.Spent
 	}
 	slices.SortFunc(answer.Spent, func(a, b planner.Spent) int { return cmp.Compare(a.Workspace, b.Workspace) })
--- a/internal/rationer/task.go
+++ b/internal/rationer/task.go
@@ -5,7 +5,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
@@ -44,10 +43,9 @@
 }
 
 // Collect returns this node's usage since its start, by workspace.
-func (t *Task) Collect(ctx context.Context) ([]planner.Spent, error) {
-	answer, err := runner.Ask[AnswerCollect](ctx, t.task,
+func (t *Task) Collect(ctx context.Context) (AnswerCollect, error) {
+	return runner.Ask[AnswerCollect](ctx, t.task,
 		func(call runner.Call) Message { return Collect{Call: call} }, nil)
-	return answer.Spent, err
 }
 
 func perform(handle runner.Handle[Message], effect Effect) {
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -7,19 +7,36 @@
 )
 
 const (
-	// The holder of the placement lease reads the store at these intervals. A
-	// configuration change must be in force on all nodes within 2 s. Of these,
-	// the holder's interval, a node's exchange with the holder and the node's
-	// own read take about 0.8 s.
+	// The holder of the placement lease reads the store at these intervals or, if
+	// that is longer, at the given fraction of the time within which a change must
+	// be in force on all nodes. Of that time, the holder's interval, a node's
+	// exchange with the holder and the node's own read take about 0.8 s.
 	holderConfigurationInterval = 350 * time.Millisecond
+	holderConfigurationShare    = 0.125
 	holderReplicasInterval      = 250 * time.Millisecond
-	holderNodesInterval         = time.Second
-	// Other nodes read the store themselves once their data from the holder is
-	// older than this. The ages are longer than three exchanges with the holder
-	// and shorter than the time that is left to notice a change.
-	followerMaxConfigurationAge = 1300 * time.Millisecond
-	followerMaxReplicasAge      = 1100 * time.Millisecond
-	followerMaxNodesAge         = 4 * time.Second
+	holderReplicasShare         = 0.1
+	// holderNodesInterval is the interval of the holder's reads of the list of
+	// nodes. It grows with the number of nodes by nodesIntervalPerNode, because the
+	// list then takes more calls.
+	holderNodesInterval  = time.Second
+	nodesIntervalPerNode = 8 * time.Millisecond
+	// Candidates for the lease read the store themselves once their data from the
+	// holder is older than this, so that they can send it to other nodes. The ages
+	// are longer than three exchanges with the holder.
+	candidateMaxConfigurationAge = 1300 * time.Millisecond
+	candidateMaxReplicasAge      = 1100 * time.Millisecond
+	// Other nodes read the store themselves once their data is older than this
+	// fraction of the time within which a change must be in force, so that a large
+	// fleet does not read the store whenever the holder changes.
+	followerConfigurationShare = 0.6
+	followerReplicasShare      = 0.55
+	followerMaxNodesAge        = 4 * time.Second
+	// followerStartDelay is how long a node that has just started waits for the
+	// replicas of the holder or of a candidate before it reads them itself.
+	followerStartDelay = 1500 * time.Millisecond
+	// followerNodesInterval is the interval of reads of the list of nodes while no
+	// holder is known.
+	followerNodesInterval = time.Second
 	// retryInterval is the minimum time between two reads when reads fail or
 	// there is no holder. Seven nodes then make at most 35 calls per second.
 	retryInterval = 400 * time.Millisecond
@@ -39,13 +56,27 @@
 	// the lag of the store's list.
 	holderModelsTTL = 4 * time.Second
 	// outageThreshold is the age of the last list above which the store is
-	// considered to have been unavailable.
+	// considered to have been unavailable. A node that is to read the list only at
+	// a greater age adds outageMargin to that age.
 	outageThreshold = 2 * time.Second
+	outageMargin    = 800 * time.Millisecond
 )
 
+// Bounds are the times within which changes must be in force on all nodes.
+type Bounds struct {
+	// ApplyWithin applies to the configuration, and DrainWithin to replicas that
+	// are leaving.
+	ApplyWithin, DrainWithin time.Duration
+}
+
 // Controller maintains the fleet view of one node.
 type Controller struct {
+	Bounds  Bounds
 	Holding bool
+	// Candidate is set if this node may hold the placement lease.
+	Candidate bool
+	// StartedAt is when the controller handled its first message.
+	StartedAt time.Time
 
 	Configuration *resolver.Configuration
 	ConfigSource  Source
@@ -86,13 +117,13 @@
 }
 
 // NewController returns a controller with an empty view.
-func NewController() *Controller { return &Controller{} }
+func NewController(bounds Bounds) *Controller { return &Controller{Bounds: bounds} }
 
 // Wake returns when the next read is due.
 func (c *Controller) Wake() time.Time {
 	wake := c.ConfigSource.dueAt(c.maxConfigurationAge(), c.Holding)
 	for _, due := range []time.Time{
-		c.ReplicaSource.dueAt(c.maxReplicasAge(), c.Holding),
+		c.replicasDueAt(),
 		c.NodeSource.dueAt(c.maxNodesAge(), c.Holding),
 	} {
 		if wake.IsZero() || !due.IsZero() && due.Before(wake) {
@@ -104,11 +135,16 @@
 
 // Step handles one message and returns the resulting effects.
 func (c *Controller) Step(now time.Time, message Message) []Effect {
+	if c.StartedAt.IsZero() {
+		c.StartedAt = now
+	}
 	var effects []Effect
 	switch message := message.(type) {
 	case Tick:
 	case SetHolding:
 		c.Holding = message.Holding
+	case SetCandidate:
+		c.Candidate = message.Candidate
 	case ConfigurationRead:
 		effects = c.handleConfigurationRead(now, message)
 	case ReplicasRead:
@@ -117,34 +153,58 @@
 		effects = c.handleNodesRead(now, message)
 	case HolderUpdate:
 		effects = c.applyHolderUpdate(now, message)
+	case ViewUpdate:
+		effects = c.applyViewUpdate(now, message)
 	}
 	return append(effects, c.startReads(now)...)
 }
 
+func share(bound time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(bound) * fraction)
+}
+
 func (c *Controller) maxConfigurationAge() time.Duration {
-	if c.Holding {
-		return holderConfigurationInterval
-	}
-	if c.Configuration == nil || c.HolderRevision > c.Configuration.Revision {
+	switch {
+	case c.Holding:
+		return max(holderConfigurationInterval, share(c.Bounds.ApplyWithin, holderConfigurationShare))
+	case c.Configuration == nil || c.HolderRevision > c.Configuration.Revision:
 		return 0
+	case c.Candidate:
+		return candidateMaxConfigurationAge
 	}
-	return followerMaxConfigurationAge
+	return max(candidateMaxConfigurationAge, share(c.Bounds.ApplyWithin, followerConfigurationShare))
 }
 
 func (c *Controller) maxReplicasAge() time.Duration {
-	if c.Holding {
-		return holderReplicasInterval
+	switch {
+	case c.Holding:
+		return max(holderReplicasInterval, share(c.Bounds.DrainWithin, holderReplicasShare))
+	case c.Candidate:
+		return candidateMaxReplicasAge
 	}
-	return followerMaxReplicasAge
+	return max(candidateMaxReplicasAge, share(c.Bounds.DrainWithin, followerReplicasShare))
 }
 
 func (c *Controller) maxNodesAge() time.Duration {
-	if c.Holding || !c.FromHolder {
-		return holderNodesInterval
+	switch {
+	case c.Holding:
+		return max(holderNodesInterval, time.Duration(len(c.Nodes))*nodesIntervalPerNode)
+	case !c.FromHolder:
+		return followerNodesInterval
 	}
 	return followerMaxNodesAge
 }
 
+// replicasDueAt returns when the replicas are next read. A node that has just
+// started leaves that to the holder and the candidates for a while.
+func (c *Controller) replicasDueAt() time.Time {
+	due := c.ReplicaSource.dueAt(c.maxReplicasAge(), c.Holding)
+	if startAt := c.StartedAt.Add(followerStartDelay); !due.IsZero() && !c.Holding && !c.Candidate && c.ReplicaSource.CurrentAsOf.IsZero() && due.Before(startAt) {
+		return startAt
+	}
+	return due
+}
+
 // dueAt returns when a read is due if the data may reach the given age, or the
 // zero time while a read is in progress. The holder repeats a read after
 // maxAge, also when that is shorter than retryInterval. Another node reads only
@@ -164,8 +224,8 @@
 	return due
 }
 
-func (s *Source) startIfDue(now time.Time, maxAge time.Duration, holding bool) bool {
-	due := s.dueAt(maxAge, holding)
+// startIfDue starts a read if it is due.
+func (s *Source) startIfDue(now, due time.Time) bool {
 	if due.IsZero() || now.Before(due) {
 		return false
 	}
@@ -176,18 +236,18 @@
 // startReads starts the reads that are due.
 func (c *Controller) startReads(now time.Time) []Effect {
 	var effects []Effect
-	if c.ConfigSource.startIfDue(now, c.maxConfigurationAge(), c.Holding) {
+	if c.ConfigSource.startIfDue(now, c.ConfigSource.dueAt(c.maxConfigurationAge(), c.Holding)) {
 		known := uint64(0)
 		if c.Configuration != nil {
 			known = c.Configuration.Revision
 		}
 		effects = append(effects, ReadConfiguration{Known: known})
 	}
-	if c.ReplicaSource.startIfDue(now, c.maxReplicasAge(), c.Holding) {
+	if c.ReplicaSource.startIfDue(now, c.replicasDueAt()) {
 		effects = append(effects, ReadReplicas{})
 	}
-	if c.NodeSource.startIfDue(now, c.maxNodesAge(), c.Holding) {
-		effects = append(effects, ReadNodes{})
+	if c.NodeSource.startIfDue(now, c.NodeSource.dueAt(c.maxNodesAge(), c.Holding)) {
+		effects = append(effects, ReadNodes{AllowStale: !c.Holding})
 	}
 	return effects
 }
@@ -247,20 +307,34 @@
 // applyHolderUpdate adopts the holder's view. The configuration itself is read
 // from the store when the holder reports a newer revision.
 func (c *Controller) applyHolderUpdate(now time.Time, message HolderUpdate) []Effect {
-	var effects []Effect
-	c.HolderRevision = max(c.HolderRevision, message.ConfigurationRevision)
-	currentAsOf := message.StartedAt.Add(-message.ConfigurationAge)
-	if c.Configuration != nil && c.Configuration.Revision >= c.HolderRevision && message.ConfigurationRevision > 0 && currentAsOf.After(c.ConfigSource.CurrentAsOf) {
-		c.ConfigSource.CurrentAsOf = currentAsOf
-		effects = append(effects, c.publishConfiguration()...)
-	}
+	effects := c.applyConfigurationAge(message.ConfigurationRevision, message.StartedAt.Add(-message.ConfigurationAge))
 	effects = append(effects, c.applyHolderReplicas(now, message)...)
 	if currentAsOf := message.StartedAt.Add(-message.NodesAge); currentAsOf.After(c.NodeSource.CurrentAsOf) {
 		c.NodeSource.CurrentAsOf = currentAsOf
 	}
-	if message.Nodes != nil {
-		c.Nodes = message.Nodes
-		effects = append(effects, PublishNodes{Nodes: c.Nodes, CurrentAsOf: c.NodeSource.CurrentAsOf})
+	return effects
+}
+
+// applyConfigurationAge adopts another node's knowledge of the newest revision.
+func (c *Controller) applyConfigurationAge(revision uint64, currentAsOf time.Time) []Effect {
+	c.HolderRevision = max(c.HolderRevision, revision)
+	if c.Configuration == nil || c.Configuration.Revision < c.HolderRevision || revision == 0 || !currentAsOf.After(c.ConfigSource.CurrentAsOf) {
+		return nil
+	}
+	c.ConfigSource.CurrentAsOf = currentAsOf
+	return c.publishConfiguration()
+}
+
+// applyViewUpdate adopts what another node has read from the store as if this node
+// had read it itself, unless this node's own data is newer.
+func (c *Controller) applyViewUpdate(now time.Time, message ViewUpdate) []Effect {
+	effects := c.applyConfigurationAge(message.ConfigurationRevision, message.AsOf.Add(-message.ConfigurationAge))
+	listedAt := message.AsOf.Add(-message.ReplicasAge)
+	if !listedAt.After(c.ReplicaSource.CurrentAsOf) || now.Sub(listedAt) > c.maxReplicasAge() {
+		return effects
 	}
+	reading := c.ReplicaSource.Reading
+	effects = append(effects, c.handleReplicasRead(now, ReplicasRead{StartedAt: listedAt, Replicas: message.Replicas})...)
+	c.ReplicaSource.Reading = reading
 	return effects
 }
--- a/internal/surveyor/fuzz_test.go
+++ b/internal/surveyor/fuzz_test.go
@@ -105,7 +105,7 @@
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 0)), now: tester.Start, countsSuspension: countsSuspension}
 	s.change(true)
 	for range 4 {
-		s.nodes = append(s.nodes, &simulatedNode{controller: NewController()})
+		s.nodes = append(s.nodes, &simulatedNode{controller: NewController(Bounds{ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second})})
 	}
 	s.setHolder(0)
 	return s
--- a/internal/surveyor/message.go
+++ b/internal/surveyor/message.go
@@ -16,6 +16,10 @@
 // the store on behalf of all nodes.
 type SetHolding struct{ Holding bool }
 
+// SetCandidate sets whether this node may hold the placement lease. The other nodes
+// ask candidates for their view while there is no holder.
+type SetCandidate struct{ Candidate bool }
+
 // ConfigurationRead is the result of a ReadConfiguration. Configuration is nil
 // if the revision in the store is the known one.
 type ConfigurationRead struct {
@@ -51,13 +55,23 @@
 	ConfigurationAge      time.Duration
 	ReplicasAge           time.Duration
 	NodesAge              time.Duration
-	// Replicas are the changed replicas, and Removed the IDs of those that
-	// left. If Full is set, Replicas replaces all known replicas.
+	// Replicas are the new replicas, Updates the changes of known ones, and Removed
+	// the IDs of those that left. If Full is set, Replicas replaces all known
+	// replicas.
 	Full     bool
 	Replicas []Replica
+	Updates  []ReplicaUpdate
 	Removed  []string
-	// Nodes replaces the known nodes unless it is nil.
-	Nodes []Node
+}
+
+// ViewUpdate is what another node that does not hold the lease has read from the
+// store. Ages count from AsOf.
+type ViewUpdate struct {
+	AsOf                  time.Time
+	ConfigurationRevision uint64
+	ConfigurationAge      time.Duration
+	ReplicasAge           time.Duration
+	Replicas              []Replica
 }
 
 func (Tick) isMessage()              {}
@@ -66,6 +80,8 @@
 func (ReplicasRead) isMessage()      {}
 func (NodesRead) isMessage()         {}
 func (HolderUpdate) isMessage()      {}
+func (SetCandidate) isMessage()      {}
+func (ViewUpdate) isMessage()        {}
 
 // Effect is an output of Controller: ReadConfiguration, ReadReplicas,
 // ReadNodes, one of the Publish effects or Note.
@@ -78,8 +94,9 @@
 // ReadReplicas lists the replicas and results in a ReplicasRead message.
 type ReadReplicas struct{}
 
-// ReadNodes lists the nodes and results in a NodesRead message.
-type ReadNodes struct{}
+// ReadNodes lists the nodes and results in a NodesRead message. With AllowStale the
+// list may be seconds old, which costs the store less.
+type ReadNodes struct{ AllowStale bool }
 
 // PublishConfiguration puts the configuration in force at this node.
 // CurrentAsOf is the latest time at which it is known to have been the newest.
--- a/internal/surveyor/replica.go
+++ b/internal/surveyor/replica.go
@@ -1,6 +1,7 @@
 package surveyor
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -31,6 +32,25 @@
 	Pending []PendingLoad `json:",omitempty"`
 }
 
+// ReplicaUpdate replaces the fields of a known replica that change during its run.
+type ReplicaUpdate struct {
+	ID      string
+	Leaving bool          `json:",omitempty"`
+	Models  []LoadedModel `json:",omitempty"`
+	Pending []PendingLoad `json:",omitempty"`
+}
+
+// Update returns the fields of the replica that change during its run.
+func (r Replica) Update() ReplicaUpdate {
+	return ReplicaUpdate{ID: r.ID, Leaving: r.Leaving, Models: r.Models, Pending: r.Pending}
+}
+
+// Apply returns the replica with the fields of an update.
+func (r Replica) Apply(update ReplicaUpdate) Replica {
+	r.Leaving, r.Models, r.Pending = update.Leaving, update.Models, update.Pending
+	return r
+}
+
 // LoadedModel is a model at a replica with its loaded adapters.
 type LoadedModel struct {
 	Name     string
@@ -77,3 +97,36 @@
 	// Revision is the store's revision of the node's entry.
 	Revision uint64 `json:",omitempty"`
 }
+
+const (
+	// minCapacityShare is the fraction of the largest node's capacity that a
+	// node needs to hold the placement lease: a holder with a small machine or
+	// link slows down all other nodes.
+	minCapacityShare = 0.7
+	// minLargeNodes is the number of large nodes below which all nodes may hold
+	// the lease, whatever their capacity.
+	minLargeNodes = 3
+)
+
+// CapableNodes returns the nodes that may hold the placement lease.
+func CapableNodes(nodes []Node) []Node {
+	maxCapacity := 0.0
+	for _, node := range nodes {
+		maxCapacity = max(maxCapacity, node.Capacity)
+	}
+	var large []Node
+	for _, node := range nodes {
+		if node.Capacity >= minCapacityShare*maxCapacity {
+			large = append(large, node)
+		}
+	}
+	if len(large) < minLargeNodes {
+		return slices.Clone(nodes)
+	}
+	return large
+}
+
+// SortNodes returns the nodes sorted by name. It does not modify nodes.
+func SortNodes(nodes []Node) []Node {
+	return slices.SortedFunc(slices.Values(nodes), func(a, b Node) int { return cmp.Compare(a.Name, b.Name) })
+}
--- a/internal/surveyor/replicas.go
+++ b/internal/surveyor/replicas.go
@@ -11,7 +11,7 @@
 	if message.Failed {
 		return effects
 	}
-	if !previousAsOf.IsZero() && message.StartedAt.Sub(previousAsOf) > outageThreshold {
+	if !previousAsOf.IsZero() && message.StartedAt.Sub(previousAsOf) > max(outageThreshold, c.maxReplicasAge()+outageMargin) {
 		c.RetainedUntil = now.Add(reregistrationTime)
 	}
 	c.Listed = c.merge(now, message.Replicas)
@@ -81,7 +81,7 @@
 	if c.HolderListedAt.After(c.ReplicaSource.CurrentAsOf) {
 		c.ReplicaSource.CurrentAsOf = c.HolderListedAt
 	}
-	changed := message.Full || len(message.Replicas)+len(message.Removed) > 0
+	changed := message.Full || len(message.Replicas)+len(message.Updates)+len(message.Removed) > 0
 	if changed {
 		c.HolderReplicas = applyChanges(c.HolderReplicas, message)
 	}
@@ -103,12 +103,26 @@
 	if message.Full {
 		return message.Replicas
 	}
+	replaced := make(map[string]bool, len(message.Replicas)+len(message.Removed))
+	for _, replica := range message.Replicas {
+		replaced[replica.ID] = true
+	}
+	for _, id := range message.Removed {
+		replaced[id] = true
+	}
+	updates := make(map[string]ReplicaUpdate, len(message.Updates))
+	for _, update := range message.Updates {
+		updates[update.ID] = update
+	}
 	replicas := make([]Replica, 0, len(known)+len(message.Replicas))
 	for _, replica := range known {
-		sameID := func(other Replica) bool { return other.ID == replica.ID }
-		if !slices.Contains(message.Removed, replica.ID) && !slices.ContainsFunc(message.Replicas, sameID) {
-			replicas = append(replicas, replica)
+		if replaced[replica.ID] {
+			continue
+		}
+		if update, ok := updates[replica.ID]; ok {
+			replica = replica.Apply(update)
 		}
+		replicas = append(replicas, replica)
 	}
 	return append(replicas, message.Replicas...)
 }
--- a/internal/surveyor/script_test.go
+++ b/internal/surveyor/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"toucanhitch.example/toucanhitch/internal/tester"
 )
@@ -12,9 +13,9 @@
 	tester.Replay(t, tester.Suite[Message, Effect]{
 		Directory: "testdata",
 		New: func(*testing.T, []byte) tester.Controller[Message, Effect] {
-			return NewController()
+			return NewController(Bounds{ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second})
 		},
-		Messages: []Message{SetHolding{}, ConfigurationRead{}, ReplicasRead{}, NodesRead{}, HolderUpdate{}},
+		Messages: []Message{SetHolding{}, ConfigurationRead{}, ReplicasRead{}, NodesRead{}, HolderUpdate{}, SetCandidate{}, ViewUpdate{}},
 		Tick:     Tick{},
 	})
 }
--- a/internal/surveyor/task.go
+++ b/internal/surveyor/task.go
@@ -17,13 +17,15 @@
 	// Configuration returns nil if the revision in the store is the known one.
 	Configuration(ctx context.Context, known uint64) (*resolver.Configuration, error)
 	Replicas(ctx context.Context) ([]Replica, error)
-	Nodes(ctx context.Context) ([]Node, error)
+	// Nodes returns a list that may be seconds old if allowStale is set.
+	Nodes(ctx context.Context, allowStale bool) ([]Node, error)
 }
 
 // Settings configures a node's surveyor.
 type Settings struct {
-	Store Store
-	Clock clockwork.Clock
+	Store  Store
+	Clock  clockwork.Clock
+	Bounds Bounds
 	// Publish receives the Publish and Note effects in order, on the task's
 	// goroutine. It must not block.
 	Publish func(Effect)
@@ -41,7 +43,7 @@
 	t.task = runner.New(runner.Settings[Message, Effect]{
 		Name:       "surveyor",
 		Clock:      settings.Clock,
-		Controller: NewController(),
+		Controller: NewController(settings.Bounds),
 		Tick:       Tick{},
 		Perform:    t.perform,
 		InboxSize:  inboxSize,
@@ -70,7 +72,7 @@
 		})
 	case ReadNodes:
 		handle.Start(func(ctx context.Context) Message {
-			found, err := t.settings.Store.Nodes(ctx)
+			found, err := t.settings.Store.Nodes(ctx, effect.AllowStale)
 			return NodesRead{StartedAt: startedAt, Failed: err != nil, Nodes: found}
 		})
 	default:
--- a/internal/syncer/candidates.go
+++ b/internal/syncer/candidates.go
@@ -4,61 +4,71 @@
 	"slices"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/ranker"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
 const (
-	// minCapacityShare is the fraction of the largest node's capacity that a
-	// node needs to hold the placement lease: a holder with a small machine or
-	// link slows down all other nodes.
-	minCapacityShare = 0.7
-	// minLargeNodes is the number of large nodes below which all nodes may hold
-	// the lease, whatever their capacity.
-	minLargeNodes = 3
-	// noHolderTimeout is the time without an answer from a holder after which a
-	// node becomes a candidate itself, because all candidates may be gone for
-	// good. It is longer than a takeover.
+	// maxCandidates is the number of highest-ranked nodes that may hold the
+	// lease. The holder is searched for among them.
+	maxCandidates = 3
+	// noHolderTimeout is the time without an answer from a holder after which
+	// more nodes become candidates, because all candidates may be gone for good.
+	// It is longer than a takeover.
 	noHolderTimeout = 4 * time.Second
+	// wideningInterval is the time after which the number of candidates doubles
+	// again. If all nodes became candidates at once, the reads of the lease by a
+	// large fleet would overload the store.
+	wideningInterval = 2 * time.Second
 )
 
-// capableNodes returns the names of the nodes that may hold the placement
-// lease, out of the registered nodes and, if it is not registered, this node.
-func capableNodes(nodes []surveyor.Node, self string) []string {
-	maxCapacity := 0.0
-	for _, node := range nodes {
-		maxCapacity = max(maxCapacity, node.Capacity)
-	}
-	var large, all []string
-	for _, node := range nodes {
-		all = append(all, node.Name)
-		if node.Capacity >= minCapacityShare*maxCapacity {
-			large = append(large, node.Name)
+// candidateNames returns the names of the nodes that may hold the lease, highest
+// rank first: maxCandidates of the capable nodes and, without a holder for longer
+// than noHolderTimeout, twice as many after each wideningInterval, which may
+// include all nodes.
+func (c *Controller) candidateNames(now time.Time) []string {
+	ranked := ranker.Rank(c.Lease, nodeNames(surveyor.CapableNodes(c.Nodes)))
+	count := maxCandidates
+	if waited := now.Sub(later(c.HolderExchangeAt, c.NodesKnownAt)); !c.Holding && !c.NodesKnownAt.IsZero() && waited > noHolderTimeout {
+		for ; waited > noHolderTimeout && count < len(c.Nodes)+1; waited -= wideningInterval {
+			count *= 2
+		}
+		others := slices.DeleteFunc(nodeNames(c.Nodes), func(name string) bool { return slices.Contains(ranked, name) })
+		if !slices.Contains(ranked, c.Node) && !slices.Contains(others, c.Node) {
+			others = append(others, c.Node)
 		}
+		ranked = append(ranked, ranker.Rank(c.Lease, others)...)
 	}
-	if !slices.Contains(all, self) {
-		all = append(all, self)
+	if len(ranked) == 0 {
+		return []string{c.Node}
 	}
-	if len(large) < minLargeNodes {
-		return all
+	return ranked[:min(count, len(ranked))]
+}
+
+func nodeNames(nodes []surveyor.Node) []string {
+	names := make([]string, 0, len(nodes))
+	for _, node := range nodes {
+		names = append(names, node.Name)
 	}
-	return large
+	return names
 }
 
-// updateCandidates returns a SetCandidates effect if the set of candidates has
-// changed.
+// updateCandidates returns a SetCandidates effect if this node's candidacy or the
+// set of candidates has changed.
 func (c *Controller) updateCandidates(now time.Time) []Effect {
 	if c.Nodes == nil {
 		return nil
 	}
-	names := capableNodes(c.Nodes, c.Node)
-	if !c.Holding && now.Sub(later(c.HolderExchangeAt, c.NodesKnownAt)) > noHolderTimeout {
+	names := c.candidateNames(now)
+	if len(names) > maxCandidates && slices.Contains(names, c.Node) {
+		// The leaser considers only the highest-ranked names.
 		names = []string{c.Node}
 	}
 	if slices.Equal(names, c.Candidates) {
 		return nil
 	}
 	c.Candidates = names
-	return []Effect{SetCandidates{Names: names}}
+	return []Effect{SetCandidates{Names: names, Candidate: slices.Contains(names, c.Node)}}
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -1,11 +1,13 @@
 package syncer
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"toucanhitch.example/toucanhitch/internal/planner"
-	"toucanhitch.example/toucanhitch/internal/ranker"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
@@ -19,14 +21,32 @@
 	// intervalPerNode lengthens the interval in proportion to the number of
 	// nodes, so that the holder answers about 100 exchanges per second.
 	intervalPerNode = 10 * time.Millisecond
-	// retryDelay is the delay after a failed exchange.
-	retryDelay = 60 * time.Millisecond
-	// urgentDelay is the delay before a requested exchange, and thereby the
-	// minimum time between two requested exchanges.
-	urgentDelay = 2 * time.Millisecond
-	// maxCandidates is the number of highest-ranked nodes that may hold the
-	// lease. The holder is searched for among them.
-	maxCandidates = 3
+	// largeIntervalPerNode lengthens the interval above maxInterval in a fleet for
+	// which that is too short: a holder answers at most 1,000 exchanges per second.
+	largeIntervalPerNode = time.Millisecond
+	// minRetryDelay is the delay after an exchange that found no holder. In a large
+	// fleet it grows with the number of nodes, which all query the same few
+	// candidates: by retryDelayPerNode.
+	minRetryDelay     = 60 * time.Millisecond
+	retryDelayPerNode = 850 * time.Microsecond
+	// maxRetryDelay bounds the delay, which doubles with each consecutive exchange
+	// that is not answered: a holder that is overloaded must not get more reports
+	// because its answers are late.
+	maxRetryDelay = 500 * time.Millisecond
+	// retryJitter is the maximum relative change of a retry delay.
+	retryJitter = 0.3
+	// minUrgentDelay is the delay before a requested exchange, and thereby the
+	// minimum time between two requested exchanges. It grows with the number of
+	// nodes by urgentDelayPerNode.
+	minUrgentDelay     = 2 * time.Millisecond
+	urgentDelayPerNode = 100 * time.Microsecond
+	// minTimeout ends an exchange on a connection that no longer responds. It grows
+	// with the number of nodes by timeoutPerNode.
+	minTimeout     = 400 * time.Millisecond
+	timeoutPerNode = 2 * time.Millisecond
+	// viewAge is the time since the last answer of a holder after which the nodes
+	// that are queried send their own view of the store.
+	viewAge = 800 * time.Millisecond
 )
 
 // Message is an input of Controller.
@@ -54,6 +74,7 @@
 	Failed    bool
 	// Cause is the error text of a failed exchange.
 	Cause  string
+	Report planner.Report
 	Answer planner.Answer
 }
 
@@ -64,11 +85,15 @@
 func (HolderHint) isMessage()    {}
 func (ExchangeEnded) isMessage() {}
 
-// SetCandidates replaces the nodes that may hold the lease.
-type SetCandidates struct{ Names []string }
+// SetCandidates replaces the nodes that may hold the lease. Candidate is set if
+// this node is one of them.
+type SetCandidates struct {
+	Names     []string
+	Candidate bool
+}
 
-// Effect is an output of Controller: Exchange, HolderAnswered, SetCandidates or
-// Note.
+// Effect is an output of Controller: Exchange, HolderAnswered, ViewReceived,
+// SetCandidates or Note.
 type Effect interface{ isEffect() }
 
 // Exchange sends a report to a node and results in an ExchangeEnded message. An
@@ -76,15 +101,32 @@
 type Exchange struct {
 	Peer    string
 	Address string
-	// Epoch and Version identify the table of replicas that this node has, and
-	// NodesVersion its list of nodes.
-	Epoch, Version, NodesVersion uint64
+	// Sequence is the number of the report. Epoch and Version identify the state of
+	// the fleet that this node has.
+	Sequence, Epoch, Version uint64
+	NeedsView                bool
+	// Timeout ends the exchange on a connection that no longer responds.
+	Timeout time.Duration
 }
 
-// HolderAnswered publishes the answer of the holder.
+// HolderAnswered publishes the answer of the holder. Ages in the answer's state
+// count from AsOf.
 type HolderAnswered struct {
 	StartedAt time.Time
+	AsOf      time.Time
 	Answer    planner.Answer
+	// HolderAddress is the holder's address for other nodes. It is empty if the
+	// holder is this node.
+	HolderAddress string
+	Callers       []planner.Caller
+	Others        Usage
+}
+
+// ViewReceived publishes what another node has read from the store. Its ages count
+// from AsOf.
+type ViewReceived struct {
+	AsOf time.Time
+	View *planner.StoreView
 }
 
 // Note is a log entry: the holder was found or lost.
@@ -99,6 +141,7 @@
 
 func (Exchange) isEffect()       {}
 func (HolderAnswered) isEffect() {}
+func (ViewReceived) isEffect()   {}
 func (SetCandidates) isEffect()  {}
 func (Note) isEffect()           {}
 
@@ -112,14 +155,24 @@
 	// that the lease object or another node named as the holder.
 	Holder string
 	Hint   string
+	// HolderAddress and HintAddress are the addresses of the nodes named by Holder
+	// and Hint, for the case that these are not among Nodes.
+	HolderAddress, HintAddress string
 	// FailedAttempts counts the exchanges that found no holder since the last
-	// answer of one.
-	FailedAttempts int
-	// Epoch and Version identify the table of replicas that this node has, and
-	// NodesVersion its list of nodes.
-	Epoch, Version, NodesVersion uint64
-	Busy                         bool
-	DueAt                        time.Time
+	// answer of one, and Unanswered the consecutive ones that got no answer.
+	FailedAttempts, Unanswered int
+	// Fleet is the state of the fleet that this node has.
+	Fleet Fleet
+	// Registered is the number of registered nodes.
+	Registered int
+	// Sequence is the number of the last report. Reports are those that the
+	// holder's state may yet contain.
+	Sequence uint64
+	Reports  []planner.Report
+	// Random is seeded differently at each node, so that their retries differ.
+	Random *rand.Rand
+	Busy   bool
+	DueAt  time.Time
 	// HolderExchangeAt is the start of the last exchange that a holder answered.
 	// NodesKnownAt is when the first list of nodes arrived.
 	HolderExchangeAt, NodesKnownAt time.Time
@@ -131,7 +184,8 @@
 // NewController returns a controller that finds the holder of the given lease
 // for the given node.
 func NewController(node, lease string) *Controller {
-	return &Controller{Node: node, Lease: lease}
+	seed := xxhash.Sum64String(node)
+	return &Controller{Node: node, Lease: lease, Random: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // Wake returns when the next exchange is due.
@@ -149,11 +203,11 @@
 	case Tick:
 	case ExchangeNow:
 		c.ExchangeRequested = true
-		if earliest := now.Add(urgentDelay); !c.Busy && earliest.Before(c.DueAt) {
+		if earliest := now.Add(c.urgentDelay()); !c.Busy && c.FailedAttempts == 0 && earliest.Before(c.DueAt) {
 			c.DueAt = earliest
 		}
 	case SetNodes:
-		c.Nodes = message.Nodes
+		c.Nodes, c.Registered = message.Nodes, len(message.Nodes)
 		if c.NodesKnownAt.IsZero() {
 			c.NodesKnownAt = now
 		}
@@ -177,7 +231,30 @@
 
 // interval returns the time between the starts of two regular exchanges.
 func (c *Controller) interval() time.Duration {
-	return min(maxInterval, max(minInterval, time.Duration(len(c.Nodes))*intervalPerNode))
+	nodes := time.Duration(c.Registered)
+	return max(min(maxInterval, max(minInterval, nodes*intervalPerNode)), nodes*largeIntervalPerNode)
+}
+
+func (c *Controller) urgentDelay() time.Duration {
+	return max(minUrgentDelay, time.Duration(c.Registered)*urgentDelayPerNode)
+}
+
+// timeout returns the time limit of an exchange. In a large fleet, the answers of
+// a new holder, which contain the whole state, queue up on its link.
+func (c *Controller) timeout() time.Duration {
+	return minTimeout + time.Duration(c.Registered)*timeoutPerNode
+}
+
+// retryDelay returns the delay after an exchange that found no holder.
+func (c *Controller) retryDelay() time.Duration {
+	delay := max(minRetryDelay, time.Duration(c.Registered)*retryDelayPerNode)
+	for range max(0, c.Unanswered-maxCandidates) {
+		if delay *= 2; delay > maxRetryDelay {
+			break
+		}
+	}
+	jitter := 1 + retryJitter*(2*c.Random.Float64()-1)
+	return time.Duration(float64(min(delay, maxRetryDelay)) * jitter)
 }
 
 // applyHint directs the next exchange to the node that the lease object names,
@@ -187,7 +264,7 @@
 	if message.Holder == c.Node || message.Holder == c.Holder && c.Holder != "" {
 		return
 	}
-	c.Holder, c.Hint = "", message.Holder
+	c.Holder, c.Hint, c.HintAddress = "", message.Holder, ""
 	if !c.Busy && !c.DueAt.IsZero() {
 		c.DueAt = now
 	}
@@ -196,23 +273,41 @@
 // startExchange starts an exchange with the node that most likely holds the
 // lease.
 func (c *Controller) startExchange(now time.Time) []Effect {
-	peer := c.nextPeer()
-	effect := Exchange{Peer: peer, Epoch: c.Epoch, Version: c.Version, NodesVersion: c.NodesVersion}
+	peer := c.nextPeer(now)
+	effect := Exchange{
+		Peer: peer, Epoch: c.Fleet.Epoch, Version: c.Fleet.Version,
+		NeedsView: now.Sub(c.HolderExchangeAt) > viewAge, Timeout: c.timeout(),
+	}
 	if peer != c.Node {
-		index := slices.IndexFunc(c.Nodes, func(node surveyor.Node) bool { return node.Name == peer })
-		if index < 0 {
+		effect.Address = c.address(peer)
+		if effect.Address == "" {
 			c.Holder, c.Hint = "", ""
 			c.FailedAttempts++
-			c.DueAt = now.Add(retryDelay)
+			c.DueAt = now.Add(c.retryDelay())
 			return nil
 		}
-		effect.Address = c.Nodes[index].PeerAddress
 	}
+	c.Sequence++
+	effect.Sequence = c.Sequence
 	c.Busy, c.ExchangeRequested = true, false
 	return []Effect{effect}
 }
 
-func (c *Controller) nextPeer() string {
+// address returns the address of a node, or "" if it is not known.
+func (c *Controller) address(name string) string {
+	if i := slices.IndexFunc(c.Nodes, func(node surveyor.Node) bool { return node.Name == name }); i >= 0 {
+		return c.Nodes[i].PeerAddress
+	}
+	switch name {
+	case c.Hint:
+		return c.HintAddress
+	case c.Holder:
+		return c.HolderAddress
+	}
+	return ""
+}
+
+func (c *Controller) nextPeer(now time.Time) string {
 	switch {
 	case c.Holding:
 		return c.Node
@@ -221,30 +316,48 @@
 	case c.Hint != "":
 		return c.Hint
 	}
-	ranked := ranker.Rank(c.Lease, capableNodes(c.Nodes, c.Node))
-	ranked = ranked[:min(maxCandidates, len(ranked))]
+	ranked := c.candidateNames(now)
 	return ranked[c.FailedAttempts%len(ranked)]
 }
 
 func (c *Controller) endExchange(now time.Time, message ExchangeEnded) []Effect {
 	c.Busy = false
-	switch {
-	case message.Failed, !message.Answer.Holding:
+	c.keepReport(message.Report)
+	answer := message.Answer
+	if message.Failed || !answer.Holding || answer.State == nil {
 		return c.tryNextPeer(now, message)
 	}
 	var effects []Effect
-	answer := message.Answer
 	if c.Holder != message.Peer {
 		effects = append(effects, Note{Text: "found the holder of the placement lease", Holder: message.Peer, Age: now.Sub(c.HolderExchangeAt)})
 	}
-	c.Holder, c.Hint, c.FailedAttempts = message.Peer, "", 0
+	c.HolderAddress = c.address(message.Peer)
+	c.Holder, c.Hint, c.HintAddress = message.Peer, "", ""
+	c.FailedAttempts, c.Unanswered = 0, 0
 	c.HolderExchangeAt = message.StartedAt
-	c.Epoch, c.Version, c.NodesVersion = answer.Epoch, answer.Version, answer.NodesVersion
+	c.applyState(answer.State)
 	c.DueAt = message.StartedAt.Add(c.interval())
 	if c.ExchangeRequested {
-		c.DueAt = now.Add(urgentDelay)
+		c.DueAt = now.Add(c.urgentDelay())
+	}
+	return append(effects, HolderAnswered{
+		StartedAt:     message.StartedAt,
+		AsOf:          message.StartedAt.Add(-answer.StateAge),
+		Answer:        answer,
+		HolderAddress: c.HolderAddress,
+		Callers:       c.Fleet.Callers,
+		Others:        c.Fleet.usageOfOthers(answer.State, c.reportIncluded(answer.Included)),
+	})
+}
+
+// applyState adopts the state of the holder.
+func (c *Controller) applyState(state *planner.State) {
+	c.Fleet.apply(state)
+	c.Registered = state.Registered
+	if state.Full && len(state.Candidates) > 0 {
+		c.Nodes = nil
 	}
-	return append(effects, HolderAnswered{StartedAt: message.StartedAt, Answer: answer})
+	c.Nodes = merge(c.Nodes, state.Candidates, state.RemovedCandidates, func(node surveyor.Node) string { return node.Name })
 }
 
 // tryNextPeer selects another node after one that did not answer as the holder.
@@ -253,11 +366,21 @@
 	if c.Holder == message.Peer {
 		effects = append(effects, Note{Text: "lost the holder of the placement lease", Holder: message.Peer, Age: now.Sub(c.HolderExchangeAt), Cause: message.Cause, Lost: true})
 	}
-	c.Holder, c.Hint = "", ""
-	if hint := message.Answer.Holder; !message.Failed && hint != message.Peer {
-		c.Hint = hint
-	}
+	c.Holder, c.Hint, c.HintAddress = "", "", ""
 	c.FailedAttempts++
-	c.DueAt = now.Add(retryDelay)
+	answer := message.Answer
+	if message.Failed {
+		c.Unanswered++
+		c.DueAt = now.Add(c.retryDelay())
+		return effects
+	}
+	c.Unanswered = 0
+	if answer.Holder != message.Peer && answer.Holder != c.Node {
+		c.Hint, c.HintAddress = answer.Holder, answer.HolderAddress
+	}
+	if answer.View != nil {
+		effects = append(effects, ViewReceived{AsOf: message.StartedAt.Add(-answer.StateAge), View: answer.View})
+	}
+	c.DueAt = now.Add(c.retryDelay())
 	return effects
 }
--- a/internal/syncer/task.go
+++ b/internal/syncer/task.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -10,13 +9,8 @@
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
-const (
-	// inboxSize is far above the number of messages that arrive between two
-	// steps.
-	inboxSize = 256
-	// exchangeTimeout ends an exchange on a connection that no longer responds.
-	exchangeTimeout = 400 * time.Millisecond
-)
+// inboxSize is far above the number of messages that arrive between two steps.
+const inboxSize = 256
 
 // Settings configures a node's syncer.
 type Settings struct {
@@ -29,8 +23,8 @@
 	// node and returns that node's answer.
 	AnswerLocally func(ctx context.Context, report planner.Report) (planner.Answer, error)
 	Send          func(ctx context.Context, address string, report planner.Report) (planner.Answer, error)
-	// Publish receives the HolderAnswered, SetCandidates and Note effects in
-	// order. It must not block.
+	// Publish receives the other effects than Exchange in order. It must not
+	// block.
 	Publish func(Effect)
 }
 
@@ -72,14 +66,15 @@
 func (t *Task) exchange(ctx context.Context, effect Exchange) Message {
 	startedAt := t.settings.Clock.Now()
 	result := ExchangeEnded{Peer: effect.Peer, StartedAt: startedAt}
-	ctx, cancel := clockwork.WithTimeout(ctx, t.settings.Clock, exchangeTimeout)
+	ctx, cancel := clockwork.WithTimeout(ctx, t.settings.Clock, effect.Timeout)
 	defer cancel()
 	report, err := t.settings.Collect(ctx)
 	if err != nil {
-		result.Failed = true
+		result.Failed, result.Cause = true, err.Error()
 		return result
 	}
-	report.Epoch, report.Version, report.NodesVersion = effect.Epoch, effect.Version, effect.NodesVersion
+	report.Sequence, report.Epoch, report.Version, report.NeedsView = effect.Sequence, effect.Epoch, effect.Version, effect.NeedsView
+	result.Report = report
 	if effect.Address == "" {
 		result.Answer, err = t.settings.AnswerLocally(ctx, report)
 	} else {
