Let a candidate act for a lost holder of the placement lease

Cause: from the loss of a holder until another node acquired its lease, 2.6 s and more, no node knew the units that the others took.

Change: - The first candidate that answers collects the reports and publishes the state of the fleet until a node holds the lease. It reads the store like a holder and sends no orders. If it acquires the lease, its tenure continues. Nodes that get their state from an acting node look for the holder every 2 s. - Without word of the others, a node may save up more units: half of the slack and half of the overage that the platform allows over all nodes. - At nodes on which no other relies, failed reads of the store back off to 3.2 s. A node registers only if the list of nodes lacks its entry.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -55,7 +55,7 @@
 // tasks. If this node is missing from the list, it registers again. A list without
 // this node may be older than its registration and is not used until then.
 func (n *Node) setNodes(effect surveyor.PublishNodes) {
-	registered := slices.ContainsFunc(effect.Nodes, func(node surveyor.Node) bool { return node.Name == n.self.Name })
+	registered := slices.ContainsFunc(effect.Nodes, n.isOwnEntry)
 	if !registered {
 		n.requestRegistration()
 	}
@@ -66,6 +66,13 @@
 	n.logPostError("planner", n.planner.Post(planner.NodesListed{Nodes: effect.Nodes, CurrentAsOf: effect.CurrentAsOf}))
 }
 
+// isOwnEntry reports whether an entry describes this node. It may be of an earlier
+// run.
+func (n *Node) isOwnEntry(node surveyor.Node) bool {
+	node.RunID, node.Revision = n.self.RunID, n.self.Revision
+	return node == n.self
+}
+
 // staleListTimeout is the time since the start of the process after which lists of
 // nodes are used although this node is missing from them.
 const staleListTimeout = 5 * time.Second
@@ -142,6 +149,16 @@
 			ReplicasAge:           effect.View.ReplicasAge,
 			Replicas:              effect.View.Replicas,
 		}))
+	case syncer.SetActing:
+		if effect.Acting && n.draining.Load() {
+			return
+		}
+		n.logPostError("surveyor", n.surveyor.Post(surveyor.SetActing{Acting: effect.Acting}))
+		n.logPostError("planner", n.planner.Post(planner.SetActing{
+			Acting:     effect.Acting,
+			Callers:    n.view.holderCallers(n.clock.Now()),
+			Registered: effect.Registered,
+		}))
 	case syncer.SetCandidates:
 		n.logPostError("surveyor", n.surveyor.Post(surveyor.SetCandidate{Candidate: effect.Candidate}))
 		if !n.draining.Load() {
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -159,10 +159,10 @@
 	}
 }
 
-// register writes the node's entry at the start and on each request, and
-// retries after a failure.
+// register writes the node's entry on each request, and retries after a failure.
+// The first request comes with a list of nodes that lacks the entry: the entry of an
+// earlier run of the node remains valid.
 func (n *Node) register(ctx context.Context) error {
-	n.requestRegistration()
 	var registeredAt time.Time
 	for {
 		select {
--- a/internal/benchmarker/takeover.go
+++ b/internal/benchmarker/takeover.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/encoder"
@@ -19,15 +18,19 @@
 	// node acquires its lease, and takeoverEnd the end of a simulation.
 	takeoverCrash = 5 * time.Second
 	takeoverGap   = 2600 * time.Millisecond
-	takeoverEnd   = 18 * time.Second
+	takeoverEnd   = 14 * time.Second
 	// takeoverRest is the time at the end in which the fleet has to be at rest.
 	takeoverRest = 4 * time.Second
 	// takeoverLargeNodes is the number of nodes with the large capacity and link.
 	// The other nodes have the small ones, as most do in a large deployment.
-	takeoverLargeNodes                        = 18
-	takeoverLargeCapacity, takeoverSmallCores = 0.8, 0.144
-	takeoverLargeLinkMbps, takeoverSmallLink  = 200.0, 20.0
-	takeoverDelay                             = time.Millisecond
+	takeoverLargeNodes    = 18
+	takeoverLargeCapacity = 0.8
+	takeoverSmallCapacity = 0.144
+	takeoverLargeLinkMbps = 200.0
+	takeoverSmallLinkMbps = 20.0
+	takeoverDelay         = time.Millisecond
+	// takeoverPoll is the interval at which candidates read the lease.
+	takeoverPoll = 600 * time.Millisecond
 	// takeoverReportCost is the time that a node with a whole core spends on one
 	// report, sockets included.
 	takeoverReportCost = 250 * time.Microsecond
@@ -69,17 +72,19 @@
 // lease, which is lost and replaced, with the real syncers and planners. Processor
 // time and links are limited; answers queue on them.
 type takeover struct {
-	random   *rand.Rand
-	now      time.Time
-	events   takeoverEvents
-	fleet    holderFleet
-	size     holderSize
-	nodes    []*takeoverNode
-	byName   map[string]*takeoverNode
-	sizes    stateSizes
-	result   takeoverResult
-	restFrom time.Time
-	restSent float64
+	random *rand.Rand
+	now    time.Time
+	events takeoverEvents
+	fleet  holderFleet
+	size   holderSize
+	nodes  []*takeoverNode
+	byName map[string]*takeoverNode
+	sizes  stateSizes
+	result takeoverResult
+	// successor is the name of the node that acquires the lease after the crash.
+	successor string
+	restFrom  time.Time
+	restSent  float64
 }
 
 type takeoverEvent struct {
@@ -113,7 +118,7 @@
 	}
 	var largeNames []string
 	for i := range t.fleet.nodes {
-		node := &takeoverNode{name: t.fleet.nodes[i].Name, index: i, capacity: takeoverSmallCores, linkMbps: takeoverSmallLink}
+		node := &takeoverNode{name: t.fleet.nodes[i].Name, index: i, capacity: takeoverSmallCapacity, linkMbps: takeoverSmallLinkMbps}
 		if i < takeoverLargeNodes {
 			node.capacity, node.linkMbps = takeoverLargeCapacity, takeoverLargeLinkMbps
 			largeNames = append(largeNames, node.name)
@@ -128,6 +133,7 @@
 		t.byName[name].planner = planner.NewController(planner.Settings{Node: name, OrderSpacing: 3 * time.Second, MinTakeoverDelay: 360 * time.Millisecond})
 	}
 	first, second := t.byName[ranked[0]], t.byName[ranked[1]]
+	t.successor = second.name
 	t.acquire(first, 1)
 	for _, node := range t.nodes {
 		t.schedule(t.now.Add(time.Duration(random.Int64N(int64(300*time.Millisecond)))), func() { t.stepSyncer(node, syncer.SetNodes{Nodes: t.fleet.nodes}) })
@@ -135,6 +141,8 @@
 	t.schedule(t.now.Add(takeoverCrash), func() { first.dead = true })
 	takenOverAt := t.now.Add(takeoverCrash + takeoverGap)
 	t.schedule(takenOverAt, func() { t.acquire(second, 2) })
+	third := t.byName[ranked[2]]
+	t.schedule(takenOverAt.Add(takeoverPoll), func() { t.stepSyncer(third, syncer.HolderHint{Holder: second.name}) })
 	for end := placementStart.Add(takeoverEnd); len(t.events) > 0 && t.events[0].at.Before(end); {
 		event := heap.Pop(&t.events).(takeoverEvent)
 		t.now = event.at
@@ -159,11 +167,29 @@
 	t.stepPlanner(node, planner.ConfigurationChanged{CurrentAsOf: t.now, Configuration: t.fleet.configuration})
 	t.stepPlanner(node, planner.NodesListed{Nodes: t.fleet.nodes, CurrentAsOf: t.now})
 	t.stepPlanner(node, planner.LeaseHeld{Epoch: epoch, Until: t.now.Add(time.Hour), NoEarlierHolder: epoch == 1})
-	t.stepPlanner(node, planner.ReplicasListed{Replicas: t.fleet.replicas, CurrentAsOf: t.now})
 	t.stepSyncer(node, syncer.SetHolding{Holding: true})
+	t.readStore(node)
 	t.tickPlanner(node)
 }
 
+// act makes a candidate act for the lost holder.
+func (t *takeover) act(node *takeoverNode, effect syncer.SetActing) {
+	t.stepPlanner(node, planner.ConfigurationChanged{CurrentAsOf: t.now, Configuration: t.fleet.configuration})
+	t.stepPlanner(node, planner.SetActing{Acting: effect.Acting, Registered: effect.Registered})
+	if effect.Acting {
+		t.readStore(node)
+	}
+}
+
+// readStore delivers the list of replicas regularly to a planner with a tenure.
+func (t *takeover) readStore(node *takeoverNode) {
+	if node.dead || node.planner.Tenure == nil {
+		return
+	}
+	t.stepPlanner(node, planner.ReplicasListed{Replicas: t.fleet.replicas, CurrentAsOf: t.now})
+	t.schedule(t.now.Add(400*time.Millisecond), func() { t.readStore(node) })
+}
+
 // tickPlanner wakes the planner of a holder regularly.
 func (t *takeover) tickPlanner(node *takeoverNode) {
 	if node.dead {
@@ -200,9 +226,11 @@
 		switch effect := effect.(type) {
 		case syncer.Exchange:
 			t.exchange(node, effect)
+		case syncer.SetActing:
+			t.act(node, effect)
 		case syncer.HolderAnswered:
 			node.last = effect.Answer
-			if effect.Answer.State.Epoch == 2 && node.foundAt.IsZero() {
+			if effect.Answer.Holder == t.successor && !effect.Answer.Acting && node.foundAt.IsZero() {
 				node.foundAt = t.now
 			}
 		}
@@ -257,6 +285,9 @@
 		bytes := 100
 		if peer.planner != nil && !peer.dead {
 			answer = t.stepPlanner(peer, planner.ReportReceived{Report: report})
+			if !answer.Holding && !peer.syncer.HolderActing {
+				answer.Holder = peer.syncer.Holder
+			}
 			bytes = t.answerBytes(answer)
 		}
 		sent := later(t.now, peer.linkFree).Add(linkTime(peer, bytes))
@@ -289,11 +320,8 @@
 }
 
 // takeoverSizes are the fleets of the users' grown and large deployments, and the
-// next size, which one holder does not serve.
-var (
-	takeoverSizes    = []holderSize{{76, 90, 293}, {295, 159, 498}}
-	takeoverNextSize = holderSize{1000, 500, 498}
-)
+// next size.
+var takeoverSizes = []holderSize{{76, 90, 293}, {295, 159, 498}, {1000, 500, 498}}
 
 // measureTakeovers simulates a takeover of the placement lease at several sizes.
 func measureTakeovers(settings SlopesSettings) []Table {
@@ -301,11 +329,11 @@
 		Title:   "Takeover of the placement lease, in virtual time",
 		Columns: []string{"last node has the new holder, ms", "nodes without it", "exchanges a second at rest", "failed at rest", "holder's link at rest %"},
 		Notes: []string{
-			fmt.Sprintf("%d nodes have %v of a core and %v Mbit/s, the others %v and %v.", takeoverLargeNodes, takeoverLargeCapacity, takeoverLargeLinkMbps, takeoverSmallCores, takeoverSmallLink),
+			fmt.Sprintf("%d nodes have %v of a core and %v Mbit/s, the others %v and %v.", takeoverLargeNodes, takeoverLargeCapacity, takeoverLargeLinkMbps, takeoverSmallCapacity, takeoverSmallLinkMbps),
 			"Times count from the takeover, 2.6 s after the loss of the holder.",
 		},
 	}
-	for _, size := range append(slices.Clone(takeoverSizes), takeoverNextSize) {
+	for _, size := range takeoverSizes {
 		result := simulateTakeover(settings.Seed, size)
 		table.addRow(fmt.Sprintf("%d nodes, %d replicas", size.nodes, size.replicas), inMilliseconds(result.foundAfter),
 			float64(result.unfound), result.exchangesAtRest, float64(result.failedAtRest), 100*result.linkShare)
--- a/internal/messenger/report.go
+++ b/internal/messenger/report.go
@@ -28,6 +28,7 @@
 
 type encodedHead struct {
 	Holding       bool
+	Acting        bool   `json:",omitempty"`
 	Holder        string `json:"Leader,omitempty"`
 	HolderAddress string `json:",omitempty"`
 	Registered    bool   `json:",omitempty"`
@@ -54,6 +55,7 @@
 		}
 		return encodedAnswer{encodedHead{
 			Holding:       result.Holding,
+			Acting:        result.Acting,
 			Holder:        result.Holder,
 			HolderAddress: result.HolderAddress,
 			Registered:    result.Registered,
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
@@ -54,9 +56,14 @@
 
 // Tenure is the state of one period in which this node holds the lease.
 type Tenure struct {
-	Epoch uint64
-	Since time.Time
-	Until time.Time
+	// Epoch is the epoch of the lease, which is 0 while Acting is set. ID identifies
+	// the tenure to other nodes.
+	Epoch, ID uint64
+	// Acting is set if this node does not hold the lease. It then publishes the state
+	// of the fleet and sends no orders.
+	Acting bool
+	Since  time.Time
+	Until  time.Time
 	// OrdersAllowedAt is when enough time has passed since the last possible
 	// order of an earlier holder.
 	OrdersAllowedAt time.Time
@@ -81,6 +88,9 @@
 	SortedIDs []string
 	Peers     map[string]*Peer
 	Totals    Totals
+	// MinRegistered is the number of registered nodes that is assumed while the list
+	// in the store has not been read.
+	MinRegistered int
 	// InheritedCallers are the nodes that the previous holder published for
 	// callers.
 	InheritedCallers []Caller
@@ -117,6 +127,9 @@
 		return time.Time{}
 	}
 	wake := c.Tenure.AdvancedAt.Add(maxPlanInterval)
+	if c.Tenure.Acting {
+		return wake
+	}
 	if len(c.Tenure.Demand) > 0 {
 		if candidate := later(c.Tenure.AdvancedAt.Add(minPlanInterval), c.Tenure.OrdersAllowedAt); candidate.Before(wake) {
 			wake = candidate
@@ -138,7 +151,7 @@
 
 // Step handles one message and returns the resulting effects.
 func (c *Controller) Step(now time.Time, message Message) []Effect {
-	if c.Tenure != nil && !now.Before(c.Tenure.Until) {
+	if c.Tenure != nil && !c.Tenure.Acting && !now.Before(c.Tenure.Until) {
 		// The process may have been paused until after its lease expired.
 		c.endTenure()
 	}
@@ -149,6 +162,8 @@
 		effects = c.handleLeaseHeld(now, message)
 	case LeaseLost:
 		c.endTenure()
+	case SetActing:
+		effects = c.setActing(now, message)
 	case ConfigurationChanged:
 		c.Configuration, c.ConfigurationAsOf = message.Configuration, message.CurrentAsOf
 	case ReplicasListed:
@@ -169,9 +184,10 @@
 // endTenure stops planning and keeps the tenure, which continues if this node
 // acquires the next epoch.
 func (c *Controller) endTenure() {
-	if c.Tenure != nil {
-		c.Previous, c.Tenure = c.Tenure, nil
+	if c.Tenure != nil && !c.Tenure.Acting {
+		c.Previous = c.Tenure
 	}
+	c.Tenure = nil
 }
 
 // handleLeaseHeld renews the current tenure, resumes the previous one or starts a
@@ -184,35 +200,70 @@
 	if c.Previous != nil && c.Previous.Epoch+1 == message.Epoch {
 		// The epochs are consecutive, so no other node held the lease in between.
 		c.Tenure, c.Previous = c.Previous, nil
-		c.Tenure.Epoch, c.Tenure.Until, c.Tenure.TableStale = message.Epoch, message.Until, true
+		c.Tenure.Epoch, c.Tenure.ID, c.Tenure.Until, c.Tenure.TableStale = message.Epoch, message.Epoch, message.Until, true
 		c.Tenure.Published = nil
 		c.Tenure.resetConsumed()
 		c.rereadBusyEndpoints(now)
 		return append([]Effect{Note{Text: "holding the placement lease again"}}, c.handleReplicasListed(now)...)
 	}
-	c.Tenure = &Tenure{
-		Epoch:            message.Epoch,
+	if c.Tenure == nil {
+		c.Tenure = newTenure(now, message.Epoch, message.Callers)
+	}
+	t := c.Tenure
+	t.Acting, t.Epoch, t.Since, t.Until = false, message.Epoch, now, message.Until
+	t.OrdersAllowedAt = now.Add(c.orderDelay(message))
+	if message.NoEarlierHolder {
+		t.OrdersAllowedAt = now
+	}
+	for _, endpoint := range t.Endpoints {
+		endpoint.ReadAt = later(now, t.OrdersAllowedAt.Add(-stateReadLead))
+	}
+	return append([]Effect{Note{Text: "holding the placement lease", Age: t.OrdersAllowedAt.Sub(now)}}, c.handleReplicasListed(now)...)
+}
+
+// newTenure returns the tenure of a node that has no knowledge of the fleet but the
+// callers that the previous holder published.
+func newTenure(now time.Time, id uint64, callers []Caller) *Tenure {
+	t := &Tenure{
+		ID:               id,
 		Since:            now,
-		Until:            message.Until,
-		OrdersAllowedAt:  now.Add(c.orderDelay(message)),
 		Endpoints:        map[string]*Endpoint{},
 		Table:            newHistory(func(replica surveyor.Replica) string { return replica.ID }, sameReplica),
 		Callers:          newHistory(func(caller Caller) string { return caller.Address }, func(a, b Caller) bool { return a == b }),
 		Candidates:       newHistory(func(node surveyor.Node) string { return node.Name }, sameNode),
 		Peers:            map[string]*Peer{},
 		Totals:           newTotals(),
-		InheritedCallers: message.Callers,
+		InheritedCallers: callers,
 		Demand:           map[DemandKey]*PendingDemand{},
 		Rates:            map[ModelKey]*Rate{},
 		SaturatedAt:      map[ModelKey]time.Time{},
 		TableStale:       true,
 		CandidatesStale:  true,
 	}
-	c.Tenure.Table.Renewed = renewedReplica
-	if message.NoEarlierHolder {
-		c.Tenure.OrdersAllowedAt = now
+	t.Table.Renewed = renewedReplica
+	return t
+}
+
+// takeoverEstimate is the time from the loss of a holder to the takeover of its
+// lease.
+const takeoverEstimate = 2600 * time.Millisecond
+
+// setActing starts or ends a tenure without the lease. The tenure continues if this
+// node acquires the lease.
+func (c *Controller) setActing(now time.Time, message SetActing) []Effect {
+	switch {
+	case !message.Acting && c.Tenure != nil && c.Tenure.Acting:
+		c.Tenure = nil
+		return []Effect{Note{Text: "no longer acting for the holder of the placement lease"}}
+	case !message.Acting || c.Tenure != nil:
+		return nil
 	}
-	return append([]Effect{Note{Text: "holding the placement lease", Age: c.Tenure.OrdersAllowedAt.Sub(now)}}, c.handleReplicasListed(now)...)
+	// The ID differs from all epochs and from the IDs of other acting nodes.
+	id := xxhash.Sum64String(c.Settings.Node+now.String()) | 1<<63
+	c.Tenure = newTenure(now, id, message.Callers)
+	c.Tenure.Acting, c.Tenure.MinRegistered = true, message.Registered
+	c.Tenure.OrdersAllowedAt = now.Add(takeoverEstimate + c.Settings.OrderSpacing)
+	return append([]Effect{Note{Text: "acting for the holder of the placement lease"}}, c.handleReplicasListed(now)...)
 }
 
 // orderDelay returns how long a new holder waits before its first order. An
@@ -253,7 +304,7 @@
 		return nil
 	}
 	c.Tenure.AdvancedAt = now
-	if c.Configuration == nil {
+	if c.Configuration == nil || c.Tenure.Acting {
 		return nil
 	}
 	effects := c.removeSilentNodes(now)
@@ -284,7 +335,13 @@
 func (c *Controller) handleNodesListed(message NodesListed) {
 	same := slices.EqualFunc(c.Nodes, message.Nodes, func(a, b surveyor.Node) bool { return a == b })
 	c.Nodes, c.NodesAsOf = message.Nodes, message.CurrentAsOf
-	if c.Tenure != nil && !same {
+	if c.Tenure == nil {
+		return
+	}
+	if !message.CurrentAsOf.Before(c.Tenure.Since) {
+		c.Tenure.MinRegistered = 0
+	}
+	if !same {
 		c.Tenure.CandidatesStale = true
 	}
 }
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -31,6 +31,16 @@
 // LeaseLost reports that this node no longer holds the lease.
 type LeaseLost struct{}
 
+// SetActing sets whether this node collects reports and publishes the state of the
+// fleet in place of a holder that is lost. An acting node sends no orders.
+type SetActing struct {
+	Acting bool
+	// Callers are as in LeaseHeld. Registered is the number of registered nodes as
+	// far as this node knows it.
+	Callers    []Caller
+	Registered int
+}
+
 // ConfigurationChanged delivers the configuration in force. CurrentAsOf is the
 // latest time at which it is known to have been the newest.
 type ConfigurationChanged struct {
@@ -77,6 +87,7 @@
 func (Tick) isMessage()                 {}
 func (LeaseHeld) isMessage()            {}
 func (LeaseLost) isMessage()            {}
+func (SetActing) isMessage()            {}
 func (ConfigurationChanged) isMessage() {}
 func (ReplicasListed) isMessage()       {}
 func (NodesListed) isMessage()          {}
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -17,6 +17,9 @@
 	// of a registered node is removed. A node registers again when it finds its
 	// entry missing.
 	nodeRemovalTimeout = 12 * time.Second
+	// maxActingListAge is the age of the list of replicas up to which an acting node
+	// publishes the state of the fleet: a few reads.
+	maxActingListAge = 1500 * time.Millisecond
 	// rateWindow is the time constant of the request and token rates of models.
 	rateWindow = 4 * time.Second
 	// demandLifetime is the time after which a demand expires unless a node
@@ -111,7 +114,7 @@
 // the work of the holder does not grow with the number of reports.
 func (c *Controller) handleReport(now time.Time, message ReportReceived) []Effect {
 	report := message.Report
-	if c.Tenure == nil {
+	if c.Tenure == nil || c.Tenure.Acting && !c.actingViewIsFresh(now) {
 		return []Effect{AnswerReport{Call: message.Call, Answer: c.viewAnswer(now, report)}}
 	}
 	peer := c.updatePeer(now, report)
@@ -126,6 +129,12 @@
 	return append(effects, AnswerReport{Call: message.Call, Answer: c.stateAnswer(now, peer, report)})
 }
 
+// actingViewIsFresh reports whether an acting node has read the replicas recently.
+// Before it starts to act, it may have left that to the holder for a long time.
+func (c *Controller) actingViewIsFresh(now time.Time) bool {
+	return c.Configuration != nil && now.Sub(c.ReplicasAsOf) < maxActingListAge
+}
+
 // updatePeer records a node's report. Units that an earlier run of the node has
 // consumed stay in the totals.
 func (c *Controller) updatePeer(now time.Time, report Report) *Peer {
@@ -143,7 +152,7 @@
 	peer.Node, peer.LastReportAt, peer.Leaving, peer.Running = report.Node, now, report.Leaving, report.Running
 	peer.Suspects, peer.Sequence = report.Suspects, report.Sequence
 	for _, spent := range report.Spent {
-		consumed := spent.Consumed(report.UsageEpoch, c.Tenure.Epoch)
+		consumed := spent.Consumed(report.UsageEpoch, c.Tenure.ID)
 		totals.Consumed[spent.Workspace] += consumed - peer.Consumed[spent.Workspace]
 		peer.Consumed[spent.Workspace] = consumed
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -92,7 +92,10 @@
 	// Holding reports whether the answering node holds the lease. If not, Holder
 	// names the node that it considers to be the holder, and HolderAddress is the
 	// address of that node for other nodes. Both may be empty.
+	// Acting is set if the answering node does not hold the lease but publishes the
+	// state in place of a holder that is lost. Holding is set as well then.
 	Holding       bool
+	Acting        bool   `json:",omitempty"`
 	Holder        string `json:"Leader,omitempty"`
 	HolderAddress string `json:",omitempty"`
 	// Registered reports whether the holder knows the node's entry in the store.
--- /dev/null
+++ b/internal/planner/script_test.go
@@ -0,0 +1,23 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// TestScripts replays the scripts in testdata. The head of each script states
+// the failure that it guards against.
+func TestScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[Message, Effect]{
+		Directory: "testdata",
+		New: func(*testing.T, []byte) tester.Controller[Message, Effect] {
+			return NewController(Settings{Node: "n1", OrderSpacing: 3 * time.Second, MinTakeoverDelay: 360 * time.Millisecond})
+		},
+		Messages: []Message{
+			LeaseHeld{}, LeaseLost{}, SetActing{}, ConfigurationChanged{}, ReplicasListed{}, NodesListed{}, ReportReceived{}, OrderResult{}, StateRead{},
+		},
+		Tick: Tick{},
+	})
+}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -41,7 +41,7 @@
 	}
 	published := c.Tenure.Published
 	since := report.Version
-	if report.Epoch != c.Tenure.Epoch || report.Version > published.Common.Version {
+	if report.Epoch != c.Tenure.ID || report.Version > published.Common.Version {
 		since = fullState
 	}
 	state := published.Since[since]
@@ -51,6 +51,7 @@
 	}
 	return Answer{
 		Holding:    true,
+		Acting:     c.Tenure.Acting,
 		Holder:     c.Settings.Node,
 		Registered: c.isRegistered(report.Node),
 		Included:   peer.Included,
@@ -59,9 +60,10 @@
 	}
 }
 
-// isRegistered reports whether the store lists an entry of a node.
+// isRegistered reports whether the store lists an entry of a node. It is true while
+// the list has not been read in this tenure.
 func (c *Controller) isRegistered(node surveyor.Node) bool {
-	return slices.ContainsFunc(c.Nodes, func(listed surveyor.Node) bool { return listed.Name == node.Name })
+	return c.Tenure.Acting || c.NodesAsOf.Before(c.Tenure.Since) || slices.ContainsFunc(c.Nodes, func(listed surveyor.Node) bool { return listed.Name == node.Name })
 }
 
 // publish creates the state that is sent to all nodes.
@@ -84,13 +86,13 @@
 		t.Version = next
 	}
 	common := State{
-		Epoch:            t.Epoch,
+		Epoch:            t.ID,
 		Version:          t.Version,
 		Spent:            make([]float64, len(t.Workspaces)),
 		Active:           make([]int, len(t.Table.Entries)),
 		Suspects:         c.suspectCounts(now),
 		Peers:            max(1, c.livePeers(now)),
-		Registered:       len(c.Nodes),
+		Registered:       max(len(c.Nodes), t.MinRegistered),
 		ConfigurationAge: now.Sub(c.ConfigurationAsOf),
 		ReplicasAge:      now.Sub(c.ReplicasAsOf),
 		NodesAge:         now.Sub(c.NodesAsOf),
--- a/internal/rationer/controller.go
+++ b/internal/rationer/controller.go
@@ -23,6 +23,12 @@
 	// holds on top of its burst. The rest covers the units that nodes take
 	// before they learn of each other's usage.
 	bucketSlackShare = 0.1
+	// isolatedSlackShare replaces bucketSlackShare while the others' usage is not
+	// known: nothing is then taken before others learn of it. isolatedSlackTime is
+	// the time whose rate is added to it: half of the allowed overage of a tenth in
+	// a window of 8 s.
+	isolatedSlackShare = 0.5
+	isolatedSlackTime  = 400 * time.Millisecond
 	// initialBurstShare is the fraction of the burst that is available when a
 	// node has just started.
 	initialBurstShare = 0.2
@@ -300,6 +306,13 @@
 	return (c.equalShare() + bucket.UsageShare) / 2
 }
 
+// isolatedCapacity returns the number of units that all nodes together may hold in
+// their isolated levels. A node of a large fleet, whose share is smaller than a
+// request, would otherwise refuse most requests of a workspace below its rate.
+func (c *Controller) isolatedCapacity(workspace resolver.Workspace) float64 {
+	return workspace.Burst + c.Slack*isolatedSlackShare + workspace.Rate*isolatedSlackTime.Seconds()
+}
+
 // bucketCapacity returns the maximum number of units in a bucket for all nodes
 // together.
 func (c *Controller) bucketCapacity(workspace resolver.Workspace) float64 {
@@ -311,7 +324,7 @@
 	elapsed := max(0, now.Sub(bucket.FilledAt).Seconds())
 	bucket.Level += elapsed * workspace.Rate * c.liveShare()
 	share := c.isolatedShare(bucket)
-	bucket.IsolatedLevel = min((workspace.Burst+c.Slack*bucketSlackShare)*share, bucket.IsolatedLevel+elapsed*workspace.Rate*share)
+	bucket.IsolatedLevel = min(c.isolatedCapacity(workspace)*share, bucket.IsolatedLevel+elapsed*workspace.Rate*share)
 	bucket.LocalLevel += elapsed * workspace.Rate * bucket.Share
 	bucket.FilledAt, bucket.Rate, bucket.Capacity = now, workspace.Rate, c.bucketCapacity(workspace)
 }
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -28,7 +28,7 @@
 	// Other nodes read the store themselves once their data is older than this
 	// fraction of the time within which a change must be in force, so that a large
 	// fleet does not read the store whenever the holder changes.
-	followerConfigurationShare = 0.6
+	followerConfigurationShare = 0.7
 	followerReplicasShare      = 0.55
 	followerMaxNodesAge        = 4 * time.Second
 	// followerStartDelay is how long a node that has just started waits for the
@@ -38,8 +38,11 @@
 	// holder is known.
 	followerNodesInterval = time.Second
 	// retryInterval is the minimum time between two reads when reads fail or
-	// there is no holder. Seven nodes then make at most 35 calls per second.
-	retryInterval = 400 * time.Millisecond
+	// there is no holder. At a node on which no other relies, it doubles with each
+	// failed read up to maxRetryInterval: a store in trouble must not get more calls
+	// than one that answers, and the holder or a candidate notices its return.
+	retryInterval    = 400 * time.Millisecond
+	maxRetryInterval = 3200 * time.Millisecond
 	// reregistrationTime is how long missing entries are kept after an outage
 	// of the store. Replicas write their entries again within about 2 s.
 	reregistrationTime = 2500 * time.Millisecond
@@ -73,8 +76,9 @@
 type Controller struct {
 	Bounds  Bounds
 	Holding bool
-	// Candidate is set if this node may hold the placement lease.
-	Candidate bool
+	// Acting is set if this node publishes the state of the fleet in place of the
+	// holder, and Candidate if it may hold the placement lease.
+	Acting, Candidate bool
 	// StartedAt is when the controller handled its first message.
 	StartedAt time.Time
 
@@ -113,7 +117,8 @@
 	// LastReadAt is when this node last started a read of its own.
 	LastReadAt time.Time
 	Reading    bool
-	Failing    bool
+	// Failures counts the consecutive failed reads.
+	Failures int
 }
 
 // NewController returns a controller with an empty view.
@@ -121,10 +126,10 @@
 
 // Wake returns when the next read is due.
 func (c *Controller) Wake() time.Time {
-	wake := c.ConfigSource.dueAt(c.maxConfigurationAge(), c.Holding)
+	wake := c.dueAt(c.ConfigSource, c.maxConfigurationAge())
 	for _, due := range []time.Time{
 		c.replicasDueAt(),
-		c.NodeSource.dueAt(c.maxNodesAge(), c.Holding),
+		c.dueAt(c.NodeSource, c.maxNodesAge()),
 	} {
 		if wake.IsZero() || !due.IsZero() && due.Before(wake) {
 			wake = due
@@ -143,6 +148,8 @@
 	case Tick:
 	case SetHolding:
 		c.Holding = message.Holding
+	case SetActing:
+		c.Acting = message.Acting
 	case SetCandidate:
 		c.Candidate = message.Candidate
 	case ConfigurationRead:
@@ -159,13 +166,16 @@
 	return append(effects, c.startReads(now)...)
 }
 
+// readsForOthers reports whether the other nodes rely on what this node reads.
+func (c *Controller) readsForOthers() bool { return c.Holding || c.Acting }
+
 func share(bound time.Duration, fraction float64) time.Duration {
 	return time.Duration(float64(bound) * fraction)
 }
 
 func (c *Controller) maxConfigurationAge() time.Duration {
 	switch {
-	case c.Holding:
+	case c.readsForOthers():
 		return max(holderConfigurationInterval, share(c.Bounds.ApplyWithin, holderConfigurationShare))
 	case c.Configuration == nil || c.HolderRevision > c.Configuration.Revision:
 		return 0
@@ -177,7 +187,7 @@
 
 func (c *Controller) maxReplicasAge() time.Duration {
 	switch {
-	case c.Holding:
+	case c.readsForOthers():
 		return max(holderReplicasInterval, share(c.Bounds.DrainWithin, holderReplicasShare))
 	case c.Candidate:
 		return candidateMaxReplicasAge
@@ -187,7 +197,7 @@
 
 func (c *Controller) maxNodesAge() time.Duration {
 	switch {
-	case c.Holding:
+	case c.readsForOthers():
 		return max(holderNodesInterval, time.Duration(len(c.Nodes))*nodesIntervalPerNode)
 	case !c.FromHolder:
 		return followerNodesInterval
@@ -198,30 +208,38 @@
 // replicasDueAt returns when the replicas are next read. A node that has just
 // started leaves that to the holder and the candidates for a while.
 func (c *Controller) replicasDueAt() time.Time {
-	due := c.ReplicaSource.dueAt(c.maxReplicasAge(), c.Holding)
-	if startAt := c.StartedAt.Add(followerStartDelay); !due.IsZero() && !c.Holding && !c.Candidate && c.ReplicaSource.CurrentAsOf.IsZero() && due.Before(startAt) {
+	due := c.dueAt(c.ReplicaSource, c.maxReplicasAge())
+	if startAt := c.StartedAt.Add(followerStartDelay); !due.IsZero() && !c.readsForOthers() && !c.Candidate && c.ReplicaSource.CurrentAsOf.IsZero() && due.Before(startAt) {
 		return startAt
 	}
 	return due
 }
 
-// dueAt returns when a read is due if the data may reach the given age, or the
-// zero time while a read is in progress. The holder repeats a read after
+// dueAt returns when a read of a source is due if the data may reach the given age,
+// or the zero time while a read is in progress. The holder repeats a read after
 // maxAge, also when that is shorter than retryInterval. Another node reads only
 // when the holder's updates do not keep its data current.
-func (s Source) dueAt(maxAge time.Duration, holding bool) time.Time {
+func (c *Controller) dueAt(s Source, maxAge time.Duration) time.Time {
 	if s.Reading {
 		return time.Time{}
 	}
-	due := s.CurrentAsOf.Add(maxAge)
-	retryAt := s.LastReadAt.Add(retryInterval)
-	if holding {
-		retryAt = s.LastReadAt.Add(min(maxAge, retryInterval))
+	retry := retryInterval
+	switch {
+	case c.readsForOthers():
+		retry = min(maxAge, retryInterval)
+	case !c.Candidate:
+		for range s.Failures - 1 {
+			retry = min(2*retry, maxRetryInterval)
+		}
 	}
-	if retryAt.After(due) {
-		return retryAt
+	return later(s.CurrentAsOf.Add(maxAge), s.LastReadAt.Add(retry))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return due
+	return b
 }
 
 // startIfDue starts a read if it is due.
@@ -236,7 +254,7 @@
 // startReads starts the reads that are due.
 func (c *Controller) startReads(now time.Time) []Effect {
 	var effects []Effect
-	if c.ConfigSource.startIfDue(now, c.ConfigSource.dueAt(c.maxConfigurationAge(), c.Holding)) {
+	if c.ConfigSource.startIfDue(now, c.dueAt(c.ConfigSource, c.maxConfigurationAge())) {
 		known := uint64(0)
 		if c.Configuration != nil {
 			known = c.Configuration.Revision
@@ -246,7 +264,7 @@
 	if c.ReplicaSource.startIfDue(now, c.replicasDueAt()) {
 		effects = append(effects, ReadReplicas{})
 	}
-	if c.NodeSource.startIfDue(now, c.NodeSource.dueAt(c.maxNodesAge(), c.Holding)) {
+	if c.NodeSource.startIfDue(now, c.dueAt(c.NodeSource, c.maxNodesAge())) {
 		effects = append(effects, ReadNodes{AllowStale: !c.Holding})
 	}
 	return effects
@@ -256,8 +274,11 @@
 // answering or answers again.
 func (s *Source) endRead(now, startedAt time.Time, failed bool, source string) []Effect {
 	s.Reading = false
-	wasFailing := s.Failing
-	s.Failing = failed
+	wasFailing := s.Failures > 0
+	s.Failures++
+	if !failed {
+		s.Failures = 0
+	}
 	if !failed && startedAt.After(s.CurrentAsOf) {
 		s.CurrentAsOf = startedAt
 	}
--- a/internal/surveyor/message.go
+++ b/internal/surveyor/message.go
@@ -16,6 +16,10 @@
 // the store on behalf of all nodes.
 type SetHolding struct{ Holding bool }
 
+// SetActing sets whether this node publishes the state of the fleet in place of a
+// holder that is lost. It then reads the store like the holder.
+type SetActing struct{ Acting bool }
+
 // SetCandidate sets whether this node may hold the placement lease. The other nodes
 // ask candidates for their view while there is no holder.
 type SetCandidate struct{ Candidate bool }
@@ -80,6 +84,7 @@
 func (ReplicasRead) isMessage()      {}
 func (NodesRead) isMessage()         {}
 func (HolderUpdate) isMessage()      {}
+func (SetActing) isMessage()         {}
 func (SetCandidate) isMessage()      {}
 func (ViewUpdate) isMessage()        {}
 
--- a/internal/surveyor/script_test.go
+++ b/internal/surveyor/script_test.go
@@ -15,7 +15,7 @@
 		New: func(*testing.T, []byte) tester.Controller[Message, Effect] {
 			return NewController(Bounds{ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second})
 		},
-		Messages: []Message{SetHolding{}, ConfigurationRead{}, ReplicasRead{}, NodesRead{}, HolderUpdate{}, SetCandidate{}, ViewUpdate{}},
+		Messages: []Message{SetHolding{}, ConfigurationRead{}, ReplicasRead{}, NodesRead{}, HolderUpdate{}, SetActing{}, SetCandidate{}, ViewUpdate{}},
 		Tick:     Tick{},
 	})
 }
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -44,6 +44,12 @@
 	// with the number of nodes by timeoutPerNode.
 	minTimeout     = 400 * time.Millisecond
 	timeoutPerNode = 2 * time.Millisecond
+	// lostHolderTimeout is the time for which a holder that did not answer is not
+	// queried again, although other nodes name it: they may not have noticed yet.
+	lostHolderTimeout = 700 * time.Millisecond
+	// probeInterval is the interval at which a node whose state comes from an acting
+	// node looks for the holder of the lease elsewhere.
+	probeInterval = 2 * time.Second
 	// viewAge is the time since the last answer of a holder after which the nodes
 	// that are queried send their own view of the store.
 	viewAge = 800 * time.Millisecond
@@ -92,8 +98,15 @@
 	Candidate bool
 }
 
+// SetActing sets whether this node publishes the state of the fleet in place of a
+// holder that is lost.
+type SetActing struct {
+	Acting     bool
+	Registered int
+}
+
 // Effect is an output of Controller: Exchange, HolderAnswered, ViewReceived,
-// SetCandidates or Note.
+// SetCandidates, SetActing or Note.
 type Effect interface{ isEffect() }
 
 // Exchange sends a report to a node and results in an ExchangeEnded message. An
@@ -143,6 +156,7 @@
 func (HolderAnswered) isEffect() {}
 func (ViewReceived) isEffect()   {}
 func (SetCandidates) isEffect()  {}
+func (SetActing) isEffect()      {}
 func (Note) isEffect()           {}
 
 // Controller schedules the exchanges of one node.
@@ -158,6 +172,15 @@
 	// HolderAddress and HintAddress are the addresses of the nodes named by Holder
 	// and Hint, for the case that these are not among Nodes.
 	HolderAddress, HintAddress string
+	// HolderActing is set if Holder only acts for the holder of the lease. Acting is
+	// set if this node does. Then ProbeAt is when the next exchange goes to another
+	// node, Probing whether one is in progress, and Probes their number.
+	HolderActing, Acting, Probing bool
+	ProbeAt                       time.Time
+	Probes                        int
+	// LostHolder is the last holder that did not answer, at LostAt.
+	LostHolder string
+	LostAt     time.Time
 	// FailedAttempts counts the exchanges that found no holder since the last
 	// answer of one, and Unanswered the consecutive ones that got no answer.
 	FailedAttempts, Unanswered int
@@ -217,6 +240,10 @@
 	case SetHolding:
 		c.Holding = message.Holding
 		c.DueAt = now
+		if c.Holding && c.Acting {
+			c.Acting = false
+			effects = append(effects, SetActing{})
+		}
 	case HolderHint:
 		c.applyHint(now, message)
 	case ExchangeEnded:
@@ -264,16 +291,25 @@
 	if message.Holder == c.Node || message.Holder == c.Holder && c.Holder != "" {
 		return
 	}
-	c.Holder, c.Hint, c.HintAddress = "", message.Holder, ""
+	if !c.HolderActing {
+		c.Holder = ""
+	}
+	c.Hint, c.HintAddress = message.Holder, ""
 	if !c.Busy && !c.DueAt.IsZero() {
 		c.DueAt = now
 	}
 }
 
 // startExchange starts an exchange with the node that most likely holds the
-// lease.
+// lease. If that is this node, which does not hold it, this node acts for the holder
+// from now on.
 func (c *Controller) startExchange(now time.Time) []Effect {
 	peer := c.nextPeer(now)
+	var effects []Effect
+	if peer == c.Node && !c.Holding && !c.Acting {
+		c.Acting = true
+		effects = append(effects, SetActing{Acting: true, Registered: c.Registered})
+	}
 	effect := Exchange{
 		Peer: peer, Epoch: c.Fleet.Epoch, Version: c.Fleet.Version,
 		NeedsView: now.Sub(c.HolderExchangeAt) > viewAge, Timeout: c.timeout(),
@@ -281,16 +317,19 @@
 	if peer != c.Node {
 		effect.Address = c.address(peer)
 		if effect.Address == "" {
-			c.Holder, c.Hint = "", ""
+			c.Probing, c.Hint = false, ""
+			if peer == c.Holder {
+				c.Holder = ""
+			}
 			c.FailedAttempts++
 			c.DueAt = now.Add(c.retryDelay())
-			return nil
+			return effects
 		}
 	}
 	c.Sequence++
 	effect.Sequence = c.Sequence
 	c.Busy, c.ExchangeRequested = true, false
-	return []Effect{effect}
+	return append(effects, effect)
 }
 
 // address returns the address of a node, or "" if it is not known.
@@ -308,37 +347,75 @@
 }
 
 func (c *Controller) nextPeer(now time.Time) string {
+	c.Probing = false
 	switch {
 	case c.Holding:
 		return c.Node
-	case c.Holder != "":
-		return c.Holder
 	case c.Hint != "":
+		c.Probing = c.Holder != ""
 		return c.Hint
+	case c.Holder == "":
+		return c.nextCandidate(now, c.FailedAttempts)
+	case c.HolderActing && !now.Before(c.ProbeAt):
+		c.ProbeAt = now.Add(probeInterval)
+		c.Probes++
+		if peer := c.nextCandidate(now, c.Probes); peer != c.Node && peer != c.Holder {
+			c.Probing = true
+			return peer
+		}
 	}
+	return c.Holder
+}
+
+// nextCandidate returns the candidate with a number, modulo their number. It leaves
+// out a holder that did not answer a short time ago.
+func (c *Controller) nextCandidate(now time.Time, number int) string {
 	ranked := c.candidateNames(now)
-	return ranked[c.FailedAttempts%len(ranked)]
+	if len(ranked) > 1 && c.isLost(now, c.LostHolder) {
+		ranked = slices.DeleteFunc(slices.Clone(ranked), func(name string) bool { return name == c.LostHolder })
+	}
+	return ranked[number%len(ranked)]
+}
+
+// isLost reports whether a node was found not to answer as the holder a short time
+// ago.
+func (c *Controller) isLost(now time.Time, name string) bool {
+	return name != "" && name == c.LostHolder && now.Sub(c.LostAt) < lostHolderTimeout
 }
 
 func (c *Controller) endExchange(now time.Time, message ExchangeEnded) []Effect {
 	c.Busy = false
 	c.keepReport(message.Report)
 	answer := message.Answer
-	if message.Failed || !answer.Holding || answer.State == nil {
+	found := !message.Failed && answer.Holding && answer.State != nil
+	switch {
+	case c.Probing && (!found || answer.Acting && !c.outranks(now, message.Peer, c.Holder)):
+		return c.endProbe(now, message)
+	case !found:
 		return c.tryNextPeer(now, message)
 	}
 	var effects []Effect
-	if c.Holder != message.Peer {
-		effects = append(effects, Note{Text: "found the holder of the placement lease", Holder: message.Peer, Age: now.Sub(c.HolderExchangeAt)})
+	if c.Holder != message.Peer || c.HolderActing != answer.Acting {
+		effects = append(effects, Note{Text: foundText(answer), Holder: message.Peer, Age: now.Sub(c.HolderExchangeAt)})
+		c.ProbeAt = now.Add(probeInterval)
+	}
+	if c.Acting && message.Peer != c.Node {
+		c.Acting = false
+		effects = append(effects, SetActing{})
 	}
+	newState := answer.State.Epoch != c.Fleet.Epoch
 	c.HolderAddress = c.address(message.Peer)
-	c.Holder, c.Hint, c.HintAddress = message.Peer, "", ""
+	c.Holder, c.Hint, c.HintAddress, c.HolderActing = message.Peer, "", "", answer.Acting
 	c.FailedAttempts, c.Unanswered = 0, 0
 	c.HolderExchangeAt = message.StartedAt
 	c.applyState(answer.State)
 	c.DueAt = message.StartedAt.Add(c.interval())
-	if c.ExchangeRequested {
+	switch {
+	case c.ExchangeRequested:
 		c.DueAt = now.Add(c.urgentDelay())
+	case newState:
+		// The first state of a tenure lacks the reports of most other nodes.
+		c.DueAt = message.StartedAt.Add(c.interval() / 2)
 	}
 	return append(effects, HolderAnswered{
 		StartedAt:     message.StartedAt,
@@ -350,6 +427,41 @@
 	})
 }
 
+func foundText(answer planner.Answer) string {
+	if answer.Acting {
+		return "found a node that acts for the holder of the placement lease"
+	}
+	return "found the holder of the placement lease"
+}
+
+// outranks reports whether a candidate precedes another one.
+func (c *Controller) outranks(now time.Time, name, other string) bool {
+	ranked := c.candidateNames(now)
+	index := slices.Index(ranked, name)
+	return index >= 0 && index < slices.Index(ranked, other)
+}
+
+// endProbe handles an exchange that was to find the holder of the lease while an
+// acting node answers, and did not.
+func (c *Controller) endProbe(now time.Time, message ExchangeEnded) []Effect {
+	c.Hint, c.HintAddress, c.DueAt = "", "", now
+	if message.Failed {
+		c.LostHolder, c.LostAt = message.Peer, now
+	}
+	if answer := message.Answer; !message.Failed && !answer.Holding && answer.Holder != message.Peer {
+		c.followHint(now, answer.Holder, answer.HolderAddress)
+	}
+	return nil
+}
+
+// followHint directs the next exchange to a node that another one names as the
+// holder.
+func (c *Controller) followHint(now time.Time, name, address string) {
+	if name != c.Node && name != c.Holder && !c.isLost(now, name) {
+		c.Hint, c.HintAddress = name, address
+	}
+}
+
 // applyState adopts the state of the holder.
 func (c *Controller) applyState(state *planner.State) {
 	c.Fleet.apply(state)
@@ -365,18 +477,21 @@
 	var effects []Effect
 	if c.Holder == message.Peer {
 		effects = append(effects, Note{Text: "lost the holder of the placement lease", Holder: message.Peer, Age: now.Sub(c.HolderExchangeAt), Cause: message.Cause, Lost: true})
+		// The candidates are queried in the order of their rank.
+		c.FailedAttempts = -1
 	}
 	c.Holder, c.Hint, c.HintAddress = "", "", ""
 	c.FailedAttempts++
 	answer := message.Answer
 	if message.Failed {
 		c.Unanswered++
+		c.LostHolder, c.LostAt = message.Peer, now
 		c.DueAt = now.Add(c.retryDelay())
 		return effects
 	}
 	c.Unanswered = 0
-	if answer.Holder != message.Peer && answer.Holder != c.Node {
-		c.Hint, c.HintAddress = answer.Holder, answer.HolderAddress
+	if answer.Holder != message.Peer {
+		c.followHint(now, answer.Holder, answer.HolderAddress)
 	}
 	if answer.View != nil {
 		effects = append(effects, ViewReceived{AsOf: message.StartedAt.Add(-answer.StateAge), View: answer.View})
