Read the store less while there is no holder, and delay retries by the share

Requests over a node's part of a limit were told to come back after 0.1 s and were refused again.

Change: nodes on which no other relies read the store only 1.2 s before the end of the bound, and only the configuration while it does not answer; lists of nodes are read every 2 s without a holder, and in proportion to the size by the holder. Retry-After of a limit is the time until the node's part covers the request, at most 0.8 s without word of the others.

--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -20,7 +20,7 @@
 	registerRetryDelay = 300 * time.Millisecond
 	// reregisterInterval is the minimum time between two successful
 	// registrations. Lists of nodes may be older than the last one.
-	reregisterInterval = 3 * time.Second
+	reregisterInterval = 8 * time.Second
 	// addressLifetime is how long callers may use an address answer. Some
 	// callers use it for three times as long; the shutdown time allows for
 	// that.
--- a/internal/rationer/controller.go
+++ b/internal/rationer/controller.go
@@ -47,9 +47,10 @@
 	// minRetryAfter is the shortest retry delay that a refused request is
 	// given.
 	minRetryAfter = 100 * time.Millisecond
-	// maxRetryAfter is the longest retry delay: a node that is restricted to
-	// its equal share soon learns of the others' usage again.
-	maxRetryAfter = 2 * time.Second
+	// maxRetryAfter is the longest retry delay. isolatedRetryAfter replaces it while
+	// the others' usage is not known, because a node soon learns of it again.
+	maxRetryAfter      = 2 * time.Second
+	isolatedRetryAfter = 800 * time.Millisecond
 )
 
 // Message is an input of Controller.
@@ -234,18 +235,23 @@
 	}
 	c.refill(now, bucket, workspace)
 	decision := Decision{Level: min(bucket.Level, bucket.Capacity), Age: now.Sub(c.UpdatedAt)}
-	available, share, limitedToShare := bucket.Level, c.liveShare(), false
+	available, share, limitedToShare, maxRetry := bucket.Level, c.liveShare(), false, maxRetryAfter
 	switch {
 	case !c.usageIsFresh(now):
 		decision.Level = bucket.IsolatedLevel
-		available, share, limitedToShare = bucket.IsolatedLevel, c.isolatedShare(bucket), true
+		available, share, limitedToShare, maxRetry = bucket.IsolatedLevel, c.isolatedShare(bucket), true, isolatedRetryAfter
 	case bucket.isScarce(now.Sub(c.UpdatedAt)):
 		decision.Level = min(decision.Level, bucket.LocalLevel)
-		limitedToShare = true
+		share, limitedToShare = bucket.Share, true
 	}
 	if decision.Level <= 0 || limitedToShare && decision.Level < message.Units*c.Random.Float64() {
-		wait := time.Duration(-min(0, available) / (workspace.Rate * share) * float64(time.Second))
-		decision.RetryAfter = min(maxRetryAfter, max(minRetryAfter, wait))
+		missing := -min(0, available)
+		if limitedToShare {
+			// The request is admitted for certain once the share covers it.
+			missing = max(0, message.Units-decision.Level)
+		}
+		wait := time.Duration(missing / (workspace.Rate * share) * float64(time.Second))
+		decision.RetryAfter = min(maxRetry, max(minRetryAfter, wait))
 		return decision
 	}
 	// A request may take the bucket below zero, because a caller whose
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -19,24 +19,23 @@
 	// nodes. It grows with the number of nodes by nodesIntervalPerNode, because the
 	// list then takes more calls.
 	holderNodesInterval  = time.Second
-	nodesIntervalPerNode = 8 * time.Millisecond
+	nodesIntervalPerNode = 16 * time.Millisecond
 	// Candidates for the lease read the store themselves once their data from the
 	// holder is older than this, so that they can send it to other nodes. The ages
 	// are longer than three exchanges with the holder.
 	candidateMaxConfigurationAge = 1300 * time.Millisecond
 	candidateMaxReplicasAge      = 1100 * time.Millisecond
-	// Other nodes read the store themselves once their data is older than this
-	// fraction of the time within which a change must be in force, so that a large
-	// fleet does not read the store whenever the holder changes.
-	followerConfigurationShare = 0.7
-	followerReplicasShare      = 0.55
-	followerMaxNodesAge        = 4 * time.Second
+	// Other nodes read the store themselves followerMargin before the end of the time
+	// within which a change must be in force, so that a large fleet does not read the
+	// store whenever the holder changes. The margin allows for a slow read.
+	followerMargin      = 1200 * time.Millisecond
+	followerMaxNodesAge = 4 * time.Second
 	// followerStartDelay is how long a node that has just started waits for the
 	// replicas of the holder or of a candidate before it reads them itself.
 	followerStartDelay = 1500 * time.Millisecond
 	// followerNodesInterval is the interval of reads of the list of nodes while no
 	// holder is known.
-	followerNodesInterval = time.Second
+	followerNodesInterval = 2 * time.Second
 	// retryInterval is the minimum time between two reads when reads fail or
 	// there is no holder. At a node on which no other relies, it doubles with each
 	// failed read up to maxRetryInterval: a store in trouble must not get more calls
@@ -182,7 +181,7 @@
 	case c.Candidate:
 		return candidateMaxConfigurationAge
 	}
-	return max(candidateMaxConfigurationAge, share(c.Bounds.ApplyWithin, followerConfigurationShare))
+	return max(candidateMaxConfigurationAge, c.Bounds.ApplyWithin-followerMargin)
 }
 
 func (c *Controller) maxReplicasAge() time.Duration {
@@ -192,7 +191,7 @@
 	case c.Candidate:
 		return candidateMaxReplicasAge
 	}
-	return max(candidateMaxReplicasAge, share(c.Bounds.DrainWithin, followerReplicasShare))
+	return max(candidateMaxReplicasAge, c.Bounds.DrainWithin-followerMargin)
 }
 
 func (c *Controller) maxNodesAge() time.Duration {
@@ -206,10 +205,20 @@
 }
 
 // replicasDueAt returns when the replicas are next read. A node that has just
-// started leaves that to the holder and the candidates for a while.
+// started leaves that to the holder and the candidates for a while. While the store
+// does not answer, a node on which no other relies reads only the configuration.
 func (c *Controller) replicasDueAt() time.Time {
 	due := c.dueAt(c.ReplicaSource, c.maxReplicasAge())
-	if startAt := c.StartedAt.Add(followerStartDelay); !due.IsZero() && !c.readsForOthers() && !c.Candidate && c.ReplicaSource.CurrentAsOf.IsZero() && due.Before(startAt) {
+	if due.IsZero() {
+		return due
+	}
+	if retryAt := c.dueAt(c.ConfigSource, 0); c.ConfigSource.Failures > 0 && !c.readsForOthers() && !c.Candidate {
+		if retryAt.IsZero() {
+			return time.Time{}
+		}
+		due = later(due, retryAt.Add(time.Millisecond))
+	}
+	if startAt := c.StartedAt.Add(followerStartDelay); !c.readsForOthers() && !c.Candidate && c.ReplicaSource.CurrentAsOf.IsZero() && due.Before(startAt) {
 		return startAt
 	}
 	return due
