Split the controllers of the syncer, planner, rationer and surveyor

Messages, paces, shares, tenures, the search for the holder and the sources of the view get files of their own. Declarations are moved, not changed.

--- /dev/null
+++ b/internal/planner/tenure.go
@@ -0,0 +1,178 @@
+package planner
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+)
+
+// Tenure is the state of one period in which this node holds the lease.
+type Tenure struct {
+	// Epoch is the epoch of the lease, which is 0 while Acting is set. ID identifies
+	// the tenure to other nodes.
+	Epoch, ID uint64
+	// Acting is set if this node does not hold the lease. It then publishes the state
+	// of the fleet and sends no orders.
+	Acting bool
+	Since  time.Time
+	Until  time.Time
+	// OrdersAllowedAt is when enough time has passed since the last possible
+	// order of an earlier holder.
+	OrdersAllowedAt time.Time
+	// Version is incremented when one of the published lists changes. Published is
+	// the last published state.
+	Version   uint64
+	Published *Publication
+	// Table lists the replicas, Callers the nodes that callers may use, and
+	// Candidates the nodes that may hold the lease. Table and Candidates are
+	// rebuilt if they are stale.
+	Table                       History[surveyor.Replica]
+	Callers                     History[Caller]
+	Candidates                  History[surveyor.Node]
+	TableStale, CandidatesStale bool
+	// Workspaces are the published names of workspaces, which last changed at
+	// WorkspacesVersion.
+	Workspaces        []string
+	WorkspacesVersion uint64
+	// Endpoints holds the replicas of engines by ID. SortedIDs caches the
+	// sorted keys of Endpoints and is nil after a change.
+	Endpoints map[string]*Endpoint
+	SortedIDs []string
+	Peers     map[string]*Peer
+	Totals    Totals
+	// MinRegistered is the number of registered nodes that is assumed while the list
+	// in the store has not been read.
+	MinRegistered int
+	// InheritedCallers are the nodes that the previous holder published for
+	// callers.
+	InheritedCallers []Caller
+	Demand           map[DemandKey]*PendingDemand
+	Rates            map[ModelKey]*Rate
+	// SaturatedAt is when a node last reported all replicas of a model as full.
+	SaturatedAt map[ModelKey]time.Time
+	// StoreConcurrency is the number of concurrent loads from the weight store
+	// that run at full speed, or 0 while it is unknown.
+	StoreConcurrency int
+	// AdvancedAt is when the endpoints were last processed, PlannedAt when the
+	// demand was last planned for, and CopiesPlannedAt when extra replicas and
+	// prefetches were last planned.
+	AdvancedAt, PlannedAt, CopiesPlannedAt time.Time
+}
+
+// endTenure stops planning and keeps the tenure, which continues if this node
+// acquires the next epoch.
+func (c *Controller) endTenure() {
+	if c.Tenure != nil && !c.Tenure.Acting {
+		c.Previous = c.Tenure
+	}
+	c.Tenure = nil
+}
+
+// handleLeaseHeld renews the current tenure, resumes the previous one or starts a
+// new one.
+func (c *Controller) handleLeaseHeld(now time.Time, message LeaseHeld) []Effect {
+	if c.Tenure != nil && c.Tenure.Epoch == message.Epoch {
+		c.Tenure.Until = message.Until
+		return nil
+	}
+	if c.Previous != nil && c.Previous.Epoch+1 == message.Epoch {
+		// The epochs are consecutive, so no other node held the lease in between.
+		c.Tenure, c.Previous = c.Previous, nil
+		c.Tenure.Epoch, c.Tenure.ID, c.Tenure.Until, c.Tenure.TableStale = message.Epoch, message.Epoch, message.Until, true
+		c.Tenure.Published = nil
+		c.Tenure.resetConsumed()
+		c.rereadBusyEndpoints(now)
+		return append([]Effect{Note{Text: "holding the placement lease again"}}, c.handleReplicasListed(now)...)
+	}
+	if c.Tenure == nil {
+		c.Tenure = newTenure(now, message.Epoch, message.Callers)
+	}
+	t := c.Tenure
+	t.Acting, t.Epoch, t.Since, t.Until = false, message.Epoch, now, message.Until
+	t.OrdersAllowedAt = now.Add(c.orderDelay(message))
+	if message.NoEarlierHolder {
+		t.OrdersAllowedAt = now
+	}
+	for _, endpoint := range t.Endpoints {
+		endpoint.ReadAt = later(now, t.OrdersAllowedAt.Add(-stateReadLead))
+	}
+	return append([]Effect{Note{Text: "holding the placement lease", Age: t.OrdersAllowedAt.Sub(now)}}, c.handleReplicasListed(now)...)
+}
+
+// newTenure returns the tenure of a node that has no knowledge of the fleet but the
+// callers that the previous holder published.
+func newTenure(now time.Time, id uint64, callers []Caller) *Tenure {
+	t := &Tenure{
+		ID:               id,
+		Since:            now,
+		Endpoints:        map[string]*Endpoint{},
+		Table:            newHistory(func(replica surveyor.Replica) string { return replica.ID }, sameReplica),
+		Callers:          newHistory(func(caller Caller) string { return caller.Address }, func(a, b Caller) bool { return a == b }),
+		Candidates:       newHistory(func(node surveyor.Node) string { return node.Name }, sameNode),
+		Peers:            map[string]*Peer{},
+		Totals:           newTotals(),
+		InheritedCallers: callers,
+		Demand:           map[DemandKey]*PendingDemand{},
+		Rates:            map[ModelKey]*Rate{},
+		SaturatedAt:      map[ModelKey]time.Time{},
+		TableStale:       true,
+		CandidatesStale:  true,
+	}
+	t.Table.Renewed = renewedReplica
+	return t
+}
+
+// takeoverEstimate is the time from the loss of a holder to the takeover of its
+// lease.
+const takeoverEstimate = 2600 * time.Millisecond
+
+// setActing starts or ends a tenure without the lease. The tenure continues if this
+// node acquires the lease.
+func (c *Controller) setActing(now time.Time, message SetActing) []Effect {
+	switch {
+	case !message.Acting && c.Tenure != nil && c.Tenure.Acting:
+		c.Tenure = nil
+		return []Effect{Note{Text: "no longer acting for the holder of the placement lease"}}
+	case !message.Acting || c.Tenure != nil:
+		return nil
+	}
+	// The ID differs from all epochs and from the IDs of other acting nodes.
+	id := xxhash.Sum64String(c.Settings.Node+now.String()) | 1<<63
+	c.Tenure = newTenure(now, id, message.Callers)
+	c.Tenure.Acting, c.Tenure.MinRegistered = true, message.Registered
+	c.Tenure.OrdersAllowedAt = now.Add(takeoverEstimate + c.Settings.OrderSpacing)
+	return append([]Effect{Note{Text: "acting for the holder of the placement lease"}}, c.handleReplicasListed(now)...)
+}
+
+// orderDelay returns how long a new holder waits before its first order. An
+// expired lease ended on its holder's clock at least MinTakeoverDelay before it
+// could be acquired, whereas a released one may have ended just before.
+func (c *Controller) orderDelay(message LeaseHeld) time.Duration {
+	if message.HandedOver {
+		return c.Settings.OrderSpacing
+	}
+	return c.Settings.OrderSpacing - c.Settings.MinTakeoverDelay
+}
+
+// resetConsumed discards the counts of consumed units. In each epoch, every node
+// counts from what a holder has acknowledged before.
+func (t *Tenure) resetConsumed() {
+	clear(t.Totals.Consumed)
+	for _, peer := range t.Peers {
+		clear(peer.Consumed)
+	}
+}
+
+// rereadBusyEndpoints invalidates the state of the replicas that had a call or an
+// operation in progress, because its result may have arrived while this node did
+// not hold the lease.
+func (c *Controller) rereadBusyEndpoints(now time.Time) {
+	for _, endpoint := range c.Tenure.Endpoints {
+		if endpoint.Sending != nil || endpoint.Reading || endpoint.Running != nil {
+			endpoint.Sending, endpoint.Reading = nil, false
+			endpoint.invalidate(now.Add(maxReportAge))
+		}
+	}
+}
--- a/internal/rationer/controller.go
+++ b/internal/rationer/controller.go
@@ -53,78 +53,6 @@
 	isolatedRetryAfter = 800 * time.Millisecond
 )
 
-// Message is an input of Controller.
-type Message interface{ isMessage() }
-
-// Tick has no effect: the controller acts only on requests.
-type Tick struct{}
-
-// Take requests units of a workspace's limit.
-type Take struct {
-	Call      runner.Call
-	Workspace resolver.Workspace
-	Units     float64
-}
-
-// UsageUpdate reports the other nodes' usage since the holder received their
-// first reports.
-type UsageUpdate struct {
-	// Epoch is that of the holder's lease. The counts start again from zero
-	// with each epoch.
-	Epoch uint64
-	Spent []planner.Spent
-	// LiveNodes is the number of nodes that report to the holder.
-	LiveNodes int
-	// Registered is the number of all nodes, including those that do not reach
-	// the holder. Each of these continues with an equal share.
-	Registered int
-}
-
-// SetNodes sets the number of registered nodes according to the store. It is
-// ignored while a holder's reports are fresh.
-type SetNodes struct{ Registered int }
-
-// Collect requests this node's usage since its start.
-type Collect struct{ Call runner.Call }
-
-func (Tick) isMessage()        {}
-func (Take) isMessage()        {}
-func (UsageUpdate) isMessage() {}
-func (SetNodes) isMessage()    {}
-func (Collect) isMessage()     {}
-
-// Effect is an output of Controller: AnswerTake or AnswerCollect.
-type Effect interface{ isEffect() }
-
-// AnswerTake answers a Take.
-type AnswerTake struct {
-	Call     runner.Call
-	Decision Decision
-}
-
-// Decision is the result of a Take.
-type Decision struct {
-	Taken bool
-	// RetryAfter is the time until units are available again if no other
-	// request takes them, between minRetryAfter and maxRetryAfter.
-	RetryAfter time.Duration
-	// Level is the number of units that were left before the request, and Age
-	// the time since the last report of the other nodes' usage.
-	Level float64
-	Age   time.Duration
-}
-
-// AnswerCollect answers a Collect.
-type AnswerCollect struct {
-	Call  runner.Call
-	Spent []planner.Spent
-	// Epoch is that of the baselines.
-	Epoch uint64
-}
-
-func (AnswerTake) isEffect()    {}
-func (AnswerCollect) isEffect() {}
-
 // Controller maintains the token buckets of one node.
 type Controller struct {
 	// Slack is the number of units by which all nodes together may exceed a
@@ -277,54 +205,6 @@
 	return &Bucket{Level: level, IsolatedLevel: level * share, Share: share, LocalLevel: level * share, Busy: true, OthersRate: workspace.Rate, FilledAt: now, Rate: workspace.Rate, Capacity: capacity, OthersSpent: c.OthersSpent[workspace.Name]}
 }
 
-// liveShare returns the fraction of a limit that is available to the nodes that
-// report to the holder. Each of the other nodes continues with an equal share.
-func (c *Controller) liveShare() float64 {
-	if c.Registered == 0 || c.LiveNodes == 0 {
-		return 1
-	}
-	return float64(c.LiveNodes) / float64(c.Registered)
-}
-
-// usageIsFresh reports whether the other nodes' current usage is known.
-func (c *Controller) usageIsFresh(now time.Time) bool {
-	return c.OthersReported && now.Sub(c.UpdatedAt) <= usageTTL
-}
-
-// equalShare returns the fraction of a limit that each node gets if it is
-// divided equally.
-func (c *Controller) equalShare() float64 {
-	if c.Registered == 0 {
-		return 1.0 / assumedNodes
-	}
-	return 1 / float64(c.Registered)
-}
-
-// isolatedShare returns the fraction of a limit that a node uses while the others'
-// usage is not known: the mean of an equal share and its part of the last known
-// usage. An equal share alone refuses requests at the nodes that get more callers
-// than others, and the part of the usage alone at those that had none before. The
-// shares of all nodes add up to 1.
-func (c *Controller) isolatedShare(bucket *Bucket) float64 {
-	if !bucket.ShareMeasured {
-		return c.equalShare()
-	}
-	return (c.equalShare() + bucket.UsageShare) / 2
-}
-
-// isolatedCapacity returns the number of units that all nodes together may hold in
-// their isolated levels. A node of a large fleet, whose share is smaller than a
-// request, would otherwise refuse most requests of a workspace below its rate.
-func (c *Controller) isolatedCapacity(workspace resolver.Workspace) float64 {
-	return workspace.Burst + c.Slack*isolatedSlackShare + workspace.Rate*isolatedSlackTime.Seconds()
-}
-
-// bucketCapacity returns the maximum number of units in a bucket for all nodes
-// together.
-func (c *Controller) bucketCapacity(workspace resolver.Workspace) float64 {
-	return (workspace.Burst + c.Slack*bucketSlackShare) * c.liveShare()
-}
-
 // refill adds the units that have accrued since the last refill.
 func (c *Controller) refill(now time.Time, bucket *Bucket, workspace resolver.Workspace) {
 	elapsed := max(0, now.Sub(bucket.FilledAt).Seconds())
