Return to the acting node after each search for the holder

Cause, found by reading: while an acting node answered, a node that was given the name of another holder queried it at once. Two nodes that name each other would have been queried in turn without a pause, and the acting node no longer.

Change: an exchange with the acting node follows each query of another one; the hint is followed after the next interval. Test: syncer script hints, where the code before queries n2 and n4 in turn and n3 never again.

--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -26,10 +26,11 @@
 	HolderAddress, HintAddress string
 	// HolderActing is set if Holder only acts for the holder of the lease. Acting is
 	// set if this node does. Then ProbeAt is when the next exchange goes to another
-	// node, Probing whether one is in progress, and Probes their number.
-	HolderActing, Acting, Probing bool
-	ProbeAt                       time.Time
-	Probes                        int
+	// node, Probing whether one is in progress, AfterProbe whether one was the last
+	// exchange, and Probes their number.
+	HolderActing, Acting, Probing, AfterProbe bool
+	ProbeAt                                   time.Time
+	Probes                                    int
 	// LostHolder is the last holder that did not answer, at LostAt.
 	LostHolder string
 	LostAt     time.Time
@@ -192,7 +193,10 @@
 	}
 	newState := answer.State.Epoch != c.Fleet.Epoch
 	c.HolderAddress = c.address(message.Peer)
-	c.Holder, c.Hint, c.HintAddress, c.HolderActing = message.Peer, "", "", answer.Acting
+	c.Holder, c.HolderActing = message.Peer, answer.Acting
+	if !answer.Acting || c.Hint == message.Peer {
+		c.Hint, c.HintAddress = "", ""
+	}
 	c.FailedAttempts, c.Unanswered = 0, 0
 	c.HolderExchangeAt = message.StartedAt
 	c.applyState(answer.State)
--- a/internal/syncer/search.go
+++ b/internal/syncer/search.go
@@ -6,18 +6,19 @@
 )
 
 // nextPeer returns the node for the next exchange. Probing is set if the node is to be
-// compared with an acting one.
+// compared with an acting one. An exchange with the acting node follows each such one:
+// its state must not grow old while nodes name each other as the holder.
 func (c *Controller) nextPeer(now time.Time) string {
 	c.Probing = false
 	switch {
 	case c.Holding:
 		return c.Node
-	case c.Hint != "":
+	case c.Hint != "" && (c.Holder == "" || !c.AfterProbe):
 		c.Probing = c.Holder != ""
 		return c.Hint
 	case c.Holder == "":
 		return c.nextCandidate(now, c.FailedAttempts)
-	case c.HolderActing && !now.Before(c.ProbeAt):
+	case c.HolderActing && !c.AfterProbe && !now.Before(c.ProbeAt):
 		c.ProbeAt = now.Add(probeInterval)
 		c.Probes++
 		if peer := c.nextCandidate(now, c.Probes); peer != c.Node && peer != c.Holder {
@@ -25,6 +26,7 @@
 			return peer
 		}
 	}
+	c.AfterProbe = false
 	return c.Holder
 }
 
@@ -54,7 +56,7 @@
 // endProbe handles an exchange that was to find the holder of the lease while an
 // acting node answers, and did not.
 func (c *Controller) endProbe(now time.Time, message ExchangeEnded) []Effect {
-	c.Hint, c.HintAddress, c.DueAt = "", "", now
+	c.Hint, c.HintAddress, c.DueAt, c.AfterProbe = "", "", now, true
 	if message.Failed {
 		c.LostHolder, c.LostAt = message.Peer, now
 	}
