Read the configuration before keys expire on deployments with long bounds

Cause, found by reading: a node reads the configuration itself 1.2 s before the end of config-apply-ms, while keyed requests are refused 3.5 s after the keys were last known to be current (revoke-ms less 1.5 s). With a config-apply-ms above 4.5 s, a node without a holder would have refused them for a while.

Change: the bound of the view is at most the lifetime of keys and 0.5 s.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -124,14 +124,13 @@
 		return planner.Report{}, err
 	}
 	return planner.Report{
-		Node:     n.self,
-		Leaving:  n.draining.Load(),
-		Running:  activity.Running,
-		Suspects: activity.Suspects,
-		Demands:  activity.Demands,
-		Uses:     activity.Uses,
-		Spent:    usage.Spent,
-
+		Node:       n.self,
+		Leaving:    n.draining.Load(),
+		Running:    activity.Running,
+		Suspects:   activity.Suspects,
+		Demands:    activity.Demands,
+		Uses:       activity.Uses,
+		Spent:      usage.Spent,
 		UsageEpoch: usage.Epoch,
 	}, nil
 }
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -185,12 +185,25 @@
 	return n.openListeners(ctx)
 }
 
+// keyReadMargin is the time by which the view of the configuration may be due later
+// than keys expire without it, since nodes read before the bound.
+const keyReadMargin = 500 * time.Millisecond
+
+// viewBounds returns the bounds of the view of the fleet. The configuration must also
+// be current enough for the keys in it to be used.
+func viewBounds(bounds platform.Bounds) surveyor.Bounds {
+	return surveyor.Bounds{
+		ApplyWithin: min(bounds.ApplyWithin, bounds.RevokeWithin-transitMargin+keyReadMargin),
+		DrainWithin: bounds.DrainWithin,
+	}
+}
+
 func (n *Node) createTasks(engines *platform.EngineClient) {
 	bounds := n.settings.Bounds
 	n.surveyor = surveyor.New(surveyor.Settings{
 		Store:   n.store,
 		Clock:   n.clock,
-		Bounds:  surveyor.Bounds{ApplyWithin: bounds.ApplyWithin, DrainWithin: bounds.DrainWithin},
+		Bounds:  viewBounds(bounds),
 		Publish: n.applySurveyorEffect,
 	})
 	n.planner = planner.New(planner.TaskSettings{
