Bring comments in line with acting nodes

The tenure, the epoch of usage reports and the shares of nodes without a measurement are described as they are; two comments are put more plainly.

--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -109,9 +109,9 @@
 	r.UsedAt = now
 }
 
-// handleReport processes a node's report and answers it. Planning has a pace of its
-// own: a report makes it due only if the last pass is minPlanInterval ago, so that
-// the work of the holder does not grow with the number of reports.
+// handleReport processes a node's report and answers it. It plans only if the last
+// pass was at least minPlanInterval ago, so that the work of planning does not grow
+// with the number of reports.
 func (c *Controller) handleReport(now time.Time, message ReportReceived) []Effect {
 	report := message.Report
 	if c.Tenure == nil || c.Tenure.Acting && !c.actingViewIsFresh(now) {
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -8,7 +8,8 @@
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
-// Tenure is the state of one period in which this node holds the lease.
+// Tenure is the state of one period in which this node holds the lease or acts for a
+// lost holder.
 type Tenure struct {
 	// Epoch is the epoch of the lease, which is 0 while Acting is set. ID identifies
 	// the tenure to other nodes.
--- a/internal/rationer/message.go
+++ b/internal/rationer/message.go
@@ -24,8 +24,8 @@
 // UsageUpdate reports the other nodes' usage since the holder received their
 // first reports.
 type UsageUpdate struct {
-	// Epoch is that of the holder's lease. The counts start again from zero
-	// with each epoch.
+	// Epoch identifies the tenure of the holder or of the acting node. The counts
+	// start again from zero with each epoch.
 	Epoch uint64
 	Spent []planner.Spent
 	// LiveNodes is the number of nodes that report to the holder.
--- a/internal/rationer/share.go
+++ b/internal/rationer/share.go
@@ -33,7 +33,8 @@
 // usage is not known: the mean of an equal share and its part of the last known
 // usage. An equal share alone refuses requests at the nodes that get more callers
 // than others, and the part of the usage alone at those that had none before. The
-// shares of all nodes add up to 1.
+// shares of all nodes add up to 1 once all of them have been measured; before that, a
+// node has an equal share.
 func (c *Controller) isolatedShare(bucket *Bucket) float64 {
 	if !bucket.ShareMeasured {
 		return c.equalShare()
--- a/internal/syncer/search.go
+++ b/internal/syncer/search.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// nextPeer returns the node for the next exchange. Probing is set if the node is to be
-// compared with an acting one. An exchange with the acting node follows each such one:
-// its state must not grow old while nodes name each other as the holder.
+// nextPeer returns the node for the next exchange. It sets Probing if the exchange is
+// to find the holder of the lease while an acting node answers. The exchange after
+// that goes to the acting node, so that its state stays current although other nodes
+// may name each other as the holder.
 func (c *Controller) nextPeer(now time.Time) string {
 	c.Probing = false
 	switch {
