--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -1,6 +1,8 @@
 package assembler
 
 import (
+	"strings"
+
 	"github.com/sirupsen/logrus"
 
 	"toucanhitch.example/toucanhitch/internal/balancer"
@@ -36,6 +38,10 @@
 	}
 	if event.Err != nil {
 		fields["Error"] = event.Err.Error()
+		if len(event.Forward.SharedParts) > 0 {
+			fields["SharedParts"] = strings.Join(event.Forward.SharedParts, " ")
+			fields["EventsPassed"] = event.EventsPassed
+		}
 	}
 	n.logger.WithFields(fields).Info(event.Text)
 	if event.Replica != "" {
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -110,8 +110,11 @@
 	// PromptTokens is the caller's count of prompt tokens and OutputTokens its
 	// limit of output tokens; 0 means that the caller sent none.
 	PromptTokens, OutputTokens int
-	// Affinity identifies the last shared part of a long prompt prefix.
+	// Affinity identifies the first part of a long prompt prefix.
 	Affinity string
+	// SharedParts are the IDs of the parts of the prompt that other requests may
+	// have as well, in the order of the prompt.
+	SharedParts []string
 	// LastEventID is the ID of the last event that the caller received, empty
 	// at the start of a stream.
 	LastEventID string
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -61,6 +61,8 @@
 	FirstByte    time.Duration
 	Duration     time.Duration
 	Status       int
+	// EventsPassed is the number of events of a stream that the caller has.
+	EventsPassed int
 	Err          error
 	// ConfigurationAge is the age of the configuration at the time of the event.
 	ConfigurationAge time.Duration
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -88,6 +88,7 @@
 		FirstByte:        firstByte,
 		Duration:         now.Sub(j.request.Arrived),
 		Status:           status,
+		EventsPassed:     j.events.Passed,
 		Err:              err,
 		ConfigurationAge: now.Sub(currentAsOf),
 	})
--- a/internal/forwarder/events.go
+++ b/internal/forwarder/events.go
@@ -16,7 +16,9 @@
 type EventStream struct {
 	// LastID is the ID of the last event that was passed on, -1 before the
 	// first.
-	LastID  int64
+	LastID int64
+	// Passed counts the events that were passed on.
+	Passed  int
 	partial []byte
 }
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -218,6 +218,7 @@
 		if err := write(event); err != nil {
 			return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", err))
 		}
+		events.Passed++
 	}
 }
 
