--- /dev/null
+++ b/internal/emulator/fleet_faults.go
@@ -0,0 +1,75 @@
+package emulator
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ReplicaFaults are the faults of a replica.
+type ReplicaFaults struct {
+	// BreakEvery aborts every n-th answer midway, LoseEvery never sends every
+	// n-th answer, and FailEvery answers every n-th request of a plain service
+	// with 500; 0 disables the fault.
+	BreakEvery, LoseEvery, FailEvery int
+	// Full refuses all requests.
+	Full bool
+	// CrashOnPart crashes the replica when it begins to write an answer to a request
+	// with this shared part in its prompt. "" disables the fault.
+	CrashOnPart string
+}
+
+// crashDowntime is the time after which a replica that has crashed serves again.
+const crashDowntime = time.Second
+
+// crash ends the replica's process with all requests that it runs. It starts again
+// after crashDowntime.
+func (r *FleetReplica) crash() {
+	r.executor.do(func() {
+		close(r.crashed)
+		r.crashed = make(chan struct{})
+		r.restart()
+		r.downUntil = r.settings.Clock.Now().Add(crashDowntime)
+	})
+}
+
+// streamFaults are the faults of one stream.
+type streamFaults struct {
+	// breakOff aborts the stream in the middle of the second event, and crash ends
+	// the replica's process at the first one.
+	breakOff, crash bool
+	// crashed is closed when the replica's process ends.
+	crashed <-chan struct{}
+}
+
+// writeStream writes the events after the one that Last-Event-Id names.
+func (r *FleetReplica) writeStream(w http.ResponseWriter, request *http.Request, faults streamFaults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	control := http.NewResponseController(w)
+	for id := from + 1; id <= r.settings.EventsPerStream; id++ {
+		select {
+		case <-r.settings.Clock.After(r.settings.AnswerTime):
+		case <-faults.crashed:
+			panic(http.ErrAbortHandler)
+		}
+		if request.Context().Err() != nil {
+			return
+		}
+		if faults.crash {
+			r.crash()
+			panic(http.ErrAbortHandler)
+		}
+		event := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", id, request.Header.Get("Attempt-Id"), id)
+		if faults.breakOff && id == from+2 {
+			_, _ = io.WriteString(w, event[:len(event)/2])
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, event); err != nil || control.Flush() != nil {
+			return
+		}
+	}
+}
--- a/internal/emulator/fleet_replica.go
+++ b/internal/emulator/fleet_replica.go
@@ -37,7 +37,9 @@
 	// HasKey reports whether the request still held the caller's key, which must
 	// not reach a replica.
 	HasKey bool
-	At     time.Time
+	// PromptPrefix lists the parts of the prompt.
+	PromptPrefix string
+	At           time.Time
 }
 
 // FleetOrder is an order that a replica received.
@@ -60,16 +62,10 @@
 	violations     []string
 	faults         ReplicaFaults
 	servedRequests int
-}
-
-// ReplicaFaults are the faults of a replica.
-type ReplicaFaults struct {
-	// BreakEvery aborts every n-th answer midway, LoseEvery never sends every
-	// n-th answer, and FailEvery answers every n-th request of a plain service
-	// with 500; 0 disables the fault.
-	BreakEvery, LoseEvery, FailEvery int
-	// Full refuses all requests.
-	Full bool
+	// downUntil is the end of the time in which the replica, which has crashed, takes
+	// no requests. crashed is closed when the current process of the replica crashes.
+	downUntil time.Time
+	crashed   chan struct{}
 }
 
 // NewFleetReplica returns a replica that runs until ctx ends.
@@ -79,17 +75,20 @@
 		executor:    newExecutor(ctx),
 		startedAtMs: settings.Clock.Now().UnixMilli(),
 		loaded:      map[string]bool{},
+		crashed:     make(chan struct{}),
 	}
 }
 
 // Restart simulates a restart of the replica's process: no model is loaded, and
 // the models on disk remain.
 func (r *FleetReplica) Restart() {
-	r.executor.do(func() {
-		r.startedAtMs = r.settings.Clock.Now().UnixMilli()
-		r.orderSequence, r.loading = 0, ""
-		clear(r.loaded)
-	})
+	r.executor.do(r.restart)
+}
+
+func (r *FleetReplica) restart() {
+	r.startedAtMs = r.settings.Clock.Now().UnixMilli()
+	r.orderSequence, r.loading = 0, ""
+	clear(r.loaded)
 }
 
 // SetFaults replaces the replica's faults.
@@ -157,6 +156,11 @@
 	if err != nil {
 		return
 	}
+	down := false
+	r.executor.do(func() { down = r.settings.Clock.Now().Before(r.downUntil) })
+	if down {
+		panic(http.ErrAbortHandler)
+	}
 	if target := request.Header.Get("Target-Instance"); target != "" && target != r.settings.ID {
 		w.Header().Set("Instance-Id", r.settings.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -244,10 +248,11 @@
 	attempt := request.Header.Get("Attempt-Id")
 	model, _, _ := strings.Cut(request.Header.Get("Model"), "/")
 	var faults ReplicaFaults
+	var crashed chan struct{}
 	runNumber, modelMissing := 0, false
 	r.executor.do(func() {
 		modelMissing = model != "" && !r.loaded[model]
-		faults = r.faults
+		faults, crashed = r.faults, r.crashed
 		if modelMissing || faults.Full {
 			return
 		}
@@ -255,7 +260,7 @@
 		runNumber = r.servedRequests
 		r.runs = append(r.runs, FleetRun{
 			Replica: r.settings.ID, Attempt: attempt, Method: request.Method, Target: request.RequestURI, Body: body,
-			Tenant: request.Header.Get("Tenant"), HasKey: request.Header.Get("Key") != "", At: r.settings.Clock.Now(),
+			Tenant: request.Header.Get("Tenant"), HasKey: request.Header.Get("Key") != "", PromptPrefix: request.Header.Get("Prompt-Prefix"), At: r.settings.Clock.Now(),
 		})
 	})
 	switch {
@@ -274,7 +279,8 @@
 	w.Header().Set("Response-Seal", Seal(r.settings.ID, attempt))
 	breakOff := faults.BreakEvery > 0 && runNumber%faults.BreakEvery == 0
 	if model != "" {
-		r.writeStream(w, request, breakOff)
+		crash := faults.CrashOnPart != "" && strings.Contains(request.Header.Get("Prompt-Prefix"), faults.CrashOnPart+":")
+		r.writeStream(w, request, streamFaults{breakOff: breakOff, crash: crash, crashed: crashed})
 		return
 	}
 	r.settings.Clock.Sleep(r.settings.AnswerTime)
@@ -293,29 +299,6 @@
 	}
 }
 
-// writeStream writes the events after the one that Last-Event-Id names. If
-// breakOff is set, it aborts in the middle of the second event.
-func (r *FleetReplica) writeStream(w http.ResponseWriter, request *http.Request, breakOff bool) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	from, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	control := http.NewResponseController(w)
-	for id := from + 1; id <= r.settings.EventsPerStream; id++ {
-		r.settings.Clock.Sleep(r.settings.AnswerTime)
-		if request.Context().Err() != nil {
-			return
-		}
-		event := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", id, request.Header.Get("Attempt-Id"), id)
-		if breakOff && id == from+2 {
-			_, _ = io.WriteString(w, event[:len(event)/2])
-			_ = control.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		if _, err := io.WriteString(w, event); err != nil || control.Flush() != nil {
-			return
-		}
-	}
-}
-
 // WithConflictingOrders returns a replica that received orders of two lease
 // holders at the same time. Tests use it to verify that their check of orders
 // fails.
--- a/internal/soaker/caller_test.go
+++ b/internal/soaker/caller_test.go
@@ -19,10 +19,12 @@
 // outcome is the result of one request as a caller observed it.
 type outcome struct {
 	attempt, path, key string
-	sentAt             time.Time
-	status             int
-	seal, body         string
-	complete           bool
+	// promptPrefix lists the parts of the prompt; "" sends none.
+	promptPrefix string
+	sentAt       time.Time
+	status       int
+	seal, body   string
+	complete     bool
 }
 
 // outcomeLog collects the outcomes of all callers.
@@ -92,6 +94,9 @@
 		request.Header.Set("Model", modelNames[random.IntN(len(modelNames))])
 		request.Header.Set("Token-Usage", "100,20")
 	}
+	if o.promptPrefix != "" {
+		request.Header.Set("Prompt-Prefix", o.promptPrefix)
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return
