Quarantine parts of prompts that crash replicas

Callers saw most of their sound requests refused while requests with one part of a prompt crashed replica after replica.

Cause: a broken attempt counted against its replica only, at one node. What the broken requests had in common was not known anywhere.

Change: nodes report attempts that broke off before the first event of their answer. The holder of the placement lease finds the part that they share, acquits parts with which answers begin and replicas that still run, and publishes the quarantine; nodes refuse such requests before each attempt.

TestAnsweredPartsAreNotQuarantined fails without the acquittal.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -13,6 +13,7 @@
 	"toucanhitch.example/toucanhitch/internal/logger"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
+	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 	"toucanhitch.example/toucanhitch/internal/syncer"
 )
@@ -123,6 +124,10 @@
 	if err != nil {
 		return planner.Report{}, err
 	}
+	prompts, err := n.screener.Collect(ctx)
+	if err != nil {
+		return planner.Report{}, err
+	}
 	return planner.Report{
 		Node:       n.self,
 		Leaving:    n.draining.Load(),
@@ -132,6 +137,7 @@
 		Uses:       activity.Uses,
 		Spent:      usage.Spent,
 		UsageEpoch: usage.Epoch,
+		Prompts:    prompts,
 	}, nil
 }
 
@@ -196,6 +202,7 @@
 		LiveNodes:  state.Peers,
 		Registered: state.Registered,
 	}))
+	n.logPostError("screener", n.screener.Post(screener.StateReceived{Published: state.Prompts}))
 	n.view.directory.Store(&directory{callers: effect.Callers, asOf: effect.AsOf})
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
 		Active:          effect.Others.Active,
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -10,6 +10,7 @@
 	"toucanhitch.example/toucanhitch/internal/forwarder"
 	"toucanhitch.example/toucanhitch/internal/logger"
 	"toucanhitch.example/toucanhitch/internal/planner"
+	"toucanhitch.example/toucanhitch/internal/screener"
 )
 
 // logAttempt logs the outcome of a forwarded request and counts each attempt
@@ -79,6 +80,12 @@
 	n.meter.RecordChange("balancer", note.Text)
 }
 
+// logScreenerNote logs a quarantine that began or ended at this node.
+func (n *Node) logScreenerNote(note screener.Note) {
+	n.logger.WithFields(logrus.Fields{"Part": note.Part, "Remaining": note.Remaining.String()}).Info(note.Text)
+	n.meter.RecordChange("screener", note.Text)
+}
+
 // logPlannerNote logs a decision of the planner.
 func (n *Node) logPlannerNote(note planner.Note) {
 	n.logger.WithFields(logrus.Fields{
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -21,6 +21,7 @@
 	"toucanhitch.example/toucanhitch/internal/meter"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
+	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 	"toucanhitch.example/toucanhitch/internal/syncer"
 	"toucanhitch.example/toucanhitch/platform"
@@ -90,6 +91,7 @@
 	planner  *planner.Task
 	balancer *balancer.Task
 	rationer *rationer.Task
+	screener *screener.Task
 	syncer   *syncer.Task
 	leaser   *leaser.Task
 	peers    *messenger.Client
@@ -224,6 +226,11 @@
 		Log:         n.logBalancerNote,
 	})
 	n.rationer = rationer.New(n.clock, bounds.QuotaSlack, seed(n.self.RunID))
+	n.screener = screener.New(screener.Settings{
+		Clock:    n.clock,
+		Log:      n.logScreenerNote,
+		LogError: func(err error) { n.logPostError("screener", err) },
+	})
 	n.syncer = syncer.New(syncer.Settings{
 		Node:          n.settings.Node,
 		Lease:         placementLease,
@@ -255,11 +262,13 @@
 		forwarder.ResolveRoute{View: &n.view, Clock: n.clock},
 		forwarder.Drain{Clock: n.clock, CutoffAt: n.cutoffTime},
 		forwarder.Authorize{View: &n.view, Clock: n.clock, MaxKeyAge: n.maxKeyAge},
+		forwarder.ScreenPrompt{Screen: n.screener},
 		forwarder.LimitRate{Limits: n.rationer},
 		&forwarder.Dispatch{
 			Pool:      n.pool,
 			Codec:     platform.Codec{},
 			Placer:    n.balancer,
+			Screen:    n.screener,
 			View:      &n.view,
 			Clock:     n.clock,
 			MaxKeyAge: n.maxKeyAge,
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -52,7 +52,7 @@
 	defer stop()
 	group := &run.Group{}
 	for _, task := range []runner.Runnable{
-		n.surveyor, n.planner, n.balancer, n.rationer, n.syncer, n.leaser,
+		n.surveyor, n.planner, n.balancer, n.rationer, n.screener, n.syncer, n.leaser,
 	} {
 		runner.Add(taskCtx, group, task)
 	}
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -46,6 +46,7 @@
 		ID:         waiter.Call,
 		Replica:    best.Description.ID,
 		Address:    best.Description.Address,
+		StartedMS:  best.Description.StartedMS,
 		Expected:   best.Latency,
 		Candidates: candidates,
 		Waited:     now.Sub(waiter.Since),
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -120,6 +120,8 @@
 	ID      runner.Call
 	Replica string
 	Address string
+	// StartedMS is the start of the replica's process in Unix milliseconds.
+	StartedMS int64 `json:",omitempty"`
 	// Refused is set if no replica was assigned.
 	Refused *Refusal
 	// Expected is the average time to the first byte, 0 if unknown.
--- a/internal/emulator/fleet_faults.go
+++ b/internal/emulator/fleet_faults.go
@@ -59,6 +59,7 @@
 			return
 		}
 		if faults.crash {
+			_ = control.Flush()
 			r.crash()
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/filter/verdict.go
+++ b/internal/filter/verdict.go
@@ -75,6 +75,7 @@
 	OutcomeUnknown      Reason = "outcome-unknown"
 	EndpointFailed      Reason = "endpoint-failed"
 	StreamBroken        Reason = "stream-broken"
+	Quarantined         Reason = "quarantined"
 )
 
 // Refusal describes why a request was not answered and whether it ran.
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -65,7 +65,12 @@
 
 // forwardStream passes events on to the caller until the stream is complete.
 func (j *job) forwardStream(ctx context.Context, e *exchange) (filter.Verdict, error) {
+	begun := false
 	write := func(event []byte) error {
+		if !begun {
+			begun = true
+			j.Screen.RecordBegun(j.forward.SharedParts)
+		}
 		if !j.responseStarted {
 			if err := j.forward.Writer.Begin(e.head.Status, e.head.Header); err != nil {
 				return err
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -10,6 +10,7 @@
 	"toucanhitch.example/toucanhitch/internal/balancer"
 	"toucanhitch.example/toucanhitch/internal/dispatcher"
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/screener"
 )
 
 const (
@@ -49,6 +50,17 @@
 	Post(message balancer.Message) error
 }
 
+// Screen knows the parts of prompts that crash replicas.
+type Screen interface {
+	// Quarantined returns the first of the parts with which no request may be sent
+	// and the time for which that lasts, or "".
+	Quarantined(parts []string) (part string, remaining time.Duration)
+	// RecordBreak records an attempt that broke off before the first event of its
+	// answer, and RecordBegun an answer that has begun.
+	RecordBreak(broken screener.AttemptBroke)
+	RecordBegun(parts []string)
+}
+
 // Event describes the outcome of an attempt or a request, for logs and metrics.
 type Event struct {
 	Text         string
@@ -73,6 +85,7 @@
 	Pool   *Pool
 	Codec  Codec
 	Placer Placer
+	Screen Screen
 	View   ConfigurationView
 	Clock  clockwork.Clock
 	// MaxKeyAge returns the maximum time since the keys were last known to be
@@ -126,11 +139,15 @@
 	if ctx.Err() != nil {
 		return j.end(filter.Overloaded, "the caller is gone")
 	}
+	if part, remaining := j.Screen.Quarantined(j.forward.SharedParts); part != "" {
+		return j.endAndRetryAfter(filter.Quarantined, quarantineDetail(part), remaining)
+	}
 	left := j.request.Deadline.Sub(startedAt)
 	if left < minTimeLeft {
 		return j.end(filter.DeadlinePassed, "the time is over")
 	}
 	j.attemptsSent++
+	passedBefore := j.events.Passed
 	exchange, err := j.Pool.open(ctx, j.Codec, Attempt{
 		Replica:   placement.Replica,
 		Address:   placement.Address,
@@ -141,12 +158,16 @@
 	}, j.firstByteTimeout(left, placement))
 	if err != nil {
 		result = j.recordFailure(placement, err)
+		j.reportBreak(placement, err, startedAt, false)
 		return j.verdictAfterFailure(err)
 	}
 	firstByte = j.Clock.Since(startedAt)
 	verdict, err := j.handleResponse(ctx, exchange, &result)
 	if err != nil {
 		result = j.recordFailure(placement, err)
+		if j.events.Passed == passedBefore {
+			j.reportBreak(placement, err, startedAt, true)
+		}
 		return j.verdictAfterFailure(err)
 	}
 	if verdict == nil {
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -6,6 +6,7 @@
 
 	"toucanhitch.example/toucanhitch/internal/balancer"
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/screener"
 )
 
 // recordFailure records a failed attempt and returns the result to report for
@@ -27,6 +28,21 @@
 	return balancer.Failed
 }
 
+// reportBreak reports an attempt that broke off before the first event of its answer.
+// A time-out is no such break: overloaded replicas cause them as well.
+func (j *job) reportBreak(placement balancer.Placement, err error, sentAt time.Time, headReceived bool) {
+	if len(j.forward.SharedParts) == 0 || !errors.Is(err, ErrTruncated) {
+		return
+	}
+	j.Screen.RecordBreak(screener.AttemptBroke{
+		Request:      j.forward.Attempt,
+		Replica:      screener.Process{ID: placement.Replica, StartedMS: placement.StartedMS},
+		Parts:        j.forward.SharedParts,
+		HeadReceived: headReceived,
+		SentAt:       sentAt,
+	})
+}
+
 // verdictAfterFailure returns nil if another attempt may follow a failed one, and
 // the final verdict otherwise.
 func (j *job) verdictAfterFailure(err error) filter.Verdict {
@@ -45,9 +61,15 @@
 
 // placementRefused ends a request for which the balancer has no replica.
 func (j *job) placementRefused(refusal balancer.Refusal) filter.Verdict {
-	verdict := j.end(filter.NoEndpoint, refusal.Reason)
+	return j.endAndRetryAfter(filter.NoEndpoint, refusal.Reason, refusal.RetryAfter)
+}
+
+// endAndRetryAfter ends a request like end. If the request has not run, the caller may
+// retry it after the given time.
+func (j *job) endAndRetryAfter(reason filter.Reason, detail string, retryAfter time.Duration) filter.Verdict {
+	verdict := j.end(reason, detail)
 	if refuse, ok := verdict.(filter.Refuse); ok && refuse.Refusal.Run == filter.NotRun {
-		refuse.Refusal.RetryAfter = refusal.RetryAfter
+		refuse.Refusal.RetryAfter = retryAfter
 		return refuse
 	}
 	return verdict
--- a/internal/forwarder/filters.go
+++ b/internal/forwarder/filters.go
@@ -104,6 +104,22 @@
 	return newRefusal(filter.UnknownKey, filter.NotRun, 0, "the key is not granted or has been withdrawn")
 }
 
+// ScreenPrompt refuses requests with a part in their prompt that crashes replicas.
+type ScreenPrompt struct{ Screen Screen }
+
+// Filter implements filter.Filter.
+func (f ScreenPrompt) Filter(_ context.Context, request *filter.Request) filter.Verdict {
+	part, remaining := f.Screen.Quarantined(request.Work.(*filter.Forward).SharedParts)
+	if part == "" {
+		return filter.Pass{}
+	}
+	return newRefusal(filter.Quarantined, filter.NotRun, remaining, quarantineDetail(part))
+}
+
+func quarantineDetail(part string) string {
+	return "replicas crash on part " + part + " of the prompt"
+}
+
 // LimitRate takes the units of a request from the rate limit of its workspace.
 type LimitRate struct{ Limits *rationer.Task }
 
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -235,6 +235,7 @@
 	if c.Tenure == nil {
 		return nil
 	}
+	c.recordRunning(message)
 	e := c.Tenure.Endpoints[message.Replica]
 	if e == nil {
 		return nil
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -122,9 +122,10 @@
 	for _, demand := range report.Demands {
 		c.recordDemand(now, demand)
 	}
-	var effects []Effect
+	c.Tenure.Prompts.Record(now, report.Node.Name, report.Prompts)
+	effects := c.reviewPrompts(now)
 	if now.Sub(c.Tenure.AdvancedAt) >= minPlanInterval {
-		effects = c.advance(now)
+		effects = append(effects, c.advance(now)...)
 	}
 	return append(effects, AnswerReport{Call: message.Call, Answer: c.stateAnswer(now, peer, report)})
 }
--- /dev/null
+++ b/internal/planner/prompts.go
@@ -0,0 +1,33 @@
+package planner
+
+import (
+	"fmt"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/screener"
+)
+
+// reviewPrompts quarantines the parts of prompts that crash replicas, and finds out
+// whether the replicas that broke off requests with a suspect part still run.
+func (c *Controller) reviewPrompts(now time.Time) []Effect {
+	var effects []Effect
+	for _, verdict := range c.Tenure.Prompts.Review(now) {
+		effects = append(effects, Note{
+			Text:   "prompt part found to crash replicas",
+			Reason: fmt.Sprintf("part %s: %d requests broke off on %d replicas", verdict.Part, verdict.Requests, verdict.Replicas),
+		})
+	}
+	for _, replica := range c.Tenure.Prompts.Check(now) {
+		if endpoint := c.Tenure.Endpoints[replica.ID]; endpoint != nil && endpoint.Entry.StartedMS == replica.StartedMS {
+			effects = append(effects, ReadState{Replica: replica.ID, Address: endpoint.Entry.Address})
+		}
+	}
+	return effects
+}
+
+// recordRunning records a replica that has answered a read of its state.
+func (c *Controller) recordRunning(message StateRead) {
+	if !message.Failed {
+		c.Tenure.Prompts.RecordAlive(screener.Process{ID: message.Replica, StartedMS: message.State.StartedMS}, message.RequestedAt)
+	}
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
@@ -31,6 +32,8 @@
 	// of the baselines in it.
 	Spent      []Spent `json:",omitempty"`
 	UsageEpoch uint64  `json:",omitempty"`
+	// Prompts is what the node knows about prompts that crash replicas.
+	Prompts screener.Report `json:",omitzero"`
 }
 
 // Running counts the running requests of a model on a replica. Model is empty for
@@ -141,6 +144,8 @@
 	Active []int `json:",omitempty"`
 	// Suspects counts the live nodes that suspect a replica.
 	Suspects map[string]int `json:",omitempty"`
+	// Prompts are the parts of prompts that crash replicas.
+	Prompts screener.Published `json:",omitzero"`
 	// Peers is the number of live nodes, and Registered the number of registered
 	// ones.
 	Peers, Registered     int
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -91,6 +91,7 @@
 		Spent:            make([]float64, len(t.Workspaces)),
 		Active:           make([]int, len(t.Table.Entries)),
 		Suspects:         c.suspectCounts(now),
+		Prompts:          t.Prompts.Publish(now),
 		Peers:            max(1, c.livePeers(now)),
 		Registered:       max(len(c.Nodes), t.MinRegistered),
 		ConfigurationAge: now.Sub(c.ConfigurationAsOf),
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
@@ -53,6 +54,8 @@
 	Rates            map[ModelKey]*Rate
 	// SaturatedAt is when a node last reported all replicas of a model as full.
 	SaturatedAt map[ModelKey]time.Time
+	// Prompts is the evidence against parts of prompts that crash replicas.
+	Prompts *screener.Evidence
 	// StoreConcurrency is the number of concurrent loads from the weight store
 	// that run at full speed, or 0 while it is unknown.
 	StoreConcurrency int
@@ -118,6 +121,7 @@
 		Demand:           map[DemandKey]*PendingDemand{},
 		Rates:            map[ModelKey]*Rate{},
 		SaturatedAt:      map[ModelKey]time.Time{},
+		Prompts:          screener.NewEvidence(),
 		TableStale:       true,
 		CandidatesStale:  true,
 	}
