Log the limits that replicas name with attempts

The log could not tell whether nodes ignore a replica's limit, keep it each by itself, or are drawn to replicas in need.

--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -36,6 +36,9 @@
 		fields["Candidates"] = event.Candidates
 		fields["FirstByteMs"] = event.FirstByte.Milliseconds()
 		fields["Status"] = event.Status
+		if event.RateLimit > 0 {
+			fields["RateLimit"] = event.RateLimit
+		}
 	}
 	if event.Err != nil {
 		fields["Error"] = event.Err.Error()
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -70,6 +70,9 @@
 	// specify it.
 	CloseConnection bool
 	KeepAlive       time.Duration
+	// RateLimit is the number of requests a second that the replica takes from all
+	// nodes together, 0 if it names no limit.
+	RateLimit float64
 }
 
 // Codec encodes attempts and decodes responses.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -73,6 +73,8 @@
 	FirstByte    time.Duration
 	Duration     time.Duration
 	Status       int
+	// RateLimit is the requests a second that the replica takes, 0 if it named none.
+	RateLimit float64
 	// EventsPassed is the number of events of a stream that the caller has.
 	EventsPassed int
 	Err          error
@@ -147,6 +149,7 @@
 		return j.end(filter.DeadlinePassed, "the time is over")
 	}
 	j.attemptsSent++
+	j.rateLimit = 0
 	passedBefore := j.events.Passed
 	exchange, err := j.Pool.open(ctx, j.Codec, Attempt{
 		Replica:   placement.Replica,
@@ -162,6 +165,7 @@
 		return j.verdictAfterFailure(err)
 	}
 	firstByte = j.Clock.Since(startedAt)
+	j.rateLimit = exchange.head.RateLimit
 	verdict, err := j.handleResponse(ctx, exchange, &result)
 	if err != nil {
 		result = j.recordFailure(placement, err)
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -27,7 +27,10 @@
 	// later attempt succeeds.
 	fallback *filter.Accept
 	// lastErr is the error of the latest failed attempt.
-	lastErr    error
+	lastErr error
+	// rateLimit is the requests a second that the replica of the latest attempt takes,
+	// 0 if it has named none.
+	rateLimit  float64
 	candidates int
 	waited     time.Duration
 }
