--- a/internal/emulator/fleet_replica.go
+++ b/internal/emulator/fleet_replica.go
@@ -277,6 +277,9 @@
 	}
 	w.Header().Set("Attempt-Id", attempt)
 	w.Header().Set("Response-Seal", Seal(r.settings.ID, attempt))
+	if faults.NamedLimit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(faults.NamedLimit, 'f', -1, 64))
+	}
 	breakOff := faults.BreakEvery > 0 && runNumber%faults.BreakEvery == 0
 	if model != "" {
 		crash := faults.CrashOnPart != "" && strings.Contains(request.Header.Get("Prompt-Prefix"), faults.CrashOnPart+":")
