Keep idle buckets of limits within their capacity

A bucket that had not been used for some time let through more requests at once than its capacity. What accrues was added when units were taken, and the cap was applied when the others' usage was reported, which for an idle bucket is before. Units now accrue before the cap as well.

--- a/internal/rationer/controller.go
+++ b/internal/rationer/controller.go
@@ -116,9 +116,9 @@
 	// Baseline is the usage from which the holder of the current epoch counts: the
 	// propagated usage when the epoch began.
 	Baseline float64
-	// Rate is the limit's rate and Capacity the bucket's capacity, both as of
-	// the last Take.
-	Rate, Capacity float64
+	// Rate is the limit's rate, Capacity the bucket's capacity and IsolatedCapacity that
+	// of the isolated levels of all nodes, as of the last Take.
+	Rate, Capacity, IsolatedCapacity float64
 }
 
 // NewController returns a controller without buckets whose random choices are
@@ -202,17 +202,24 @@
 func (c *Controller) openBucket(now time.Time, workspace resolver.Workspace) *Bucket {
 	share, capacity := c.equalShare(), c.bucketCapacity(workspace)
 	level := min(capacity, initialBurstShare*workspace.Burst+workspace.Rate*now.Sub(c.StartedAt).Seconds())
-	return &Bucket{Level: level, IsolatedLevel: level * share, Share: share, LocalLevel: level * share, Busy: true, OthersRate: workspace.Rate, FilledAt: now, Rate: workspace.Rate, Capacity: capacity, OthersSpent: c.OthersSpent[workspace.Name]}
+	return &Bucket{Level: level, IsolatedLevel: level * share, Share: share, LocalLevel: level * share, Busy: true, OthersRate: workspace.Rate, FilledAt: now, Rate: workspace.Rate, Capacity: capacity, IsolatedCapacity: c.isolatedCapacity(workspace), OthersSpent: c.OthersSpent[workspace.Name]}
 }
 
-// refill adds the units that have accrued since the last refill.
+// refill adopts the current limit and adds the units that have accrued.
 func (c *Controller) refill(now time.Time, bucket *Bucket, workspace resolver.Workspace) {
+	bucket.Rate, bucket.Capacity = workspace.Rate, c.bucketCapacity(workspace)
+	bucket.IsolatedCapacity = c.isolatedCapacity(workspace)
+	c.accrue(now, bucket)
+}
+
+// accrue adds the units that have accrued since it was last called.
+func (c *Controller) accrue(now time.Time, bucket *Bucket) {
 	elapsed := max(0, now.Sub(bucket.FilledAt).Seconds())
-	bucket.Level += elapsed * workspace.Rate * c.liveShare()
+	bucket.Level += elapsed * bucket.Rate * c.liveShare()
 	share := c.isolatedShare(bucket)
-	bucket.IsolatedLevel = min(c.isolatedCapacity(workspace)*share, bucket.IsolatedLevel+elapsed*workspace.Rate*share)
-	bucket.LocalLevel += elapsed * workspace.Rate * bucket.Share
-	bucket.FilledAt, bucket.Rate, bucket.Capacity = now, workspace.Rate, c.bucketCapacity(workspace)
+	bucket.IsolatedLevel = min(bucket.IsolatedCapacity*share, bucket.IsolatedLevel+elapsed*bucket.Rate*share)
+	bucket.LocalLevel += elapsed * bucket.Rate * bucket.Share
+	bucket.FilledAt = now
 }
 
 // applyUsage subtracts the other nodes' usage since the last report.
@@ -234,6 +241,9 @@
 	c.OthersSpent = others
 	c.OthersReported = !newEpoch
 	for name, bucket := range c.Buckets {
+		// Without this, a bucket that was not used for some time would exceed its
+		// capacity by what accrued in that time.
+		c.accrue(now, bucket)
 		if !newEpoch {
 			bucket.updateShare(others[name]-bucket.OthersSpent, elapsed)
 		}
