Keep to the limits that replicas name

A replica in need names in its answers how many requests a second it takes from all nodes together, and got up to 41 a second where 7.7 were named.

Cause: nodes passed the header on and did not read it. Load was limited by slots and refusals only.

Change: nodes keep a bucket for each replica with a limit and count together what they send, like the units of workspaces. Requests beyond the limit go elsewhere or wait. The holder publishes the limits and loads copies of busy models on replicas without one.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -135,8 +135,9 @@
 		Suspects:   activity.Suspects,
 		Demands:    activity.Demands,
 		Uses:       activity.Uses,
-		Spent:      usage.Spent,
+		Spent:      append(usage.Spent, activity.Sent...),
 		UsageEpoch: usage.Epoch,
+		RateLimits: activity.RateLimits,
 		Prompts:    prompts,
 	}, nil
 }
@@ -196,17 +197,20 @@
 		Updates:               state.Updates,
 		Removed:               state.Removed,
 	}))
-	n.logPostError("rationer", n.rationer.Post(rationer.UsageUpdate{
+	usage := rationer.UsageUpdate{
 		Epoch:      state.Epoch,
 		Spent:      effect.Others.Spent,
 		LiveNodes:  state.Peers,
 		Registered: state.Registered,
-	}))
+	}
+	n.logPostError("rationer", n.rationer.Post(usage))
+	n.logPostError("balancer", n.balancer.Post(balancer.UsageUpdate{Usage: usage}))
 	n.logPostError("screener", n.screener.Post(screener.StateReceived{Published: state.Prompts}))
 	n.view.directory.Store(&directory{callers: effect.Callers, asOf: effect.AsOf})
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
 		Active:          effect.Others.Active,
 		Suspects:        effect.Others.Suspects,
+		RateLimits:      effect.Others.RateLimits,
 		OrdersAllowedIn: state.OrdersAllowedIn,
 	}))
 }
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -76,9 +76,10 @@
 // logBalancerNote logs a change in this node's view of a replica.
 func (n *Node) logBalancerNote(note balancer.Note) {
 	n.logger.WithFields(logrus.Fields{
-		"Replica":  note.Replica,
-		"Result":   note.Result,
-		"Failures": note.Failures,
+		"Replica":   note.Replica,
+		"Result":    note.Result,
+		"Failures":  note.Failures,
+		"RateLimit": note.RateLimit,
 	}).Info(note.Text)
 	n.meter.RecordChange("balancer", note.Text)
 }
--- /dev/null
+++ b/internal/balancer/availability.go
@@ -0,0 +1,53 @@
+package balancer
+
+import "time"
+
+// hasService reports whether any replica belongs to a service.
+func (c *Controller) hasService(service string) bool {
+	for _, replica := range c.Replicas {
+		if replica.Description.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// isLoading reports whether a load of the model or adapter that the request
+// needs is in progress.
+func (c *Controller) isLoading(need Need) bool {
+	for _, replica := range c.Replicas {
+		if replica.Description.Service == need.Service && !replica.Description.Leaving {
+			if _, ok := replica.loadEndsAt(modelKey{need.Model, need.Adapter}); ok {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isLoaded reports whether any replica, full or not, has the model and adapter
+// that the request needs.
+func (c *Controller) isLoaded(need Need) bool {
+	for _, replica := range c.Replicas {
+		if replica.Description.Service == need.Service && !replica.Description.Leaving && replica.Description.Has(need.Model, need.Adapter) {
+			return true
+		}
+	}
+	return false
+}
+
+// allFull reports whether there are replicas with the model and adapter that
+// the request needs and all of them are full or at their limit.
+func (c *Controller) allFull(now time.Time, need Need) bool {
+	found := false
+	for _, replica := range c.Replicas {
+		if replica.Description.Service != need.Service || replica.Description.Leaving || !replica.Description.Has(need.Model, need.Adapter) {
+			continue
+		}
+		if !replica.isFull() && !replica.isAtLimit(now) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -12,9 +12,35 @@
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
-// chooseReplica chooses the replica with the lowest estimated cost and assigns
-// the request to it.
+// chooseReplica chooses the replica with the lowest estimated cost whose limit, if it
+// has one, allows another request, and assigns the request to it.
 func (c *Controller) chooseReplica(now time.Time, waiter *Waiter) (Placement, bool) {
+	for {
+		best, candidates := c.cheapestReplica(now, waiter)
+		if best == nil {
+			return Placement{}, false
+		}
+		if !c.takeOfLimit(now, best) {
+			// The replica is not usable until ThrottledUntil.
+			continue
+		}
+		c.assign(best, waiter.Call, waiter.Need)
+		return Placement{
+			ID:         waiter.Call,
+			Replica:    best.Description.ID,
+			Address:    best.Description.Address,
+			StartedMS:  best.Description.StartedMS,
+			Limited:    best.RateLimit > 0,
+			Expected:   best.Latency,
+			Candidates: candidates,
+			Waited:     now.Sub(waiter.Since),
+		}, true
+	}
+}
+
+// cheapestReplica returns the usable replica with the lowest estimated cost, nil if
+// there is none, and the number of usable replicas.
+func (c *Controller) cheapestReplica(now time.Time, waiter *Waiter) (*Replica, int) {
 	need := waiter.Need
 	key := modelKey{need.Model, need.Adapter}
 	var best *Replica
@@ -38,19 +64,7 @@
 			best, bestCost, bestSuspect = replica, cost, suspect
 		}
 	}
-	if best == nil {
-		return Placement{}, false
-	}
-	c.assign(best, waiter.Call, need)
-	return Placement{
-		ID:         waiter.Call,
-		Replica:    best.Description.ID,
-		Address:    best.Description.Address,
-		StartedMS:  best.Description.StartedMS,
-		Expected:   best.Latency,
-		Candidates: candidates,
-		Waited:     now.Sub(waiter.Since),
-	}, true
+	return best, candidates
 }
 
 // shouldAvoid reports whether a request should wait rather than be sent to the
@@ -64,7 +78,7 @@
 	switch {
 	case replica.Description.Service != need.Service, replica.Description.Leaving:
 		return false
-	case now.Before(replica.RefusedUntil):
+	case now.Before(replica.RefusedUntil), now.Before(replica.ThrottledUntil):
 		return false
 	case need.Model == "":
 		return replica.load() < maxPlainLoad
@@ -82,6 +96,9 @@
 	if now.Before(replica.SuspectedUntil) {
 		cost *= suspectCostFactor
 	}
+	if replica.RateLimit > 0 {
+		cost *= limitedCostFactor
+	}
 	return cost
 }
 
--- a/internal/balancer/collect.go
+++ b/internal/balancer/collect.go
@@ -33,6 +33,7 @@
 		}
 	}
 	answer.Demands = c.demands(now)
+	answer.RateLimits, answer.Sent = c.collectLimits(now)
 	return answer
 }
 
@@ -51,7 +52,7 @@
 		if !ok {
 			i = len(demands)
 			indexes[key] = i
-			demands = append(demands, planner.Demand{Service: need.Service, Model: need.Model, Adapter: need.Adapter, TimeToLate: need.LateAt.Sub(now), ReplicasFull: c.allFull(need)})
+			demands = append(demands, planner.Demand{Service: need.Service, Model: need.Model, Adapter: need.Adapter, TimeToLate: need.LateAt.Sub(now), ReplicasFull: c.allFull(now, need)})
 		}
 		demands[i].Waiting++
 		demands[i].TimeToLate = max(demands[i].TimeToLate, need.LateAt.Sub(now))
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/planner"
+	"toucanhitch.example/toucanhitch/internal/rationer"
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
@@ -18,6 +19,9 @@
 	affinityCostFactor = 0.6
 	// suspectCostFactor raises the cost of a replica that other nodes suspect.
 	suspectCostFactor = 2
+	// limitedCostFactor raises the cost of a replica that has named a limit, so that its
+	// requests are left for models that no other replica has.
+	limitedCostFactor = 4
 	// costJitter is the maximum relative random addition to a cost. It spreads
 	// the choices of nodes that have the same information.
 	costJitter = 0.15
@@ -70,6 +74,8 @@
 	DrainDeadline time.Time
 	// CheckedAt is when the waiting requests were last checked.
 	CheckedAt time.Time
+	// Limits counts the requests that may be sent to replicas with limits.
+	Limits *rationer.Controller
 	// Random is seeded differently at each node, so that their choices differ.
 	Random *rand.Rand
 }
@@ -100,6 +106,7 @@
 		Replicas:    map[string]*Replica{},
 		Assignments: map[runner.Call]*assignment{},
 		Uses:        map[useKey]*planner.Use{},
+		Limits:      rationer.NewController(0, seed),
 		Random:      rand.New(rand.NewPCG(seed, seed)),
 	}
 }
@@ -140,13 +147,7 @@
 	case SetReplicas:
 		c.setReplicas(now, message)
 	case SetPeerState:
-		c.OrdersAllowedAt = now.Add(message.OrdersAllowedIn)
-		for id, replica := range c.Replicas {
-			replica.RunningElsewhere = message.Active[id]
-			if slices.Contains(message.Suspects, id) {
-				replica.SuspectedUntil = now.Add(peerSuspicionTTL)
-			}
-		}
+		return append(c.setPeerState(now, message), c.serveWaiters(now)...)
 	case Place:
 		return c.place(now, message)
 	case Cancel:
@@ -154,6 +155,10 @@
 		c.endAttempt(now, AttemptEnded{PlacementID: message.Call, Result: Abandoned})
 	case AttemptEnded:
 		return append(c.endAttempt(now, message), c.serveWaiters(now)...)
+	case LimitNamed:
+		return c.recordLimit(now, message)
+	case UsageUpdate:
+		c.Limits.Step(now, message.Usage)
 	case Leave:
 		c.DrainDeadline = message.Until
 		for _, waiter := range c.Waiters {
@@ -165,6 +170,21 @@
 	return c.serveWaiters(now)
 }
 
+// setPeerState adopts the state of the other nodes.
+func (c *Controller) setPeerState(now time.Time, message SetPeerState) []Effect {
+	c.OrdersAllowedAt = now.Add(message.OrdersAllowedIn)
+	var effects []Effect
+	for _, id := range c.sortedIDs() {
+		replica := c.Replicas[id]
+		replica.RunningElsewhere = message.Active[id]
+		if slices.Contains(message.Suspects, id) {
+			replica.SuspectedUntil = now.Add(peerSuspicionTTL)
+		}
+		effects = append(effects, replica.applyPublishedLimit(now, message.RateLimits[id])...)
+	}
+	return effects
+}
+
 func (c *Controller) setReplicas(now time.Time, message SetReplicas) {
 	c.SortedIDs = nil
 	found := make(map[string]bool, len(message.Replicas))
@@ -184,6 +204,7 @@
 	for id := range c.Replicas {
 		if !found[id] {
 			delete(c.Replicas, id)
+			delete(c.Limits.Buckets, planner.LimitName(id))
 		}
 	}
 }
@@ -247,55 +268,6 @@
 	return !c.OrdersAllowedAt.IsZero() && !now.Before(c.OrdersAllowedAt)
 }
 
-func (c *Controller) hasService(service string) bool {
-	for _, replica := range c.Replicas {
-		if replica.Description.Service == service {
-			return true
-		}
-	}
-	return false
-}
-
-// isLoading reports whether a load of the model or adapter that the request
-// needs is in progress.
-func (c *Controller) isLoading(need Need) bool {
-	for _, replica := range c.Replicas {
-		if replica.Description.Service == need.Service && !replica.Description.Leaving {
-			if _, ok := replica.loadEndsAt(modelKey{need.Model, need.Adapter}); ok {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// isLoaded reports whether any replica, full or not, has the model and adapter
-// that the request needs.
-func (c *Controller) isLoaded(need Need) bool {
-	for _, replica := range c.Replicas {
-		if replica.Description.Service == need.Service && !replica.Description.Leaving && replica.Description.Has(need.Model, need.Adapter) {
-			return true
-		}
-	}
-	return false
-}
-
-// allFull reports whether there are replicas with the model and adapter that
-// the request needs and all of them are full.
-func (c *Controller) allFull(need Need) bool {
-	found := false
-	for _, replica := range c.Replicas {
-		if replica.Description.Service != need.Service || replica.Description.Leaving || !replica.Description.Has(need.Model, need.Adapter) {
-			continue
-		}
-		if !replica.isFull() {
-			return false
-		}
-		found = true
-	}
-	return found
-}
-
 // endAttempt ends a placement, records its result, and returns a note when the
 // replica becomes suspect or is trusted again.
 func (c *Controller) endAttempt(now time.Time, message AttemptEnded) []Effect {
--- /dev/null
+++ b/internal/balancer/limit.go
@@ -0,0 +1,98 @@
+package balancer
+
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/planner"
+	"toucanhitch.example/toucanhitch/internal/rationer"
+	"toucanhitch.example/toucanhitch/internal/resolver"
+)
+
+const (
+	// limitBurst is the number of requests that all nodes may send to a replica at once
+	// within its limit.
+	limitBurst = 1
+	// ownLimitTime is the time for which the limit that an answer to this node named goes
+	// before the one that the holder publishes. It covers two exchanges.
+	ownLimitTime = 2 * time.Second
+	// atLimitTime is how long a replica counts as full for the holder after its limit has
+	// last held back requests: two reports, which would otherwise miss it between two
+	// requests.
+	atLimitTime = 500 * time.Millisecond
+)
+
+// recordLimit records the limit that an answer named. The requests that wait for the
+// replica may be served at once if there is none any more.
+func (c *Controller) recordLimit(now time.Time, message LimitNamed) []Effect {
+	replica := c.Replicas[message.Replica]
+	if replica == nil || replica.Description.StartedMS != message.StartedMS {
+		return nil
+	}
+	replica.NamedAt = now
+	return append(replica.setLimit(message.Rate), c.serveWaiters(now)...)
+}
+
+// setLimit sets the limit, and returns a note if there was none or is none any more.
+func (r *Replica) setLimit(rate float64) []Effect {
+	text := ""
+	switch {
+	case rate > 0 && r.RateLimit == 0:
+		text = "replica named a limit"
+	case rate == 0 && r.RateLimit > 0:
+		text = "replica named no limit any more"
+		r.ThrottledUntil = time.Time{}
+	}
+	r.RateLimit = rate
+	if text == "" {
+		return nil
+	}
+	return []Effect{Note{Text: text, Replica: r.Description.ID, RateLimit: rate}}
+}
+
+// applyPublishedLimit adopts the limit that the holder has published, unless the holder
+// knows of none or an answer to this node has named another one since.
+func (r *Replica) applyPublishedLimit(now time.Time, rate float64) []Effect {
+	r.PublishedLimit = rate
+	if rate == 0 || !r.NamedAt.IsZero() && now.Sub(r.NamedAt) < ownLimitTime {
+		return nil
+	}
+	return r.setLimit(max(0, rate))
+}
+
+// isAtLimit reports whether the limit of the replica has recently held back requests.
+func (r *Replica) isAtLimit(now time.Time) bool {
+	return r.RateLimit > 0 && now.Before(r.ThrottledUntil.Add(atLimitTime))
+}
+
+// takeOfLimit takes a request of the limit of the replica. If there is none left, the
+// replica is not usable until ThrottledUntil.
+func (c *Controller) takeOfLimit(now time.Time, replica *Replica) bool {
+	if replica.RateLimit == 0 {
+		return true
+	}
+	limit := resolver.Workspace{Name: planner.LimitName(replica.Description.ID), Rate: replica.RateLimit, Burst: limitBurst}
+	for _, effect := range c.Limits.Step(now, rationer.Take{Workspace: limit, Units: 1}) {
+		if answer, ok := effect.(rationer.AnswerTake); ok && !answer.Decision.Taken {
+			replica.ThrottledUntil = now.Add(answer.Decision.RetryAfter)
+			return false
+		}
+	}
+	return true
+}
+
+// collectLimits returns the limits that the holder does not publish as answers to this
+// node have named them, and the requests sent to replicas with limits.
+func (c *Controller) collectLimits(now time.Time) ([]planner.RateLimit, []planner.Spent) {
+	var limits []planner.RateLimit
+	for _, id := range c.sortedIDs() {
+		if r := c.Replicas[id]; !r.NamedAt.IsZero() && r.RateLimit != max(0, r.PublishedLimit) {
+			limits = append(limits, planner.RateLimit{Replica: id, StartedMS: r.Description.StartedMS, Rate: r.RateLimit, Age: now.Sub(r.NamedAt)})
+		}
+	}
+	for _, effect := range c.Limits.Step(now, rationer.Collect{}) {
+		if answer, ok := effect.(rationer.AnswerCollect); ok {
+			return limits, answer.Spent
+		}
+	}
+	return limits, nil
+}
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/planner"
+	"toucanhitch.example/toucanhitch/internal/rationer"
 	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
@@ -24,6 +25,9 @@
 	Active map[string]int
 	// Suspects are the replicas that fail requests of the other nodes.
 	Suspects []string
+	// RateLimits holds the limits of replicas, or planner.NoLimit, as far as the holder
+	// knows them.
+	RateLimits map[string]float64 `json:",omitempty"`
 	// OrdersAllowedIn is the time until the holder may order loads, 0 if it may
 	// now.
 	OrdersAllowedIn time.Duration
@@ -48,6 +52,18 @@
 	FirstByte time.Duration
 }
 
+// LimitNamed reports that an answer of a replica has named the requests a second that
+// the replica takes from all nodes together, or none if Rate is 0.
+type LimitNamed struct {
+	Replica   string
+	StartedMS int64
+	Rate      float64
+}
+
+// UsageUpdate reports the requests that the other nodes have sent to replicas with
+// limits.
+type UsageUpdate struct{ Usage rationer.UsageUpdate }
+
 // Leave reports that the node shuts down: no request waits beyond Until.
 type Leave struct{ Until time.Time }
 
@@ -60,6 +76,8 @@
 func (Place) isMessage()        {}
 func (Cancel) isMessage()       {}
 func (AttemptEnded) isMessage() {}
+func (LimitNamed) isMessage()   {}
+func (UsageUpdate) isMessage()  {}
 func (Leave) isMessage()        {}
 func (Collect) isMessage()      {}
 
@@ -122,6 +140,8 @@
 	Address string
 	// StartedMS is the start of the replica's process in Unix milliseconds.
 	StartedMS int64 `json:",omitempty"`
+	// Limited is set if the replica has named a limit.
+	Limited bool `json:",omitempty"`
 	// Refused is set if no replica was assigned.
 	Refused *Refusal
 	// Expected is the average time to the first byte, 0 if unknown.
@@ -150,6 +170,10 @@
 	Uses    []planner.Use
 	// Suspects are the replicas that failed this node's requests recently.
 	Suspects []string
+	// RateLimits are the limits that answers to this node named and that the holder
+	// has not published, and Sent the requests sent to replicas with limits.
+	RateLimits []planner.RateLimit `json:",omitempty"`
+	Sent       []planner.Spent     `json:",omitempty"`
 }
 
 // Note is a log entry: a replica became suspect or is trusted again.
@@ -158,6 +182,8 @@
 	Replica  string
 	Result   Result
 	Failures float64
+	// RateLimit is the limit that the replica named.
+	RateLimit float64 `json:",omitempty"`
 }
 
 func (Note) isEffect()          {}
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -55,6 +55,13 @@
 	RefusedUntil time.Time
 	// Latency is the moving average of the time to the first byte.
 	Latency time.Duration
+	// RateLimit is the requests a second that the replica takes from all nodes, or 0.
+	// NamedAt is when an answer to this node last named a limit or none, and PublishedLimit
+	// what the holder published last: a limit, planner.NoLimit, or 0 if it does not know.
+	RateLimit, PublishedLimit float64
+	NamedAt                   time.Time
+	// ThrottledUntil is when this node may next try to take a request of the limit.
+	ThrottledUntil time.Time
 }
 
 // modelKey identifies a model, with or without an adapter.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -166,6 +166,9 @@
 	}
 	firstByte = j.Clock.Since(startedAt)
 	j.rateLimit = exchange.head.RateLimit
+	if j.rateLimit > 0 || placement.Limited {
+		_ = j.Placer.Post(balancer.LimitNamed{Replica: placement.Replica, StartedMS: placement.StartedMS, Rate: j.rateLimit})
+	}
 	verdict, err := j.handleResponse(ctx, exchange, &result)
 	if err != nil {
 		result = j.recordFailure(placement, err)
--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -24,6 +24,10 @@
 			continue
 		}
 		best, victims := c.cheapestReplica(now, key, engine, model, false)
+		if best != nil && c.hasLimit(best) && c.hasUnlimitedReplica(key.Service) {
+			// A copy that its replica's limit holds back does not relieve the others.
+			continue
+		}
 		if best == nil || best.tier(model.Name) == FromStore && c.countStoreLoads() >= c.storeConcurrency() {
 			continue
 		}
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -123,6 +123,7 @@
 		c.recordDemand(now, demand)
 	}
 	c.Tenure.Prompts.Record(now, report.Node.Name, report.Prompts)
+	c.recordLimits(now, report)
 	effects := c.reviewPrompts(now)
 	if now.Sub(c.Tenure.AdvancedAt) >= minPlanInterval {
 		effects = append(effects, c.advance(now)...)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -32,10 +32,22 @@
 	// of the baselines in it.
 	Spent      []Spent `json:",omitempty"`
 	UsageEpoch uint64  `json:",omitempty"`
+	// RateLimits are the limits of replicas that differ from the published ones.
+	RateLimits []RateLimit `json:",omitempty"`
 	// Prompts is what the node knows about prompts that crash replicas.
 	Prompts screener.Report `json:",omitzero"`
 }
 
+// RateLimit is the number of requests a second that a replica takes from all nodes
+// together, as an answer named it. Rate is 0 if the replica names no limit any more.
+type RateLimit struct {
+	Replica   string
+	StartedMS int64
+	Rate      float64
+	// Age is the time since the answer.
+	Age time.Duration
+}
+
 // Running counts the running requests of a model on a replica. Model is empty for
 // a service without an engine.
 type Running struct {
@@ -142,6 +154,9 @@
 	// Active counts the running requests of all nodes. Its entries belong to the
 	// replicas of the table, sorted by ID.
 	Active []int `json:",omitempty"`
+	// RateLimits are the limits of replicas in requests a second, in the order of Active:
+	// NoLimit, or 0 if the holder does not know. It is nil if it knows of none.
+	RateLimits []float64 `json:",omitempty"`
 	// Suspects counts the live nodes that suspect a replica.
 	Suspects map[string]int `json:",omitempty"`
 	// Prompts are the parts of prompts that crash replicas.
--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -26,6 +26,9 @@
 			continue
 		}
 		cost := loadTime(model, e.tier(model.Name)) + loss
+		if c.hasLimit(e) {
+			cost += limitedReplicaCost
+		}
 		if cost < bestCost {
 			best, bestVictims, bestCost = e, victims, cost
 		}
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -74,6 +74,7 @@
 	if t.TableStale {
 		t.TableStale = false
 		changed = t.Table.publish(next, c.table(now)) || changed
+		c.forgetLimits(t.Table.Entries)
 	}
 	if t.CandidatesStale {
 		t.CandidatesStale = false
@@ -92,6 +93,7 @@
 		Active:           make([]int, len(t.Table.Entries)),
 		Suspects:         c.suspectCounts(now),
 		Prompts:          t.Prompts.Publish(now),
+		RateLimits:       c.publishedLimits(t.Table.Entries),
 		Peers:            max(1, c.livePeers(now)),
 		Registered:       max(len(c.Nodes), t.MinRegistered),
 		ConfigurationAge: now.Sub(c.ConfigurationAsOf),
--- a/internal/syncer/fleet.go
+++ b/internal/syncer/fleet.go
@@ -29,6 +29,9 @@
 	Active map[string]int
 	// Suspects are the replicas that other live nodes suspect.
 	Suspects []string
+	// RateLimits holds the limits of replicas in requests a second, or planner.NoLimit,
+	// as far as the holder knows them.
+	RateLimits map[string]float64 `json:",omitempty"`
 	// Spent counts units consumed in the holder's epoch, by workspace.
 	Spent []planner.Spent
 }
@@ -87,6 +90,14 @@
 			usage.Active[f.ReplicaIDs[i]] = count
 		}
 	}
+	for i, rate := range state.RateLimits {
+		if i < len(f.ReplicaIDs) && rate != 0 {
+			if usage.RateLimits == nil {
+				usage.RateLimits = map[string]float64{}
+			}
+			usage.RateLimits[f.ReplicaIDs[i]] = rate
+		}
+	}
 	for _, running := range own.Running {
 		if usage.Active[running.Replica] -= running.Count; usage.Active[running.Replica] <= 0 {
 			delete(usage.Active, running.Replica)
