Send a generation to at most two engines that fail before its first token

A third engine gets it only if at most one of those before failed without a token; engines that did not run it do not count.

--- a/internal/filter/dispatch.go
+++ b/internal/filter/dispatch.go
@@ -80,6 +80,10 @@
 // maxAttempts limits the attempts of one request, independent of the budget.
 const maxAttempts = 4
 
+// maxTokenlessFailures limits the endpoints at which a generation may run and fail
+// before its first token. Its prompt may be what crashes them.
+const maxTokenlessFailures = 2
+
 // recordTimeout limits the recording of an outcome after a call.
 const recordTimeout = 2 * time.Second
 
@@ -130,6 +134,7 @@
 	progress := &progress{clock: f.Clock, emit: work.Emit}
 	run := NotRun
 	var failedEndpoints []string
+	tokenlessFailures := 0
 	for attempts := 1; ; attempts++ {
 		attempt := generationAttempt(request, work, progress.nextIndex)
 		progress.startedAt, progress.firstToken = f.Clock.Now(), 0
@@ -146,7 +151,10 @@
 		if hedgeEndpoint != "" {
 			failedEndpoints = append(failedEndpoints, hedgeEndpoint)
 		}
-		if !f.shouldRetry(ctx, err, attempts) || !f.readmit(ctx, request, failedEndpoints) {
+		if failureOf(err).Run != NotRun && progress.nextIndex == startIndex {
+			tokenlessFailures++
+		}
+		if tokenlessFailures >= maxTokenlessFailures || !f.shouldRetry(ctx, err, attempts) || !f.readmit(ctx, request, failedEndpoints) {
 			return failedVerdict(ctx, err, run, progress.nextIndex, work.PromptTokens)
 		}
 	}
