Accept fewer than five crashes in the test of deadly prompt parts

The test failed once: the part was quarantined before five requests with it had reached replicas, which is what is wanted. Then no request may count as late, and the bound for sound requests counts from the last crash, as the rule says. The checks of late and sound requests stay; a run in which no request with the part reaches a replica still fails, as it shows nothing.

--- a/internal/soaker/deadly_part_test.go
+++ b/internal/soaker/deadly_part_test.go
@@ -50,7 +50,7 @@
 
 	late, boundAt := d.runsAfterCrashes()
 	if boundAt.IsZero() {
-		t.Fatal("fewer than five requests with the part reached replicas")
+		t.Fatal("no request with the part reached a replica")
 	}
 	if late > maxLateRuns {
 		t.Errorf("%d requests with the part reached replicas later than %v after the fifth crash, want at most %d", late, contactBound, maxLateRuns)
@@ -74,7 +74,7 @@
 
 // runsAfterCrashes returns the number of runs with deadlyPart later than contactBound
 // after the fifth of them, each of which crashes its replica, and the time from which
-// it counts.
+// it counts. If there are fewer, none is late, and the time counts from the last one.
 func (d *deployment) runsAfterCrashes() (late int, boundAt time.Time) {
 	var crashes []time.Time
 	for _, r := range d.replicas {
@@ -84,11 +84,11 @@
 			}
 		}
 	}
-	if len(crashes) < 5 {
+	if len(crashes) == 0 {
 		return 0, time.Time{}
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
-	boundAt = crashes[4].Add(contactBound)
+	boundAt = crashes[min(4, len(crashes)-1)].Add(contactBound)
 	for _, at := range crashes {
 		if at.After(boundAt) {
 			late++
