--- a/internal/screener/evidence.go
+++ b/internal/screener/evidence.go
@@ -100,7 +100,7 @@
 	}
 	for _, begun := range report.Begun {
 		if s := e.Suspicions[begun.Part]; s != nil {
-			s.acquit(now.Add(-begun.Age))
+			s.clearBefore(now.Add(-begun.Age))
 		}
 	}
 }
--- a/internal/screener/review.go
+++ b/internal/screener/review.go
@@ -47,30 +47,18 @@
 // against them or more. So of the parts with about the most crashes, it is the one at
 // the largest depth. If that is wrong, the crashes go on and lead to the next part.
 func (e *Evidence) mostSpecific(now time.Time) string {
-	var guilty, silent []string
-	for _, part := range slices.Sorted(maps.Keys(e.Suspicions)) {
-		s := e.Suspicions[part]
-		answering, chain := s.answering(), s.chain()
-		switch {
-		case s.SuspectSince.IsZero():
-		case answering >= quarantineBreaks, answering > 0 && chain >= quarantineBreaks:
-			guilty = append(guilty, part)
-		case chain >= silentBreaks:
-			silent = append(silent, part)
-		}
-	}
-	if len(guilty) == 0 {
-		guilty = silent
-	}
+	parts := e.candidates()
 	most := 0
-	for _, part := range guilty {
+	for _, part := range parts {
 		most = max(most, e.Suspicions[part].replicas())
 	}
-	guilty = slices.DeleteFunc(guilty, func(part string) bool { return float64(e.Suspicions[part].replicas()) < minCrashShare*float64(most) })
-	if len(guilty) == 0 {
+	parts = slices.DeleteFunc(parts, func(part string) bool {
+		return float64(e.Suspicions[part].replicas()) < minCrashShare*float64(most)
+	})
+	if len(parts) == 0 {
 		return ""
 	}
-	part := slices.MaxFunc(guilty, func(a, b string) int {
+	part := slices.MaxFunc(parts, func(a, b string) int {
 		return cmp.Or(cmp.Compare(e.Suspicions[a].Depth, e.Suspicions[b].Depth), cmp.Compare(e.Suspicions[a].replicas(), e.Suspicions[b].replicas()))
 	})
 	if s := e.Suspicions[part]; now.Sub(s.SuspectSince) < settleTime || e.expectedAnswers(s) < minExpectedAnswers {
@@ -80,6 +68,28 @@
 	return part
 }
 
+// candidates returns the parts with enough breaks for a quarantine, sorted. Parts whose
+// requests only broke off before the head of the answer are candidates if there are no
+// others.
+func (e *Evidence) candidates() []string {
+	var answered, silent []string
+	for _, part := range slices.Sorted(maps.Keys(e.Suspicions)) {
+		s := e.Suspicions[part]
+		answering, chain := s.answering(), s.chain()
+		switch {
+		case s.SuspectSince.IsZero():
+		case answering >= quarantineBreaks, answering > 0 && chain >= quarantineBreaks:
+			answered = append(answered, part)
+		case chain >= silentBreaks:
+			silent = append(silent, part)
+		}
+	}
+	if len(answered) == 0 {
+		return silent
+	}
+	return answered
+}
+
 // minCrashShare is the share of the most crashes that a part needs to be chosen for
 // its depth. The nodes' reports of one crash arrive at different times.
 const minCrashShare = 0.75
--- a/internal/screener/suspicion.go
+++ b/internal/screener/suspicion.go
@@ -39,9 +39,9 @@
 	s.Sightings = s.Sightings[max(0, len(s.Sightings)-maxSightings):]
 }
 
-// acquit drops the evidence that is older than an answer that began at the given
+// clearBefore drops the evidence that is older than an answer that began at the given
 // time.
-func (s *Suspicion) acquit(at time.Time) {
+func (s *Suspicion) clearBefore(at time.Time) {
 	if !at.After(s.BegunAt) {
 		return
 	}
