Make prompt parts suspect with the first break after the head

A part is suspect from the first break between head and first event on. Few sound requests break off there.

--- a/internal/screener/evidence.go
+++ b/internal/screener/evidence.go
@@ -11,10 +11,13 @@
 	// suspectBreaks and quarantineBreaks are the numbers of successive breaks from
 	// which on a part is suspect and is quarantined. silentBreaks is the number for a
 	// part whose requests broke off before the head of the answer: they may have waited
-	// behind the one that crashed the replica.
+	// behind the one that crashed the replica. suspectAnswers is the number of breaks
+	// after the head from which on a part is suspect. It is 1, so that answers which clear
+	// the part are known by the time of the third break.
 	suspectBreaks    = 2
 	quarantineBreaks = 3
 	silentBreaks     = 5
+	suspectAnswers   = 1
 	// minAnsweringShare is the share of the requests with a part that broke off between
 	// the head and the first event of the answer, from which on the part is likely to
 	// be the cause. A replica that crashes breaks off few sound requests there.
--- a/internal/screener/suspicion.go
+++ b/internal/screener/suspicion.go
@@ -89,10 +89,7 @@
 }
 
 func (s *Suspicion) isSuspect() bool {
-	if len(s.Sightings) < suspectBreaks {
-		return false
-	}
-	return s.answering() >= suspectBreaks || s.chain() >= suspectBreaks
+	return s.answering() >= suspectAnswers || s.chain() >= suspectBreaks
 }
 
 // requests and replicas return the numbers of different requests and replicas in the
