Load copies of busy models on replicas without a limit only

The cost of 10 s that kept all loads away from replicas with a limit also sent rare models to the weight store, although such a replica could have loaded and served them.

Copies of busy models avoid replicas with a limit; other loads there cost one second more.

--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -23,11 +23,9 @@
 		if !ok || c.index.holders[key] >= c.index.wanted[key] {
 			continue
 		}
-		best, victims := c.cheapestReplica(now, key, engine, model, false)
-		if best != nil && c.hasLimit(best) && c.hasUnlimitedReplica(key.Service) {
-			// A copy that its replica's limit holds back does not relieve the others.
-			continue
-		}
+		// A copy that its replica's limit holds back does not relieve the others.
+		avoidLimits := c.hasUnlimitedReplica(key.Service)
+		best, victims := c.cheapestReplica(now, key, engine, model, loadRule{AvoidLimits: avoidLimits})
 		if best == nil || best.tier(model.Name) == FromStore && c.countStoreLoads() >= c.storeConcurrency() {
 			continue
 		}
--- a/internal/planner/limits.go
+++ b/internal/planner/limits.go
@@ -22,10 +22,10 @@
 	NamedAt   time.Time
 }
 
-// limitedReplicaCost is added to the cost of a load at a replica that has named a limit.
-// It exceeds the time of a load from the weight store (6 to 8 s), since a copy is of little
-// use where the limit holds requests back.
-const limitedReplicaCost = 10 * time.Second
+// limitedReplicaCost is added to the cost of a load at a replica that has named a limit:
+// more than a load from a replica's own copies takes, and less than one from the weight
+// store.
+const limitedReplicaCost = time.Second
 
 // hasLimit reports whether a replica has named a limit.
 func (c *Controller) hasLimit(e *Endpoint) bool {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -161,9 +161,9 @@
 	if !ok || c.hasHealthyHolder(key) {
 		return nil
 	}
-	best, victims := c.cheapestReplica(now, key, engine, model, false)
+	best, victims := c.cheapestReplica(now, key, engine, model, loadRule{})
 	if best == nil && c.filledByBusyModels(key, engine, model) {
-		best, victims = c.cheapestReplica(now, key, engine, model, true)
+		best, victims = c.cheapestReplica(now, key, engine, model, loadRule{EvictSpares: true})
 	}
 	if best == nil || best.tier(model.Name) == FromStore && (c.hasLocalCopy(key) || c.countStoreLoads() >= c.storeConcurrency()) {
 		return nil
--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -9,19 +9,26 @@
 	"toucanhitch.example/toucanhitch/internal/resolver"
 )
 
+// loadRule says which replicas may load a model.
+type loadRule struct {
+	// EvictSpares allows spare copies of busy models to be unloaded.
+	EvictSpares bool
+	// AvoidLimits excludes replicas that have named a limit.
+	AvoidLimits bool
+}
+
 // cheapestReplica returns the idle replica that can load a model at the lowest
-// cost, with the models to unload there. With evictSpares, these may include spare
-// replicas of busy models. The replica is nil if there is none.
-func (c *Controller) cheapestReplica(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model, evictSpares bool) (*Endpoint, []string) {
+// cost under the rule, with the models to unload there. The replica is nil if there is none.
+func (c *Controller) cheapestReplica(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model, rule loadRule) (*Endpoint, []string) {
 	var best *Endpoint
 	var bestVictims []string
 	bestCost := time.Duration(math.MaxInt64)
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Entry.Service != key.Service || !e.idle() || e.holdsOrLoads(model.Name) || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !e.idle() || e.holdsOrLoads(model.Name) || c.index.suspects[id] || rule.AvoidLimits && c.hasLimit(e) {
 			continue
 		}
-		victims, loss, ok := c.selectVictims(now, e, engine, model, evictSpares)
+		victims, loss, ok := c.selectVictims(now, e, engine, model, rule.EvictSpares)
 		if !ok {
 			continue
 		}
