--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -9,7 +9,7 @@
 	"toucanhitch.example/toucanhitch/internal/resolver"
 )
 
-// loadRule says which replicas may load a model.
+// loadRule selects the replicas that may load a model and what they may unload.
 type loadRule struct {
 	// EvictSpares allows spare copies of busy models to be unloaded.
 	EvictSpares bool
@@ -18,7 +18,8 @@
 }
 
 // cheapestReplica returns the idle replica that can load a model at the lowest
-// cost under the rule, with the models to unload there. The replica is nil if there is none.
+// cost under the rule, with the models to unload there. The replica is nil if there is
+// none.
 func (c *Controller) cheapestReplica(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model, rule loadRule) (*Endpoint, []string) {
 	var best *Endpoint
 	var bestVictims []string
