Log what identifies a request whose attempt failed

The log named the Attempt-Id, which is new for each repetition of a request, and the parts of its prompt, which other requests share.

Failed attempts are logged with a fingerprint of the workspace, method, host, target and body.

--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -42,6 +42,7 @@
 	}
 	if event.Err != nil {
 		fields["Error"] = event.Err.Error()
+		fields["Fingerprint"] = event.Fingerprint
 		if len(event.Forward.SharedParts) > 0 {
 			fields["SharedParts"] = strings.Join(event.Forward.SharedParts, " ")
 			fields["EventsPassed"] = event.EventsPassed
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -77,7 +77,9 @@
 	Notice Notice
 	// EventsPassed is the number of events of a stream that the caller has.
 	EventsPassed int
-	Err          error
+	// Fingerprint identifies the whole request. It is set if Err is set.
+	Fingerprint string
+	Err         error
 	// ConfigurationAge is the age of the configuration at the time of the event.
 	ConfigurationAge time.Duration
 }
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -116,6 +116,10 @@
 func (j *job) log(text, replica string, firstByte time.Duration, status int, err error) {
 	_, currentAsOf := j.View.Configuration()
 	now := j.Clock.Now()
+	identity := ""
+	if err != nil {
+		identity = fingerprint(j.forward)
+	}
 	j.Log(Event{
 		Text:             text,
 		Forward:          j.forward,
@@ -129,6 +133,7 @@
 		Status:           status,
 		Notice:           j.notice,
 		EventsPassed:     j.events.Passed,
+		Fingerprint:      identity,
 		Err:              err,
 		ConfigurationAge: now.Sub(currentAsOf),
 	})
