Recognise requests that crash replicas when they come again

Cause: what identifies a request was not known. Each repetition has an Attempt-Id of its own, and requests were compared by the parts of their prompts only, which sound requests share and plain services do not have.

The screener takes a whole request as a second kind of suspect, by workspace, method, host, target and body. A break between head and first event on two replicas is enough, or three replicas in a row before the head. Replicas that answer after a break clear it. While nothing else of the service is answered the request is held and then tried by one node at a time. A suspect request is not sent to a second replica.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -211,7 +211,7 @@
 	}
 	n.logPostError("rationer", n.rationer.Post(usage))
 	n.logPostError("balancer", n.balancer.Post(balancer.UsageUpdate{Usage: usage}))
-	n.logPostError("screener", n.screener.Post(screener.StateReceived{Published: state.Prompts}))
+	n.logPostError("screener", n.screener.Post(screener.StateReceived{Tenure: state.Epoch, Published: state.Prompts}))
 	n.view.directory.Store(&directory{callers: effect.Callers, asOf: effect.AsOf})
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
 		Active:          effect.Others.Active,
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -122,7 +122,13 @@
 
 // logScreenerNote logs a quarantine that began or ended at this node.
 func (n *Node) logScreenerNote(note screener.Note) {
-	n.logger.WithFields(logrus.Fields{"Part": note.Part, "Remaining": note.Remaining.String()}).Info(note.Text)
+	fields := logrus.Fields{"Remaining": note.Remaining.String()}
+	if fingerprint, ok := screener.RequestFingerprint(note.Trait); ok {
+		fields["Fingerprint"] = fingerprint
+	} else {
+		fields["Part"] = note.Trait
+	}
+	n.logger.WithFields(fields).Info(note.Text)
 	n.meter.RecordChange("screener", note.Text)
 }
 
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -233,6 +233,7 @@
 	})
 	n.rationer = rationer.New(n.clock, bounds.QuotaSlack, seed(n.self.RunID))
 	n.screener = screener.New(screener.Settings{
+		Node:     n.settings.Node,
 		Clock:    n.clock,
 		Log:      n.logScreenerNote,
 		LogError: func(err error) { n.logPostError("screener", err) },
@@ -269,7 +270,7 @@
 		forwarder.ResolveRoute{View: &n.view, Clock: n.clock},
 		forwarder.Drain{Clock: n.clock, CutoffAt: n.cutoffTime, Grace: func() time.Duration { return n.bounds.Load().DrainGrace }},
 		forwarder.Authorize{View: &n.view, Clock: n.clock, MaxKeyAge: n.maxKeyAge},
-		forwarder.ScreenPrompt{Screen: n.screener},
+		forwarder.ScreenRequest{Screen: n.screener},
 		forwarder.LimitRate{Limits: n.rationer},
 		&forwarder.Dispatch{
 			Pool:      n.pool,
--- a/internal/emulator/fleet_faults.go
+++ b/internal/emulator/fleet_faults.go
@@ -19,6 +19,9 @@
 	// CrashOnPart crashes the replica when it begins to write an answer to a request
 	// with this shared part in its prompt. "" disables the fault.
 	CrashOnPart string
+	// CrashOnBody crashes the replica when it begins to answer a request with this
+	// body. "" disables the fault.
+	CrashOnBody string
 	// NamedLimit is the limit in requests a second that the replica names in its
 	// answers. 0 names none. The replica serves all requests all the same.
 	NamedLimit float64
--- a/internal/emulator/fleet_replica.go
+++ b/internal/emulator/fleet_replica.go
@@ -301,12 +301,21 @@
 		w.Header().Set("Server-Limit", strconv.FormatFloat(faults.NamedLimit, 'f', -1, 64))
 	}
 	breakOff := faults.BreakEvery > 0 && runNumber%faults.BreakEvery == 0
+	crash := faults.CrashOnBody != "" && body == faults.CrashOnBody ||
+		faults.CrashOnPart != "" && strings.Contains(request.Header.Get("Prompt-Prefix"), faults.CrashOnPart+":")
 	if model != "" {
-		crash := faults.CrashOnPart != "" && strings.Contains(request.Header.Get("Prompt-Prefix"), faults.CrashOnPart+":")
 		r.writeStream(w, request, streamFaults{breakOff: breakOff, crash: crash, crashed: crashed})
 		return
 	}
-	r.settings.Clock.Sleep(r.settings.AnswerTime)
+	select {
+	case <-r.settings.Clock.After(r.settings.AnswerTime):
+	case <-crashed:
+		panic(http.ErrAbortHandler)
+	}
+	if crash {
+		r.crash()
+		panic(http.ErrAbortHandler)
+	}
 	if faults.FailEvery > 0 && runNumber%faults.FailEvery == 0 {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -121,10 +121,12 @@
 	// Writer sends the answer to the caller.
 	Writer Writer
 
-	// Route, Service and Workspace are set by filters.
-	Route     resolver.Route
-	Service   string
-	Workspace resolver.Workspace
+	// Route, Service and Workspace are set by filters. Fingerprint is what is the same for
+	// all repetitions of the request, or "" before it is needed.
+	Route       resolver.Route
+	Service     string
+	Workspace   resolver.Workspace
+	Fingerprint string
 }
 
 // Writer writes an answer to the caller. An error means that the caller has
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -12,8 +12,8 @@
 
 // handleResponse handles a response. A nil verdict without an error means that
 // the replica did not run the request, or that it failed and the request may be
-// repeated.
-func (j *job) handleResponse(ctx context.Context, e *exchange, result *balancer.Result) (filter.Verdict, error) {
+// repeated. recordBegun is called once an answer has begun.
+func (j *job) handleResponse(ctx context.Context, e *exchange, result *balancer.Result, recordBegun func()) (filter.Verdict, error) {
 	head := e.head
 	switch {
 	case head.NotRun:
@@ -29,7 +29,7 @@
 		return nil, fmt.Errorf("%w: status %d without a MAC", ErrInvalidResponse, head.Status)
 	case head.Stream && head.Status == http.StatusOK:
 		*result = balancer.Answered
-		return j.forwardStream(ctx, e)
+		return j.forwardStream(ctx, e, recordBegun)
 	}
 	e.resetTimeout(max(minTimeLeft, j.request.Deadline.Sub(j.Clock.Now())))
 	body, err := e.readAll(ctx)
@@ -41,6 +41,7 @@
 		return nil, fmt.Errorf("%w: status %d instead of the rest of a stream", ErrInvalidResponse, head.Status)
 	}
 	*result = balancer.Answered
+	recordBegun()
 	j.possibleRuns++
 	accept := filter.Accept{Reply: filter.Reply{Status: head.Status, Header: head.Header, Body: body}}
 	if head.Status < http.StatusInternalServerError {
@@ -64,12 +65,12 @@
 }
 
 // forwardStream passes events on to the caller until the stream is complete.
-func (j *job) forwardStream(ctx context.Context, e *exchange) (filter.Verdict, error) {
+func (j *job) forwardStream(ctx context.Context, e *exchange, recordBegun func()) (filter.Verdict, error) {
 	begun := false
 	write := func(event []byte) error {
 		if !begun {
 			begun = true
-			j.Screen.RecordBegun(j.forward.SharedParts)
+			recordBegun()
 		}
 		if !j.responseStarted {
 			if err := j.forward.Writer.Begin(e.head.Status, e.head.Header); err != nil {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -50,15 +50,20 @@
 	Post(message balancer.Message) error
 }
 
-// Screen knows the parts of prompts that crash replicas.
+// Screen knows the requests that crash replicas.
 type Screen interface {
-	// Quarantined returns the first of the parts with which no request may be sent
+	// Quarantined returns the first trait of the request for which it may not be sent
 	// and the time for which that lasts, or "".
-	Quarantined(parts []string) (part string, remaining time.Duration)
+	Quarantined(subject screener.Subject) (trait screener.Trait, remaining time.Duration)
+	// Admit is called before each attempt and returns the same, or "" if the request may
+	// be sent to find out whether replicas crash on it.
+	Admit(subject screener.Subject) (trait screener.Trait, remaining time.Duration)
+	// IsSuspect reports whether the whole request may crash replicas.
+	IsSuspect(subject screener.Subject) bool
 	// RecordBreak records an attempt that broke off before the first event of its
-	// answer, and RecordBegun an answer that has begun.
+	// answer, and RecordBegun an attempt that a replica has begun to answer.
 	RecordBreak(broken screener.AttemptBroke)
-	RecordBegun(parts []string)
+	RecordBegun(subject screener.Subject, replica screener.Process, sentAt time.Time)
 }
 
 // Event describes the outcome of an attempt or a request, for logs and metrics.
@@ -143,8 +148,8 @@
 	if ctx.Err() != nil {
 		return j.end(filter.Overloaded, "the caller is gone")
 	}
-	if part, remaining := j.Screen.Quarantined(j.forward.SharedParts); part != "" {
-		return j.endAndRetryAfter(filter.Quarantined, quarantineDetail(part), remaining)
+	if trait, remaining := j.Screen.Admit(subject(j.forward)); trait != "" {
+		return j.endAndRetryAfter(filter.Quarantined, quarantineDetail(trait), remaining)
 	}
 	left := j.request.Deadline.Sub(startedAt)
 	if left < minTimeLeft {
@@ -169,11 +174,13 @@
 	firstByte = j.Clock.Since(startedAt)
 	j.notice = exchange.head.Notice
 	j.reportNotice(placement, exchange.head.NotRun)
-	verdict, err := j.handleResponse(ctx, exchange, &result)
+	recordBegun := func() { j.Screen.RecordBegun(subject(j.forward), process(placement), startedAt) }
+	verdict, err := j.handleResponse(ctx, exchange, &result, recordBegun)
 	if err != nil {
 		result = j.recordFailure(placement, err)
 		if j.events.Passed == passedBefore {
-			j.reportBreak(placement, err, startedAt, true)
+			// Only streams have a head long before the rest of the answer.
+			j.reportBreak(placement, err, startedAt, exchange.head.Stream)
 		}
 		return j.verdictAfterFailure(err)
 	}
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -48,18 +48,24 @@
 // reportBreak reports an attempt that broke off before the first event of its answer.
 // A time-out is no such break: overloaded replicas cause them as well.
 func (j *job) reportBreak(placement balancer.Placement, err error, sentAt time.Time, headReceived bool) {
-	if len(j.forward.SharedParts) == 0 || !errors.Is(err, ErrTruncated) {
+	if !errors.Is(err, ErrTruncated) {
 		return
 	}
 	j.Screen.RecordBreak(screener.AttemptBroke{
 		Request:      j.forward.Attempt,
-		Replica:      screener.Process{ID: placement.Replica, StartedMS: placement.StartedMS},
+		Fingerprint:  fingerprint(j.forward),
+		Service:      j.forward.Service,
+		Replica:      process(placement),
 		Parts:        j.forward.SharedParts,
 		HeadReceived: headReceived,
 		SentAt:       sentAt,
 	})
 }
 
+func process(placement balancer.Placement) screener.Process {
+	return screener.Process{ID: placement.Replica, StartedMS: placement.StartedMS}
+}
+
 // verdictAfterFailure returns nil if another attempt may follow a failed one, and
 // the final verdict otherwise.
 func (j *job) verdictAfterFailure(err error) filter.Verdict {
@@ -72,6 +78,8 @@
 		return nil
 	case !j.forward.Route.Repeatable(), j.possibleRuns >= j.forward.Route.MaxAttempts:
 		return j.end(filter.EndpointFailed, "the replica did not answer")
+	case !j.responseStarted && j.Screen.IsSuspect(subject(j.forward)):
+		return j.end(filter.EndpointFailed, "replicas may have crashed on this request")
 	}
 	return nil
 }
--- a/internal/forwarder/filters.go
+++ b/internal/forwarder/filters.go
@@ -12,6 +12,7 @@
 	"toucanhitch.example/toucanhitch/internal/logger"
 	"toucanhitch.example/toucanhitch/internal/rationer"
 	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/screener"
 )
 
 const (
@@ -113,20 +114,24 @@
 	return newRefusal(filter.UnknownKey, filter.NotRun, 0, "the key is not granted or has been withdrawn")
 }
 
-// ScreenPrompt refuses requests with a part in their prompt that crashes replicas.
-type ScreenPrompt struct{ Screen Screen }
+// ScreenRequest refuses requests that crash replicas, as a whole or by a part of their
+// prompt.
+type ScreenRequest struct{ Screen Screen }
 
 // Filter implements filter.Filter.
-func (f ScreenPrompt) Filter(_ context.Context, request *filter.Request) filter.Verdict {
-	part, remaining := f.Screen.Quarantined(request.Work.(*filter.Forward).SharedParts)
-	if part == "" {
+func (f ScreenRequest) Filter(_ context.Context, request *filter.Request) filter.Verdict {
+	trait, remaining := f.Screen.Quarantined(subject(request.Work.(*filter.Forward)))
+	if trait == "" {
 		return filter.Pass{}
 	}
-	return newRefusal(filter.Quarantined, filter.NotRun, remaining, quarantineDetail(part))
+	return newRefusal(filter.Quarantined, filter.NotRun, remaining, quarantineDetail(trait))
 }
 
-func quarantineDetail(part string) string {
-	return "replicas crash on part " + part + " of the prompt"
+func quarantineDetail(trait screener.Trait) string {
+	if fingerprint, ok := screener.RequestFingerprint(trait); ok {
+		return "replicas crash on this request, " + fingerprint
+	}
+	return "replicas crash on part " + trait + " of the prompt"
 }
 
 // LimitRate takes the units of a request from the rate limit of its workspace.
--- a/internal/planner/prompts.go
+++ b/internal/planner/prompts.go
@@ -7,14 +7,18 @@
 	"toucanhitch.example/toucanhitch/internal/screener"
 )
 
-// reviewPrompts quarantines the parts of prompts that crash replicas, and finds out
-// whether the replicas that broke off requests with a suspect part still run.
+// reviewPrompts quarantines the requests and the parts of prompts that crash replicas, and
+// finds out whether the replicas that broke off suspect requests still run.
 func (c *Controller) reviewPrompts(now time.Time) []Effect {
 	var effects []Effect
 	for _, verdict := range c.Tenure.Prompts.Review(now) {
+		text, kind, id := "prompt part found to crash replicas", "part", verdict.Trait
+		if fingerprint, ok := screener.RequestFingerprint(verdict.Trait); ok {
+			text, kind, id = "request found to crash replicas", "request", fingerprint
+		}
 		effects = append(effects, Note{
-			Text:   "prompt part found to crash replicas",
-			Reason: fmt.Sprintf("part %s: %d requests broke off on %d replicas", verdict.Part, verdict.Requests, verdict.Replicas),
+			Text:   text,
+			Reason: fmt.Sprintf("%s %s: %d requests broke off on %d replicas", kind, id, verdict.Requests, verdict.Replicas),
 		})
 	}
 	for _, replica := range c.Tenure.Prompts.Check(now) {
--- a/internal/screener/fuzz_test.go
+++ b/internal/screener/fuzz_test.go
@@ -22,7 +22,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(20, 120).Draw(t, "ms")) * time.Millisecond)
 			replica := Process{ID: fmt.Sprintf("r%d", step), StartedMS: 1}
 			answers += 3
-			report := Report{Answers: answers}
+			report := Report{AnswersByService: map[string]uint64{"llm": answers}}
 			for _, suspect := range evidence.Publish(now).Suspects {
 				if suspect != "deadly" {
 					report.Begun = append(report.Begun, Begun{suspect, time.Duration(rapid.IntRange(0, 300).Draw(t, "age")) * time.Millisecond})
@@ -31,7 +31,7 @@
 			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
 				// A replica crashes for another reason.
-				report.Breaks = []Break{{Request: fmt.Sprint("q", step), Replica: replica, Parts: []string{"first", "other"}, SentAge: 90 * time.Millisecond}}
+				report.Breaks = []Break{{Request: fmt.Sprint("q", step), Service: "llm", Replica: replica, Parts: []string{"first", "other"}, SentAge: 90 * time.Millisecond}}
 			case 1:
 				evidence.RecordAlive(Process{ID: fmt.Sprintf("r%d", step-1), StartedMS: 1}, now)
 			case 2, 3:
@@ -40,14 +40,14 @@
 				}
 				lastCrash, crashes = now, crashes+1
 				report.Breaks = []Break{
-					{Request: fmt.Sprint("q", step), Replica: replica, Parts: []string{"first", "second", "deadly"}, HeadReceived: rapid.Bool().Draw(t, "head"), SentAge: 60 * time.Millisecond},
-					{Request: fmt.Sprint("p", step), Replica: replica, Parts: []string{"first", "second"}, SentAge: 200 * time.Millisecond},
+					{Request: fmt.Sprint("q", step), Service: "llm", Replica: replica, Parts: []string{"first", "second", "deadly"}, HeadReceived: rapid.Bool().Draw(t, "head"), SentAge: 60 * time.Millisecond},
+					{Request: fmt.Sprint("p", step), Service: "llm", Replica: replica, Parts: []string{"first", "second"}, SentAge: 200 * time.Millisecond},
 				}
 			}
 			evidence.Record(now, "n1", report)
 			for _, verdict := range evidence.Review(now) {
-				if verdict.Part != "deadly" {
-					t.Fatalf("part %s is quarantined, want only deadly", verdict.Part)
+				if verdict.Trait != "deadly" {
+					t.Fatalf("part %s is quarantined, want only deadly", verdict.Trait)
 				}
 				found = true
 			}
--- a/internal/screener/message.go
+++ b/internal/screener/message.go
@@ -15,19 +15,29 @@
 // AttemptBroke reports an attempt that its replica broke off before the first event
 // of the answer. See Break.
 type AttemptBroke struct {
-	Request string
-	Replica Process
-	Parts   []string
+	Request     string
+	Fingerprint string `json:",omitempty"`
+	Service     string `json:",omitempty"`
+	Replica     Process
+	Parts       []string
 	// HeadReceived is set if the replica had sent the head of its answer.
 	HeadReceived bool
 	SentAt       time.Time
 }
 
-// AnswerBegun reports that the answer to a request with the given parts has begun.
-type AnswerBegun struct{ Parts []string }
+// AnswerBegun reports that a replica has begun to answer a request with the given traits.
+type AnswerBegun struct {
+	Traits  []Trait
+	Replica Process   `json:",omitzero"`
+	SentAt  time.Time `json:",omitzero"`
+}
 
-// StateReceived is what the holder has published.
-type StateReceived struct{ Published Published }
+// StateReceived is what a holder has published. Tenure identifies the holder and the
+// time for which it has collected evidence.
+type StateReceived struct {
+	Tenure    uint64 `json:",omitempty"`
+	Published Published
+}
 
 // Collect requests the node's report.
 type Collect struct{ Call runner.Call }
@@ -53,7 +63,7 @@
 // Note is a log entry: a quarantine began or ended at this node.
 type Note struct {
 	Text      string
-	Part      string
+	Trait     Trait `json:"Part"`
 	Remaining time.Duration
 }
 
@@ -63,26 +73,54 @@
 
 // View is what requests read of a node's state. It is never modified.
 type View struct {
-	Suspects map[string]bool
-	// Quarantines holds the end of each quarantine by part.
-	Quarantines map[string]time.Time
+	Suspects map[Trait]bool
+	// Quarantines holds the end of each quarantine by trait.
+	Quarantines map[Trait]time.Time
+	// Held holds the traits that are refused until HeldUntil. The value is set if this node
+	// may send one request at a time.
+	HeldUntil time.Time      `json:",omitzero"`
+	Held      map[Trait]bool `json:",omitempty"`
+	// Broken holds the replicas that broke off attempts of this node a short time ago.
+	Broken map[Process]bool `json:"-"`
+	// ScreensRequests is set if a whole request is suspect or quarantined.
+	ScreensRequests bool `json:",omitempty"`
 }
 
-// Quarantined returns the first of the parts that is quarantined and the remaining
-// time, or "".
-func (v *View) Quarantined(now time.Time, parts []string) (string, time.Duration) {
-	for _, part := range parts {
-		if remaining := v.Quarantines[part].Sub(now); remaining > 0 {
-			return part, remaining
+// quarantined returns the first trait of the request that is quarantined or held and the
+// remaining time, or "". If mayProbe is set, the request may be sent all the same to find
+// out whether replicas crash on it.
+func (v *View) quarantined(now time.Time, subject Subject) (trait Trait, remaining time.Duration, mayProbe bool) {
+	if len(v.Quarantines) == 0 && len(v.Held) == 0 {
+		return "", 0, false
+	}
+	for _, trait := range v.traits(subject) {
+		if remaining := v.Quarantines[trait].Sub(now); remaining > 0 {
+			return trait, remaining, false
 		}
+		if mayProbe, held := v.Held[trait]; held && now.Before(v.HeldUntil) {
+			return trait, v.HeldUntil.Sub(now), mayProbe
+		}
+	}
+	return "", 0, false
+}
+
+// isSuspect reports whether the whole request is suspect.
+func (v *View) isSuspect(subject Subject) bool {
+	return v.ScreensRequests && v.Suspects[RequestTrait(subject.Fingerprint())]
+}
+
+// traits returns the traits of a request that can be suspect or quarantined.
+func (v *View) traits(subject Subject) []Trait {
+	if !v.ScreensRequests {
+		return subject.Parts
 	}
-	return "", 0
+	return appendTrait(subject.Parts, subject.Fingerprint())
 }
 
-// hasSuspect reports whether one of the parts is suspect.
-func (v *View) hasSuspect(parts []string) bool {
-	for _, part := range parts {
-		if v.Suspects[part] {
+// hasSuspect reports whether one of the traits is suspect.
+func (v *View) hasSuspect(traits []Trait) bool {
+	for _, trait := range traits {
+		if v.Suspects[trait] {
 			return true
 		}
 	}
--- a/internal/screener/review.go
+++ b/internal/screener/review.go
@@ -7,14 +7,14 @@
 	"time"
 )
 
-// Verdict is a part that a review has quarantined, with the numbers of requests and
+// Verdict is a trait that a review has quarantined, with the numbers of requests and
 // replicas in the evidence against it.
 type Verdict struct {
-	Part               string
+	Trait              Trait `json:"Part"`
 	Requests, Replicas int
 }
 
-// Review quarantines the parts with enough evidence against them and returns these.
+// Review quarantines the traits with enough evidence against them and returns these.
 func (e *Evidence) Review(now time.Time) []Verdict {
 	if now.Sub(e.ReviewedAt) < reviewInterval {
 		return nil
@@ -22,66 +22,119 @@
 	e.ReviewedAt = now
 	e.expire(now)
 	for _, s := range e.Suspicions {
-		switch {
-		case !s.isSuspect():
-			s.SuspectSince = time.Time{}
-		case s.SuspectSince.IsZero():
-			s.SuspectSince, s.AnswersBefore = now, e.Answers
-		}
+		e.update(now, s)
 	}
 	var verdicts []Verdict
-	for part := e.mostSpecific(now); part != ""; part = e.mostSpecific(now) {
-		s := e.Suspicions[part]
-		verdicts = append(verdicts, Verdict{Part: part, Replicas: s.replicas(), Requests: s.requests()})
-		delete(e.Suspicions, part)
-		e.Quarantined[part] = now.Add(quarantineTime)
+	for trait := e.mostSpecific(now); trait != ""; trait = e.mostSpecific(now) {
+		s := e.Suspicions[trait]
+		verdicts = append(verdicts, Verdict{Trait: trait, Replicas: s.replicas(), Requests: s.requests()})
+		delete(e.Suspicions, trait)
+		e.Quarantined[trait] = now.Add(quarantineTime)
+		fingerprint, ok := RequestFingerprint(trait)
+		if !ok {
+			fingerprint = ""
+		}
 		for _, sighting := range s.Sightings {
-			e.explain(now, sighting.Replica)
+			e.explain(now, sighting.Replica, fingerprint)
 		}
 	}
 	return verdicts
 }
 
-// mostSpecific returns the part to quarantine, or "" if there is none yet. Requests
+// update sets the times of a suspicion, and ends its hold if others are answered.
+func (e *Evidence) update(now time.Time, s *Suspicion) {
+	switch {
+	case !s.isSuspect():
+		s.SuspectSince = time.Time{}
+	case s.SuspectSince.IsZero():
+		s.SuspectSince, s.AnswersBefore = now, e.Answers[s.Service]
+	}
+	switch sufficient, _ := s.isSufficient(); {
+	case !sufficient:
+		s.SufficientSince = time.Time{}
+	case s.SufficientSince.IsZero():
+		s.SufficientSince = now
+	}
+	if !s.HeldUntil.IsZero() && (!now.Before(s.HeldUntil) || e.isAnswering(s)) {
+		s.HeldUntil, s.ReleasedAt = time.Time{}, now
+	}
+}
+
+// chooseProber makes a node that has just reported the prober of the traits that need one.
+func (e *Evidence) chooseProber(now time.Time, node string) {
+	for _, s := range e.Suspicions {
+		if !s.ReleasedAt.IsZero() && s.HeldUntil.IsZero() && (s.Prober == "" || !now.Before(s.ProberUntil)) {
+			s.Prober, s.ProberUntil = node, now.Add(probeTime)
+		}
+	}
+}
+
+// hold keeps a request away from replicas although nothing is answered, so that it is not
+// known whether it is the cause. As soon as others are answered, one node at a time sends
+// it, and the next answer or break decides.
+func (e *Evidence) hold(now time.Time, s *Suspicion) {
+	s.Prober = ""
+	s.HeldUntil, s.AnswersBefore = now.Add(min(maxHoldTime, minHoldTime<<s.Holds)), e.Answers[s.Service]
+	s.Holds = min(s.Holds+1, maxHolds)
+}
+
+// mostSpecific returns the trait to quarantine, or "" if there is none yet. Requests
 // with a part often share the parts before it, which then have the same evidence
-// against them or more. So of the parts with about the most crashes, it is the one at
-// the largest depth. If that is wrong, the crashes go on and lead to the next part.
-func (e *Evidence) mostSpecific(now time.Time) string {
-	parts := e.candidates()
+// against them or more. So of the traits with about the most crashes, it is the one at
+// the largest depth. If that is wrong, the crashes go on and lead to the next trait.
+func (e *Evidence) mostSpecific(now time.Time) Trait {
+	traits := e.candidates()
 	most := 0
-	for _, part := range parts {
-		most = max(most, e.Suspicions[part].replicas())
+	for _, trait := range traits {
+		most = max(most, e.Suspicions[trait].replicas())
 	}
-	parts = slices.DeleteFunc(parts, func(part string) bool {
-		return float64(e.Suspicions[part].replicas()) < minCrashShare*float64(most)
+	traits = slices.DeleteFunc(traits, func(trait Trait) bool {
+		return float64(e.Suspicions[trait].replicas()) < minCrashShare*float64(most)
 	})
-	if len(parts) == 0 {
+	if len(traits) == 0 {
 		return ""
 	}
-	part := slices.MaxFunc(parts, func(a, b string) int {
-		return cmp.Or(cmp.Compare(e.Suspicions[a].Depth, e.Suspicions[b].Depth), cmp.Compare(e.Suspicions[a].replicas(), e.Suspicions[b].replicas()))
+	trait := slices.MaxFunc(traits, func(a, b Trait) int {
+		first, second := e.Suspicions[a], e.Suspicions[b]
+		return cmp.Or(cmp.Compare(first.Depth, second.Depth), cmp.Compare(first.replicas(), second.replicas()), cmp.Compare(first.requests(), second.requests()))
 	})
-	if s := e.Suspicions[part]; now.Sub(s.SuspectSince) < settleTime || e.expectedAnswers(s) < minExpectedAnswers {
+	s := e.Suspicions[trait]
+	switch {
+	case !s.isSettled(now):
 		// The parts before it, which may have been suspect for longer, wait as well.
 		return ""
+	case e.isAnswering(s):
+		return trait
+	case s.WholeRequest:
+		e.hold(now, s)
+	}
+	return ""
+}
+
+// isSettled reports whether answers and running replicas would have dropped the evidence
+// by now.
+func (s *Suspicion) isSettled(now time.Time) bool {
+	if s.WholeRequest {
+		return now.Sub(s.SufficientSince) >= requestSettleTime
 	}
-	return part
+	return now.Sub(s.SuspectSince) >= settleTime
 }
 
-// candidates returns the parts with enough breaks for a quarantine, sorted. Parts whose
-// requests only broke off before the head of the answer are candidates if there are no
-// others.
-func (e *Evidence) candidates() []string {
-	var answered, silent []string
-	for _, part := range slices.Sorted(maps.Keys(e.Suspicions)) {
-		s := e.Suspicions[part]
-		answering, chain := s.answering(), s.chain()
-		switch {
-		case s.SuspectSince.IsZero():
-		case answering >= quarantineBreaks, answering > 0 && chain >= quarantineBreaks:
-			answered = append(answered, part)
-		case chain >= silentBreaks:
-			silent = append(silent, part)
+// candidates returns the traits with enough evidence for a quarantine, sorted. Those
+// whose requests only broke off before the head of the answer are candidates if there are
+// no others.
+func (e *Evidence) candidates() []Trait {
+	var answered, silent []Trait
+	for _, trait := range slices.Sorted(maps.Keys(e.Suspicions)) {
+		s := e.Suspicions[trait]
+		if !s.isCandidate() {
+			continue
+		}
+		switch sufficient, isSilent := s.isSufficient(); {
+		case sufficient && isSilent:
+			silent = append(silent, trait)
+		case sufficient:
+			answered = append(answered, trait)
 		}
 	}
 	if len(answered) == 0 {
@@ -90,21 +143,31 @@
 	return answered
 }
 
-// minCrashShare is the share of the most crashes that a part needs to be chosen for
+// minCrashShare is the share of the most crashes that a trait needs to be chosen for
 // its depth. The nodes' reports of one crash arrive at different times.
 const minCrashShare = 0.75
 
-// expectedAnswers returns how many answers should have begun with a part since it is
-// suspect if it were sound: its share of the requests that broke off is about its
-// share of all requests.
+// isAnswering reports whether enough has been answered since the trait became suspect for
+// the lack of answers with it to count.
+func (e *Evidence) isAnswering(s *Suspicion) bool {
+	return e.expectedAnswers(s) >= minExpectedAnswers ||
+		s.WholeRequest && e.Answers[s.Service]-s.AnswersBefore >= minOtherAnswers
+}
+
+// expectedAnswers returns how many answers should have begun with a trait since it is
+// suspect if it were sound: its share of the service's requests that broke off is about
+// its share of all.
 func (e *Evidence) expectedAnswers(s *Suspicion) float64 {
+	if len(s.Sightings) == 0 {
+		return 0
+	}
 	broken := 0
-	for _, at := range e.Broken {
-		if !at.Before(s.Sightings[0].BrokenAt) {
+	for _, request := range e.Broken {
+		if request.Service == s.Service && !request.At.Before(s.Sightings[0].BrokenAt) {
 			broken++
 		}
 	}
-	return float64(e.Answers-s.AnswersBefore) * float64(s.requests()) / float64(max(1, broken))
+	return float64(e.Answers[s.Service]-s.AnswersBefore) * float64(s.requests()) / float64(max(1, broken))
 }
 
 // expire removes old evidence and quarantines that have ended.
@@ -113,8 +176,8 @@
 	for _, replicas := range []map[Process]time.Time{e.Explained, e.Alive, e.CheckedAt} {
 		maps.DeleteFunc(replicas, func(_ Process, at time.Time) bool { return now.Sub(at) > explainedLifetime })
 	}
-	maps.DeleteFunc(e.Broken, func(_ string, at time.Time) bool { return now.Sub(at) > sightingLifetime })
-	maps.DeleteFunc(e.Suspicions, func(_ string, s *Suspicion) bool {
+	maps.DeleteFunc(e.Broken, func(_ string, request BrokenRequest) bool { return now.Sub(request.At) > sightingLifetime })
+	maps.DeleteFunc(e.Suspicions, func(_ Trait, s *Suspicion) bool {
 		s.Sightings = slices.DeleteFunc(s.Sightings, func(sighting Sighting) bool { return now.Sub(sighting.BrokenAt) > sightingLifetime })
 		return len(s.Sightings) == 0 && now.Sub(s.BegunAt) > explainedLifetime
 	})
--- a/internal/screener/script_test.go
+++ b/internal/screener/script_test.go
@@ -12,7 +12,7 @@
 func TestScripts(t *testing.T) {
 	tester.Replay(t, tester.Suite[Message, Effect]{
 		Directory: "testdata/node",
-		New:       func(*testing.T, []byte) tester.Controller[Message, Effect] { return NewController() },
+		New:       func(*testing.T, []byte) tester.Controller[Message, Effect] { return NewController("n1") },
 		Messages:  []Message{AttemptBroke{}, AnswerBegun{}, StateReceived{}, Collect{}},
 		Tick:      Tick{},
 	})
--- a/internal/screener/task.go
+++ b/internal/screener/task.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,8 @@
 
 // Settings configures a node's screener.
 type Settings struct {
+	// Node is the name of this node.
+	Node  string
 	Clock clockwork.Clock
 	// Log receives the Note effects, and LogError errors of the inbox. They must not
 	// block.
@@ -22,12 +25,15 @@
 	LogError func(error)
 }
 
-// Task keeps what a node knows about prompts.
+// Task keeps what a node knows about requests that crash replicas.
 type Task struct {
 	settings Settings
 	task     *runner.Task[Message, Effect]
 	view     atomic.Pointer[View]
-	answers  atomic.Uint64
+	// answers counts the answers that have begun, by service.
+	answers sync.Map
+	// probedAt holds the time at which the request with a held trait was last sent.
+	probedAt sync.Map
 }
 
 // New returns a task that is idle until Run is called.
@@ -37,7 +43,7 @@
 	t.task = runner.New(runner.Settings[Message, Effect]{
 		Name:       "screener",
 		Clock:      settings.Clock,
-		Controller: NewController(),
+		Controller: NewController(settings.Node),
 		Tick:       Tick{},
 		Perform:    t.perform,
 		InboxSize:  inboxSize,
@@ -51,21 +57,65 @@
 // Post delivers a message to the controller.
 func (t *Task) Post(message Message) error { return t.task.Post(message) }
 
-// Quarantined returns the first of the parts that is quarantined and the remaining
-// time, or "".
-func (t *Task) Quarantined(parts []string) (string, time.Duration) {
-	return t.view.Load().Quarantined(t.settings.Clock.Now(), parts)
+// Quarantined returns the first trait of the request for which it is refused and the
+// remaining time, or "".
+func (t *Task) Quarantined(subject Subject) (Trait, time.Duration) {
+	trait, remaining, mayProbe := t.view.Load().quarantined(t.settings.Clock.Now(), subject)
+	if mayProbe {
+		return "", 0
+	}
+	return trait, remaining
+}
+
+// Admit is called before each attempt. It returns "" if the request may be sent, and
+// otherwise what Quarantined returns. A held request is sent once in probeInterval.
+func (t *Task) Admit(subject Subject) (Trait, time.Duration) {
+	now := t.settings.Clock.Now()
+	trait, remaining, mayProbe := t.view.Load().quarantined(now, subject)
+	if !mayProbe {
+		return trait, remaining
+	}
+	last, probed := t.probedAt.LoadOrStore(trait, now)
+	switch {
+	case !probed:
+		return "", 0
+	case now.Sub(last.(time.Time)) >= probeInterval && t.probedAt.CompareAndSwap(trait, last, now):
+		return "", 0
+	}
+	return trait, probeInterval
 }
 
+// probeInterval is the time between two attempts of a held request. It covers the time
+// until the result of the first one is known everywhere.
+const probeInterval = 2 * time.Second
+
+// IsSuspect reports whether the whole request may crash replicas, as far as the holder
+// knows.
+func (t *Task) IsSuspect(subject Subject) bool { return t.view.Load().isSuspect(subject) }
+
 // RecordBreak records an attempt that broke off before the first event of its answer.
 func (t *Task) RecordBreak(broken AttemptBroke) { t.post(broken) }
 
-// RecordBegun records that the answer to a request with the given parts has begun.
-func (t *Task) RecordBegun(parts []string) {
-	t.answers.Add(1)
-	if t.view.Load().hasSuspect(parts) {
-		t.post(AnswerBegun{parts})
+// RecordBegun records that a replica has begun to answer an attempt that was sent at the
+// given time.
+func (t *Task) RecordBegun(subject Subject, replica Process, sentAt time.Time) {
+	t.countAnswer(subject.Service)
+	view := t.view.Load()
+	var traits []Trait
+	if len(view.Suspects) > 0 {
+		traits = view.traits(subject)
+	}
+	if view.Broken[replica] || view.hasSuspect(traits) {
+		t.post(AnswerBegun{traits, replica, sentAt})
+	}
+}
+
+func (t *Task) countAnswer(service string) {
+	count, ok := t.answers.Load(service)
+	if !ok {
+		count, _ = t.answers.LoadOrStore(service, new(atomic.Uint64))
 	}
+	count.(*atomic.Uint64).Add(1)
 }
 
 func (t *Task) post(message Message) {
@@ -78,7 +128,11 @@
 func (t *Task) Collect(ctx context.Context) (Report, error) {
 	answer, err := runner.Ask[AnswerCollect](ctx, t.task,
 		func(call runner.Call) Message { return Collect{Call: call} }, nil)
-	answer.Report.Answers = t.answers.Load()
+	answer.Report.AnswersByService = map[string]uint64{}
+	t.answers.Range(func(service, count any) bool {
+		answer.Report.AnswersByService[service.(string)] = count.(*atomic.Uint64).Load()
+		return true
+	})
 	return answer.Report, err
 }
 
--- a/internal/soaker/caller_test.go
+++ b/internal/soaker/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,10 +22,12 @@
 	attempt, path, key string
 	// promptPrefix lists the parts of the prompt; "" sends none.
 	promptPrefix string
-	sentAt       time.Time
-	status       int
-	seal, body   string
-	complete     bool
+	// requestBody is the body of the request; "" stands for one that names the attempt.
+	requestBody string
+	sentAt      time.Time
+	status      int
+	seal, body  string
+	complete    bool
 	// node is the address to which the request was sent. leaving is set if the answer,
 	// which arrived at endedAt, said that its replica leaves.
 	node    string
@@ -88,7 +91,8 @@
 func (d *deployment) send(client *http.Client, address string, random *rand.Rand, o *outcome) {
 	o.node = address
 	defer func() { o.endedAt = time.Now() }()
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+o.path+"x?y=1", bytes.NewReader([]byte("body of "+o.attempt)))
+	requestBody := cmp.Or(o.requestBody, "body of "+o.attempt)
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+o.path+"x?y=1", bytes.NewReader([]byte(requestBody)))
 	if err != nil {
 		return
 	}
--- a/internal/soaker/deadly_part_test.go
+++ b/internal/soaker/deadly_part_test.go
@@ -48,7 +48,7 @@
 	stopCallers()
 	callerGroup.Wait()
 
-	late, boundAt := d.runsAfterCrashes()
+	late, boundAt := d.runsAfterCrashes(5, func(run emulator.FleetRun) bool { return strings.Contains(run.PromptPrefix, deadlyPart) })
 	if boundAt.IsZero() {
 		t.Fatal("no request with the part reached a replica")
 	}
@@ -72,14 +72,15 @@
 	}
 }
 
-// runsAfterCrashes returns the number of runs with deadlyPart later than contactBound
-// after the fifth of them, each of which crashes its replica, and the time from which
-// it counts. If there are fewer, none is late, and the time counts from the last one.
-func (d *deployment) runsAfterCrashes() (late int, boundAt time.Time) {
+// runsAfterCrashes returns the number of runs for which isDeadly holds later than
+// contactBound after the last of the given number of them, each of which crashes its
+// replica, and the time from which it counts. If there are fewer, none is late, and the
+// time counts from the last one.
+func (d *deployment) runsAfterCrashes(number int, isDeadly func(emulator.FleetRun) bool) (late int, boundAt time.Time) {
 	var crashes []time.Time
 	for _, r := range d.replicas {
 		for _, run := range r.emulated.Runs() {
-			if strings.Contains(run.PromptPrefix, deadlyPart) {
+			if isDeadly(run) {
 				crashes = append(crashes, run.At)
 			}
 		}
@@ -88,7 +89,7 @@
 		return 0, time.Time{}
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
-	boundAt = crashes[min(4, len(crashes)-1)].Add(contactBound)
+	boundAt = crashes[min(number, len(crashes))-1].Add(contactBound)
 	for _, at := range crashes {
 		if at.After(boundAt) {
 			late++
@@ -100,19 +101,25 @@
 // runPromptCaller sends requests with the same key and first parts to all nodes in
 // turn until ctx ends. Deadly ones contain deadlyPart as well.
 func (d *deployment) runPromptCaller(ctx context.Context, index int, pause time.Duration, deadly bool, results *outcomeLog) {
-	client := &http.Client{Timeout: 6 * time.Second}
 	part := ""
 	if deadly {
 		part = deadlyPart + ":60,"
 	}
+	d.sendRepeatedly(ctx, index, pause, results, func(i int) outcome {
+		return outcome{path: "/resume/", promptPrefix: fmt.Sprintf("aaaa0001:90,bbbb000%d:60,%s%08x:100", i%2, part, i)}
+	})
+}
+
+// sendRepeatedly sends requests to random nodes until ctx ends. It sets their
+// identifiers, keys and times.
+func (d *deployment) sendRepeatedly(ctx context.Context, index int, pause time.Duration, results *outcomeLog, newRequest func(i int) outcome) {
+	client := &http.Client{Timeout: 6 * time.Second}
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	for i := 0; ctx.Err() == nil; i++ {
 		time.Sleep(pause)
-		o := outcome{
-			attempt: fmt.Sprintf("p-%d-%d", index, i), path: "/resume/", key: "key-a", sentAt: time.Now(),
-			promptPrefix: fmt.Sprintf("aaaa0001:90,bbbb000%d:60,%s%08x:100", i%2, part, i),
-		}
+		o := newRequest(i)
+		o.attempt, o.key, o.sentAt = fmt.Sprintf("p-%d-%d", index, i), "key-a", time.Now()
 		random := rand.New(rand.NewPCG(uint64(index), uint64(i)))
 		address := d.nodes[random.IntN(len(d.nodes))].address(callersPort)
 		requests.Go(func() {
