Log the software versions of replicas and what callers take up again

The log named neither the version of a replica nor the request that a caller continues, so that streams joined by a node itself could not be told from those joined when a caller takes them up elsewhere, nor either from replicas that had started again.

Entries of replicas are decoded with their version. Attempts are logged with it and with LastEvent and Resumes.

--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -35,11 +35,15 @@
 	}
 	if event.Replica != "" {
 		fields["Replica"] = event.Replica
+		fields["ReplicaVersion"] = event.Version
 		fields["Candidates"] = event.Candidates
 		fields["FirstByteMs"] = event.FirstByte.Milliseconds()
 		fields["Status"] = event.Status
 		addNoticeFields(fields, event.Notice)
 	}
+	if event.Forward.LastEventID != "" {
+		fields["LastEvent"], fields["Resumes"] = event.Forward.LastEventID, event.Forward.Resumes
+	}
 	if event.Err != nil {
 		fields["Error"] = event.Err.Error()
 		fields["Fingerprint"] = event.Fingerprint
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -30,6 +30,7 @@
 			Replica:    best.Description.ID,
 			Address:    best.Description.Address,
 			StartedMS:  best.Description.StartedMS,
+			Version:    best.Description.Version,
 			Limited:    best.Notice.RateLimit > 0,
 			Returning:  best.Notice.MaxReturning > 0,
 			Expected:   best.Latency,
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -152,6 +152,8 @@
 	Address string
 	// StartedMS is the start of the replica's process in Unix milliseconds.
 	StartedMS int64 `json:",omitempty"`
+	// Version is that of the replica's software.
+	Version string `json:",omitempty"`
 	// Limited is set if the replica has named a limit.
 	Limited bool `json:",omitempty"`
 	// Returning is set for one of the first requests after a time for which the replica
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -118,6 +118,9 @@
 	// LastEventID is the ID of the last event that the caller received, empty
 	// at the start of a stream.
 	LastEventID string
+	// Resumes is the Attempt of the request that brought the first event of the stream
+	// that this request continues, empty if the caller names none.
+	Resumes string
 	// Writer sends the answer to the caller.
 	Writer Writer
 
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -72,6 +72,7 @@
 	Forward      *filter.Forward
 	Workspace    string
 	Replica      string
+	Version      string
 	AttemptsSent int
 	Candidates   int
 	Waited       time.Duration
@@ -186,12 +187,12 @@
 	}
 	if verdict == nil {
 		j.excluded = append(j.excluded, placement.Replica)
-		j.log("attempt not run or failed", placement.Replica, firstByte, exchange.head.Status, nil)
+		j.log("attempt not run or failed", placement, firstByte, exchange.head.Status, nil)
 		if j.attemptsSent >= maxAttemptsSent || j.possibleRuns >= j.forward.Route.MaxAttempts {
 			return j.end(filter.EndpointFailed, "no replica answered")
 		}
 		return nil
 	}
-	j.log("answered", placement.Replica, firstByte, exchange.head.Status, nil)
+	j.log("answered", placement, firstByte, exchange.head.Status, nil)
 	return verdict
 }
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -22,7 +22,7 @@
 		j.possibleRuns++
 		j.Pool.closeIdleTo(placement.Address)
 	}
-	j.log("attempt failed", placement.Replica, 0, 0, err)
+	j.log("attempt failed", placement, 0, 0, err)
 	if errors.Is(err, ErrReadTimeout) {
 		return balancer.TimedOut
 	}
@@ -41,7 +41,7 @@
 		RateLimit: j.notice.RateLimit, Leaving: j.notice.Leaving, RetryAfter: j.notice.RetryAfter,
 	})
 	if err != nil {
-		j.log("notice of the replica not recorded", "", 0, 0, fmt.Errorf("replica %s: %w", placement.Replica, err))
+		j.log("notice of the replica not recorded", balancer.Placement{}, 0, 0, fmt.Errorf("replica %s: %w", placement.Replica, err))
 	}
 }
 
@@ -103,7 +103,7 @@
 // end ends a request without another attempt. The verdict is NotRun only if it is
 // certain that no attempt ran.
 func (j *job) end(reason filter.Reason, detail string) filter.Verdict {
-	j.log("ended: "+detail, "", 0, 0, j.lastErr)
+	j.log("ended: "+detail, balancer.Placement{}, 0, 0, j.lastErr)
 	switch {
 	case j.responseStarted:
 		return newRefusal(filter.StreamBroken, filter.Unknown, 0, detail)
@@ -121,7 +121,7 @@
 	return newRefusal(reason, filter.NotRun, otherNodeRetryDelay, detail)
 }
 
-func (j *job) log(text, replica string, firstByte time.Duration, status int, err error) {
+func (j *job) log(text string, placement balancer.Placement, firstByte time.Duration, status int, err error) {
 	_, currentAsOf := j.View.Configuration()
 	now := j.Clock.Now()
 	identity := ""
@@ -132,7 +132,8 @@
 		Text:             text,
 		Forward:          j.forward,
 		Workspace:        j.request.Workspace,
-		Replica:          replica,
+		Replica:          placement.Replica,
+		Version:          placement.Version,
 		AttemptsSent:     j.attemptsSent,
 		Candidates:       j.candidates,
 		Waited:           j.waited,
--- a/internal/planner/table.go
+++ b/internal/planner/table.go
@@ -92,7 +92,7 @@
 // renewedReplica reports whether two entries differ in what a ReplicaUpdate does not
 // contain.
 func renewedReplica(a, b surveyor.Replica) bool {
-	return a.StartedMS != b.StartedMS || a.Address != b.Address || a.Service != b.Service || a.DataCentre != b.DataCentre || a.Slots != b.Slots
+	return a.StartedMS != b.StartedMS || a.Address != b.Address || a.Service != b.Service || a.DataCentre != b.DataCentre || a.Slots != b.Slots || a.Version != b.Version
 }
 
 // sameReplica reports whether two entries are equal in the fields that nodes act
--- a/internal/surveyor/replica.go
+++ b/internal/surveyor/replica.go
@@ -14,6 +14,9 @@
 	ID        string
 	StartedMS int64 `json:"Born"`
 	Service   string
+	// Version is that of the replica's software. What two versions generate does not fit
+	// together.
+	Version string `json:",omitempty"`
 	// Address is "IP:port".
 	Address    string
 	DataCentre string
