Go on with streams at the software version that began them

Cause: no code read the version of replicas.

internal/resumer remembers where streams began. The node that began one goes on there; another node asks two keepers of the stream, to which origins are sent while there may be more than one version. The holder publishes the versions of the last minute and stores them in the lease, for a fleet of which all processes have ended. A new version begins no streams before every node knows of it or knows that its own view is old. What is not known is refused as not run.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -84,13 +84,14 @@
 func (n *Node) applyLeaseEvent(event leaser.Event) {
 	switch event := event.(type) {
 	case leaser.Held:
+		data := decodeLeaseData(event.Data)
 		n.logPostError("planner", n.planner.Post(planner.LeaseHeld{
 			Epoch:           event.Epoch,
 			Until:           event.Until,
 			NoEarlierHolder: event.First,
-			// A holder that releases the lease leaves data in it.
-			HandedOver: len(event.Data) > 0,
-			Callers:    n.view.holderCallers(n.clock.Now()),
+			HandedOver:      data.HandedOver,
+			Callers:         n.view.holderCallers(n.clock.Now()),
+			Versions:        data.versions(),
 		}))
 		n.logPostError("surveyor", n.surveyor.Post(surveyor.SetHolding{Holding: true}))
 		n.logPostError("syncer", n.syncer.Post(syncer.SetHolding{Holding: true}))
@@ -99,7 +100,12 @@
 		n.logPostError("planner", n.planner.Post(planner.LeaseLost{}))
 		n.logPostError("surveyor", n.surveyor.Post(surveyor.SetHolding{}))
 		n.logPostError("syncer", n.syncer.Post(syncer.SetHolding{}))
+	case leaser.Stored:
+		n.logPostError("planner", n.planner.Post(planner.VersionsStored{Services: decodeLeaseData(event.Data).Versions}))
 	case leaser.Observed:
+		if versions := decodeLeaseData(event.Data).versions(); versions.Complete {
+			n.logPostError("planner", n.planner.Post(planner.VersionsInherited{Versions: versions, Stored: true}))
+		}
 		n.holder.Store(&holderHint{name: event.Holder})
 		n.logPostError("syncer", n.syncer.Post(syncer.HolderHint{Holder: event.Holder}))
 	}
@@ -212,6 +218,7 @@
 	n.logPostError("rationer", n.rationer.Post(usage))
 	n.logPostError("balancer", n.balancer.Post(balancer.UsageUpdate{Usage: usage}))
 	n.logPostError("screener", n.screener.Post(screener.StateReceived{Tenure: state.Epoch, Published: state.Prompts}))
+	n.applyVersions(effect)
 	n.view.directory.Store(&directory{callers: effect.Callers, asOf: effect.AsOf})
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
 		Active:          effect.Others.Active,
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -21,6 +21,7 @@
 	"toucanhitch.example/toucanhitch/internal/meter"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
+	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 	"toucanhitch.example/toucanhitch/internal/syncer"
@@ -92,6 +93,7 @@
 	balancer *balancer.Task
 	rationer *rationer.Task
 	screener *screener.Task
+	resumer  *resumer.Task
 	syncer   *syncer.Task
 	leaser   *leaser.Task
 	peers    *messenger.Client
@@ -101,6 +103,9 @@
 	// storeRestoredAt is when the store was last found restored from an older copy, nil
 	// if never.
 	storeRestoredAt atomic.Pointer[time.Time]
+	// versionsInLease are the software versions that this node has last stored in the
+	// placement lease, nil if none.
+	versionsInLease atomic.Pointer[[]resumer.Service]
 	// registration signals that the node's entry must be written.
 	registration chan struct{}
 	listeners    listeners
@@ -220,10 +225,11 @@
 			OrderSpacing:     bounds.OrderSpacing + orderMargin,
 			MinTakeoverDelay: leaseTiming.MinTakeoverDelay(),
 		},
-		Clock:      n.clock,
-		Replicas:   engines,
-		RemoveNode: n.removeNode,
-		Log:        n.logPlannerNote,
+		Clock:         n.clock,
+		Replicas:      engines,
+		RemoveNode:    n.removeNode,
+		StoreVersions: n.storeVersions,
+		Log:           n.logPlannerNote,
 	})
 	n.balancer = balancer.New(balancer.Settings{
 		Clock:       n.clock,
@@ -238,6 +244,15 @@
 		Log:      n.logScreenerNote,
 		LogError: func(err error) { n.logPostError("screener", err) },
 	})
+	n.resumer = resumer.New(resumer.Settings{
+		Clock:        n.clock,
+		Peers:        n.peers,
+		SetBeginning: n.setBeginning,
+		LogUndelivered: func(address string, err error) {
+			n.logger.WithField("Peer", address).WithError(err).Info("origins of streams not sent to another node")
+		},
+		LogError: func(err error) { n.logPostError("resumer", err) },
+	})
 	n.syncer = syncer.New(syncer.Settings{
 		Node:          n.settings.Node,
 		Lease:         placementLease,
@@ -277,6 +292,7 @@
 			Codec:     platform.Codec{},
 			Placer:    n.balancer,
 			Screen:    n.screener,
+			Streams:   n.resumer,
 			View:      &n.view,
 			Clock:     n.clock,
 			MaxKeyAge: n.maxKeyAge,
@@ -319,6 +335,7 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	messenger.HandleReport(mux, n.handleReport)
+	messenger.HandleStreams(mux, n.rememberStreams, n.resumer.LookUp)
 	mux.Handle("GET /metrics", n.meter.Handler())
 	return mux
 }
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -53,7 +53,7 @@
 	defer stop()
 	group := &run.Group{}
 	for _, task := range []runner.Runnable{
-		n.surveyor, n.planner, n.balancer, n.rationer, n.screener, n.syncer, n.leaser,
+		n.surveyor, n.planner, n.balancer, n.rationer, n.screener, n.resumer, n.syncer, n.leaser,
 	} {
 		runner.Add(taskCtx, group, task)
 	}
@@ -123,7 +123,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), grace-shutdownMargin)
 	defer cancel()
 	n.logPostError("planner", n.planner.Post(planner.LeaseLost{}))
-	if _, err := n.leaser.Release(ctx, placementLease, []byte(n.self.Name)); err != nil {
+	if _, err := n.leaser.Release(ctx, placementLease, n.releaseData()); err != nil {
 		n.logger.WithError(err).Warn("placement lease was not handed over; it will expire")
 	}
 	if err := n.store.Unregister(ctx, n.self.Name, 0); err != nil {
--- /dev/null
+++ b/internal/assembler/versions.go
@@ -0,0 +1,83 @@
+package assembler
+
+import (
+	"toucanhitch.example/toucanhitch/internal/balancer"
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/planner"
+	"toucanhitch.example/toucanhitch/internal/resumer"
+	"toucanhitch.example/toucanhitch/internal/syncer"
+)
+
+// leaseData is what holders store in the placement lease for the next one.
+type leaseData struct {
+	// HandedOver is set if the lease may have been released before it expired.
+	HandedOver bool `json:",omitempty"`
+	// Versions are the software versions that may have begun streams.
+	Versions []resumer.Service `json:",omitempty"`
+}
+
+// decodeLeaseData decodes the data in a lease. Data of an earlier format were stored when
+// the lease was released.
+func decodeLeaseData(data []byte) leaseData {
+	if len(data) == 0 {
+		return leaseData{}
+	}
+	decoded, err := encoder.DecodeLenient[leaseData](data)
+	if err != nil {
+		return leaseData{HandedOver: true}
+	}
+	return decoded
+}
+
+// versions returns the software versions in the lease. They are complete if a holder has
+// stored any.
+func (d leaseData) versions() resumer.Published {
+	return resumer.Published{Services: d.Versions, Complete: len(d.Versions) > 0}
+}
+
+// storeVersions requests that the placement lease contain software versions.
+func (n *Node) storeVersions(services []resumer.Service) {
+	n.versionsInLease.Store(&services)
+	n.logPostError("leaser", n.leaser.SetData(placementLease, encoder.Encode(leaseData{Versions: services})))
+}
+
+// releaseData returns the data to leave in a lease that this node releases.
+func (n *Node) releaseData() []byte {
+	data := leaseData{HandedOver: true}
+	if services := n.versionsInLease.Load(); services != nil {
+		data.Versions = *services
+	}
+	return encoder.Encode(data)
+}
+
+// applyVersions passes on what a holder has published of software versions.
+func (n *Node) applyVersions(effect syncer.HolderAnswered) {
+	state := effect.Answer.State
+	n.logPostError("planner", n.planner.Post(planner.VersionsInherited{Versions: state.Versions}))
+	n.logPostError("resumer", n.resumer.Post(resumer.StateReceived{
+		Published: state.Versions,
+		ListedAt:  effect.AsOf.Add(-state.ReplicasAge),
+		Peers:     n.peerAddresses(effect.Callers),
+	}))
+}
+
+// peerAddresses returns the addresses of the other nodes that serve callers.
+func (n *Node) peerAddresses(callers []planner.Caller) []string {
+	addresses := make([]string, 0, len(callers))
+	for _, caller := range callers {
+		if caller.PeerAddress != "" && caller.PeerAddress != n.self.PeerAddress {
+			addresses = append(addresses, caller.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+// rememberStreams keeps the origins of streams of other nodes.
+func (n *Node) rememberStreams(records []resumer.Record) error {
+	return n.resumer.Post(resumer.Remember{Records: records})
+}
+
+// setBeginning tells the balancer which versions may begin streams.
+func (n *Node) setBeginning(effect resumer.SetBeginning) {
+	n.logPostError("balancer", n.balancer.Post(balancer.SetBeginning{Versions: effect.Versions}))
+}
--- a/internal/balancer/availability.go
+++ b/internal/balancer/availability.go
@@ -51,3 +51,18 @@
 	}
 	return found
 }
+
+// canContinue reports whether a replica of the version that began a stream has its model or
+// is loading it. No model is loaded for the rest of a stream.
+func (c *Controller) canContinue(now time.Time, need Need) bool {
+	key := modelKey{need.Model, need.Adapter}
+	for _, replica := range c.Replicas {
+		if replica.Description.Service != need.Service || replica.Description.Version != need.Version || replica.isLeaving() {
+			continue
+		}
+		if _, loading := replica.loadEndsAt(key); loading || replica.canServe(now, key) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -80,6 +80,8 @@
 	switch {
 	case replica.Description.Service != need.Service, replica.isLeaving():
 		return false
+	case !c.fits(need, replica.Description.Version):
+		return false
 	case replica.isClosed(now), !replica.mayReopen():
 		return false
 	case now.Before(replica.RefusedUntil), now.Before(replica.Notice.ThrottledUntil):
@@ -90,6 +92,16 @@
 	return !replica.isFull() && replica.canServe(now, key)
 }
 
+// fits reports whether a replica with a software version may begin the stream, or go on
+// with it.
+func (c *Controller) fits(need Need, version string) bool {
+	if need.Continued {
+		return version == need.Version
+	}
+	versions, limited := c.Beginning[need.Service]
+	return !need.Stream || !limited || slices.Contains(versions, version)
+}
+
 // cost estimates the time to the first byte, in arbitrary units.
 func (c *Controller) cost(now time.Time, replica *Replica) float64 {
 	latency := replica.Latency
--- a/internal/balancer/collect.go
+++ b/internal/balancer/collect.go
@@ -45,7 +45,7 @@
 	indexes := map[useKey]int{}
 	for _, waiter := range c.Waiters {
 		need := waiter.Need
-		if need.Model == "" {
+		if need.Model == "" || need.Continued {
 			continue
 		}
 		key := useKey{need.Service, modelKey{need.Model, need.Adapter}}
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -80,6 +80,8 @@
 	DrainDeadline time.Time
 	// CheckedAt is when the waiting requests were last checked.
 	CheckedAt time.Time
+	// Beginning holds the software versions that may begin streams, by service.
+	Beginning map[string][]string
 	// Limits counts the requests that may be sent to replicas with limits.
 	Limits *rationer.Controller
 	// Random is seeded differently at each node, so that their choices differ.
@@ -166,6 +168,8 @@
 		return append(c.endAttempt(now, message), c.serveWaiters(now)...)
 	case NoticeReceived:
 		return c.recordNotice(now, message)
+	case SetBeginning:
+		c.Beginning = message.Versions
 	case UsageUpdate:
 		c.Limits.Step(now, message.Usage)
 	case Leave:
@@ -234,7 +238,7 @@
 	}
 	c.Waiters = append(c.Waiters, waiter)
 	c.CheckedAt = now
-	if message.Need.Model != "" && !c.isLoading(message.Need) {
+	if message.Need.Model != "" && !message.Need.Continued && !c.isLoading(message.Need) {
 		return []Effect{NewDemand{}}
 	}
 	return nil
@@ -260,6 +264,8 @@
 		return &Refusal{Reason: "too many requests wait", RetryAfter: overloadRetryAfter}
 	case !c.hasService(need.Service):
 		return &Refusal{Reason: "service has no replicas", RetryAfter: overloadRetryAfter}
+	case need.Continued && !c.canContinue(now, need):
+		return &Refusal{Reason: "no replica of the version that began the stream has the model"}
 	}
 	if refusal := c.unavailable(now, need); refusal != nil || need.Model == "" {
 		return refusal
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -72,6 +72,10 @@
 	RetryAfter time.Duration `json:",omitempty"`
 }
 
+// SetBeginning replaces the software versions that may begin streams, by service. Streams
+// of other services begin at any version.
+type SetBeginning struct{ Versions map[string][]string }
+
 // UsageUpdate reports the requests that the other nodes have sent to replicas with
 // limits.
 type UsageUpdate struct{ Usage rationer.UsageUpdate }
@@ -89,6 +93,7 @@
 func (Cancel) isMessage()         {}
 func (AttemptEnded) isMessage()   {}
 func (NoticeReceived) isMessage() {}
+func (SetBeginning) isMessage()   {}
 func (UsageUpdate) isMessage()    {}
 func (Leave) isMessage()          {}
 func (Collect) isMessage()        {}
@@ -98,6 +103,11 @@
 	Service string
 	// Model and Adapter are empty for plain services.
 	Model, Adapter string
+	// Stream is set for a stream that may be resumed, and Continued for the rest of one,
+	// which must come from a replica with the software version Version.
+	Stream    bool   `json:",omitempty"`
+	Continued bool   `json:",omitempty"`
+	Version   string `json:",omitempty"`
 	// Tokens is the size of the request, 0 for plain services.
 	Tokens int
 	// Affinity is equal for requests that share a long prompt prefix. It is
--- a/internal/emulator/fleet_faults.go
+++ b/internal/emulator/fleet_faults.go
@@ -43,6 +43,8 @@
 
 // streamFaults are the faults of one stream.
 type streamFaults struct {
+	// run is the index of the run.
+	run int
 	// breakOff aborts the stream in the middle of the second event, and crash ends
 	// the replica's process at the first one.
 	breakOff, crash bool
@@ -78,5 +80,6 @@
 		if _, err := io.WriteString(w, event); err != nil || control.Flush() != nil {
 			return
 		}
+		r.executor.do(func() { r.runs[faults.run].Events++ })
 	}
 }
--- a/internal/emulator/fleet_replica.go
+++ b/internal/emulator/fleet_replica.go
@@ -17,7 +17,9 @@
 // FleetReplicaSettings describes a stand-in replica.
 type FleetReplicaSettings struct {
 	ID, Service, Address, Zone string
-	Slots                      int
+	// Version is that of the software.
+	Version string
+	Slots   int
 	// ModelSizesMB holds the size of each model. A replica of a plain service has
 	// none.
 	ModelSizesMB map[string]float64
@@ -39,6 +41,10 @@
 	HasKey bool
 	// PromptPrefix lists the parts of the prompt.
 	PromptPrefix string
+	// Resumes names the request that brought the first event of the stream, and Events is
+	// the number of events that the replica has sent.
+	Resumes string
+	Events  int
 	// StartedMS is the start of the replica's process.
 	StartedMS int64
 	At        time.Time
@@ -141,6 +147,7 @@
 	r.executor.do(func() {
 		entry = r.describe()
 		entry["service"], entry["address"], entry["zone"] = r.settings.Service, r.settings.Address, r.settings.Zone
+		entry["version"] = r.settings.Version
 		entry["slots"], entry["state"], entry["seq"] = r.settings.Slots, state, r.servedRequests
 	})
 	return entry
@@ -277,6 +284,7 @@
 		r.runs = append(r.runs, FleetRun{
 			Replica: r.settings.ID, Attempt: attempt, Method: request.Method, Target: request.RequestURI, Body: body,
 			Tenant: request.Header.Get("Tenant"), HasKey: request.Header.Get("Key") != "", PromptPrefix: request.Header.Get("Prompt-Prefix"),
+			Resumes:   request.Header.Get("Resumes"),
 			StartedMS: r.startedAtMs, At: r.settings.Clock.Now(),
 		})
 	})
@@ -304,7 +312,7 @@
 	crash := faults.CrashOnBody != "" && body == faults.CrashOnBody ||
 		faults.CrashOnPart != "" && strings.Contains(request.Header.Get("Prompt-Prefix"), faults.CrashOnPart+":")
 	if model != "" {
-		r.writeStream(w, request, streamFaults{breakOff: breakOff, crash: crash, crashed: crashed})
+		r.writeStream(w, request, streamFaults{run: runNumber - 1, breakOff: breakOff, crash: crash, crashed: crashed})
 		return
 	}
 	select {
--- a/internal/filter/verdict.go
+++ b/internal/filter/verdict.go
@@ -76,6 +76,7 @@
 	EndpointFailed      Reason = "endpoint-failed"
 	StreamBroken        Reason = "stream-broken"
 	Quarantined         Reason = "quarantined"
+	OriginUnknown       Reason = "origin-unknown"
 )
 
 // Refusal describes why a request was not answered and whether it ran.
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -71,6 +71,7 @@
 		if !begun {
 			begun = true
 			recordBegun()
+			j.recordOrigin()
 		}
 		if !j.responseStarted {
 			if err := j.forward.Writer.Begin(e.head.Status, e.head.Header); err != nil {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -10,6 +10,7 @@
 	"toucanhitch.example/toucanhitch/internal/balancer"
 	"toucanhitch.example/toucanhitch/internal/dispatcher"
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/screener"
 )
 
@@ -66,6 +67,14 @@
 	RecordBegun(subject screener.Subject, replica screener.Process, sentAt time.Time)
 }
 
+// Streams knows the origins of streams that may be resumed.
+type Streams interface {
+	// RecordBegun records the origin of a stream before its first event is passed on.
+	RecordBegun(begun resumer.StreamBegun)
+	// Find returns the origin of a stream on a route to the given services.
+	Find(ctx context.Context, stream string, services []string) (resumer.Found, error)
+}
+
 // Event describes the outcome of an attempt or a request, for logs and metrics.
 type Event struct {
 	Text         string
@@ -96,8 +105,10 @@
 	Codec  Codec
 	Placer Placer
 	Screen Screen
-	View   ConfigurationView
-	Clock  clockwork.Clock
+	// Streams knows at which versions streams go on.
+	Streams Streams
+	View    ConfigurationView
+	Clock   clockwork.Clock
 	// MaxKeyAge returns the maximum time since the keys were last known to be
 	// current.
 	MaxKeyAge func() time.Duration
@@ -125,8 +136,12 @@
 // Filter implements filter.Filter.
 func (d *Dispatch) Filter(ctx context.Context, request *filter.Request) filter.Verdict {
 	forward := request.Work.(*filter.Forward)
-	j := &job{Dispatch: d, request: request, forward: forward, budget: d.Budgets.Service(forward.Service)}
+	j := &job{Dispatch: d, request: request, forward: forward}
 	j.events.LastID = parseEventID(forward.LastEventID)
+	if verdict := j.findOrigin(ctx); verdict != nil {
+		return verdict
+	}
+	j.budget = d.Budgets.Service(forward.Service)
 	j.budget.RecordAttempt()
 	for {
 		verdict := j.tryReplica(ctx)
@@ -157,7 +172,7 @@
 		return j.end(filter.DeadlinePassed, "the time is over")
 	}
 	j.attemptsSent++
-	j.notice = Notice{}
+	j.notice, j.version = Notice{}, placement.Version
 	passedBefore := j.events.Passed
 	exchange, err := j.Pool.open(ctx, j.Codec, Attempt{
 		Replica:   placement.Replica,
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -8,6 +8,7 @@
 	"toucanhitch.example/toucanhitch/internal/balancer"
 	"toucanhitch.example/toucanhitch/internal/dispatcher"
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/resumer"
 )
 
 // job is one request with the state of its attempts.
@@ -23,6 +24,13 @@
 	// responseStarted reports whether the head of the response was sent to the
 	// caller.
 	responseStarted bool
+	// origin is where the stream began. It is nil before its first event, and for requests
+	// that cannot be resumed.
+	origin *resumer.Origin
+	// originRecorded is set once the origin was recorded. version is the software version of
+	// the replica of the latest attempt.
+	originRecorded bool
+	version        string
 	// fallback is the error response of a replica, which is returned if no
 	// later attempt succeeds.
 	fallback *filter.Accept
@@ -76,7 +84,7 @@
 	case j.attemptsSent > 0:
 		giveUpAt = now.Add(min(maxWait, max(route.Objective, minRetryWait)))
 	}
-	return balancer.Need{
+	need := balancer.Need{
 		Service:  j.forward.Service,
 		Model:    j.forward.Model,
 		Adapter:  j.forward.Adapter,
@@ -85,7 +93,12 @@
 		LateAt:   j.request.Arrived.Add(route.Objective),
 		GiveUpAt: giveUpAt,
 		Excluded: j.excluded,
+		Stream:   j.isResumable(),
 	}
+	if j.origin != nil {
+		need.Continued, need.Version = true, j.origin.Version
+	}
+	return need
 }
 
 // isKeyCurrent reports whether the request's key is still known to be granted.
--- a/internal/leaser/lease.go
+++ b/internal/leaser/lease.go
@@ -100,7 +100,11 @@
 // Observed reports that a read found another holder in the lease than the read
 // before. Holder is empty if the lease was released. Only candidates read
 // leases, so a node that looks for the holder can query any of them.
-type Observed struct{ Name, Holder string }
+type Observed struct {
+	Name, Holder string
+	// Data is the data in the lease.
+	Data []byte `json:",omitempty"`
+}
 
 func (Held) isEvent()     {}
 func (Lost) isEvent()     {}
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
@@ -45,6 +46,8 @@
 	StoreEra  uint64
 	Nodes     []surveyor.Node
 	NodesAsOf time.Time
+	// Versions are the software versions that this node knows of.
+	Versions *resumer.Register
 
 	// View is the view that this node sends to others while it does not hold the
 	// lease, as of ViewCreatedAt.
@@ -65,7 +68,9 @@
 }
 
 // NewController returns the controller of a node.
-func NewController(settings Settings) *Controller { return &Controller{Settings: settings} }
+func NewController(settings Settings) *Controller {
+	return &Controller{Settings: settings, Versions: resumer.NewRegister()}
+}
 
 // Wake returns when the next order, state read or planning pass is due. It is
 // zero while this node does not hold the lease.
@@ -115,7 +120,12 @@
 		c.Configuration, c.ConfigurationAsOf = message.Configuration, message.CurrentAsOf
 	case ReplicasListed:
 		c.Replicas, c.ReplicasAsOf, c.StoreEra = message.Replicas, message.CurrentAsOf, message.Era
-		effects = c.handleReplicasListed(now)
+		c.Versions.Observe(now, message.Replicas)
+		effects = append(c.handleReplicasListed(now), c.storeVersions()...)
+	case VersionsInherited:
+		c.inheritVersions(now, message)
+	case VersionsStored:
+		c.Versions.MarkStored(message.Services)
 	case NodesListed:
 		c.handleNodesListed(message)
 	case OrderResult:
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
@@ -26,8 +27,20 @@
 	// Callers are the nodes that the previous holder published for callers, as far
 	// as this node knows them.
 	Callers []Caller
+	// Versions are the software versions in the lease.
+	Versions resumer.Published `json:",omitzero"`
 }
 
+// VersionsInherited delivers the software versions that another holder has published, or
+// has stored in the lease if Stored is set.
+type VersionsInherited struct {
+	Versions resumer.Published
+	Stored   bool `json:",omitempty"`
+}
+
+// VersionsStored reports that the lease contains the versions of a StoreVersions.
+type VersionsStored struct{ Services []resumer.Service }
+
 // LeaseLost reports that this node no longer holds the lease.
 type LeaseLost struct{}
 
@@ -93,6 +106,8 @@
 func (Tick) isMessage()                 {}
 func (LeaseHeld) isMessage()            {}
 func (LeaseLost) isMessage()            {}
+func (VersionsInherited) isMessage()    {}
+func (VersionsStored) isMessage()       {}
 func (SetActing) isMessage()            {}
 func (ConfigurationChanged) isMessage() {}
 func (ReplicasListed) isMessage()       {}
@@ -124,7 +139,7 @@
 )
 
 // Effect is an output of Controller: SendOrder, ReadState, AnswerReport,
-// RemoveNode or Note.
+// RemoveNode, StoreVersions or Note.
 type Effect interface{ isEffect() }
 
 // SendOrder sends an order. Its result is an OrderResult.
@@ -153,6 +168,9 @@
 	Revision uint64
 }
 
+// StoreVersions stores the software versions in the lease. Its result is a VersionsStored.
+type StoreVersions struct{ Services []resumer.Service }
+
 // Note is a log entry for a decision or a change of observed state. Text is also
 // a metric label value.
 type Note struct {
@@ -163,11 +181,12 @@
 	Age     time.Duration
 }
 
-func (SendOrder) isEffect()    {}
-func (ReadState) isEffect()    {}
-func (AnswerReport) isEffect() {}
-func (RemoveNode) isEffect()   {}
-func (Note) isEffect()         {}
+func (SendOrder) isEffect()     {}
+func (ReadState) isEffect()     {}
+func (AnswerReport) isEffect()  {}
+func (RemoveNode) isEffect()    {}
+func (StoreVersions) isEffect() {}
+func (Note) isEffect()          {}
 
 // Order loads or unloads a model or an adapter on a replica. Adapter is empty for
 // the model itself.
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -237,7 +237,7 @@
 	for _, peer := range c.Tenure.Peers {
 		excluded[peer.Node.CallerAddress] = true
 		if !peer.Leaving && now.Sub(peer.LastReportAt) < peerReportTimeout {
-			callers = append(callers, Caller{Address: peer.Node.CallerAddress, Capacity: peer.Node.Capacity})
+			callers = append(callers, Caller{peer.Node.CallerAddress, peer.Node.Capacity, peer.Node.PeerAddress})
 		}
 	}
 	if now.Sub(c.Tenure.Since) < peerReportTimeout {
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
@@ -178,6 +179,8 @@
 	Suspects map[string]int `json:",omitempty"`
 	// Prompts are the parts of prompts that crash replicas.
 	Prompts screener.Published `json:",omitzero"`
+	// Versions are the software versions of replicas, as of the list of replicas.
+	Versions resumer.Published `json:",omitzero"`
 	// Peers is the number of live nodes, and Registered the number of registered
 	// ones.
 	Peers, Registered int
@@ -199,6 +202,8 @@
 type Caller struct {
 	Address  string
 	Capacity float64
+	// PeerAddress is the address of the node for other nodes.
+	PeerAddress string `json:"Peer,omitempty"`
 }
 
 // StoreView is what a node that does not hold the lease has read from the store.
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -94,6 +94,7 @@
 		Active:           make([]int, len(t.Table.Entries)),
 		Suspects:         c.suspectCounts(now),
 		Prompts:          t.Prompts.Publish(now),
+		Versions:         c.Versions.Publish(now, max(len(c.Nodes), t.MinRegistered)),
 		RateLimits:       c.publishedLimits(t.Table.Entries),
 		Closed:           c.closedReplicas(now),
 		Peers:            max(1, c.livePeers(now)),
--- a/internal/planner/task.go
+++ b/internal/planner/task.go
@@ -6,6 +6,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
@@ -36,8 +37,10 @@
 	Replicas Replicas
 	// RemoveNode removes the store entry of a node if it still has the revision.
 	RemoveNode func(ctx context.Context, name string, revision uint64)
-	// Log receives the Notes. It must not block.
-	Log func(Note)
+	// StoreVersions stores software versions in the lease. Log receives the Notes. They must
+	// not block.
+	StoreVersions func([]resumer.Service)
+	Log           func(Note)
 }
 
 // Task runs a Controller and performs its effects.
@@ -88,6 +91,8 @@
 			t.settings.RemoveNode(ctx, effect.Name, effect.Revision)
 			return Tick{}
 		})
+	case StoreVersions:
+		t.settings.StoreVersions(effect.Services)
 	case Note:
 		t.settings.Log(effect)
 	}
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
@@ -58,6 +59,8 @@
 	Prompts *screener.Evidence
 	// Notices holds what replicas have said of themselves, by ID.
 	Notices map[string]*notice
+	// StoringVersions are the software versions that the lease contains or will contain.
+	StoringVersions []resumer.Service
 	// StoreConcurrency is the number of concurrent loads from the weight store
 	// that run at full speed, or 0 while it is unknown.
 	StoreConcurrency int
@@ -87,7 +90,7 @@
 		// The epochs are consecutive, so no other node held the lease in between.
 		c.Tenure, c.Previous = c.Previous, nil
 		c.Tenure.Epoch, c.Tenure.ID, c.Tenure.Until, c.Tenure.TableStale = message.Epoch, message.Epoch, message.Until, true
-		c.Tenure.Published = nil
+		c.Tenure.Published, c.Tenure.StoringVersions = nil, nil
 		c.Tenure.resetConsumed()
 		c.rereadBusyEndpoints(now)
 		return append([]Effect{Note{Text: "holding the placement lease again"}}, c.handleReplicasListed(now)...)
@@ -97,6 +100,10 @@
 	}
 	t := c.Tenure
 	t.Acting, t.Epoch, t.Since, t.Until = false, message.Epoch, now, message.Until
+	if message.NoEarlierHolder {
+		message.Versions.Complete = true
+	}
+	c.Versions.Inherit(now, message.Versions, true)
 	t.OrdersAllowedAt = now.Add(c.orderDelay(message))
 	if message.NoEarlierHolder {
 		t.OrdersAllowedAt = now
@@ -104,7 +111,8 @@
 	for _, endpoint := range t.Endpoints {
 		endpoint.ReadAt = later(now, t.OrdersAllowedAt.Add(-stateReadLead))
 	}
-	return append([]Effect{Note{Text: "holding the placement lease", Age: t.OrdersAllowedAt.Sub(now)}}, c.handleReplicasListed(now)...)
+	effects := append([]Effect{Note{Text: "holding the placement lease", Age: t.OrdersAllowedAt.Sub(now)}}, c.handleReplicasListed(now)...)
+	return append(effects, c.storeVersions()...)
 }
 
 // newTenure returns the tenure of a node that has no knowledge of the fleet but the
--- /dev/null
+++ b/internal/resumer/doc.go
@@ -0,0 +1,12 @@
+// Package resumer knows at which software version a stream may go on. What two versions
+// of a service generate does not fit together, and replicas do not check it.
+//
+// A node remembers the version of each stream that it has begun. While a service may have
+// streams of more than one version, it also sends this to two other nodes, the keepers of
+// the stream, whom a node asks to which a caller has taken the stream to go on. Where there
+// was only one version for as long as streams last, nothing is sent or asked.
+//
+// The holder of the placement lease publishes which versions there may be. It stores them
+// in the lease, for a fleet of which all processes have ended at once, and a new version
+// begins streams only after every node has learned of it or knows that its view is old.
+package resumer
--- /dev/null
+++ b/internal/resumer/find.go
@@ -0,0 +1,121 @@
+package resumer
+
+import (
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+)
+
+// find answers a question from what this node knows, or asks the keepers of the stream.
+func (c *Controller) find(now time.Time, message Find) []Effect {
+	if known, ok := c.Streams[message.Stream]; ok {
+		return []Effect{AnswerFind{message.Call, Found{Origin: known.origin, Known: true}}}
+	}
+	if origin, ok := c.soleOrigin(now, message.Services); ok {
+		return []Effect{AnswerFind{message.Call, Found{Origin: origin, Known: true}}}
+	}
+	waiting := &find{Find: message, since: now}
+	c.Finds[message.Call] = waiting
+	if !c.HasState {
+		return nil
+	}
+	return c.askKeepers(waiting)
+}
+
+// soleOrigin returns the only origin that a stream on a route to the given services can
+// have, and false if there may be more than one.
+func (c *Controller) soleOrigin(now time.Time, services []string) (Origin, bool) {
+	if !c.HasState || !c.State.Published.Complete || now.Sub(c.State.ListedAt) > c.State.Published.ViewLifetime {
+		return Origin{}, false
+	}
+	var origins []Origin
+	for _, service := range c.State.Published.Services {
+		if !slices.Contains(services, service.Name) {
+			continue
+		}
+		for _, version := range service.Versions {
+			// The list was current before the state was received, so counting from there
+			// ends early.
+			if version.BeginsIn == 0 || now.Sub(c.State.ListedAt) >= version.BeginsIn {
+				origins = append(origins, Origin{service.Name, version.Name})
+			}
+		}
+	}
+	if len(origins) != 1 {
+		return Origin{}, false
+	}
+	return origins[0], true
+}
+
+func (c *Controller) askKeepers(waiting *find) []Effect {
+	var effects []Effect
+	if waiting.Stream != "" {
+		for _, address := range c.keepers(waiting.Stream, askedKeepers) {
+			effects = append(effects, AskKeeper{waiting.Call, address, waiting.Stream})
+		}
+	}
+	if waiting.asked = len(effects); waiting.asked == 0 {
+		return c.end(waiting.Call, Found{})
+	}
+	return effects
+}
+
+// askWaiting handles the questions that waited for a state.
+func (c *Controller) askWaiting(now time.Time) []Effect {
+	var effects []Effect
+	for _, call := range c.sortedFinds() {
+		waiting := c.Finds[call]
+		if waiting.asked > 0 {
+			continue
+		}
+		if origin, ok := c.soleOrigin(now, waiting.Services); ok {
+			effects = append(effects, c.end(call, Found{Origin: origin, Known: true})...)
+			continue
+		}
+		effects = append(effects, c.askKeepers(waiting)...)
+	}
+	return effects
+}
+
+// endFinds gives up the questions that have waited too long for a state.
+func (c *Controller) endFinds(now time.Time) []Effect {
+	var effects []Effect
+	for _, call := range c.sortedFinds() {
+		if waiting := c.Finds[call]; waiting.asked == 0 && now.Sub(waiting.since) >= maxStateWait {
+			effects = append(effects, c.end(call, Found{Unreachable: true})...)
+		}
+	}
+	return effects
+}
+
+func (c *Controller) sortedFinds() []runner.Call {
+	calls := make([]runner.Call, 0, len(c.Finds))
+	for call := range c.Finds {
+		calls = append(calls, call)
+	}
+	slices.Sort(calls)
+	return calls
+}
+
+// applyAnswer handles the answer of a keeper. The first one that knows the stream counts.
+func (c *Controller) applyAnswer(now time.Time, message KeeperAnswered) []Effect {
+	waiting := c.Finds[message.Find]
+	if waiting == nil {
+		return nil
+	}
+	if message.Known {
+		c.remember(waiting.Stream, stream{origin: message.Origin, at: now})
+		return c.end(message.Find, Found{Origin: message.Origin, Known: true})
+	}
+	waiting.unreachable = waiting.unreachable || message.Failed
+	if waiting.asked--; waiting.asked > 0 {
+		return nil
+	}
+	return c.end(message.Find, Found{Unreachable: waiting.unreachable})
+}
+
+func (c *Controller) end(call runner.Call, found Found) []Effect {
+	delete(c.Finds, call)
+	return []Effect{AnswerFind{call, found}}
+}
--- /dev/null
+++ b/internal/resumer/register.go
@@ -0,0 +1,186 @@
+package resumer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+)
+
+const (
+	// StreamLifetime is the time for which callers take a stream up again. It is above the
+	// longest time limit of a caller.
+	StreamLifetime = time.Minute
+	// minViewLifetime is the minimum time for which a list of replicas proves that there is
+	// no other version. It grows with the number of nodes by viewLifetimePerNode, because
+	// the exchanges with the holder do.
+	minViewLifetime     = 3 * time.Second
+	viewLifetimePerNode = 2 * time.Millisecond
+	// maxUnstoredTime is the time beyond the lifetime of a view after which a version begins
+	// streams although the lease does not contain it. The other replicas may be leaving.
+	maxUnstoredTime = 5 * time.Second
+	// maxLearningGap is the time without news after which a version may have come and gone
+	// unnoticed.
+	maxLearningGap = 10 * time.Second
+)
+
+// Register knows the versions that may have begun the streams of now. The holder of the
+// placement lease publishes it; the other nodes keep theirs in case that they become the
+// holder.
+type Register struct {
+	Services map[string]map[string]*Sighting
+	// Complete is set if there is certainly no other version. LearningSince is the start
+	// of the time without gaps up to LearnedAt in which this node learned of all versions.
+	Complete                 bool
+	LearningSince, LearnedAt time.Time
+}
+
+// Sighting is what is known of a version of a service.
+type Sighting struct {
+	// FirstAt and LastAt are when the version was first and last listed.
+	FirstAt, LastAt time.Time
+	// Stored is set if the lease contains the version.
+	Stored bool
+	// Begins is set once the version may begin streams.
+	Begins bool
+}
+
+// Published is what the holder publishes about versions, as of its list of replicas.
+type Published struct {
+	Services []Service `json:",omitempty"`
+	// Complete is set if there is certainly no other version.
+	Complete bool `json:",omitempty"`
+	// ViewLifetime is the time from the list for which this holds. A new version begins no
+	// streams for as long.
+	ViewLifetime time.Duration `json:",omitempty"`
+}
+
+// Service lists the versions that may have begun streams of a service or will soon.
+type Service struct {
+	Name     string
+	Versions []Version
+}
+
+// Version is a software version of a service. It begins no streams before BeginsIn is over.
+type Version struct {
+	Name     string
+	BeginsIn time.Duration `json:",omitempty"`
+}
+
+// NewRegister returns a register that knows nothing.
+func NewRegister() *Register { return &Register{Services: map[string]map[string]*Sighting{}} }
+
+// Observe adds the versions of a list of replicas. The first versions of a service begin
+// streams at once.
+func (r *Register) Observe(now time.Time, replicas []surveyor.Replica) {
+	r.learn(now)
+	known := map[string]bool{}
+	for service := range r.Services {
+		known[service] = true
+	}
+	for _, replica := range replicas {
+		sighting := r.sighting(now, replica.Service, replica.Version)
+		sighting.Begins = sighting.Begins || !known[replica.Service]
+	}
+	r.expire(now)
+}
+
+// Inherit adds what another holder has published or stored in the lease.
+func (r *Register) Inherit(now time.Time, published Published, stored bool) {
+	r.learn(now)
+	r.Complete = r.Complete || published.Complete
+	for _, service := range published.Services {
+		for _, version := range service.Versions {
+			sighting := r.sighting(now, service.Name, version.Name)
+			sighting.Stored = sighting.Stored || stored
+			sighting.Begins = sighting.Begins || version.BeginsIn == 0
+		}
+	}
+	r.expire(now)
+}
+
+// learn records that this node learns of all versions now.
+func (r *Register) learn(now time.Time) {
+	if now.Sub(r.LearnedAt) > maxLearningGap {
+		r.Complete, r.LearningSince = false, now
+	}
+	r.LearnedAt = now
+	r.Complete = r.Complete || now.Sub(r.LearningSince) >= StreamLifetime
+}
+
+func (r *Register) sighting(now time.Time, service, version string) *Sighting {
+	versions := r.Services[service]
+	if versions == nil {
+		versions = map[string]*Sighting{}
+		r.Services[service] = versions
+	}
+	sighting := versions[version]
+	if sighting == nil {
+		sighting = &Sighting{FirstAt: now}
+		versions[version] = sighting
+	}
+	sighting.LastAt = now
+	return sighting
+}
+
+// expire forgets the versions whose streams have ended.
+func (r *Register) expire(now time.Time) {
+	for name, versions := range r.Services {
+		maps.DeleteFunc(versions, func(_ string, s *Sighting) bool { return now.Sub(s.LastAt) > StreamLifetime })
+		if len(versions) == 0 {
+			delete(r.Services, name)
+		}
+	}
+}
+
+// MarkStored records that the lease contains the versions.
+func (r *Register) MarkStored(services []Service) {
+	for _, service := range services {
+		for _, version := range service.Versions {
+			if sighting := r.Services[service.Name][version.Name]; sighting != nil {
+				sighting.Stored = true
+			}
+		}
+	}
+}
+
+// Names returns the versions of each service, sorted.
+func (r *Register) Names() []Service {
+	var services []Service
+	for _, name := range slices.Sorted(maps.Keys(r.Services)) {
+		service := Service{Name: name}
+		for _, version := range slices.Sorted(maps.Keys(r.Services[name])) {
+			service.Versions = append(service.Versions, Version{Name: version})
+		}
+		services = append(services, service)
+	}
+	return services
+}
+
+// Publish returns what a number of nodes need to know.
+func (r *Register) Publish(now time.Time, nodes int) Published {
+	published := Published{
+		Services:     r.Names(),
+		Complete:     r.Complete,
+		ViewLifetime: minViewLifetime + time.Duration(nodes)*viewLifetimePerNode,
+	}
+	for _, service := range published.Services {
+		for i, version := range service.Versions {
+			service.Versions[i].BeginsIn = r.Services[service.Name][version.Name].beginsIn(now, published.ViewLifetime)
+		}
+	}
+	return published
+}
+
+func (s *Sighting) beginsIn(now time.Time, wait time.Duration) time.Duration {
+	if !s.Stored {
+		wait += maxUnstoredTime
+	}
+	remaining := s.FirstAt.Add(wait).Sub(now)
+	s.Begins = s.Begins || remaining <= 0
+	if s.Begins {
+		return 0
+	}
+	return remaining
+}
--- /dev/null
+++ b/internal/resumer/script_test.go
@@ -0,0 +1,59 @@
+package resumer
+
+import (
+	"testing"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// TestScripts replays the scripts of a node in testdata/node. The head of each script
+// states the failure that it guards against.
+func TestScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[Message, Effect]{
+		Directory: "testdata/node",
+		New:       func(*testing.T, []byte) tester.Controller[Message, Effect] { return NewController() },
+		Messages:  []Message{StateReceived{}, StreamBegun{}, Remember{}, Find{}, CancelFind{}, Lookup{}, KeeperAnswered{}},
+		Tick:      Tick{},
+	})
+}
+
+// TestRegister replays the scripts of a holder in testdata/register.
+func TestRegister(t *testing.T) {
+	tester.Replay(t, tester.Suite[any, any]{
+		Directory: "testdata/register",
+		New:       func(*testing.T, []byte) tester.Controller[any, any] { return &holder{NewRegister()} },
+		Messages:  []any{Listed{}, Inherited{}, Stored{}, Published{}},
+		Tick:      Published{},
+	})
+}
+
+// Listed, Inherited and Stored are the calls of Register in scripts.
+type (
+	Listed    struct{ Replicas []surveyor.Replica }
+	Inherited struct {
+		Published Published
+		Stored    bool `json:",omitempty"`
+	}
+	Stored struct{ Services []Service }
+)
+
+// holder makes Register a controller, so that scripts can drive it.
+type holder struct{ register *Register }
+
+func (h *holder) Wake() time.Time { return time.Time{} }
+
+func (h *holder) Step(now time.Time, message any) []any {
+	switch message := message.(type) {
+	case Listed:
+		h.register.Observe(now, message.Replicas)
+	case Inherited:
+		h.register.Inherit(now, message.Published, message.Stored)
+	case Stored:
+		h.register.MarkStored(message.Services)
+	case Published:
+		return []any{h.register.Publish(now, 0)}
+	}
+	return nil
+}
--- a/internal/soaker/deployment_test.go
+++ b/internal/soaker/deployment_test.go
@@ -24,6 +24,10 @@
 	engineService = "llm"
 	plainService  = "app"
 	soakHost      = "soak.example"
+	// versionedService is an engine with replicas of two software versions, and
+	// versionedPath the prefix of its route. Only one test has such replicas.
+	versionedService = "llm-versioned"
+	versionedPath    = "/versioned/"
 	// eventsPerStream is the number of events in a complete stream.
 	eventsPerStream = 6
 	// modelMB and engineMemoryMB allow an engine to hold two models.
@@ -179,18 +183,21 @@
 	routes := []any{
 		route("/once/", "non_idempotent", plainService, false), route("/safe/", "idempotent", plainService, false),
 		route("/stream/", "streaming", engineService, false), route("/resume/", "streaming", engineService, true),
+		route(versionedPath, "streaming", versionedService, true),
 	}
 	for _, prefix := range d.addedRoutes {
 		routes = append(routes, route(prefix, "idempotent", plainService, false))
 	}
+	engine := map[string]any{
+		"slots": 8, "weights-mb": engineMemoryMB, "adapter-slots": 4, "host-mb": 500, "disk-mb": 1000, "loads-per-s": 5, "models": models,
+	}
 	d.store.Put("config", "main", map[string]any{
 		"version": d.version,
 		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": plainService, "max-conns": 100},
-			map[string]any{"name": engineService, "max-conns": 100, "engine": map[string]any{
-				"slots": 8, "weights-mb": engineMemoryMB, "adapter-slots": 4, "host-mb": 500, "disk-mb": 1000, "loads-per-s": 5, "models": models,
-			}},
+			map[string]any{"name": engineService, "max-conns": 100, "engine": engine},
+			map[string]any{"name": versionedService, "max-conns": 100, "engine": engine},
 		},
 		"limits":  map[string]any{"max-body-bytes": 1 << 20},
 		"tenants": []any{map[string]any{"name": "tenant-1", "api-keys": d.keys, "unit": "token_stream", "plain-tokens": 10, "rate-per-s": 1e6, "burst": 1e6}},
--- /dev/null
+++ b/internal/soaker/versions_test.go
@@ -0,0 +1,192 @@
+package soaker
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/emulator"
+)
+
+const (
+	// maxJoined is the number of streams that may hold events of two software versions.
+	maxJoined = 2
+	// maxTakeUps is how often a caller takes a stream up again.
+	maxTakeUps = 4
+)
+
+// TestStreamsKeepTheirVersion guards against streams whose rest comes from a replica of
+// another software version: from the node that began them, from another one to which the
+// caller turns, and after all nodes were killed at once. It guards as well against streams
+// that do not go on although their version is known and serves.
+func TestStreamsKeepTheirVersion(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := newDeployment(ctx, t, buildBinary(t), 200, 4)
+	for i := range 4 {
+		d.addReplica(ctx, emulator.FleetReplicaSettings{
+			ID: fmt.Sprintf("e-%d", i), Service: versionedService, Version: fmt.Sprintf("v%d", i%2), Zone: "z1", Slots: 50, MemoryMB: engineMemoryMB,
+			AnswerTime: 25 * time.Millisecond, EventsPerStream: eventsPerStream, ModelSizesMB: map[string]float64{modelNames[0]: modelMB}, Clock: clockwork.NewRealClock(),
+		}, 0)
+	}
+	engines := d.replicas[len(d.replicas)-4:]
+	for _, n := range d.nodes {
+		d.start(n)
+		defer n.stop()
+	}
+	d.awaitReady()
+	time.Sleep(4 * time.Second) // the versions begin streams
+	for _, r := range engines {
+		r.emulated.SetFaults(emulator.ReplicaFaults{BreakEvery: 3})
+	}
+	results := &streamLog{}
+	callersCtx, stopCallers := context.WithCancel(ctx)
+	var callerGroup sync.WaitGroup
+	for i := range 6 {
+		callerGroup.Go(func() { d.runStreamCaller(callersCtx, i, results) })
+	}
+	time.Sleep(4 * time.Second)
+	killedAt := time.Now()
+	for _, n := range d.nodes {
+		n.stop()
+	}
+	for _, n := range d.nodes {
+		d.start(n)
+	}
+	time.Sleep(6 * time.Second)
+	stopCallers()
+	callerGroup.Wait()
+
+	joined := 0
+	versions := streamVersions(engines)
+	for _, s := range results.streams {
+		if len(versions[s.id]) > 1 {
+			joined++
+		}
+	}
+	if joined > maxJoined {
+		t.Errorf("%d of %d streams hold events of two versions, want at most %d", joined, len(results.streams), maxJoined)
+	}
+	var begun, sent, goneOn, takenUp int
+	for _, s := range results.streams {
+		if s.endedAt.After(killedAt.Add(-100 * time.Millisecond)) {
+			continue
+		}
+		sent, takenUp, goneOn = sent+1, takenUp+s.takeUps, goneOn+s.goneOn
+		if s.lastEvent > 0 {
+			begun++
+		}
+	}
+	if takenUp < 12 {
+		t.Fatalf("%d streams were taken up, want 12 or more", takenUp)
+	}
+	if 2*goneOn*sent < begun*takenUp {
+		t.Errorf("%d of %d streams went on that were taken up, want at least half of the share of new ones that begin, %d of %d", goneOn, takenUp, begun, sent)
+	}
+	if t.Failed() {
+		d.saveLogs(200)
+	}
+}
+
+// streamVersions returns the versions of the engines that have sent events of each stream.
+func streamVersions(engines []*replica) map[string]map[string]bool {
+	versions := map[string]map[string]bool{}
+	for i, r := range engines {
+		for _, run := range r.emulated.Runs() {
+			id := run.Attempt
+			if run.Resumes != "" {
+				id = run.Resumes
+			}
+			if run.Events == 0 {
+				continue
+			}
+			if versions[id] == nil {
+				versions[id] = map[string]bool{}
+			}
+			versions[id][strconv.Itoa(i%2)] = true
+		}
+	}
+	return versions
+}
+
+// streamResult is a stream as its caller has seen it.
+type streamResult struct {
+	id string
+	// takeUps counts the requests after the one that brought the first event, and goneOn
+	// those that brought more events.
+	takeUps, goneOn, lastEvent int
+	endedAt                    time.Time
+}
+
+type streamLog struct {
+	mu      sync.Mutex
+	streams []streamResult
+}
+
+// runStreamCaller sends streams one after the other until ctx ends, and takes them up again
+// at other nodes when they break off.
+func (d *deployment) runStreamCaller(ctx context.Context, index int, results *streamLog) {
+	random := rand.New(rand.NewPCG(uint64(index), 7))
+	client := &http.Client{Timeout: 3 * time.Second}
+	for i := 0; ctx.Err() == nil; i++ {
+		s := streamResult{}
+		for try := 0; try <= maxTakeUps && s.lastEvent < eventsPerStream && ctx.Err() == nil; try++ {
+			attempt := fmt.Sprintf("s-%d-%d-%d", index, i, try)
+			before := s.lastEvent
+			d.receiveStream(client, d.nodes[random.IntN(len(d.nodes))].address(callersPort), attempt, &s)
+			if s.lastEvent > before && s.id == "" {
+				s.id = attempt
+			} else if before > 0 {
+				s.takeUps++
+				if s.lastEvent > before {
+					s.goneOn++
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		s.endedAt = time.Now()
+		results.mu.Lock()
+		results.streams = append(results.streams, s)
+		results.mu.Unlock()
+	}
+}
+
+// receiveStream sends one request for a stream or its rest.
+func (d *deployment) receiveStream(client *http.Client, address, attempt string, s *streamResult) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+versionedPath+"x", strings.NewReader("body"))
+	if err != nil {
+		return
+	}
+	request.GetBody, request.Host = nil, soakHost
+	for name, value := range map[string]string{
+		"Attempt-Id": attempt, "Key": "key-a", "Deadline-Ms": "3000", "Model": modelNames[0], "Token-Usage": "100,20",
+	} {
+		request.Header.Set(name, value)
+	}
+	if s.lastEvent > 0 {
+		request.Header.Set("Last-Event-Id", strconv.Itoa(s.lastEvent))
+		request.Header.Set("Resumes", s.id)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok && response.StatusCode == http.StatusOK {
+			if number, err := strconv.Atoi(id); err == nil {
+				s.lastEvent = max(s.lastEvent, number)
+			}
+		}
+	}
+}
