Skip odd entries of lists one by one

Cause: a list was decoded as one value, so that its worst item decided.

Skipped entries are logged once.

--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -181,7 +181,7 @@
 	}
 	dialer := newDialer()
 	store, closeStore := platform.NewStore(n.settings.Store.Address, n.clock, dialer)
-	store.OnUnreadable = func(kind, name string, err error) {
+	store.Unreadable.Report = func(kind, name string, err error) {
 		n.logger.WithFields(logrus.Fields{"Kind": kind, "Name": name}).WithError(err).Warn("unreadable store entry skipped")
 	}
 	n.store = store
--- a/internal/storer/client.go
+++ b/internal/storer/client.go
@@ -35,7 +35,11 @@
 )
 
 // Client is a Store that calls the platform over HTTP.
-type Client struct{ caller Caller }
+type Client struct {
+	caller Caller
+	// Unreadable receives the entries of lists that are skipped.
+	Unreadable Unreadable
+}
 
 var _ Store = (*Client)(nil)
 
@@ -134,7 +138,7 @@
 	if response.Status != http.StatusOK {
 		return nil, statusError(response)
 	}
-	return decodeObjects(response.Body)
+	return c.decodeObjects(response.Body)
 }
 
 // Watch implements Store.
@@ -164,7 +168,7 @@
 		case err != nil:
 			return tracker.InstanceList{}, err
 		case response.Status == http.StatusOK:
-			return decodeInstances(response)
+			return c.decodeInstances(response)
 		case response.Status != http.StatusNotModified:
 			return tracker.InstanceList{}, statusError(response)
 		case response.Era <= known.Era:
--- a/internal/storer/store_test.go
+++ b/internal/storer/store_test.go
@@ -259,3 +259,26 @@
 		t.Errorf("eras %d, %d and %d, want 3", put.Era, missing.Era, unchanged.Era)
 	}
 }
+
+// TestOddInstances guards against an entry of the list of instances that costs all others,
+// or that names an address to which nothing can connect.
+func TestOddInstances(t *testing.T) {
+	sound := `{"Name":"e1","Kind":"Engine","Address":"127.0.0.1:1","Phase":"Ready"}`
+	for _, odd := range []string{
+		strings.Repeat(`[`, 20_000) + strings.Repeat(`]`, 20_000), `7`, `{}`, `{"Name":7}`, `{"Name":"odd","MemoryMB":-1}`, `{"Name":"odd","MemoryMB":1e30}`,
+		`{"Name":"odd","Address":"127.0.0.1:0"}`, `{"Name":"odd","PeerAddress":"127.0.0.1:70000"}`,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"Version":3,"Instances":[` + odd + `,` + sound + `]}`))
+		}))
+		client, closeClient := storer.New(strings.TrimPrefix(server.URL, "http://"), clockwork.NewRealClock())
+		reported := 0
+		client.Unreadable.Report = func(string, string, error) { reported++ }
+		list, err := client.Instances(t.Context(), 0, time.Second)
+		if err != nil || len(list.Instances) != 1 || list.Instances[0].Name != "e1" || list.Version != 3 || reported != 1 {
+			t.Errorf("%.60s: list %+v, error %v, %d reported; want e1 and one reported", odd, list, err, reported)
+		}
+		closeClient()
+		server.Close()
+	}
+}
--- a/internal/storer/wire.go
+++ b/internal/storer/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 
 	"github.com/ansel1/merry/v2"
 
@@ -41,12 +42,11 @@
 	Value   wireValue
 }
 
-type wireObjects struct {
-	Objects []struct {
-		Kind    string
-		Name    string
-		Version uint64
-	}
+// wireListed is an entry of a list of objects.
+type wireListed struct {
+	Kind    string
+	Name    string
+	Version uint64
 }
 
 type wireInstance struct {
@@ -63,10 +63,7 @@
 	ChecksOrders bool
 }
 
-type wireInstances struct {
-	Version   uint64
-	Instances []wireInstance
-}
+type wireInstances struct{ Version uint64 }
 
 func decodeObject(response Response) (Object, error) {
 	wire, err := encoder.Decode[wireObject](response.Body)
@@ -77,30 +74,61 @@
 	return Object{ID: id, Version: wire.Version, Era: response.Era, WriteID: wire.Value.WriteID, Data: wire.Value.Data}, nil
 }
 
-func decodeObjects(body []byte) ([]Object, error) {
-	wire, err := encoder.Decode[wireObjects](body)
+func (c *Client) decodeObjects(body []byte) ([]Object, error) {
+	_, items, err := encoder.DecodeList[struct{}](body, "Objects")
 	if err != nil {
 		return nil, decodeError("list of objects", err)
 	}
-	objects := make([]Object, 0, len(wire.Objects))
-	for _, object := range wire.Objects {
-		objects = append(objects, Object{ID: ID{object.Kind, object.Name}, Version: object.Version})
+	objects := make([]Object, 0, len(items))
+	for _, item := range items {
+		wire, err := encoder.DecodeLenient[wireListed](item)
+		if err == nil && (wire.Kind == "" || wire.Name == "") {
+			err = merry.Wrap(encoder.ErrMalformed, merry.AppendMessage("object without kind or name"))
+		}
+		if err != nil {
+			c.Unreadable.Add("Object", wire.Name, err)
+			continue
+		}
+		objects = append(objects, Object{ID: ID{wire.Kind, wire.Name}, Version: wire.Version})
 	}
 	return objects, nil
 }
 
-func decodeInstances(response Response) (tracker.InstanceList, error) {
-	wire, err := encoder.Decode[wireInstances](response.Body)
+func (c *Client) decodeInstances(response Response) (tracker.InstanceList, error) {
+	wire, items, err := encoder.DecodeList[wireInstances](response.Body, "Instances")
 	if err != nil {
 		return tracker.InstanceList{}, decodeError("list of instances", err)
 	}
 	list := tracker.InstanceList{Version: sequencer.Position{Era: response.Era, Revision: wire.Version}.Ordinal()}
-	for _, instance := range wire.Instances {
-		list.Instances = append(list.Instances, tracker.Instance(instance))
+	for _, item := range items {
+		instance, err := decodeInstance(item)
+		if err != nil {
+			c.Unreadable.Add("Instance", instance.Name, err)
+			continue
+		}
+		list.Instances = append(list.Instances, instance)
 	}
 	return list, nil
 }
 
+// decodeInstance decodes an entry of the list of instances. Errors: encoder.ErrMalformed.
+func decodeInstance(item []byte) (tracker.Instance, error) {
+	wire, err := encoder.DecodeLenient[wireInstance](item)
+	instance := tracker.Instance(wire)
+	switch {
+	case err != nil:
+		return instance, err
+	case wire.Name == "" || wire.MemoryMB < 0:
+		return instance, merry.Wrap(encoder.ErrMalformed, merry.AppendMessagef("instance %q with %d MiB; want a name and at least 0", wire.Name, wire.MemoryMB))
+	}
+	for _, address := range []string{wire.Address, wire.PeerAddress} {
+		if parsed, err := netip.ParseAddrPort(address); address != "" && (err != nil || parsed.Port() == 0) {
+			return instance, merry.Wrap(encoder.ErrMalformed, merry.AppendMessagef("instance %q has address %q; want IP:port", wire.Name, address))
+		}
+	}
+	return instance, nil
+}
+
 func decodeError(subject string, err error) error {
 	return merry.Wrap(ErrUnavailable, merry.AppendMessagef("%s: %v", subject, err))
 }
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -135,6 +135,9 @@
 func (n *Node) connect(cleanUps *cleanUps) error {
 	var cleanUp func()
 	n.store, cleanUp = storer.New(n.settings.PlatformAddress, n.clock)
+	n.store.Unreadable.Report = func(kind, name string, err error) {
+		n.logger.WithFields(logrus.Fields{"Kind": kind, "Name": name}).WithError(err).Warn("unreadable store entry skipped")
+	}
 	cleanUps.add(cleanUp)
 	n.messenger, cleanUp = messenger.NewClient(n.clock)
 	cleanUps.add(cleanUp)
