Take no request that a leaving node may have to cut

Cause: the time that a request still needs was taken from its latency objective, and connections were closed at the end whatever ran on them. A script shows it: with 700 ms left a request was taken on a route that allows it 900 ms.

A leaving node goes by the route's time-out, the time that the caller has left and the longest recent answers of the route. Requests that remain at the end get their final answer, not run if that is certain.

--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -78,7 +78,7 @@
 	// startedAt is when the node was created.
 	startedAt time.Time
 	draining  atomic.Bool
-	// cutoffAt is the time at which a node that shuts down terminates its
+	// cutoffAt is the time at which a node that shuts down ends its
 	// requests; nil before the shutdown.
 	cutoffAt atomic.Pointer[time.Time]
 	// holder is the last known holder of the placement lease.
@@ -99,6 +99,8 @@
 	peers    *messenger.Client
 	pool     *forwarder.Pool
 	budgets  *forwarder.Budgets
+	// durations are those of the answers to callers.
+	durations *forwarder.Durations
 
 	// storeRestoredAt is when the store was last found restored from an older copy, nil
 	// if never.
@@ -271,6 +273,7 @@
 		Timing:     leaseTiming,
 		Publish:    n.applyLeaseEvent,
 	})
+	n.durations = &forwarder.Durations{Clock: n.clock}
 	n.budgets = &forwarder.Budgets{Clock: n.clock, Settings: dispatcher.BudgetSettings{
 		Ratio:          bounds.RetryRatio * retryBudgetShare,
 		MaxBalance:     bounds.RetrySlack * retryBudgetShare / budgetNodes,
@@ -283,7 +286,7 @@
 func (n *Node) chain() filter.Chain {
 	return filter.Chain{
 		forwarder.ResolveRoute{View: &n.view, Clock: n.clock},
-		forwarder.Drain{Clock: n.clock, CutoffAt: n.cutoffTime, Grace: func() time.Duration { return n.bounds.Load().DrainGrace }},
+		forwarder.Drain{Clock: n.clock, CutoffAt: n.cutoffTime, Grace: func() time.Duration { return n.bounds.Load().DrainGrace }, Durations: n.durations},
 		forwarder.Authorize{View: &n.view, Clock: n.clock, MaxKeyAge: n.maxKeyAge},
 		forwarder.ScreenRequest{Screen: n.screener},
 		forwarder.LimitRate{Limits: n.rationer},
@@ -297,6 +300,7 @@
 			Clock:     n.clock,
 			MaxKeyAge: n.maxKeyAge,
 			Budgets:   n.budgets,
+			Durations: n.durations,
 			Log:       n.logAttempt,
 		},
 	}
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanhitch.example/toucanhitch/internal/balancer"
+	"toucanhitch.example/toucanhitch/internal/forwarder"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/syncer"
@@ -35,6 +36,9 @@
 	// shutdownMargin is the part of the shutdown time that is reserved for the
 	// steps after the requests have ended.
 	shutdownMargin = 500 * time.Millisecond
+	// answerMargin is the time in which the requests that remain at the end of the shutdown
+	// time get their answers.
+	answerMargin = 150 * time.Millisecond
 	// acceptShare is the fraction of the shutdown time during which the node
 	// accepts new requests, since callers may use their last address answer
 	// for that long.
@@ -88,7 +92,10 @@
 // serveCallers serves callers until ctx ends and then drains the node. Its
 // return ends the group.
 func (n *Node) serveCallers(ctx context.Context) error {
+	requests, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
 	server := &http.Server{
+		BaseContext: func(net.Listener) context.Context { return requests },
 		Handler: &platform.CallerHandler{
 			Chain:        n.chain(),
 			Clock:        n.clock,
@@ -106,16 +113,22 @@
 		return err
 	case <-ctx.Done():
 	}
-	return n.drain(server)
+	return n.drain(server, endRequests)
 }
 
 // drain releases the placement lease, removes the node's entry from the store,
-// and then finishes or terminates the node's requests.
-func (n *Node) drain(server *http.Server) error {
+// and then finishes the node's requests. It ends those that remain answerMargin before the
+// end of the shutdown time, so that they get an answer.
+func (n *Node) drain(server *http.Server, endRequests context.CancelCauseFunc) error {
 	startedAt := n.clock.Now()
 	grace := n.bounds.Load().DrainGrace
-	cutoffAt := startedAt.Add(grace - shutdownMargin)
+	cutoffAt := startedAt.Add(grace - shutdownMargin - answerMargin)
 	n.cutoffAt.Store(&cutoffAt)
+	end := n.clock.AfterFunc(cutoffAt.Sub(startedAt), func() {
+		n.logger.Info("shutting down: ending the remaining requests")
+		endRequests(forwarder.ErrShutdown)
+	})
+	defer end.Stop()
 	n.draining.Store(true)
 	n.logger.Info("shutting down: removed from the address answers")
 	n.logPostError("syncer", n.syncer.Post(syncer.ExchangeNow{}))
@@ -142,7 +155,7 @@
 	return nil
 }
 
-// cutoffTime returns the time at which this node terminates its requests, or
+// cutoffTime returns the time at which this node ends its requests, or
 // the zero time if it is not shutting down.
 func (n *Node) cutoffTime() time.Time {
 	if cutoffAt := n.cutoffAt.Load(); cutoffAt != nil {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -25,6 +25,9 @@
 	ErrInvalidResponse = merry.Sentinel("response is not valid")
 	// ErrCallerGone reports that the caller has closed its connection.
 	ErrCallerGone = merry.Sentinel("caller closed its connection")
+	// ErrShutdown is the cause with which a node that shuts down ends the contexts of its
+	// remaining requests.
+	ErrShutdown = merry.Sentinel("node shuts down")
 	// ErrEventOrder reports a stream whose event IDs leave a gap.
 	ErrEventOrder = merry.Sentinel("events are out of order")
 )
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -113,6 +113,8 @@
 	// current.
 	MaxKeyAge func() time.Duration
 	Budgets   *Budgets
+	// Durations receives how long answers take.
+	Durations *Durations
 	Log       func(Event)
 }
 
@@ -145,6 +147,9 @@
 	j.budget.RecordAttempt()
 	for {
 		verdict := j.tryReplica(ctx)
+		if _, answered := verdict.(filter.Accept); answered {
+			d.Durations.Record(forward.Route.Name, d.Clock.Since(request.Arrived))
+		}
 		if verdict != nil {
 			return verdict
 		}
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -18,6 +18,11 @@
 	if errors.Is(err, ErrCallerGone) {
 		return balancer.Abandoned
 	}
+	if errors.Is(err, ErrShutdown) {
+		j.possibleRuns++
+		j.log("attempt failed", placement, 0, 0, err)
+		return balancer.Abandoned
+	}
 	if !errors.Is(err, ErrNotSent) {
 		j.possibleRuns++
 		j.Pool.closeIdleTo(placement.Address)
@@ -72,6 +77,8 @@
 	switch {
 	case errors.Is(err, ErrCallerGone):
 		return j.end(filter.StreamBroken, "the caller is gone")
+	case errors.Is(err, ErrShutdown):
+		return j.end(filter.EndpointFailed, "this node shuts down")
 	case j.attemptsSent >= maxAttemptsSent:
 		return j.end(filter.EndpointFailed, "too many attempts")
 	case errors.Is(err, ErrNotSent):
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -120,10 +120,12 @@
 	return head.Attempt == e.attempt.Forward.Attempt
 }
 
-// classifyError returns the error of a failed read: ErrCallerGone, ErrReadTimeout,
-// ErrInvalidResponse, ErrEventOrder or ErrTruncated.
+// classifyError returns the error of a failed read: ErrShutdown, ErrCallerGone,
+// ErrReadTimeout, ErrInvalidResponse, ErrEventOrder or ErrTruncated.
 func (e *exchange) classifyError(ctx context.Context, err error) error {
 	switch {
+	case errors.Is(context.Cause(ctx), ErrShutdown):
+		return merry.Wrap(ErrShutdown, merry.AppendMessagef("%v", err))
 	case ctx.Err() != nil:
 		return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", context.Cause(ctx)))
 	case e.timedOut.Load():
