Let new software versions begin streams sooner

A version that is new in the list began no streams for 3 s, and for 8 s while the lease could not be written, so that a release beside an outage of the store took replicas away from callers. A list of replicas now proves for 2 s that there is no other version, which it usually does not need: its age is below 1 s. A version that the lease does not contain waits 1 s more. A new holder goes on with the wait of the one before it.

--- a/internal/resumer/controller.go
+++ b/internal/resumer/controller.go
@@ -14,7 +14,7 @@
 const (
 	// recordedShare is the share of the lifetime of a list of replicas after which the
 	// origins of streams are sent to keepers: before it proves nothing any more.
-	recordedShare = 0.5
+	recordedShare = 0.7
 	// keeperCount is the number of keepers to which a record is sent, and askedKeepers the
 	// number that are asked: one of them may have been replaced since.
 	keeperCount  = 2
--- a/internal/resumer/register.go
+++ b/internal/resumer/register.go
@@ -15,11 +15,11 @@
 	// minViewLifetime is the minimum time for which a list of replicas proves that there is
 	// no other version. It grows with the number of nodes by viewLifetimePerNode, because
 	// the exchanges with the holder do.
-	minViewLifetime     = 3 * time.Second
+	minViewLifetime     = 2 * time.Second
 	viewLifetimePerNode = 2 * time.Millisecond
 	// maxUnstoredTime is the time beyond the lifetime of a view after which a version begins
 	// streams although the lease does not contain it. The other replicas may be leaving.
-	maxUnstoredTime = 5 * time.Second
+	maxUnstoredTime = time.Second
 	// maxLearningGap is the time without news after which a version may have come and gone
 	// unnoticed.
 	maxLearningGap = 10 * time.Second
@@ -92,9 +92,13 @@
 	r.Complete = r.Complete || published.Complete
 	for _, service := range published.Services {
 		for _, version := range service.Versions {
+			_, known := r.Services[service.Name][version.Name]
 			sighting := r.sighting(now, service.Name, version.Name)
 			sighting.Stored = sighting.Stored || stored
 			sighting.Begins = sighting.Begins || version.BeginsIn == 0
+			if !known {
+				sighting.FirstAt = now.Add(version.BeginsIn - published.ViewLifetime - maxUnstoredTime)
+			}
 		}
 	}
 	r.expire(now)
