Charge the retry budget only for attempts that reach a replica

After replicas had crashed, sound requests were refused with "no budget for another attempt" although most of them had reached no replica yet: their first attempts had found closed ports, since a replica stays in the list for some seconds.

Cause: the budget was charged for each attempt after the first. It bounds the load that repeats put on replicas, and a closed port bears none.

--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -187,6 +188,9 @@
 		Priority:  j.priority(),
 		TimeLeft:  left,
 	}, j.firstByteTimeout(left, placement))
+	if !errors.Is(err, ErrNotSent) {
+		j.arrivals, j.paid = j.arrivals+1, false
+	}
 	if err != nil {
 		result = j.recordFailure(placement, err)
 		j.reportBreak(placement, err, startedAt, false)
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -17,10 +17,13 @@
 	request *filter.Request
 	forward *filter.Forward
 	budget  *dispatcher.Budget
-	// attemptsSent counts the attempts, possibleRuns those that may have run.
-	attemptsSent, possibleRuns int
-	excluded                   []string
-	events                     EventStream
+	// attemptsSent counts the attempts, arrivals those of which something may have reached
+	// a replica, and possibleRuns those that may have run.
+	attemptsSent, arrivals, possibleRuns int
+	// paid is set while the next arrival has been taken from the budget.
+	paid     bool
+	excluded []string
+	events   EventStream
 	// responseStarted reports whether the head of the response was sent to the
 	// caller.
 	responseStarted bool
@@ -59,8 +62,13 @@
 	if left < minTimeLeft {
 		return j.end(filter.DeadlinePassed, "the time is over")
 	}
-	if j.attemptsSent > 0 && !j.budget.Spend() {
-		return j.end(filter.Overloaded, "no budget for another attempt")
+	// An attempt that does not reach a replica, such as one to a closed port, costs the
+	// replicas nothing.
+	if j.arrivals > 0 && !j.paid {
+		if !j.budget.Spend() {
+			return j.end(filter.Overloaded, "no budget for another attempt")
+		}
+		j.paid = true
 	}
 	placement, err := j.Placer.Place(ctx, j.placementNeed(now, left))
 	if err != nil {
