Upgrade engines and take streams up again in the soak

The soak's replicas had no software versions, and its callers took no stream up again, so that it could not find streams joined from two versions. Engines of two versions are now restarted with another one and break off answers, and callers take streams up at other nodes, beside all other faults. They have a random stream and a service of their own, so that the seeds that are kept play the same faults as before.

--- a/internal/emulator/fleet_faults.go
+++ b/internal/emulator/fleet_faults.go
@@ -32,13 +32,13 @@
 
 // crash ends the replica's process with all requests that it runs. It starts again
 // after crashDowntime.
-func (r *FleetReplica) crash() {
-	r.executor.do(func() {
-		close(r.crashed)
-		r.crashed = make(chan struct{})
-		r.restart()
-		r.downUntil = r.settings.Clock.Now().Add(crashDowntime)
-	})
+func (r *FleetReplica) crash() { r.executor.do(r.crashProcess) }
+
+func (r *FleetReplica) crashProcess() {
+	close(r.crashed)
+	r.crashed = make(chan struct{})
+	r.restart()
+	r.downUntil = r.settings.Clock.Now().Add(crashDowntime)
 }
 
 // streamFaults are the faults of one stream.
--- a/internal/emulator/fleet_replica.go
+++ b/internal/emulator/fleet_replica.go
@@ -45,8 +45,9 @@
 	// the number of events that the replica has sent.
 	Resumes string
 	Events  int
-	// StartedMS is the start of the replica's process.
+	// StartedMS is the start of the replica's process, and Version that of its software.
 	StartedMS int64
+	Version   string
 	At        time.Time
 }
 
@@ -99,6 +100,14 @@
 	r.executor.do(r.restart)
 }
 
+// Upgrade restarts the replica's process with another version of its software.
+func (r *FleetReplica) Upgrade(version string) {
+	r.executor.do(func() {
+		r.settings.Version = version
+		r.crashProcess()
+	})
+}
+
 func (r *FleetReplica) restart() {
 	r.startedAtMs = r.settings.Clock.Now().UnixMilli()
 	r.orderSequence, r.loading, r.leaving = 0, "", false
@@ -284,7 +293,7 @@
 		r.runs = append(r.runs, FleetRun{
 			Replica: r.settings.ID, Attempt: attempt, Method: request.Method, Target: request.RequestURI, Body: body,
 			Tenant: request.Header.Get("Tenant"), HasKey: request.Header.Get("Key") != "", PromptPrefix: request.Header.Get("Prompt-Prefix"),
-			Resumes:   request.Header.Get("Resumes"),
+			Resumes: request.Header.Get("Resumes"), Version: r.settings.Version,
 			StartedMS: r.startedAtMs, At: r.settings.Clock.Now(),
 		})
 	})
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -24,7 +24,7 @@
 	faultDuration    = flag.Duration("soak.for", 9*time.Second, "time with faults for each seed")
 	nodeCount        = flag.Int("soak.nodes", 3, "number of nodes")
 	callers          = flag.Int("soak.callers", 6, "number of callers")
-	plantedViolation = flag.String("soak.plant", "", "violation planted in the recorded results to test the checks: twice, refused, mixed, orders, leaving, closed, denied, reverted")
+	plantedViolation = flag.String("soak.plant", "", "violation planted in the recorded results to test the checks: twice, refused, mixed, orders, leaving, closed, denied, reverted, joined")
 )
 
 // failedSeeds holds every seed that ever failed, with its cause. They run in
@@ -88,6 +88,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d := newDeployment(ctx, t, binary, network, *nodeCount)
+	engines := d.addVersionedEngines(ctx)
 	for _, n := range d.nodes {
 		d.start(n)
 		defer n.stop()
@@ -105,6 +106,11 @@
 	changes := &routeChanges{deployment: d, results: results}
 	callerGroup.Go(func() { changes.run(rand.New(rand.NewPCG(seed, changeStream)), faultsEnd) })
 	callerGroup.Go(func() { changes.probe(callersCtx, rand.New(rand.NewPCG(seed, probeStream))) })
+	streams := &streamLog{}
+	for i := range 2 {
+		callerGroup.Go(func() { d.runStreamCaller(callersCtx, i, versionedPath, streams) })
+	}
+	callerGroup.Go(func() { upgrade(rand.New(rand.NewPCG(seed, upgradeStream)), engines, faultsEnd) })
 	callerGroup.Go(func() { d.turnAway(rand.New(rand.NewPCG(seed, refusalStream)), faultsEnd) })
 	faults.run(faultsEnd)
 	settledAt := time.Now().Add(settleTime)
@@ -115,6 +121,9 @@
 	problems := d.checkInvariants(outcomes, faults.withdrawnAt, faults.resumeTimes)
 	problems = append(problems, d.checkNotices(outcomes, faults.excuses)...)
 	problems = append(problems, changes.check()...)
+	if joined := joinedStreams(engines); joined > maxJoined {
+		problems = append(problems, fmt.Sprintf("ORDER: %d streams hold events of two software versions, want at most %d", joined, maxJoined))
+	}
 	succeeded, total := countSucceeded(outcomes, settledAt)
 	if total > 0 && succeeded*4 < total {
 		problems = append(problems, fmt.Sprintf("RECOVER: %d of %d requests were served %v after the last fault", succeeded, total, settleTime))
--- a/internal/soaker/versions_test.go
+++ b/internal/soaker/versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -20,6 +21,11 @@
 const (
 	// maxJoined is the number of streams that may hold events of two software versions.
 	maxJoined = 2
+	// versionedEngines is the number of engines of versionedService.
+	versionedEngines = 4
+	// upgradeStream separates the random numbers of upgrades from those of the other faults
+	// of a seed.
+	upgradeStream = 6 << 32
 	// maxTakeUps is how often a caller takes a stream up again.
 	maxTakeUps = 4
 )
@@ -32,13 +38,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d := newDeployment(ctx, t, buildBinary(t), 200, 4)
-	for i := range 4 {
-		d.addReplica(ctx, emulator.FleetReplicaSettings{
-			ID: fmt.Sprintf("e-%d", i), Service: versionedService, Version: fmt.Sprintf("v%d", i%2), Zone: "z1", Slots: 50, MemoryMB: engineMemoryMB,
-			AnswerTime: 25 * time.Millisecond, EventsPerStream: eventsPerStream, ModelSizesMB: map[string]float64{modelNames[0]: modelMB}, Clock: clockwork.NewRealClock(),
-		}, 0)
-	}
-	engines := d.replicas[len(d.replicas)-4:]
+	engines := d.addVersionedEngines(ctx)
 	for _, n := range d.nodes {
 		d.start(n)
 		defer n.stop()
@@ -52,7 +52,7 @@
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	var callerGroup sync.WaitGroup
 	for i := range 6 {
-		callerGroup.Go(func() { d.runStreamCaller(callersCtx, i, results) })
+		callerGroup.Go(func() { d.runStreamCaller(callersCtx, i, versionedPath, results) })
 	}
 	time.Sleep(4 * time.Second)
 	killedAt := time.Now()
@@ -66,14 +66,7 @@
 	stopCallers()
 	callerGroup.Wait()
 
-	joined := 0
-	versions := streamVersions(engines)
-	for _, s := range results.streams {
-		if len(versions[s.id]) > 1 {
-			joined++
-		}
-	}
-	if joined > maxJoined {
+	if joined := joinedStreams(engines); joined > maxJoined {
 		t.Errorf("%d of %d streams hold events of two versions, want at most %d", joined, len(results.streams), maxJoined)
 	}
 	var begun, sent, goneOn, takenUp int
@@ -97,25 +90,61 @@
 	}
 }
 
-// streamVersions returns the versions of the engines that have sent events of each stream.
-func streamVersions(engines []*replica) map[string]map[string]bool {
+// addVersionedEngines adds engines of two software versions. They are not among the
+// replicas that random faults choose from.
+func (d *deployment) addVersionedEngines(ctx context.Context) []*replica {
+	others := d.replicas
+	defer func() { d.replicas = others }()
+	for i := range versionedEngines {
+		d.addReplica(ctx, emulator.FleetReplicaSettings{
+			ID: fmt.Sprintf("e-%d", i), Service: versionedService, Version: fmt.Sprintf("v%d", i%2), Zone: "z1", Slots: 50, MemoryMB: engineMemoryMB,
+			AnswerTime: 25 * time.Millisecond, EventsPerStream: eventsPerStream, ModelSizesMB: map[string]float64{modelNames[0]: modelMB}, Clock: clockwork.NewRealClock(),
+		}, 0)
+	}
+	return d.replicas[len(others):]
+}
+
+// joinedStreams returns the number of streams that hold events of more than one version of
+// the replicas' software.
+func joinedStreams(replicas []*replica) int {
 	versions := map[string]map[string]bool{}
-	for i, r := range engines {
+	joined := 0
+	for _, r := range replicas {
 		for _, run := range r.emulated.Runs() {
-			id := run.Attempt
-			if run.Resumes != "" {
-				id = run.Resumes
+			id, version := cmp.Or(run.Resumes, run.Attempt), run.Version
+			if *plantedViolation == "joined" {
+				version = run.Replica
 			}
-			if run.Events == 0 {
+			if run.Events == 0 || versions[id][version] {
 				continue
 			}
 			if versions[id] == nil {
 				versions[id] = map[string]bool{}
 			}
-			versions[id][strconv.Itoa(i%2)] = true
+			versions[id][version] = true
+			if len(versions[id]) == 2 {
+				joined++
+			}
 		}
 	}
-	return versions
+	return joined
+}
+
+// upgrade restarts engines with another version of their software until a time, and lets
+// them break off answers now and then.
+func upgrade(random *rand.Rand, engines []*replica, until time.Time) {
+	for time.Now().Before(until) {
+		time.Sleep(time.Duration(300+random.IntN(1200)) * time.Millisecond)
+		r := engines[random.IntN(len(engines))]
+		r.emulated.SetFaults(emulator.ReplicaFaults{BreakEvery: []int{0, 2, 5}[random.IntN(3)]})
+		if random.IntN(2) == 0 {
+			r.emulated.Upgrade(fmt.Sprintf("v%d", random.IntN(3)))
+			r.emulated.Preload(modelNames[0])
+		}
+	}
+	for _, r := range engines {
+		r.emulated.SetFaults(emulator.ReplicaFaults{})
+	}
 }
 
 // streamResult is a stream as its caller has seen it.
@@ -132,9 +161,9 @@
 	streams []streamResult
 }
 
-// runStreamCaller sends streams one after the other until ctx ends, and takes them up again
+// runStreamCaller sends streams on a route one after the other until ctx ends, and takes them up again
 // at other nodes when they break off.
-func (d *deployment) runStreamCaller(ctx context.Context, index int, results *streamLog) {
+func (d *deployment) runStreamCaller(ctx context.Context, index int, path string, results *streamLog) {
 	random := rand.New(rand.NewPCG(uint64(index), 7))
 	client := &http.Client{Timeout: 3 * time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
@@ -142,7 +171,7 @@
 		for try := 0; try <= maxTakeUps && s.lastEvent < eventsPerStream && ctx.Err() == nil; try++ {
 			attempt := fmt.Sprintf("s-%d-%d-%d", index, i, try)
 			before := s.lastEvent
-			d.receiveStream(client, d.nodes[random.IntN(len(d.nodes))].address(callersPort), attempt, &s)
+			d.receiveStream(client, d.nodes[random.IntN(len(d.nodes))].address(callersPort), path, attempt, &s)
 			if s.lastEvent > before && s.id == "" {
 				s.id = attempt
 			} else if before > 0 {
@@ -161,8 +190,8 @@
 }
 
 // receiveStream sends one request for a stream or its rest.
-func (d *deployment) receiveStream(client *http.Client, address, attempt string, s *streamResult) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+versionedPath+"x", strings.NewReader("body"))
+func (d *deployment) receiveStream(client *http.Client, address, path, attempt string, s *streamResult) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path+"x?y=1", strings.NewReader("body of "+attempt))
 	if err != nil {
 		return
 	}
