Let replicas announce, and nodes report, in comments

Comments let replicas and answers say things. The field's verbs: a replica announces in its response headers, an entry lists, a node reports. Names of the code follow (hasAnnouncedLeaving); texts of notes, which are metric labels, stay.

--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -58,7 +58,7 @@
 	}
 }
 
-// addNoticeFields adds what a replica has said of itself.
+// addNoticeFields adds what a replica has announced in its response headers.
 func addNoticeFields(fields logrus.Fields, notice forwarder.Notice) {
 	if notice.RateLimit > 0 {
 		fields["RateLimit"] = notice.RateLimit
--- a/internal/assembler/versions.go
+++ b/internal/assembler/versions.go
@@ -77,7 +77,7 @@
 	return n.resumer.Post(resumer.Remember{Records: records})
 }
 
-// setBeginning tells the balancer which versions may begin streams.
+// setBeginning passes the versions that may begin streams to the balancer.
 func (n *Node) setBeginning(effect resumer.SetBeginning) {
 	n.logPostError("balancer", n.balancer.Post(balancer.SetBeginning{Versions: effect.Versions}))
 }
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -60,7 +60,7 @@
 // Controller chooses replicas for one node.
 type Controller struct {
 	Replicas map[string]*Replica
-	// Notices holds what replicas have said of themselves. It outlasts the entries of
+	// Notices holds what replicas have announced. It outlasts the entries of
 	// Replicas, and a list that shows an earlier start.
 	Notices map[replicaStart]*Notice
 	// SortedIDs caches the sorted IDs of the replicas. It is nil after a
--- a/internal/balancer/fuzz_test.go
+++ b/internal/balancer/fuzz_test.go
@@ -14,14 +14,14 @@
 	"toucanhitch.example/toucanhitch/internal/tester"
 )
 
-// TestNoticesAreKept guards against requests to a replica that has said that it leaves or
+// TestNoticesAreKept guards against requests to a replica that has announced that it leaves or
 // wants none for a time, against more requests than may return at once, against refusals
 // although a replica is open in time, and against a service that stays without requests
 // after all of that. Replicas start again, and lists lack them, show older starts or show
 // replicas as ready that leave.
 func TestNoticesAreKept(t *testing.T) {
 	tester.Check(t, 20, func(t *rapid.T) {
-		w := &noticeWorld{t: t, now: tester.Start, controller: NewController(1), said: map[replicaStart]*saidOfItself{}, running: map[runner.Call]replicaStart{}}
+		w := &noticeWorld{t: t, now: tester.Start, controller: NewController(1), announced: map[replicaStart]*announcement{}, running: map[runner.Call]replicaStart{}}
 		w.list()
 		t.Repeat(map[string]func(*rapid.T){
 			"":       func(*rapid.T) { w.step(Tick{}) },
@@ -42,9 +42,9 @@
 
 const noticeReplicas = 3
 
-// saidOfItself is what a start has said of itself. Unanswered counts the requests sent
+// announcement is what a start has announced. Unanswered counts the requests sent
 // since it last asked for none and not answered yet.
-type saidOfItself struct {
+type announcement struct {
 	leaving     bool
 	closedUntil time.Time
 	unanswered  map[runner.Call]bool
@@ -58,7 +58,7 @@
 	now        time.Time
 	controller *Controller
 	listed     []surveyor.Replica
-	said       map[replicaStart]*saidOfItself
+	announced  map[replicaStart]*announcement
 	running    map[runner.Call]replicaStart
 	lastCall   runner.Call
 }
@@ -66,8 +66,8 @@
 // draw returns one of the starts that the replicas may have.
 func (w *noticeWorld) draw() replicaStart {
 	start := replicaStart{fmt.Sprintf("r%d", rapid.IntRange(1, noticeReplicas).Draw(w.t, "replica")), int64(rapid.IntRange(1, 2).Draw(w.t, "start"))}
-	if w.said[start] == nil {
-		w.said[start] = &saidOfItself{unanswered: map[runner.Call]bool{}}
+	if w.announced[start] == nil {
+		w.announced[start] = &announcement{unanswered: map[runner.Call]bool{}}
 	}
 	return start
 }
@@ -96,7 +96,7 @@
 	if !ok {
 		return
 	}
-	said := w.said[start]
+	announced := w.announced[start]
 	message := NoticeReceived{PlacementID: call, Replica: start.id, StartedMS: start.startedMS, Accepted: true}
 	switch rapid.IntRange(0, 7).Draw(w.t, "answer") {
 	case 0:
@@ -106,13 +106,13 @@
 	case 2, 3:
 		message.Accepted, message.RetryAfter = false, w.drawRetryAfter()
 	}
-	if said.unanswered[call] && message.Accepted {
-		said.maxUnanswered *= 2
+	if announced.unanswered[call] && message.Accepted {
+		announced.maxUnanswered *= 2
 	}
-	delete(said.unanswered, call)
-	said.leaving = said.leaving || message.Leaving
-	if until := w.now.Add(message.RetryAfter); message.RetryAfter > 0 && until.After(said.closedUntil) {
-		said.closedUntil, said.maxUnanswered = until, 1
+	delete(announced.unanswered, call)
+	announced.leaving = announced.leaving || message.Leaving
+	if until := w.now.Add(message.RetryAfter); message.RetryAfter > 0 && until.After(announced.closedUntil) {
+		announced.closedUntil, announced.maxUnanswered = until, 1
 	}
 	w.step(message)
 }
@@ -127,11 +127,11 @@
 		return
 	}
 	result := rapid.SampledFrom([]Result{Answered, Refused, Abandoned, ServerError}).Draw(w.t, "result")
-	said := w.said[start]
-	if said.unanswered[call] && result != Refused && result != Abandoned {
-		said.maxUnanswered *= 2
+	announced := w.announced[start]
+	if announced.unanswered[call] && result != Refused && result != Abandoned {
+		announced.maxUnanswered *= 2
 	}
-	delete(said.unanswered, call)
+	delete(announced.unanswered, call)
 	delete(w.running, call)
 	w.step(AttemptEnded{PlacementID: call, Result: result})
 }
@@ -155,26 +155,26 @@
 func (w *noticeWorld) check(answer AnswerPlace) {
 	placement := answer.Placement
 	if placement.Refused != nil {
-		if placement.Refused.Reason == "all replicas leave" && slices.ContainsFunc(w.listed, func(r surveyor.Replica) bool { return !w.said[startOf(r)].leaving }) {
+		if placement.Refused.Reason == "all replicas leave" && slices.ContainsFunc(w.listed, func(r surveyor.Replica) bool { return !w.announced[startOf(r)].leaving }) {
 			w.t.Fatalf("request %d refused because all replicas leave", answer.Call)
 		}
 		return
 	}
 	start := replicaStart{placement.Replica, placement.StartedMS}
-	said := w.said[start]
+	announced := w.announced[start]
 	switch {
-	case said.leaving:
+	case announced.leaving:
 		w.t.Fatalf("request %d sent to %v, which leaves", answer.Call, start)
-	case w.now.Before(said.closedUntil):
-		w.t.Fatalf("request %d sent to %v, which wants none for %v", answer.Call, start, said.closedUntil.Sub(w.now))
+	case w.now.Before(announced.closedUntil):
+		w.t.Fatalf("request %d sent to %v, which wants none for %v", answer.Call, start, announced.closedUntil.Sub(w.now))
 	}
 	w.running[answer.Call] = start
-	if said.maxUnanswered == 0 || said.maxUnanswered >= 100 {
+	if announced.maxUnanswered == 0 || announced.maxUnanswered >= 100 {
 		return
 	}
-	said.unanswered[answer.Call] = true
-	if len(said.unanswered) > said.maxUnanswered {
-		w.t.Fatalf("%d requests return to %v at once, at most %d may", len(said.unanswered), start, said.maxUnanswered)
+	announced.unanswered[answer.Call] = true
+	if len(announced.unanswered) > announced.maxUnanswered {
+		w.t.Fatalf("%d requests return to %v at once, at most %d may", len(announced.unanswered), start, announced.maxUnanswered)
 	}
 }
 
@@ -183,7 +183,7 @@
 // checkRecovery checks that a request is sent at once to a new start of a replica.
 func (w *noticeWorld) checkRecovery() {
 	start := replicaStart{"r1", 3}
-	w.said[start] = &saidOfItself{unanswered: map[runner.Call]bool{}}
+	w.announced[start] = &announcement{unanswered: map[runner.Call]bool{}}
 	w.listed = []surveyor.Replica{{ID: start.id, StartedMS: start.startedMS, Service: "app", Slots: 100}}
 	w.step(SetReplicas{Replicas: w.listed})
 	w.lastCall++
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -55,8 +55,8 @@
 	FirstByte time.Duration
 }
 
-// NoticeReceived reports what an answer to this node has said of its replica, also that
-// it has said nothing.
+// NoticeReceived reports what an answer to this node has announced about its replica, also that
+// it has announced nothing.
 type NoticeReceived struct {
 	// PlacementID is that of the attempt. Accepted is set unless the answer refuses it.
 	PlacementID runner.Call `json:",omitempty"`
--- a/internal/balancer/notice.go
+++ b/internal/balancer/notice.go
@@ -18,7 +18,7 @@
 	leavingRetryAfter = time.Second
 )
 
-// Notice is what one start of a replica has said of itself in its answers. It does not
+// Notice is what one start of a replica has announced in its answers. It does not
 // depend on the lists of replicas.
 type Notice struct {
 	StartedMS int64
@@ -29,7 +29,7 @@
 	NamedAt                   time.Time
 	// ThrottledUntil is when this node may next try to take a request of the limit.
 	ThrottledUntil time.Time
-	// Leaving is set once an answer to this node has said that the replica leaves.
+	// Leaving is set once an answer to this node has announced that the replica leaves.
 	Leaving bool
 	// ClosedUntil is the end of the time for which the replica wants no requests of this
 	// node, and ReopensAt when this node uses it again. MaxReturning then bounds the
@@ -77,7 +77,7 @@
 	}
 }
 
-// recordNotice records what an answer to this node has said of its replica.
+// recordNotice records what an answer to this node has announced about its replica.
 func (c *Controller) recordNotice(now time.Time, message NoticeReceived) []Effect {
 	notice := c.Notices[replicaStart{message.Replica, message.StartedMS}]
 	if notice == nil {
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -55,7 +55,7 @@
 	RefusedUntil time.Time
 	// Latency is the moving average of the time to the first byte.
 	Latency time.Duration
-	// Notice is what the replica has said of itself.
+	// Notice is what the replica has announced.
 	Notice *Notice
 }
 
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -89,7 +89,7 @@
 	FirstByte    time.Duration
 	Duration     time.Duration
 	Status       int
-	// Notice is what the replica has said of itself in its answer.
+	// Notice is what the replica has announced in its answer.
 	Notice Notice
 	// EventsPassed is the number of events of a stream that the caller has.
 	EventsPassed int
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -34,7 +34,7 @@
 	return balancer.Failed
 }
 
-// reportNotice reports what the replica has said of itself, that it names no limit any
+// reportNotice reports what the replica has announced, that it names no limit any
 // more, or that it takes requests again.
 func (j *job) reportNotice(placement balancer.Placement, refused bool) {
 	if j.notice.RateLimit == 0 && !placement.Limited && !placement.Returning && !j.notice.Leaving && j.notice.RetryAfter == 0 {
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -39,7 +39,7 @@
 	fallback *filter.Accept
 	// lastErr is the error of the latest failed attempt.
 	lastErr error
-	// notice is what the replica of the latest attempt has said of itself.
+	// notice is what the replica of the latest attempt has announced.
 	notice     Notice
 	candidates int
 	waited     time.Duration
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -216,7 +216,7 @@
 			continue
 		}
 		listed[replica.ID] = true
-		replica.Leaving = replica.Leaving || c.hasSaidLeaving(replica)
+		replica.Leaving = replica.Leaving || c.hasAnnouncedLeaving(replica)
 		effects = append(effects, c.updateEndpoint(now, replica)...)
 	}
 	for _, id := range c.endpointIDs() {
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -86,7 +86,7 @@
 	Replica string
 	Order   Order
 	Outcome Outcome
-	// Leaving is set if the answer said that the replica leaves.
+	// Leaving is set if the answer announced that the replica leaves.
 	Leaving bool `json:",omitempty"`
 }
 
@@ -98,7 +98,7 @@
 	Failed      bool
 	// Busy is set if the replica was executing an order.
 	Busy bool
-	// State is the replica's own report. Leaving is set in it if the answer said that the
+	// State is the replica's own report. Leaving is set in it if the answer announced that the
 	// replica leaves.
 	State surveyor.Replica
 }
--- a/internal/planner/notices.go
+++ b/internal/planner/notices.go
@@ -15,14 +15,14 @@
 // LimitName returns the name under which the requests to a replica are counted.
 func LimitName(replica string) string { return limitPrefix + replica }
 
-// notice is what one start of a replica has said of itself in answers to any node.
+// notice is what one start of a replica has announced in answers to any node.
 type notice struct {
 	StartedMS int64
 	// Rate is the limit as an answer named it at NamedAt, 0 for none. NamedAt is zero if
 	// nothing is known of a limit.
 	Rate    float64
 	NamedAt time.Time
-	// Leaving is set if the replica has said that it leaves, and ClosedUntil is the end
+	// Leaving is set if the replica has announced that it leaves, and ClosedUntil is the end
 	// of the longest time for which it wants no requests of a node.
 	Leaving     bool
 	ClosedUntil time.Time
@@ -42,7 +42,7 @@
 	return known
 }
 
-// recordNotices adopts what replicas have said of themselves to a node.
+// recordNotices adopts what replicas have announced to a node.
 func (c *Controller) recordNotices(now time.Time, report Report) {
 	for _, reported := range report.Notices {
 		known := c.Tenure.noticeOf(reported.Replica, reported.StartedMS)
@@ -56,7 +56,7 @@
 	}
 }
 
-// recordOwnNotice records whether a replica has said to the holder itself that it leaves.
+// recordOwnNotice records whether a replica has announced to the holder itself that it leaves.
 func (c *Controller) recordOwnNotice(e *Endpoint, leaving bool) {
 	if !leaving {
 		return
@@ -66,7 +66,7 @@
 	}
 }
 
-// markLeaving records that a replica has said that it leaves.
+// markLeaving records that a replica has announced that it leaves.
 func (c *Controller) markLeaving(replica string, known *notice) {
 	if known.Leaving {
 		return
@@ -77,9 +77,9 @@
 	}
 }
 
-// hasSaidLeaving reports whether a replica has said that it leaves, whatever its entry in
+// hasAnnouncedLeaving reports whether a replica has announced that it leaves, whatever its entry in
 // the store shows.
-func (c *Controller) hasSaidLeaving(replica surveyor.Replica) bool {
+func (c *Controller) hasAnnouncedLeaving(replica surveyor.Replica) bool {
 	known := c.Tenure.Notices[replica.ID]
 	return known != nil && known.Leaving && known.StartedMS == replica.StartedMS
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -42,7 +42,7 @@
 	Prompts screener.Report `json:",omitzero"`
 }
 
-// Notice is what a replica has said of itself in an answer to a node.
+// Notice is what a replica has announced in an answer to a node.
 type Notice struct {
 	Replica   string
 	StartedMS int64
@@ -172,7 +172,7 @@
 	// NoLimit, or 0 if the holder does not know. It is nil if it knows of none.
 	RateLimits []float64 `json:",omitempty"`
 	// Closed holds the replicas that want no requests of at least one node, with the
-	// longest of the remaining times. Replicas that have said that they leave are marked
+	// longest of the remaining times. Replicas that have announced that they leave are marked
 	// in the table.
 	Closed map[string]time.Duration `json:",omitempty"`
 	// Suspects counts the live nodes that suspect a replica.
--- a/internal/planner/table.go
+++ b/internal/planner/table.go
@@ -79,7 +79,7 @@
 	table := make([]surveyor.Replica, 0, len(c.Replicas))
 	for _, replica := range c.Replicas {
 		replica.InMemory, replica.OnDisk = nil, nil
-		replica.Leaving = replica.Leaving || c.hasSaidLeaving(replica)
+		replica.Leaving = replica.Leaving || c.hasAnnouncedLeaving(replica)
 		if endpoint := c.Tenure.Endpoints[replica.ID]; endpoint != nil && endpoint.Synced {
 			replica.Models, replica.Pending = endpoint.publishedModels(), endpoint.pendingLoads(now)
 		}
--- a/internal/planner/task.go
+++ b/internal/planner/task.go
@@ -22,8 +22,8 @@
 
 // Replicas sends calls to the replicas of engines.
 type Replicas interface {
-	// Order sends an order and returns its outcome.
-	// Order sends an order. leaving is set if the answer said that the replica leaves.
+	// Order sends an order and returns its outcome. leaving is set if the answer announced
+	// that the replica leaves.
 	Order(ctx context.Context, order SendOrder) (outcome Outcome, leaving bool)
 	// State reads a replica's own report, and whether the replica is executing an
 	// order.
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -57,7 +57,7 @@
 	SaturatedAt map[ModelKey]time.Time
 	// Prompts is the evidence against parts of prompts that crash replicas.
 	Prompts *screener.Evidence
-	// Notices holds what replicas have said of themselves, by ID.
+	// Notices holds what replicas have announced, by ID.
 	Notices map[string]*notice
 	// StoringVersions are the software versions that the lease contains or will contain.
 	StoringVersions []resumer.Service
--- a/internal/soaker/caller_test.go
+++ b/internal/soaker/caller_test.go
@@ -29,7 +29,7 @@
 	seal, body  string
 	complete    bool
 	// node is the address to which the request was sent. leaving is set if the answer,
-	// which arrived at endedAt, said that its replica leaves.
+	// which arrived at endedAt, announced that its replica leaves.
 	node    string
 	leaving bool
 	endedAt time.Time
--- a/internal/soaker/notice_test.go
+++ b/internal/soaker/notice_test.go
@@ -22,7 +22,7 @@
 	closedTime        = 2 * time.Second
 )
 
-// TestReplicasAreTakenAtTheirWord guards against requests to replicas that have said in
+// TestReplicasAreTakenAtTheirWord guards against requests to replicas that have announced in
 // an answer that they leave, while the store still lists them as ready, and to replicas
 // that have asked for no requests for a time, and against replicas that stay without
 // requests afterwards.
@@ -85,7 +85,7 @@
 	return false
 }
 
-// checkNotices compares what replicas got with what they had said of themselves in
+// checkNotices compares what replicas got with what they had announced in
 // answers to the same node, and returns the violations.
 func (d *deployment) checkNotices(outcomes []outcome, excused excuse) []string {
 	sent := make(map[string]outcome, len(outcomes))
