--- a/internal/emulator/fleet_faults.go
+++ b/internal/emulator/fleet_faults.go
@@ -27,6 +27,26 @@
 	NamedLimit float64
 }
 
+// Restart simulates a restart of the replica's process: no model is loaded, and
+// the models on disk remain.
+func (r *FleetReplica) Restart() {
+	r.executor.do(r.restart)
+}
+
+// Upgrade restarts the replica's process with another version of its software.
+func (r *FleetReplica) Upgrade(version string) {
+	r.executor.do(func() {
+		r.settings.Version = version
+		r.crashProcess()
+	})
+}
+
+func (r *FleetReplica) restart() {
+	r.startedAtMs = r.settings.Clock.Now().UnixMilli()
+	r.orderSequence, r.loading, r.leaving = 0, "", false
+	clear(r.loaded)
+}
+
 // crashDowntime is the time after which a replica that has crashed serves again.
 const crashDowntime = time.Second
 
--- a/internal/emulator/fleet_replica.go
+++ b/internal/emulator/fleet_replica.go
@@ -94,26 +94,6 @@
 	}
 }
 
-// Restart simulates a restart of the replica's process: no model is loaded, and
-// the models on disk remain.
-func (r *FleetReplica) Restart() {
-	r.executor.do(r.restart)
-}
-
-// Upgrade restarts the replica's process with another version of its software.
-func (r *FleetReplica) Upgrade(version string) {
-	r.executor.do(func() {
-		r.settings.Version = version
-		r.crashProcess()
-	})
-}
-
-func (r *FleetReplica) restart() {
-	r.startedAtMs = r.settings.Clock.Now().UnixMilli()
-	r.orderSequence, r.loading, r.leaving = 0, "", false
-	clear(r.loaded)
-}
-
 // SetFaults replaces the replica's faults.
 func (r *FleetReplica) SetFaults(faults ReplicaFaults) { r.executor.do(func() { r.faults = faults }) }
 
--- a/internal/encoder/list.go
+++ b/internal/encoder/list.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"fmt"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -101,49 +100,47 @@
 // elementEnd returns the index of the comma after the first element, or the length if there
 // is none.
 func elementEnd(data []byte) int {
-	depth := 0
-	for i := 0; i < len(data); i++ {
-		switch data[i] {
-		case '"':
-			i = stringEnd(data, i) - 1
-		case '[', '{':
-			depth++
-		case ']', '}':
-			depth--
-		case ',':
-			if depth == 0 {
-				return i
-			}
-		}
+	if end := scan(data, func(c byte, depth int) bool { return c == ',' && depth == 0 }); end >= 0 {
+		return end
 	}
 	return len(data)
 }
 
-// valueEnd returns the length of the value that data begins with: a string, an array or an
-// object.
+// valueEnd returns the length of the string, array or object that data begins with.
 func valueEnd(data []byte) (int, error) {
-	if len(data) > 0 && data[0] == '"' {
-		if end := stringEnd(data, 0); end <= len(data) && data[end-1] == '"' && end > 1 {
-			return end, nil
-		}
+	end := -1
+	switch {
+	case len(data) == 0:
+	case data[0] == '"':
+		end = stringEnd(data, 0) - 1
+	case data[0] == '[', data[0] == '{':
+		end = scan(data, func(_ byte, depth int) bool { return depth == 0 })
 	}
+	if end < 1 {
+		return 0, merry.Wrap(ErrMalformed, merry.AppendMessagef("%.40q is no complete string, array or object", data))
+	}
+	return end + 1, nil
+}
+
+// scan returns the index of the first byte outside strings for which found is true, or -1.
+// Depth is the number of brackets that are open after the byte.
+func scan(data []byte, found func(c byte, depth int) bool) int {
 	depth := 0
 	for i := 0; i < len(data); i++ {
 		switch data[i] {
 		case '"':
 			i = stringEnd(data, i) - 1
+			continue
 		case '[', '{':
 			depth++
 		case ']', '}':
-			if depth--; depth == 0 {
-				return i + 1, nil
-			}
+			depth--
 		}
-		if depth == 0 {
-			break
+		if found(data[i], depth) {
+			return i
 		}
 	}
-	return 0, merry.Wrap(ErrMalformed, merry.AppendMessage(fmt.Sprintf("%.40q is no complete value", data)))
+	return -1
 }
 
 // stringEnd returns the index after the string that begins at an index, at most one above
