Stop watching replicas for answers after the time that counts

A node kept the replicas that had broken off an attempt in the view of requests until the next change of it, so that each of their answers was a message to the screener.

--- a/internal/resumer/controller.go
+++ b/internal/resumer/controller.go
@@ -40,9 +40,9 @@
 	State      StateReceived
 	ReceivedAt time.Time
 	HasState   bool
-	// Recording holds the services whose streams are sent to keepers.
+	// Recording holds the services whose streams are sent to keepers. "" stands for all.
 	Recording map[string]bool
-	// Beginning is the last SetBeginning.
+	// Beginning is the last SetBeginning, nil if streams begin at any version.
 	Beginning map[string][]string
 }
 
--- a/internal/screener/controller.go
+++ b/internal/screener/controller.go
@@ -87,7 +87,8 @@
 	case StateReceived:
 		return c.applyState(now, message)
 	case Collect:
-		return []Effect{c.collect(now, message.Call)}
+		effects := c.expireReplicas(now)
+		return append(effects, c.collect(now, message.Call))
 	}
 	return nil
 }
@@ -201,12 +202,20 @@
 	return Publish{view}
 }
 
+// expireReplicas forgets the replicas that broke off attempts longer ago than reportTime.
+func (c *Controller) expireReplicas(now time.Time) []Effect {
+	old := func(_ Process, at time.Time) bool { return now.Sub(at) > reportTime }
+	maps.DeleteFunc(c.RunningAt, old)
+	before := len(c.BrokenAt)
+	if maps.DeleteFunc(c.BrokenAt, old); len(c.BrokenAt) == before {
+		return nil
+	}
+	return []Effect{c.view()}
+}
+
 // collect returns the node's report.
 func (c *Controller) collect(now time.Time, call runner.Call) AnswerCollect {
 	c.Breaks = slices.DeleteFunc(c.Breaks, func(broken recordedBreak) bool { return now.Sub(broken.at) > keepTime })
-	old := func(_ Process, at time.Time) bool { return now.Sub(at) > reportTime }
-	maps.DeleteFunc(c.BrokenAt, old)
-	maps.DeleteFunc(c.RunningAt, old)
 	var report Report
 	for _, broken := range c.Breaks {
 		if now.After(broken.reportUntil) {
