--- a/internal/screener/controller.go
+++ b/internal/screener/controller.go
@@ -28,6 +28,8 @@
 
 // Controller keeps what one node knows about requests that crash replicas.
 type Controller struct {
+	// Node is the name of this node, by which the holder names the one that sends a held
+	// request.
 	Node string
 	// Breaks are the breaks of the last keepTime.
 	Breaks []recordedBreak
--- a/internal/screener/evidence.go
+++ b/internal/screener/evidence.go
@@ -9,10 +9,9 @@
 
 const (
 	// requestBreaks is the number of replicas, each of which had sent a head, from which on
-	// a whole request is quarantined. Of the sound ones beside it, which were repeated as
-	// well, none had a head on a second replica. requestChain is the number of successive
-	// replicas from which on it is quarantined if they crash before the head, with
-	// minRepetitions requests of callers: a node sends a request to two replicas by itself.
+	// a whole request is quarantined. requestChain is the number of successive replicas from
+	// which on it is quarantined if they crash before the head, with minRepetitions requests
+	// of callers: a node sends a request to two replicas by itself.
 	requestBreaks  = 2
 	requestChain   = 3
 	minRepetitions = 2
--- a/internal/soaker/versions_test.go
+++ b/internal/soaker/versions_test.go
@@ -19,7 +19,9 @@
 )
 
 const (
-	// maxJoined is the number of streams that may hold events of two software versions.
+	// maxJoined is the number of streams that may hold events of two software versions, as
+	// counted at the engines: what an engine has written before it broke off may have
+	// reached nobody, and then the stream may begin anew at any version.
 	maxJoined = 2
 	// versionedEngines is the number of engines of versionedService.
 	versionedEngines = 4
@@ -161,8 +163,8 @@
 	streams []streamResult
 }
 
-// runStreamCaller sends streams on a route one after the other until ctx ends, and takes them up again
-// at other nodes when they break off.
+// runStreamCaller sends requests for streams on a route one after the other until ctx ends,
+// and takes the streams up again at other nodes when they break off.
 func (d *deployment) runStreamCaller(ctx context.Context, index int, path string, results *streamLog) {
 	random := rand.New(rand.NewPCG(uint64(index), 7))
 	client := &http.Client{Timeout: 3 * time.Second}
