--- a/review/standin/configuration.go
+++ b/review/standin/configuration.go
@@ -8,6 +8,8 @@
 	// like rescue-brief.
 	briefPath  = "/spot-brief/"
 	rescuePath = "/rescue-brief/"
+	// digestPath is one like season-digest.
+	digestPath = "/season-digest/"
 	plainPath  = "/slot-booking/"
 )
 
@@ -45,6 +47,7 @@
 		"routes": []any{
 			route("r-brief", briefPath, "streaming", engineService, 6000, 500, 2, true),
 			route("r-rescue", rescuePath, "streaming", engineService, 17000, 2500, 1, false),
+			route("r-digest", digestPath, "streaming", engineService, 5000, 2500, 2, true),
 			route("r-booking", plainPath, "non_idempotent", plainService, 800, 300, 1, false),
 		},
 		"services": []any{
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -28,9 +28,9 @@
 
 // run is a request that a replica has begun to work on.
 type run struct {
-	Attempt, Replica, Method, Target, Tenant, Model string
-	From                                            int
-	At, EndedAt                                     time.Time
+	Attempt, Replica, Version, Method, Target, Tenant, Model string
+	From                                                     int
+	At, EndedAt                                              time.Time
 	// End is "complete", "channel closed" if the node closed the channel, "crash" if the
 	// replica crashed, or empty while the replica is at work.
 	End    string
@@ -40,7 +40,9 @@
 // replicaSettings describes a replica.
 type replicaSettings struct {
 	Service, Zone string
-	Slots         int
+	// Version is that of the replica's software, "v1" if it is empty.
+	Version string
+	Slots   int
 	// MemoryMB is the memory for weights, and SizesMB the size of each model's weights.
 	// A replica of a plain service has none.
 	MemoryMB float64
@@ -71,6 +73,7 @@
 	address  string
 	server   *http.Server
 	crashed  chan struct{}
+	lost     bool
 	loaded   []string
 	onDisk   []string
 	loading  string
@@ -117,7 +120,7 @@
 		r.mutex.Lock()
 		r.beats++
 		entry := r.describe()
-		entry["service"], entry["address"], entry["zone"], entry["version"] = r.settings.Service, r.address, r.settings.Zone, "v1"
+		entry["service"], entry["address"], entry["zone"], entry["version"] = r.settings.Service, r.address, r.settings.Zone, r.version()
 		entry["slots"], entry["state"], entry["seq"], entry["cold-left-ms"] = r.settings.Slots, "ready", r.beats, 0
 		r.mutex.Unlock()
 		r.store.put("servers", id, entry)
@@ -131,6 +134,13 @@
 	}
 }
 
+func (r *replica) version() string {
+	if r.settings.Version == "" {
+		return "v1"
+	}
+	return r.settings.Version
+}
+
 type heldModel struct {
 	Name     string   `json:"name"`
 	Version  int      `json:"version"`
@@ -149,15 +159,26 @@
 	}
 }
 
+// loseForGood ends the process of the replica, which does not come back.
+func (r *replica) loseForGood() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.lost = true
+	r.crash("lost for good")
+}
+
 // crash ends the process of the replica with all requests that it runs. It is back after
 // crashDowntime, and holds no model then. The mutex must be held.
 func (r *replica) crash(reason string) {
 	r.record.printf("replica %s (%s) CRASHES: %s", r.name, r.id, reason)
 	close(r.crashed)
-	server := r.server
+	server, lost := r.server, r.lost
 	r.loaded = nil
 	go func() {
 		_ = server.Close()
+		if lost {
+			return
+		}
 		time.Sleep(crashDowntime)
 		if err := r.start(); err != nil {
 			r.record.printf("replica %s does not start: %v", r.name, err)
@@ -328,7 +349,7 @@
 	}
 	from, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	current := &run{
-		Attempt: attempt, Replica: r.id, Method: request.Method, Target: request.RequestURI,
+		Attempt: attempt, Replica: r.id, Version: r.version(), Method: request.Method, Target: request.RequestURI,
 		Tenant: request.Header.Get("Tenant"), Model: model, From: from, At: time.Now(),
 	}
 	r.runs = append(r.runs, current)
--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -24,7 +24,10 @@
 	OutputTokens        int
 	Deadline            time.Duration
 	Body                string
-	LastEventID         int
+	// LastEventID and Resumes are set if the requester takes up a stream: the last event
+	// that it has, and the attempt that brought the first one.
+	LastEventID int
+	Resumes     string
 }
 
 // result is what a requester has seen.
@@ -65,6 +68,7 @@
 	}
 	if sent.LastEventID > 0 {
 		httpRequest.Header.Set("Last-Event-Id", strconv.Itoa(sent.LastEventID))
+		httpRequest.Header.Set("Resumes", sent.Resumes)
 	}
 	client := http.Client{Transport: transport, Timeout: sent.Deadline}
 	res.SentAt = time.Now()
