Review, part one: streams of a lost replica are not taken up

The only replica with some models is lost while three others of its software version serve. Of 16 streams that requesters take up again 3 to 5 go on, all new ones begin: a stream that goes on is no demand for its model. The earlier form with two versions is replaced, because this one needs one disruption only.

--- a/review/standin/configuration.go
+++ b/review/standin/configuration.go
@@ -18,7 +18,7 @@
 
 // modelSizesMB holds the weights of the models, as on the sheet.
 var modelSizesMB = map[string]float64{
-	"m0": 42700, "m1": 72700, "m2": 72700, "m3": 42700, "m4": 72700, "m5": 72700, "m6": 72700,
+	"m0": 42700, "m1": 72700, "m2": 72700, "m3": 42700, "m4": 72700, "m5": 42700, "m6": 42700, "m9": 72700,
 }
 
 // configuration is a desired state.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,7 @@
 	"long-stream-at-stop": longStreamAtStop,
 	"withdrawn-model":     withdrawnModel,
 	"preempted-stream":    preemptedStream,
-	"software-release":    softwareRelease,
+	"lost-holder":         lostHolder,
 }
 
 func main() {
--- a/review/standin/withdrawn.go
+++ b/review/standin/withdrawn.go
@@ -53,7 +53,7 @@
 		})
 	}
 	time.Sleep(4 * time.Second)
-	after := configuration{Version: 8, Models: []string{"m0", "m1", "m2", "m3", "m4", "m5"}}
+	after := configuration{Version: 8, Models: []string{"m0", "m1", "m2", "m3", "m4", "m9"}}
 	if trouble {
 		after.Models = slices.DeleteFunc(after.Models, func(name string) bool { return name == "m1" })
 	}
