--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 	"long-stream-at-stop": longStreamAtStop,
 	"withdrawn-model":     withdrawnModel,
 	"preempted-stream":    preemptedStream,
+	"failing-replica":     failingReplica,
 	"lost-holder":         lostHolder,
 }
 
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -66,21 +66,23 @@
 	store    *store
 	name     string
 
-	mutex    sync.Mutex
-	id       string
-	starts   int
-	born     int64
-	address  string
-	server   *http.Server
-	crashed  chan struct{}
-	lost     bool
-	loaded   []string
-	onDisk   []string
-	loading  string
-	unloads  string
-	sequence int
-	beats    int
-	runs     []*run
+	mutex   sync.Mutex
+	id      string
+	starts  int
+	born    int64
+	address string
+	server  *http.Server
+	crashed chan struct{}
+	lost    bool
+	// failsUntil is the end of the time in which the replica fails part of its requests.
+	failsUntil time.Time
+	loaded     []string
+	onDisk     []string
+	loading    string
+	unloads    string
+	sequence   int
+	beats      int
+	runs       []*run
 	// overloads are the orders that exceeded the memory of the replica.
 	overloads []string
 	orders    []string
@@ -398,6 +400,9 @@
 	}
 	text := "answer to " + attempt
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if r.fails() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 	_, _ = io.WriteString(w, text)
 	return "complete"
 }
