--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/toucanhitch ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin -case preempted-stream -directory review/5
+exec target/review-standin -case long-stream-at-stop -directory review/5
--- a/review/standin/configuration.go
+++ b/review/standin/configuration.go
@@ -11,6 +11,7 @@
 	// digestPath is one like season-digest.
 	digestPath = "/season-digest/"
 	plainPath  = "/slot-booking/"
+	lookupPath = "/forecast-read/"
 )
 
 // engineMemoryMB is the memory of a replica for weights, as on the sheet.
@@ -48,6 +49,7 @@
 			route("r-brief", briefPath, "streaming", engineService, 6000, 500, 2, true),
 			route("r-rescue", rescuePath, "streaming", engineService, 17000, 2500, 1, false),
 			route("r-digest", digestPath, "streaming", engineService, 5000, 2500, 2, true),
+			route("r-lookup", lookupPath, "idempotent", plainService, 800, 300, 2, false),
 			route("r-booking", plainPath, "non_idempotent", plainService, 800, 300, 1, false),
 		},
 		"services": []any{
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 var cases = map[string]func(f *fleet, trouble bool) verdict{
 	"long-stream-at-stop": longStreamAtStop,
 	"withdrawn-model":     withdrawnModel,
-	"preempted-stream":    preemptedStream,
+	"idle-channels":       idleChannels,
 	"failing-replica":     failingReplica,
 	"lost-holder":         lostHolder,
 }
