--- a/review/standin/idle.go
+++ b/review/standin/idle.go
@@ -15,6 +15,9 @@
 const (
 	// maxDescriptors is max-fds of the settings.
 	maxDescriptors = 4100
+	// requesterDescriptors is what the requesters of the case need themselves: both nodes'
+	// channels, and those that wait to be taken.
+	requesterDescriptors = 13000
 	// idleLimit is idle-timeout-ms of the desired state, and idleReuse the four fifths of it
 	// for which requesters reuse channels.
 	idleLimit = 15 * time.Second
@@ -39,6 +42,10 @@
 // idleChannels checks RECOVER while requesters leave channels idle for longer than the limit
 // of the desired state. Without the disruption they close them within the limit.
 func idleChannels(f *fleet, trouble bool) verdict {
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Cur < requesterDescriptors {
+		return verdict{Err: fmt.Errorf("the requesters need %d descriptors, the limit is %d (%v)", requesterDescriptors, own.Cur, err)}
+	}
 	for i := range 8 {
 		settings := replicaSettings{Service: plainService, Zone: "gdansk-a", Slots: 6, WorkTime: 60 * time.Millisecond}
 		if err := f.addReplica(fmt.Sprintf("app%d", i), settings); err != nil {
