Review: case 2 asks for no more descriptors than it uses

The requesters of the case were seen with 8,393 descriptors open; below 9,500 the script says that it can't run.

--- a/review/standin/idle.go
+++ b/review/standin/idle.go
@@ -17,7 +17,7 @@
 	maxDescriptors = 4100
 	// requesterDescriptors is what the requesters of the case need themselves: both nodes'
 	// channels, and those that wait to be taken.
-	requesterDescriptors = 13000
+	requesterDescriptors = 9500
 	// idleLimit is idle-timeout-ms of the desired state, and idleReuse the four fifths of it
 	// for which requesters reuse channels.
 	idleLimit = 15 * time.Second
