--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -35,7 +35,10 @@
 func (n *Node) applySurveyorEffect(effect surveyor.Effect) {
 	switch effect := effect.(type) {
 	case surveyor.PublishConfiguration:
-		n.view.configuration.Store(&currentConfiguration{effect.Configuration, effect.CurrentAsOf})
+		previous := n.view.configuration.Swap(&currentConfiguration{effect.Configuration, effect.CurrentAsOf})
+		if previous == nil || previous.configuration != effect.Configuration {
+			n.setColdRules(effect.Configuration)
+		}
 		n.logPostError("planner", n.planner.Post(planner.ConfigurationChanged{Configuration: effect.Configuration, CurrentAsOf: effect.CurrentAsOf}))
 	case surveyor.PublishStoreReplicas:
 		n.logPostError("planner", n.planner.Post(planner.ReplicasListed{Replicas: effect.Replicas, Era: effect.Era, CurrentAsOf: effect.CurrentAsOf}))
@@ -219,6 +222,7 @@
 	n.logPostError("balancer", n.balancer.Post(balancer.UsageUpdate{Usage: usage}))
 	n.logPostError("screener", n.screener.Post(screener.StateReceived{Tenure: state.Epoch, Published: state.Prompts}))
 	n.applyVersions(effect)
+	n.setBalancerNodes(effect)
 	n.view.directory.Store(&directory{callers: effect.Callers, asOf: effect.AsOf})
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
 		Active:          effect.Others.Active,
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -103,7 +103,10 @@
 		"RateLimit": note.RateLimit,
 		"Remaining": note.Remaining.String(),
 		"LateMs":    note.Late.Milliseconds(),
+		"Source":    note.Source,
+		"HeldBack":  note.HeldBack,
 	}).Info(note.Text)
+	n.cold.record(note)
 	n.meter.RecordChange("balancer", note.Text)
 }
 
@@ -167,6 +170,12 @@
 		{"toucanhitch.callers", "Nodes that are named to callers.", func() float64 {
 			return float64(len(n.view.holderCallers(n.clock.Now())))
 		}},
+		{"toucanhitch.replicas.cold", "Replicas that this node takes to be cold.", func() float64 {
+			return float64(n.cold.replicas.Load())
+		}},
+		{"toucanhitch.cold.held_back", "Times that requests were held back from cold replicas, counted when they are warm again.", func() float64 {
+			return float64(n.cold.heldBack.Load())
+		}},
 		{"toucanhitch.log.dropped", "Log lines that were dropped because the output was too slow.", func() float64 {
 			return float64(n.settings.Dropped())
 		}},
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -87,6 +87,8 @@
 	// bounds are the bounds in the settings file that was applied last.
 	bounds atomic.Pointer[platform.Bounds]
 	meter  *meter.Meter
+	// cold counts what the balancer reports of cold replicas.
+	cold coldCounts
 
 	store    *platform.Store
 	surveyor *surveyor.Task
--- a/internal/assembler/reload.go
+++ b/internal/assembler/reload.go
@@ -66,6 +66,9 @@
 		return
 	}
 	previous := n.bounds.Swap(&settings.Bounds)
+	if configuration, _ := n.view.Configuration(); *previous != settings.Bounds {
+		n.setColdRules(configuration)
+	}
 	fields["Changed"] = *previous != settings.Bounds
 	startupSettings := n.settings.Settings
 	startupSettings.Bounds = settings.Bounds
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		c.assign(best, waiter.Call, waiter.Need)
-		return Placement{
+		placement := Placement{
 			ID:         waiter.Call,
 			Replica:    best.Description.ID,
 			Address:    best.Description.Address,
@@ -36,7 +36,9 @@
 			Expected:   best.Latency,
 			Candidates: candidates,
 			Waited:     now.Sub(waiter.Since),
-		}, true
+		}
+		c.markCold(now, best, &placement)
+		return placement, true
 	}
 }
 
@@ -115,6 +117,9 @@
 	if replica.Notice.RateLimit > 0 {
 		cost *= limitedCostFactor
 	}
+	if c.isCold(now, replica) {
+		cost *= coldCostFactor
+	}
 	if now.Before(replica.Notice.ClosedElsewhereUntil) {
 		cost *= closedElsewhereCostFactor
 	}
@@ -154,7 +159,7 @@
 	if returning {
 		replica.Notice.Returning++
 	}
-	c.Assignments[id] = &assignment{replica, need, returning}
+	c.Assignments[id] = &assignment{replica: replica, need: need, returning: returning}
 	replica.Running[need.Model]++
 	if need.Model == "" {
 		return
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -82,6 +82,8 @@
 	CheckedAt time.Time
 	// Beginning holds the software versions that may begin streams, by service.
 	Beginning map[string][]string
+	// Cold is what is known of cold replicas in general.
+	Cold ColdState
 	// Limits counts the requests that may be sent to replicas with limits.
 	Limits *rationer.Controller
 	// Random is seeded differently at each node, so that their choices differ.
@@ -102,6 +104,8 @@
 	need    Need
 	// returning is set until the replica, which was closed, begins its answer.
 	returning bool
+	// cold is set if the replica was cold when the request was assigned to it.
+	cold bool
 }
 
 type useKey struct {
@@ -156,7 +160,13 @@
 	switch message := message.(type) {
 	case Tick:
 	case SetReplicas:
-		c.setReplicas(now, message)
+		return append(c.setReplicas(now, message), c.serveWaiters(now)...)
+	case SetColdRules:
+		c.Cold.Rules = message.Rules
+		c.Cold.Version++
+		return append(c.reviewCold(now), c.serveWaiters(now)...)
+	case SetNodes:
+		c.setNodes(message)
 	case SetPeerState:
 		return append(c.setPeerState(now, message), c.serveWaiters(now)...)
 	case Place:
@@ -178,7 +188,7 @@
 			waiter.Need.GiveUpAt = c.beforeDrainDeadline(waiter.Need.GiveUpAt)
 		}
 	case Collect:
-		return []Effect{c.collect(now, message.Call)}
+		return append(c.reviewCold(now), c.collect(now, message.Call))
 	}
 	return c.serveWaiters(now)
 }
@@ -186,7 +196,7 @@
 // setPeerState adopts the state of the other nodes.
 func (c *Controller) setPeerState(now time.Time, message SetPeerState) []Effect {
 	c.OrdersAllowedAt = now.Add(message.OrdersAllowedIn)
-	var effects []Effect
+	effects := c.reviewCold(now)
 	for _, id := range c.sortedIDs() {
 		replica := c.Replicas[id]
 		replica.RunningElsewhere = message.Active[id]
@@ -199,12 +209,13 @@
 	return effects
 }
 
-func (c *Controller) setReplicas(now time.Time, message SetReplicas) {
+func (c *Controller) setReplicas(now time.Time, message SetReplicas) []Effect {
 	c.SortedIDs = nil
 	found := make(map[string]bool, len(message.Replicas))
 	for _, description := range message.Replicas {
 		found[description.ID] = true
 		known := c.Replicas[description.ID]
+		isNew := c.Notices[replicaStart{description.ID, description.StartedMS}] == nil
 		if known == nil || known.Description.StartedMS != description.StartedMS || known.Description.Address != description.Address {
 			known = &Replica{
 				LoadEndsAt:   map[modelKey]time.Time{},
@@ -215,6 +226,7 @@
 			c.Replicas[description.ID] = known
 		}
 		known.update(now, description)
+		known.Notice.observeCold(now, isNew, description)
 	}
 	for id := range c.Replicas {
 		if !found[id] {
@@ -223,6 +235,7 @@
 		}
 	}
 	c.expireNotices(now)
+	return c.reviewCold(now)
 }
 
 // place assigns a replica immediately, refuses the request, or adds it to the
@@ -267,7 +280,10 @@
 	case need.Continued && !c.canContinue(now, need):
 		return &Refusal{Reason: "no replica of the version that began the stream has the model"}
 	}
-	if refusal := c.unavailable(now, need); refusal != nil || need.Model == "" {
+	if refusal := c.unavailable(now, need); refusal != nil {
+		return refusal
+	}
+	if refusal := c.refuseCold(now, need); refusal != nil || need.Model == "" {
 		return refusal
 	}
 	if c.ordersAllowed(now) || c.isLoading(need) || c.isLoaded(need) {
@@ -297,6 +313,10 @@
 	delete(c.Assignments, message.PlacementID)
 	ended.endReturn(now, message.Result != Refused && message.Result != Abandoned)
 	replica := ended.replica
+	if ended.cold {
+		// What a cold replica takes says nothing of its usual speed.
+		message.FirstByte = 0
+	}
 	replica.recordResult(now, ended.need, message)
 	suspect := replica.failures(now) >= suspectThreshold
 	if suspect == replica.SuspicionLogged {
--- a/internal/balancer/limit.go
+++ b/internal/balancer/limit.go
@@ -56,7 +56,11 @@
 // takeOfLimit takes a request of the limit of the replica. If there is none left, the
 // replica is not usable until ThrottledUntil.
 func (c *Controller) takeOfLimit(now time.Time, replica *Replica) bool {
+	if !c.mayTakeCold(now, replica) {
+		return false
+	}
 	if replica.Notice.RateLimit == 0 {
+		c.takeCold(now, replica)
 		return true
 	}
 	limit := resolver.Workspace{Name: planner.LimitName(replica.Description.ID), Rate: replica.Notice.RateLimit, Burst: limitBurst}
@@ -66,6 +70,7 @@
 			return false
 		}
 	}
+	c.takeCold(now, replica)
 	return true
 }
 
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -177,6 +177,9 @@
 	Candidates int
 	// Waited is how long the request waited for the replica.
 	Waited time.Duration
+	// SendBy is the time after which the placement must not be used and a new one is
+	// needed: the replica may have become cold. It is zero if that does not matter.
+	SendBy time.Time `json:",omitzero"`
 }
 
 // Refusal is the reason why no replica was assigned to a request.
@@ -218,6 +221,11 @@
 	Remaining time.Duration `json:",omitempty"`
 	// Late is the time from the expected return of requests to the first accepted one.
 	Late time.Duration `json:",omitempty"`
+	// Source says why a replica is taken to be cold, ColdReplicas is the number of cold
+	// replicas, and HeldBack how often requests were held back from the replica.
+	Source       string `json:",omitempty"`
+	ColdReplicas int    `json:",omitempty"`
+	HeldBack     int    `json:",omitempty"`
 }
 
 func (Note) isEffect()          {}
--- a/internal/balancer/notice.go
+++ b/internal/balancer/notice.go
@@ -40,6 +40,8 @@
 	// ClosedElsewhereUntil is the end of the time for which the replica wants no
 	// requests of another node.
 	ClosedElsewhereUntil time.Time
+	// Cold is the cold time of the start.
+	Cold Coldness
 	// UnlistedAt is when the start was first missing from the list, zero while it is
 	// listed.
 	UnlistedAt time.Time
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -173,6 +173,10 @@
 	if trait, remaining := j.Screen.Admit(subject(j.forward)); trait != "" {
 		return j.endAndRetryAfter(filter.Quarantined, quarantineDetail(trait), remaining)
 	}
+	if !placement.SendBy.IsZero() && startedAt.After(placement.SendBy) {
+		// The process was frozen since the placement.
+		return nil
+	}
 	left := j.request.Deadline.Sub(startedAt)
 	if left < minTimeLeft {
 		return j.end(filter.DeadlinePassed, "the time is over")
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -72,7 +72,7 @@
 	next := t.Version + 1
 	changed := t.Callers.publish(next, c.callers(now))
 	if t.TableStale {
-		t.TableStale = false
+		t.TableStale, t.TableAt = false, now
 		changed = t.Table.publish(next, c.table(now)) || changed
 		c.forgetNotices(t.Table.Entries)
 	}
@@ -134,6 +134,7 @@
 			// change of the table.
 			replica.Pending = endpoint.pendingLoads(now)
 		}
+		replica.ColdFor = max(0, replica.ColdFor-t.Published.CreatedAt.Sub(t.TableAt))
 		if t.Table.Added[replica.ID] > version {
 			state.Replicas = append(state.Replicas, replica)
 		} else {
--- a/internal/planner/table.go
+++ b/internal/planner/table.go
@@ -78,7 +78,8 @@
 func (c *Controller) table(now time.Time) []surveyor.Replica {
 	table := make([]surveyor.Replica, 0, len(c.Replicas))
 	for _, replica := range c.Replicas {
-		replica.InMemory, replica.OnDisk = nil, nil
+		replica.InMemory, replica.OnDisk, replica.Heartbeat = nil, nil, 0
+		replica.ColdFor = max(0, replica.ColdFor-now.Sub(c.ReplicasAsOf))
 		replica.Leaving = replica.Leaving || c.hasAnnouncedLeaving(replica)
 		if endpoint := c.Tenure.Endpoints[replica.ID]; endpoint != nil && endpoint.Synced {
 			replica.Models, replica.Pending = endpoint.publishedModels(), endpoint.pendingLoads(now)
@@ -96,10 +97,11 @@
 }
 
 // sameReplica reports whether two entries are equal in the fields that nodes act
-// on. The remaining time of a load is left out, because it is estimated once and
-// then counted down by the nodes.
+// on. The remaining times of a load and of a cold replica are left out, because they are
+// estimated once and then counted down by the nodes.
 func sameReplica(a, b surveyor.Replica) bool {
 	return !renewedReplica(a, b) && a.Leaving == b.Leaving && a.Unlisted == b.Unlisted &&
+		a.ColdKnown == b.ColdKnown && (a.ColdFor > 0) == (b.ColdFor > 0) &&
 		slices.EqualFunc(a.Models, b.Models, func(a, b surveyor.LoadedModel) bool {
 			return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters)
 		}) &&
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -35,6 +35,8 @@
 	Callers                     History[Caller]
 	Candidates                  History[surveyor.Node]
 	TableStale, CandidatesStale bool
+	// TableAt is when Table was last rebuilt.
+	TableAt time.Time
 	// Workspaces are the published names of workspaces, which last changed at
 	// WorkspacesVersion.
 	Workspaces        []string
--- a/internal/resolver/configuration.go
+++ b/internal/resolver/configuration.go
@@ -80,6 +80,10 @@
 type Service struct {
 	Name           string
 	MaxConnections int
+	// ColdTime is how long a replica is cold, that is slow, after it starts. While cold, it
+	// bears ColdRate requests a second. 0 means that replicas are never cold.
+	ColdTime time.Duration `json:",omitempty"`
+	ColdRate float64       `json:",omitempty"`
 	// Engine is nil for a service that runs no models.
 	Engine *Engine
 }
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -116,6 +116,11 @@
 	// Listed.
 	FromHolder bool
 
+	// Cold holds what the entries in the store say of cold replicas, and HolderCold the end
+	// of the cold time that the holder has reported, by replica ID.
+	Cold       map[string]coldEntry
+	HolderCold map[string]time.Time
+
 	// Departed holds the replicas that have left, by ID.
 	Departed map[string]departure
 
--- a/internal/surveyor/replica.go
+++ b/internal/surveyor/replica.go
@@ -36,6 +36,16 @@
 	OnDisk   []string `json:",omitempty"`
 	// Pending lists the loads in progress. The store does not contain them.
 	Pending []PendingLoad `json:",omitempty"`
+	// ColdFor is how much longer the replica is cold, that is slow, as of the creation of
+	// the message that carries it. It is 0 if the replica is not cold or if its entry does
+	// not say, in which case ColdKnown is not set.
+	ColdFor   time.Duration `json:",omitempty"`
+	ColdKnown bool          `json:",omitempty"`
+	// Heartbeat counts the writes of the replica's entry. It is set only in lists of the
+	// store.
+	Heartbeat uint64 `json:",omitempty"`
+	// Evacuated is set while the replica's data centre is evacuated. Each node derives it.
+	Evacuated bool `json:"-"`
 }
 
 // ReplicaUpdate replaces the fields of a known replica that change during its run.
@@ -45,16 +55,20 @@
 	Unlisted bool          `json:",omitempty"`
 	Models   []LoadedModel `json:",omitempty"`
 	Pending  []PendingLoad `json:",omitempty"`
+	// ColdFor and ColdKnown are as in Replica.
+	ColdFor   time.Duration `json:",omitempty"`
+	ColdKnown bool          `json:",omitempty"`
 }
 
 // Update returns the fields of the replica that change during its run.
 func (r Replica) Update() ReplicaUpdate {
-	return ReplicaUpdate{ID: r.ID, Leaving: r.Leaving, Unlisted: r.Unlisted, Models: r.Models, Pending: r.Pending}
+	return ReplicaUpdate{ID: r.ID, Leaving: r.Leaving, Unlisted: r.Unlisted, Models: r.Models, Pending: r.Pending, ColdFor: r.ColdFor, ColdKnown: r.ColdKnown}
 }
 
 // Apply returns the replica with the fields of an update.
 func (r Replica) Apply(update ReplicaUpdate) Replica {
 	r.Leaving, r.Unlisted, r.Models, r.Pending = update.Leaving, update.Unlisted, update.Models, update.Pending
+	r.ColdFor, r.ColdKnown = update.ColdFor, update.ColdKnown
 	return r
 }
 
--- a/internal/surveyor/replicas.go
+++ b/internal/surveyor/replicas.go
@@ -19,16 +19,17 @@
 	if !previousAsOf.IsZero() && message.StartedAt.Sub(previousAsOf) > max(outageThreshold, c.maxReplicasAge()+outageMargin) {
 		c.RetainedUntil = now.Add(reregistrationTime)
 	}
+	c.recordCold(message)
 	before := c.latestReplicas()
 	c.Listed = c.merge(now, message.Replicas)
 	c.recordDepartures(now, message.StartedAt, before, c.Listed)
 	c.ListedAt = message.StartedAt
-	effects = append(effects, PublishStoreReplicas{Replicas: c.Listed, Era: c.Era, CurrentAsOf: message.StartedAt})
+	effects = append(effects, PublishStoreReplicas{Replicas: c.withColdTimes(message.StartedAt, c.Listed), Era: c.Era, CurrentAsOf: message.StartedAt})
 	if c.holderListIsCurrent(now) {
 		return effects
 	}
 	c.FromHolder = false
-	return append(effects, PublishReplicas{Replicas: c.withHolderModels(now), CurrentAsOf: c.ReplicaSource.CurrentAsOf})
+	return append(effects, PublishReplicas{Replicas: c.withColdTimes(now, c.withHolderModels(now)), CurrentAsOf: c.ReplicaSource.CurrentAsOf})
 }
 
 // holderListIsCurrent reports whether the holder's replicas are about as recent
@@ -97,6 +98,7 @@
 	}
 	changed := message.Full || len(message.Replicas)+len(message.Updates)+len(message.Removed) > 0
 	if changed {
+		c.recordHolderCold(now, message)
 		before := c.HolderReplicas
 		c.HolderReplicas = applyChanges(before, message)
 		if message.Full || len(message.Removed) > 0 {
@@ -112,7 +114,7 @@
 	if !useHolder {
 		replicas = c.withHolderModels(now)
 	}
-	return []Effect{PublishReplicas{Replicas: replicas, FromHolder: useHolder, CurrentAsOf: c.ReplicaSource.CurrentAsOf}}
+	return []Effect{PublishReplicas{Replicas: c.withColdTimes(now, replicas), FromHolder: useHolder, CurrentAsOf: c.ReplicaSource.CurrentAsOf}}
 }
 
 // applyChanges returns the holder's replicas after an update. The slice that
