--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -93,7 +93,7 @@
 			Until:           event.Until,
 			NoEarlierHolder: event.First,
 			HandedOver:      data.HandedOver,
-			Callers:         n.view.holderCallers(n.clock.Now()),
+			Callers:         n.callers(),
 			Versions:        data.versions(),
 		}))
 		n.logPostError("surveyor", n.surveyor.Post(surveyor.SetHolding{Holding: true}))
@@ -175,7 +175,7 @@
 		n.logPostError("surveyor", n.surveyor.Post(surveyor.SetActing{Acting: effect.Acting}))
 		n.logPostError("planner", n.planner.Post(planner.SetActing{
 			Acting:     effect.Acting,
-			Callers:    n.view.holderCallers(n.clock.Now()),
+			Callers:    n.callers(),
 			Registered: effect.Registered,
 		}))
 	case syncer.SetCandidates:
@@ -223,7 +223,7 @@
 	n.logPostError("screener", n.screener.Post(screener.StateReceived{Tenure: state.Epoch, Published: state.Prompts}))
 	n.applyVersions(effect)
 	n.setBalancerNodes(effect)
-	n.view.directory.Store(&directory{callers: effect.Callers, asOf: effect.AsOf})
+	n.view.directory.Store(n.view.directory.Load().update(effect.Callers, state.Callers, effect.AsOf))
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
 		Active:          effect.Others.Active,
 		Suspects:        effect.Others.Suspects,
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -110,6 +110,13 @@
 	n.meter.RecordChange("balancer", note.Text)
 }
 
+// logNoRegion logs a route and a workspace whose requests no region may run.
+func (n *Node) logNoRegion(version uint64, route, workspace string) {
+	n.logger.WithFields(logrus.Fields{"Version": version, "Route": route, "Workspace": workspace}).
+		Warn("no region may run the requests of the workspace on the route")
+	n.meter.RecordChange("regions", "route and workspace exclude each other")
+}
+
 // logSurveyorNote logs a change of what this node knows of the store. The version is
 // that of the note or, if the note is not about one, of the configuration in force.
 func (n *Node) logSurveyorNote(note surveyor.Note) {
@@ -168,7 +175,7 @@
 			return n.clock.Since(currentAsOf).Seconds()
 		}},
 		{"toucanhitch.callers", "Nodes that are named to callers.", func() float64 {
-			return float64(len(n.view.holderCallers(n.clock.Now())))
+			return float64(len(n.callers()))
 		}},
 		{"toucanhitch.replicas.cold", "Replicas that this node takes to be cold.", func() float64 {
 			return float64(n.cold.replicas.Load())
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -87,8 +87,7 @@
 	// bounds are the bounds in the settings file that was applied last.
 	bounds atomic.Pointer[platform.Bounds]
 	meter  *meter.Meter
-	// cold counts what the balancer reports of cold replicas.
-	cold coldCounts
+	cold   coldCounts
 
 	store    *platform.Store
 	surveyor *surveyor.Task
@@ -292,6 +291,7 @@
 		forwarder.ResolveRoute{View: &n.view, Clock: n.clock},
 		forwarder.Drain{Clock: n.clock, Shutdown: n.shutdownTimes, Durations: n.durations},
 		forwarder.Authorize{View: &n.view, Clock: n.clock, MaxKeyAge: n.maxKeyAge},
+		&forwarder.RestrictRegions{View: &n.view, Regions: n.settings.Regions, Log: n.logNoRegion},
 		forwarder.ScreenRequest{Screen: n.screener},
 		forwarder.LimitRate{Limits: n.rationer},
 		&forwarder.Dispatch{
--- a/internal/assembler/reload.go
+++ b/internal/assembler/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -72,7 +73,7 @@
 	fields["Changed"] = *previous != settings.Bounds
 	startupSettings := n.settings.Settings
 	startupSettings.Bounds = settings.Bounds
-	fields["RestartNeeded"] = startupSettings != settings
+	fields["RestartNeeded"] = !reflect.DeepEqual(startupSettings, settings)
 	n.logger.WithFields(fields).Info("settings reloaded")
 }
 
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -221,9 +221,17 @@
 
 // addresses returns the addresses to which callers may connect, and the
 // lifetime of the answer.
-func (n *Node) addresses(platform.AddressQuery) ([]string, time.Duration) {
-	lifetime := min(addressLifetime, n.bounds.Load().AddressLifetime)
-	return n.view.addresses(n.clock.Now(), planner.Caller{Address: n.self.CallerAddress, Capacity: n.self.Capacity}, !n.ready()), lifetime
+func (n *Node) addresses(query platform.AddressQuery) ([]string, time.Duration) {
+	bounds := n.bounds.Load()
+	configuration, _ := n.view.Configuration()
+	self := planner.Caller{Address: n.self.CallerAddress, Capacity: n.self.Capacity, DataCentre: n.self.DataCentre}
+	regions := findRegions(configuration, query, n.settings.Regions)
+	return n.view.addresses(n.clock.Now(), maxCallerAge(*bounds), self, !n.ready(), regions), min(addressLifetime, bounds.AddressLifetime)
+}
+
+// callers returns the nodes that callers may use, with their ages.
+func (n *Node) callers() []planner.Caller {
+	return n.view.holderCallers(n.clock.Now(), maxCallerAge(*n.bounds.Load()))
 }
 
 // defaultBodyLimit is the limit of a request body in bytes that applies until
--- a/internal/assembler/view.go
+++ b/internal/assembler/view.go
@@ -1,8 +1,6 @@
 package assembler
 
 import (
-	"cmp"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -27,13 +25,6 @@
 	currentAsOf   time.Time
 }
 
-// directory holds the nodes that callers may use, as of asOf, as received from the
-// holder.
-type directory struct {
-	callers []planner.Caller
-	asOf    time.Time
-}
-
 // Configuration implements forwarder.ConfigurationView.
 func (v *view) Configuration() (*resolver.Configuration, time.Time) {
 	current := v.configuration.Load()
@@ -51,18 +42,10 @@
 	return time.Time{}
 }
 
-// maxDirectoryAge is how long the holder's list is used after the last answer of a
-// holder. It is longer than the time without a holder after a crash.
-const maxDirectoryAge = 6 * time.Second
-
-// holderCallers returns the nodes that callers may use as received from the
-// holder, or nil if they are older than maxDirectoryAge.
-func (v *view) holderCallers(now time.Time) []planner.Caller {
-	current := v.directory.Load()
-	if current == nil || now.Sub(current.asOf) > maxDirectoryAge {
-		return nil
-	}
-	return current.callers
+// holderCallers returns the nodes that callers may use as received from a holder, with
+// their ages, which are below maxAge.
+func (v *view) holderCallers(now time.Time, maxAge time.Duration) []planner.Caller {
+	return v.directory.Load().callers(now, maxAge)
 }
 
 // maxAddresses limits the number of addresses in an answer of a large fleet.
@@ -70,24 +53,14 @@
 // distributes callers by capacity.
 const maxAddresses = 10
 
-// addresses returns the caller addresses of an answer, sampled by capacity and
-// in random order. Nodes with a larger capacity are included more often. This
-// node is always a candidate for the sample unless it is draining.
-func (v *view) addresses(now time.Time, self planner.Caller, draining bool) []string {
-	callers := slices.DeleteFunc(slices.Clone(v.holderCallers(now)), func(caller planner.Caller) bool { return caller.Address == self.Address })
+// addresses returns the caller addresses of an answer. This node is always a candidate
+// unless it is draining.
+func (v *view) addresses(now time.Time, maxAge time.Duration, self planner.Caller, draining bool, regions directoryRegions) []string {
+	callers := slices.DeleteFunc(v.holderCallers(now, maxAge), func(caller planner.Caller) bool { return caller.Address == self.Address })
 	if !draining {
 		callers = append(callers, self)
 	}
-	addresses := make([]string, 0, len(callers))
-	keys := make(map[string]float64, len(callers))
-	for _, caller := range callers {
-		addresses = append(addresses, caller.Address)
-		// The smallest keys of exponential draws with rate equal to the weight
-		// form a weighted sample without replacement.
-		keys[caller.Address] = rand.ExpFloat64() / max(caller.Capacity, minCapacity)
-	}
-	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(keys[a], keys[b]) })
-	return addresses[:min(maxAddresses, len(addresses))]
+	return chooseAddresses(callers, regions)
 }
 
 // minCapacity is the capacity that is assumed for a node whose settings do not
--- a/internal/balancer/availability.go
+++ b/internal/balancer/availability.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// hasService reports whether any replica belongs to a service.
-func (c *Controller) hasService(service string) bool {
+// hasService reports whether any replica belongs to the service of the request, in a data
+// centre that may run it.
+func (c *Controller) hasService(need Need) bool {
 	for _, replica := range c.Replicas {
-		if replica.Description.Service == service {
+		if need.allows(replica.Description) {
 			return true
 		}
 	}
@@ -16,7 +17,7 @@
 // needs is in progress.
 func (c *Controller) isLoading(need Need) bool {
 	for _, replica := range c.Replicas {
-		if replica.Description.Service == need.Service && !replica.isLeaving() {
+		if need.allows(replica.Description) && !replica.isLeaving() {
 			if _, ok := replica.loadEndsAt(modelKey{need.Model, need.Adapter}); ok {
 				return true
 			}
@@ -29,7 +30,7 @@
 // that the request needs and takes requests before it is given up.
 func (c *Controller) isLoaded(need Need) bool {
 	for _, replica := range c.Replicas {
-		if replica.Description.Service == need.Service && !replica.isLeaving() && !replica.isClosed(need.GiveUpAt) && replica.Description.Has(need.Model, need.Adapter) {
+		if need.allows(replica.Description) && !replica.isLeaving() && !replica.isClosed(need.GiveUpAt) && replica.Description.Has(need.Model, need.Adapter) {
 			return true
 		}
 	}
@@ -41,7 +42,7 @@
 func (c *Controller) allFull(now time.Time, need Need) bool {
 	found := false
 	for _, replica := range c.Replicas {
-		if replica.Description.Service != need.Service || replica.isLeaving() || !replica.Description.Has(need.Model, need.Adapter) {
+		if !need.allows(replica.Description) || replica.isLeaving() || !replica.Description.Has(need.Model, need.Adapter) {
 			continue
 		}
 		if !replica.isFull() && !replica.isAtLimit(now) && !replica.isClosed(now) {
@@ -57,7 +58,7 @@
 func (c *Controller) canContinue(now time.Time, need Need) bool {
 	key := modelKey{need.Model, need.Adapter}
 	for _, replica := range c.Replicas {
-		if replica.Description.Service != need.Service || replica.Description.Version != need.Version || replica.isLeaving() {
+		if !need.allows(replica.Description) || replica.Description.Version != need.Version || replica.isLeaving() {
 			continue
 		}
 		if _, loading := replica.loadEndsAt(key); loading || replica.canServe(now, key) {
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -80,7 +80,7 @@
 
 func (c *Controller) isUsable(now time.Time, replica *Replica, need Need, key modelKey) bool {
 	switch {
-	case replica.Description.Service != need.Service, replica.isLeaving():
+	case !need.allows(replica.Description), replica.isLeaving():
 		return false
 	case !c.fits(need, replica.Description.Version):
 		return false
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -277,7 +277,7 @@
 func (c *Controller) refuseCold(now time.Time, need Need) *Refusal {
 	var warmAt time.Time
 	for _, replica := range c.Replicas {
-		if replica.Description.Service != need.Service || replica.isLeaving() || replica.isClosed(need.GiveUpAt) {
+		if !need.allows(replica.Description) || replica.isLeaving() || replica.isClosed(need.GiveUpAt) {
 			continue
 		}
 		until := c.coldUntil(replica)
--- a/internal/balancer/collect.go
+++ b/internal/balancer/collect.go
@@ -42,18 +42,22 @@
 // in which the first request for each arrived.
 func (c *Controller) demands(now time.Time) []planner.Demand {
 	var demands []planner.Demand
-	indexes := map[useKey]int{}
+	type demandKey struct {
+		useKey
+		dataCentres string
+	}
+	indexes := map[demandKey]int{}
 	for _, waiter := range c.Waiters {
 		need := waiter.Need
 		if need.Model == "" || need.Continued {
 			continue
 		}
-		key := useKey{need.Service, modelKey{need.Model, need.Adapter}}
+		key := demandKey{useKey{need.Service, modelKey{need.Model, need.Adapter}}, need.dataCentresKey()}
 		i, ok := indexes[key]
 		if !ok {
 			i = len(demands)
 			indexes[key] = i
-			demands = append(demands, planner.Demand{Service: need.Service, Model: need.Model, Adapter: need.Adapter, TimeToLate: need.LateAt.Sub(now), ReplicasFull: c.allFull(now, need)})
+			demands = append(demands, planner.Demand{DataCentres: need.DataCentres, Service: need.Service, Model: need.Model, Adapter: need.Adapter, TimeToLate: need.LateAt.Sub(now), ReplicasFull: c.allFull(now, need)})
 		}
 		demands[i].Waiting++
 		demands[i].TimeToLate = max(demands[i].TimeToLate, need.LateAt.Sub(now))
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -108,6 +108,9 @@
 	Stream    bool   `json:",omitempty"`
 	Continued bool   `json:",omitempty"`
 	Version   string `json:",omitempty"`
+	// DataCentres are the sorted data centres whose replicas may run the request, empty for
+	// all.
+	DataCentres []string `json:",omitempty"`
 	// Tokens is the size of the request, 0 for plain services.
 	Tokens int
 	// Affinity is equal for requests that share a long prompt prefix. It is
--- a/internal/balancer/notice.go
+++ b/internal/balancer/notice.go
@@ -141,7 +141,7 @@
 	var reopensAt time.Time
 	for _, replica := range c.Replicas {
 		switch {
-		case replica.Description.Service != need.Service, replica.isLeaving():
+		case !need.allows(replica.Description), replica.isLeaving():
 		case !replica.isClosed(need.GiveUpAt):
 			return nil
 		case reopensAt.IsZero() || replica.Notice.ReopensAt.Before(reopensAt):
--- /dev/null
+++ b/internal/balancer/region.go
@@ -0,0 +1,25 @@
+package balancer
+
+import (
+	"slices"
+	"strings"
+
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+)
+
+// allows reports whether a replica belongs to the service of the request, in a data centre
+// that may run it.
+func (n Need) allows(replica surveyor.Replica) bool {
+	return replica.Service == n.Service && (len(n.DataCentres) == 0 || slices.Contains(n.DataCentres, replica.DataCentre))
+}
+
+// dataCentresKey returns the data centres as a map key.
+func (n Need) dataCentresKey() string { return strings.Join(n.DataCentres, ",") }
+
+// noReplicas returns the reason why a request has no replica at all.
+func (c *Controller) noReplicas(need Need) string {
+	if len(need.DataCentres) > 0 && c.hasService(Need{Service: need.Service}) {
+		return "service has no replicas in the allowed regions"
+	}
+	return "service has no replicas"
+}
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -130,6 +130,9 @@
 	Service     string
 	Workspace   resolver.Workspace
 	Fingerprint string
+	// DataCentres are the sorted data centres whose replicas may run the request, nil for
+	// all. It is set by a filter.
+	DataCentres []string
 }
 
 // Writer writes an answer to the caller. An error means that the caller has
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -102,6 +102,8 @@
 		GiveUpAt: giveUpAt,
 		Excluded: j.excluded,
 		Stream:   j.isResumable(),
+
+		DataCentres: j.forward.DataCentres,
 	}
 	if j.origin != nil {
 		need.Continued, need.Version = true, j.origin.Version
--- a/internal/planner/adapters.go
+++ b/internal/planner/adapters.go
@@ -16,7 +16,7 @@
 	var best *Endpoint
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Entry.Service != key.Service || e.Entry.Leaving || !e.Synced || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !key.DataCentres.allows(e) || e.Entry.Leaving || !e.Synced || c.index.suspects[id] {
 			continue
 		}
 		if e.holdsAdapter(key.Model, key.Adapter) {
@@ -31,7 +31,7 @@
 		}
 	}
 	if best == nil {
-		return c.planModel(now, key.ModelKey)
+		return c.planModel(now, key)
 	}
 	return c.queueAdapter(best, engine, key)
 }
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -61,10 +61,11 @@
 type ModelKey struct{ Service, Model string }
 
 // DemandKey identifies a model or an adapter that requests wait for. Adapter is
-// empty for the model itself.
+// empty for the model itself, and DataCentres allows all data centres if it is empty.
 type DemandKey struct {
 	ModelKey
-	Adapter string
+	Adapter     string
+	DataCentres DataCentres
 }
 
 // NewController returns the controller of a node.
--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -25,7 +25,7 @@
 		}
 		// A copy that its replica's limit holds back does not relieve the others.
 		avoidLimits := c.hasUnlimitedReplica(key.Service)
-		best, victims := c.cheapestReplica(now, key, engine, model, loadRule{AvoidLimits: avoidLimits})
+		best, victims := c.cheapestReplica(now, key, engine, model, loadRule{AvoidLimits: avoidLimits, DataCentres: c.index.saturatedIn[key]})
 		if best == nil || best.tier(model.Name) == FromStore && c.countStoreLoads() >= c.storeConcurrency() {
 			continue
 		}
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -13,6 +13,9 @@
 	// address is no longer given to callers. It allows for six exchanges, and
 	// callers would notice if a process paused for that long.
 	peerReportTimeout = 1500 * time.Millisecond
+	// MaxCallerSilence is the longest time since its last report for which a node is
+	// published for callers.
+	MaxCallerSilence = peerReportTimeout
 	// nodeRemovalTimeout is the time since its last report after which the entry
 	// of a registered node is removed. A node registers again when it finds its
 	// entry missing.
@@ -202,9 +205,9 @@
 }
 
 func (c *Controller) recordDemand(now time.Time, demand Demand) {
-	key := DemandKey{ModelKey{demand.Service, demand.Model}, demand.Adapter}
+	key := DemandKey{ModelKey{demand.Service, demand.Model}, demand.Adapter, joinDataCentres(demand.DataCentres)}
 	if demand.ReplicasFull {
-		c.Tenure.SaturatedAt[key.ModelKey] = now
+		c.recordSaturation(now, key)
 	}
 	waiting := c.Tenure.Demand[key]
 	if waiting == nil {
@@ -237,12 +240,16 @@
 	for _, peer := range c.Tenure.Peers {
 		excluded[peer.Node.CallerAddress] = true
 		if !peer.Leaving && now.Sub(peer.LastReportAt) < peerReportTimeout {
-			callers = append(callers, Caller{peer.Node.CallerAddress, peer.Node.Capacity, peer.Node.PeerAddress})
+			callers = append(callers, Caller{
+				Address: peer.Node.CallerAddress, Capacity: peer.Node.Capacity, PeerAddress: peer.Node.PeerAddress, DataCentre: peer.Node.DataCentre,
+			})
 		}
 	}
 	if now.Sub(c.Tenure.Since) < peerReportTimeout {
 		for _, caller := range c.Tenure.InheritedCallers {
 			if !excluded[caller.Address] {
+				// The age grows as long as the node does not report itself.
+				caller.ConfirmedAge = max(caller.ConfirmedAge, time.Nanosecond) + now.Sub(c.Tenure.InheritedAt)
 				callers = append(callers, caller)
 			}
 		}
@@ -251,6 +258,14 @@
 	return slices.CompactFunc(callers, func(a, b Caller) bool { return a.Address == b.Address })
 }
 
+// sameCaller reports whether two entries are equal in what nodes act on. An age grows at the
+// nodes as well.
+func sameCaller(a, b Caller) bool {
+	inherited := (a.ConfirmedAge > 0) == (b.ConfirmedAge > 0)
+	a.ConfirmedAge = b.ConfirmedAge
+	return inherited && a == b
+}
+
 // removeSilentNodes removes the entries of nodes that have not reported within
 // nodeRemovalTimeout. A new holder waits that long before it removes any.
 func (c *Controller) removeSilentNodes(now time.Time) []Effect {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -49,11 +49,24 @@
 	// holders is the number of replicas that hold or will hold each model, and
 	// wanted the number that a busy model needs.
 	holders, wanted map[ModelKey]int
+	// saturatedIn holds the data centres in which full replicas of a model need another
+	// one. It allows all if one of the demands does.
+	saturatedIn map[ModelKey]DataCentres
+}
+
+// restrict records the data centres of a saturation. Of several restricted ones the first is
+// kept: the others are reported again when it has got its replica.
+func (i planIndex) restrict(key saturationKey) {
+	known, ok := i.saturatedIn[key.ModelKey]
+	if !ok || key.dataCentres == "" || known != "" && key.dataCentres < known {
+		i.saturatedIn[key.ModelKey] = key.dataCentres
+	}
 }
 
 func (c *Controller) buildIndex(now time.Time) planIndex {
 	index := planIndex{
 		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
+		saturatedIn: map[ModelKey]DataCentres{},
 	}
 	for _, peer := range c.Tenure.Peers {
 		if now.Sub(peer.LastReportAt) < peerReportTimeout {
@@ -83,7 +96,8 @@
 	}
 	for key, at := range c.Tenure.SaturatedAt {
 		if now.Sub(at) < saturationLifetime {
-			index.wanted[key] = max(index.wanted[key], index.holders[key]+1)
+			index.wanted[key.ModelKey] = max(index.wanted[key.ModelKey], index.holders[key.ModelKey]+1)
+			index.restrict(key)
 		} else {
 			delete(c.Tenure.SaturatedAt, key)
 		}
@@ -101,7 +115,7 @@
 		if key.Adapter != "" {
 			effects = append(effects, c.planAdapter(now, key)...)
 		} else {
-			effects = append(effects, c.planModel(now, key.ModelKey)...)
+			effects = append(effects, c.planModel(now, key)...)
 		}
 	}
 	if now.Sub(c.Tenure.CopiesPlannedAt) < copiesPlanInterval {
@@ -124,7 +138,7 @@
 // requests wait for.
 func (c *Controller) satisfied(key DemandKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || e.Entry.Leaving || !e.Synced || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !key.DataCentres.allows(e) || e.Entry.Leaving || !e.Synced || c.index.suspects[id] {
 			continue
 		}
 		if resident := e.Models[key.Model]; resident != nil && !e.unloading(key.Model) {
@@ -152,26 +166,27 @@
 	}
 	slices.SortFunc(keys, func(a, b DemandKey) int {
 		return cmp.Or(cmp.Compare(late(a), late(b)), c.Tenure.Demand[a].LateAt.Compare(c.Tenure.Demand[b].LateAt),
-			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.DataCentres, b.DataCentres))
 	})
 	return keys
 }
 
 // planModel queues the load of a model that no healthy replica holds or loads.
-func (c *Controller) planModel(now time.Time, key ModelKey) []Effect {
+func (c *Controller) planModel(now time.Time, demand DemandKey) []Effect {
+	key, in := demand.ModelKey, demand.DataCentres
 	engine := c.engine(key.Service)
 	if engine == nil {
 		return nil
 	}
 	model, ok := engine.Models[key.Model]
-	if !ok || c.hasHealthyHolder(key) {
+	if !ok || c.hasHealthyHolder(key, in) {
 		return nil
 	}
-	best, victims := c.cheapestReplica(now, key, engine, model, loadRule{})
-	if best == nil && c.filledByBusyModels(key, engine, model) {
-		best, victims = c.cheapestReplica(now, key, engine, model, loadRule{EvictSpares: true})
+	best, victims := c.cheapestReplica(now, key, engine, model, loadRule{DataCentres: in})
+	if best == nil && c.filledByBusyModels(key, in, engine, model) {
+		best, victims = c.cheapestReplica(now, key, engine, model, loadRule{EvictSpares: true, DataCentres: in})
 	}
-	if best == nil || best.tier(model.Name) == FromStore && (c.hasLocalCopy(now, key, engine, model) || c.countStoreLoads() >= c.storeConcurrency()) {
+	if best == nil || best.tier(model.Name) == FromStore && (c.hasLocalCopy(now, key, in, engine, model) || c.countStoreLoads() >= c.storeConcurrency()) {
 		return nil
 	}
 	return c.queueLoad(best, victims, model, "requests wait")
@@ -181,9 +196,9 @@
 // or on disk and can soon load it. If that replica executes an order, waiting for it takes
 // less time than a load from the weight store. One that busy models fill may never have
 // room.
-func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model) bool {
+func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, in DataCentres, engine *resolver.Engine, model resolver.Model) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || e.Entry.Leaving || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !in.allows(e) || e.Entry.Leaving || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
 			continue
 		}
 		if _, _, hasRoom := c.selectVictims(now.Add(minResidency), e, engine, model, false); hasRoom || !e.idle() {
@@ -195,9 +210,9 @@
 
 // hasHealthyHolder reports whether a replica that is not suspected holds or loads
 // a model.
-func (c *Controller) hasHealthyHolder(key ModelKey) bool {
+func (c *Controller) hasHealthyHolder(key ModelKey, in DataCentres) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service == key.Service && e.Synced && !e.Entry.Leaving && e.holdsOrLoads(key.Model) && !c.index.suspects[id] {
+		if e.Entry.Service == key.Service && in.allows(e) && e.Synced && !e.Entry.Leaving && e.holdsOrLoads(key.Model) && !c.index.suspects[id] {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/planner/region.go
@@ -0,0 +1,29 @@
+package planner
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// DataCentres is a sorted list of data centres, joined by commas so that it can be part of a
+// map key. An empty one stands for all data centres.
+type DataCentres string
+
+func joinDataCentres(names []string) DataCentres { return DataCentres(strings.Join(names, ",")) }
+
+// allows reports whether an endpoint is in one of the data centres.
+func (d DataCentres) allows(e *Endpoint) bool {
+	return d == "" || slices.Contains(strings.Split(string(d), ","), e.Entry.DataCentre)
+}
+
+// saturationKey identifies the replicas of a model in data centres.
+type saturationKey struct {
+	ModelKey
+	dataCentres DataCentres
+}
+
+// recordSaturation records that all replicas of a model that a demand may use are full.
+func (c *Controller) recordSaturation(now time.Time, key DemandKey) {
+	c.Tenure.SaturatedAt[saturationKey{key.ModelKey, key.DataCentres}] = now
+}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -76,6 +76,9 @@
 	Model   string
 	Adapter string `json:",omitempty"`
 	Waiting int
+	// DataCentres are the sorted data centres whose replicas may run the requests, empty
+	// for all.
+	DataCentres []string `json:",omitempty"`
 	// ReplicasFull is set if replicas hold the model or adapter and all of them
 	// are full.
 	ReplicasFull bool `json:"Full,omitempty"`
@@ -204,6 +207,11 @@
 	Capacity float64
 	// PeerAddress is the address of the node for other nodes.
 	PeerAddress string `json:"Peer,omitempty"`
+	DataCentre  string `json:",omitempty"`
+	// ConfirmedAge is 0 for a node that has reported to the holder within MaxCallerSilence.
+	// Otherwise it is the age of the last sign of life that is known from an earlier
+	// holder, as of the state in which the entry is sent.
+	ConfirmedAge time.Duration `json:",omitempty"`
 }
 
 // StoreView is what a node that does not hold the lease has read from the store.
--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -15,6 +15,8 @@
 	EvictSpares bool
 	// AvoidLimits excludes replicas that have named a limit.
 	AvoidLimits bool
+	// DataCentres excludes replicas in other data centres.
+	DataCentres DataCentres
 }
 
 // cheapestReplica returns the idle replica that can load a model at the lowest
@@ -26,7 +28,7 @@
 	bestCost := time.Duration(math.MaxInt64)
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Entry.Service != key.Service || !e.idle() || e.holdsOrLoads(model.Name) || c.index.suspects[id] || rule.AvoidLimits && c.hasLimit(e) {
+		if e.Entry.Service != key.Service || !rule.DataCentres.allows(e) || !e.idle() || e.holdsOrLoads(model.Name) || c.index.suspects[id] || rule.AvoidLimits && c.hasLimit(e) {
 			continue
 		}
 		victims, loss, ok := c.selectVictims(now, e, engine, model, rule.EvictSpares)
@@ -128,9 +130,9 @@
 
 // filledByBusyModels reports whether busy models take so much memory on every
 // replica of the service that the model would never fit.
-func (c *Controller) filledByBusyModels(key ModelKey, engine *resolver.Engine, model resolver.Model) bool {
+func (c *Controller) filledByBusyModels(key ModelKey, in DataCentres, engine *resolver.Engine, model resolver.Model) bool {
 	for _, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || e.Entry.Leaving {
+		if e.Entry.Service != key.Service || !in.allows(e) || e.Entry.Leaving {
 			continue
 		}
 		available := engine.MemoryMB - e.memoryUsed(engine)
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -51,12 +51,13 @@
 	// in the store has not been read.
 	MinRegistered int
 	// InheritedCallers are the nodes that the previous holder published for
-	// callers.
+	// callers, with their ages as of InheritedAt.
 	InheritedCallers []Caller
+	InheritedAt      time.Time
 	Demand           map[DemandKey]*PendingDemand
 	Rates            map[ModelKey]*Rate
 	// SaturatedAt is when a node last reported all replicas of a model as full.
-	SaturatedAt map[ModelKey]time.Time
+	SaturatedAt map[saturationKey]time.Time
 	// Prompts is the evidence against parts of prompts that crash replicas.
 	Prompts *screener.Evidence
 	// Notices holds what replicas have announced, by ID.
@@ -125,14 +126,15 @@
 		Since:            now,
 		Endpoints:        map[string]*Endpoint{},
 		Table:            newHistory(func(replica surveyor.Replica) string { return replica.ID }, sameReplica),
-		Callers:          newHistory(func(caller Caller) string { return caller.Address }, func(a, b Caller) bool { return a == b }),
+		Callers:          newHistory(func(caller Caller) string { return caller.Address }, sameCaller),
 		Candidates:       newHistory(func(node surveyor.Node) string { return node.Name }, sameNode),
 		Peers:            map[string]*Peer{},
 		Totals:           newTotals(),
 		InheritedCallers: callers,
+		InheritedAt:      now,
 		Demand:           map[DemandKey]*PendingDemand{},
 		Rates:            map[ModelKey]*Rate{},
-		SaturatedAt:      map[ModelKey]time.Time{},
+		SaturatedAt:      map[saturationKey]time.Time{},
 		Prompts:          screener.NewEvidence(),
 		Notices:          map[string]*notice{},
 		TableStale:       true,
--- a/internal/resolver/configuration.go
+++ b/internal/resolver/configuration.go
@@ -63,6 +63,9 @@
 	Public    bool
 	Sticky    bool
 	Resumable bool
+	// AllowedRegions are the regions whose replicas may run the requests of the route. An
+	// empty list allows all.
+	AllowedRegions []string `json:",omitempty"`
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -130,6 +133,8 @@
 	// DefaultTokens is the number of tokens that a request without a token count
 	// consumes.
 	DefaultTokens float64
+	// AllowedRegions is as in Route. If both have a list, both bind.
+	AllowedRegions []string `json:",omitempty"`
 }
 
 // Limits bounds the requests of a caller.
