--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -61,6 +61,8 @@
 type ColdState struct {
 	Rules map[string]ColdRule
 	SetNodes
+	// Hashes are those of Nodes.
+	Hashes []uint64
 	// Version counts the changes of SetNodes.
 	Version int
 	// Replicas is the number of cold replicas.
@@ -237,20 +239,21 @@
 	}
 	cold.SenderVersion = c.Cold.Version + 1
 	senders, _ := c.Cold.Rules[replica.Description.Service].pace()
-	nodes := c.Cold.Nodes
+	nodes, replicaHash := c.Cold.Nodes, xxhash.Sum64String(id)
+	own := weight(xxhash.Sum64String(c.Cold.Self), replicaHash)
 	if len(nodes) == 0 {
-		cold.IsSender = fraction(c.Cold.Self, id) < float64(senders)/assumedNodes
+		cold.IsSender = fraction(own) < float64(senders)/assumedNodes
 		return cold.IsSender
 	}
 	allowed := float64(senders) * float64(len(nodes)) / float64(max(len(nodes), c.Cold.Registered))
 	whole, rest := math.Modf(allowed)
-	if fraction(nodes[0], id) < rest {
+	if fraction(weight(c.Cold.Hashes[0], replicaHash)) < rest {
 		whole++
 	}
 	_, listed := slices.BinarySearch(nodes, c.Cold.Self)
-	own, rank := fraction(c.Cold.Self, id), 0.0
-	for _, node := range nodes {
-		if fraction(node, id) > own {
+	rank := 0.0
+	for _, hash := range c.Cold.Hashes {
+		if weight(hash, replicaHash) > own {
 			rank++
 		}
 	}
@@ -258,15 +261,26 @@
 	return cold.IsSender
 }
 
-// fraction returns a hash of a node and a replica in [0, 1).
-func fraction(node, replica string) float64 {
-	return float64(xxhash.Sum64String(node+"\x00"+replica)>>11) / (1 << 53)
+// weight returns the rendezvous hash of a node and a replica from their hashes. Thousands of
+// them are compared for each cold replica, so the names are not hashed together. The last
+// steps of SplitMix64 spread the bits.
+func weight(node, replica uint64) uint64 {
+	mixed := node ^ replica
+	mixed = (mixed ^ mixed>>30) * 0xbf58476d1ce4e5b9
+	mixed = (mixed ^ mixed>>27) * 0x94d049bb133111eb
+	return mixed ^ mixed>>31
 }
 
+// fraction returns a hash as a number in [0, 1).
+func fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
+
 // setNodes adopts a list of nodes.
 func (c *Controller) setNodes(message SetNodes) {
 	if c.Cold.Self != message.Self || c.Cold.Registered != message.Registered || !slices.Equal(c.Cold.Nodes, message.Nodes) {
-		c.Cold.SetNodes = message
+		c.Cold.SetNodes, c.Cold.Hashes = message, make([]uint64, len(message.Nodes))
+		for i, node := range message.Nodes {
+			c.Cold.Hashes[i] = xxhash.Sum64String(node)
+		}
 		c.Cold.Version++
 	}
 }
