--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -18,9 +18,11 @@
 	// minSenderShare is the least part of that budget which is spent on the burst of one
 	// request of each sender.
 	minSenderShare = 0.25
-	// assumedNodes is the number of nodes that is assumed until a holder has answered. It
-	// is above that of present deployments, because all nodes may start at once.
-	assumedNodes = 100
+	// assumedNodes is the number of nodes that is assumed until firstListTime after the
+	// first list of nodes. It is above that of present deployments: if all nodes start at
+	// once, the first lists have only the nodes that were early.
+	assumedNodes  = 500
+	firstListTime = 1500 * time.Millisecond
 	// coldCostFactor raises the cost and the expected time to the first byte of a cold
 	// replica.
 	coldCostFactor = 4
@@ -61,8 +63,10 @@
 type ColdState struct {
 	Rules map[string]ColdRule
 	SetNodes
-	// Hashes are those of Nodes.
-	Hashes []uint64
+	// Hashes are those of Nodes. FirstListAt is when the first list came, the zero time
+	// before.
+	Hashes      []uint64
+	FirstListAt time.Time
 	// Version counts the changes of SetNodes.
 	Version int
 	// Replicas is the number of cold replicas.
@@ -177,7 +181,7 @@
 		return true
 	}
 	retryAt := now.Add(coldRecheckInterval)
-	if c.isSender(replica) {
+	if c.isSender(now, replica) {
 		rate := c.senderRate(replica)
 		if cold.FilledAt.IsZero() {
 			cold.Level = 1
@@ -232,12 +236,17 @@
 // the highest rendezvous hashes may: with all nodes, the shares of each would be smaller than
 // one request. Nodes that do not reach each other are told apart by the number of registered
 // nodes, of which each group uses its part only.
-func (c *Controller) isSender(replica *Replica) bool {
+func (c *Controller) isSender(now time.Time, replica *Replica) bool {
 	cold, id := &replica.Notice.Cold, replica.Description.ID
 	if cold.SenderVersion == c.Cold.Version+1 {
 		return cold.IsSender
 	}
-	cold.SenderVersion = c.Cold.Version + 1
+	registered := max(len(c.Cold.Nodes), c.Cold.Registered)
+	if now.Sub(c.Cold.FirstListAt) < firstListTime {
+		registered = max(registered, assumedNodes)
+	} else {
+		cold.SenderVersion = c.Cold.Version + 1
+	}
 	senders, _ := c.Cold.Rules[replica.Description.Service].pace()
 	nodes, replicaHash := c.Cold.Nodes, xxhash.Sum64String(id)
 	own := weight(xxhash.Sum64String(c.Cold.Self), replicaHash)
@@ -245,7 +254,7 @@
 		cold.IsSender = fraction(own) < float64(senders)/assumedNodes
 		return cold.IsSender
 	}
-	allowed := float64(senders) * float64(len(nodes)) / float64(max(len(nodes), c.Cold.Registered))
+	allowed := float64(senders) * float64(len(nodes)) / float64(registered)
 	whole, rest := math.Modf(allowed)
 	if fraction(weight(c.Cold.Hashes[0], replicaHash)) < rest {
 		whole++
@@ -275,7 +284,10 @@
 func fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
 
 // setNodes adopts a list of nodes.
-func (c *Controller) setNodes(message SetNodes) {
+func (c *Controller) setNodes(now time.Time, message SetNodes) {
+	if c.Cold.FirstListAt.IsZero() && len(message.Nodes) > 0 {
+		c.Cold.FirstListAt = now
+	}
 	if c.Cold.Self != message.Self || c.Cold.Registered != message.Registered || !slices.Equal(c.Cold.Nodes, message.Nodes) {
 		c.Cold.SetNodes, c.Cold.Hashes = message, make([]uint64, len(message.Nodes))
 		for i, node := range message.Nodes {
@@ -295,7 +307,7 @@
 			continue
 		}
 		until := c.coldUntil(replica)
-		if !need.GiveUpAt.Before(until) || c.isSender(replica) {
+		if !need.GiveUpAt.Before(until) || c.isSender(now, replica) {
 			return nil
 		}
 		if warmAt.IsZero() || until.Before(warmAt) {
--- a/internal/balancer/cold_test.go
+++ b/internal/balancer/cold_test.go
@@ -41,6 +41,7 @@
 		f.nodes = append(f.nodes, NewController(uint64(i+1)))
 	}
 	f.publish(f.names)
+	f.now = f.now.Add(firstListTime)
 	f.list()
 	for _, node := range f.nodes {
 		node.Step(f.now, SetColdRules{map[string]ColdRule{"s": coldRule}})
@@ -160,6 +161,32 @@
 	})
 }
 
+// TestStartingFleetSparesColdReplicas guards against nodes that start at once and each take the
+// first nodes that the holder knows for the whole fleet.
+func TestStartingFleetSparesColdReplicas(t *testing.T) {
+	for _, nodes := range []int{87, 295} {
+		tester.CheckN(t, 1, 1, func(t *rapid.T) {
+			f := newColdFleet(t, nodes, 5)
+			for i, node := range f.nodes {
+				f.nodes[i] = NewController(uint64(i + 1))
+				f.nodes[i].Step(f.now, SetColdRules{node.Cold.Rules})
+			}
+			for i := range f.replicas {
+				f.replicas[i].ColdFor = 20 * time.Second
+			}
+			f.list()
+			f.run(300 * time.Millisecond)
+			for i, node := range f.nodes {
+				node.Step(f.now, SetNodes{Self: f.names[i], Nodes: f.names[:i+1], Registered: i + 1})
+			}
+			f.run(500 * time.Millisecond)
+			f.publish(f.names)
+			f.run(3 * time.Second)
+			f.check()
+		})
+	}
+}
+
 // TestReturnedDataCentre guards against replicas that are sent as much as before when their
 // data centre is returned to service although they have become cold, and against ones that
 // get far less than they bear, or nothing more than that when they are warm again.
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -166,7 +166,7 @@
 		c.Cold.Version++
 		return append(c.reviewCold(now), c.serveWaiters(now)...)
 	case SetNodes:
-		c.setNodes(message)
+		c.setNodes(now, message)
 	case SetPeerState:
 		return append(c.setPeerState(now, message), c.serveWaiters(now)...)
 	case Place:
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -42,6 +42,8 @@
 	ConfigurationAsOf time.Time
 	Replicas          []surveyor.Replica
 	ReplicasAsOf      time.Time
+	// Starts holds the starts of replicas that may be cold, by ID.
+	Starts map[string]knownStart
 	// StoreEra is the latest era of the store that this node knows of.
 	StoreEra  uint64
 	Nodes     []surveyor.Node
@@ -122,6 +124,7 @@
 	case ReplicasListed:
 		c.Replicas, c.ReplicasAsOf, c.StoreEra = message.Replicas, message.CurrentAsOf, message.Era
 		c.Versions.Observe(now, message.CurrentAsOf, message.Replicas)
+		c.recordStarts(now)
 		effects = append(c.handleReplicasListed(now), c.storeVersions()...)
 	case VersionsInherited:
 		c.inheritVersions(now, message)
--- a/internal/planner/table.go
+++ b/internal/planner/table.go
@@ -80,6 +80,7 @@
 	for _, replica := range c.Replicas {
 		replica.InMemory, replica.OnDisk, replica.Heartbeat = nil, nil, 0
 		replica.ColdFor = max(0, replica.ColdFor-now.Sub(c.ReplicasAsOf))
+		replica.ColdKnown = replica.ColdKnown || c.isKnownWarm(now, replica)
 		replica.Leaving = replica.Leaving || c.hasAnnouncedLeaving(replica)
 		if endpoint := c.Tenure.Endpoints[replica.ID]; endpoint != nil && endpoint.Synced {
 			replica.Models, replica.Pending = endpoint.publishedModels(), endpoint.pendingLoads(now)
