--- a/internal/balancer/availability.go
+++ b/internal/balancer/availability.go
@@ -67,3 +67,8 @@
 	}
 	return false
 }
+
+// ordersAllowed reports whether the holder may order loads now.
+func (c *Controller) ordersAllowed(now time.Time) bool {
+	return !c.OrdersAllowedAt.IsZero() && !now.Before(c.OrdersAllowedAt)
+}
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -298,11 +298,6 @@
 	return nil
 }
 
-// ordersAllowed reports whether the holder may order loads now.
-func (c *Controller) ordersAllowed(now time.Time) bool {
-	return !c.OrdersAllowedAt.IsZero() && !now.Before(c.OrdersAllowedAt)
-}
-
 // endAttempt ends a placement, records its result, and returns a note when the
 // replica becomes suspect or is trusted again.
 func (c *Controller) endAttempt(now time.Time, message AttemptEnded) []Effect {
