--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -103,10 +103,20 @@
 		"RateLimit": note.RateLimit,
 		"Remaining": note.Remaining.String(),
 		"LateMs":    note.Late.Milliseconds(),
+		"Source":    note.Source,
+		"HeldBack":  note.HeldBack,
 	}).Info(note.Text)
+	n.cold.record(note)
 	n.meter.RecordChange("balancer", note.Text)
 }
 
+// logNoRegion logs a route and a workspace whose requests no region may run.
+func (n *Node) logNoRegion(version uint64, route, workspace string) {
+	n.logger.WithFields(logrus.Fields{"Version": version, "Route": route, "Workspace": workspace}).
+		Warn("no region may run the requests of the workspace on the route")
+	n.meter.RecordChange("regions", "route and workspace exclude each other")
+}
+
 // logSurveyorNote logs a change of what this node knows of the store. The version is
 // that of the note or, if the note is not about one, of the configuration in force.
 func (n *Node) logSurveyorNote(note surveyor.Note) {
@@ -165,7 +175,13 @@
 			return n.clock.Since(currentAsOf).Seconds()
 		}},
 		{"toucanhitch.callers", "Nodes that are named to callers.", func() float64 {
-			return float64(len(n.view.holderCallers(n.clock.Now())))
+			return float64(len(n.callers()))
+		}},
+		{"toucanhitch.replicas.cold", "Replicas that this node takes to be cold.", func() float64 {
+			return float64(n.cold.replicas.Load())
+		}},
+		{"toucanhitch.cold.held_back", "Times that requests were held back from cold replicas, counted when they are warm again.", func() float64 {
+			return float64(n.cold.heldBack.Load())
 		}},
 		{"toucanhitch.log.dropped", "Log lines that were dropped because the output was too slow.", func() float64 {
 			return float64(n.settings.Dropped())
--- a/internal/assembler/reload.go
+++ b/internal/assembler/reload.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -66,10 +67,13 @@
 		return
 	}
 	previous := n.bounds.Swap(&settings.Bounds)
+	if configuration, _ := n.view.Configuration(); *previous != settings.Bounds {
+		n.setColdRules(configuration)
+	}
 	fields["Changed"] = *previous != settings.Bounds
 	startupSettings := n.settings.Settings
 	startupSettings.Bounds = settings.Bounds
-	fields["RestartNeeded"] = startupSettings != settings
+	fields["RestartNeeded"] = !reflect.DeepEqual(startupSettings, settings)
 	n.logger.WithFields(fields).Info("settings reloaded")
 }
 
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -108,6 +108,9 @@
 	Stream    bool   `json:",omitempty"`
 	Continued bool   `json:",omitempty"`
 	Version   string `json:",omitempty"`
+	// DataCentres are the sorted data centres whose replicas may run the request, empty for
+	// all.
+	DataCentres []string `json:",omitempty"`
 	// Tokens is the size of the request, 0 for plain services.
 	Tokens int
 	// Affinity is equal for requests that share a long prompt prefix. It is
@@ -177,6 +180,9 @@
 	Candidates int
 	// Waited is how long the request waited for the replica.
 	Waited time.Duration
+	// SendBy is the time after which the placement must not be used and a new one is
+	// needed: the replica may have become cold. It is zero if that does not matter.
+	SendBy time.Time `json:",omitzero"`
 }
 
 // Refusal is the reason why no replica was assigned to a request.
@@ -218,6 +224,11 @@
 	Remaining time.Duration `json:",omitempty"`
 	// Late is the time from the expected return of requests to the first accepted one.
 	Late time.Duration `json:",omitempty"`
+	// Source says why a replica is taken to be cold, ColdReplicas is the number of cold
+	// replicas, and HeldBack how often requests were held back from the replica.
+	Source       string `json:",omitempty"`
+	ColdReplicas int    `json:",omitempty"`
+	HeldBack     int    `json:",omitempty"`
 }
 
 func (Note) isEffect()          {}
--- a/internal/balancer/notice.go
+++ b/internal/balancer/notice.go
@@ -40,6 +40,8 @@
 	// ClosedElsewhereUntil is the end of the time for which the replica wants no
 	// requests of another node.
 	ClosedElsewhereUntil time.Time
+	// Cold is the cold time of the start.
+	Cold Coldness
 	// UnlistedAt is when the start was first missing from the list, zero while it is
 	// listed.
 	UnlistedAt time.Time
@@ -139,7 +141,7 @@
 	var reopensAt time.Time
 	for _, replica := range c.Replicas {
 		switch {
-		case replica.Description.Service != need.Service, replica.isLeaving():
+		case !need.allows(replica.Description), replica.isLeaving():
 		case !replica.isClosed(need.GiveUpAt):
 			return nil
 		case reopensAt.IsZero() || replica.Notice.ReopensAt.Before(reopensAt):
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -42,6 +42,8 @@
 	ConfigurationAsOf time.Time
 	Replicas          []surveyor.Replica
 	ReplicasAsOf      time.Time
+	// Starts holds the starts of replicas that may be cold, by ID.
+	Starts map[string]knownStart
 	// StoreEra is the latest era of the store that this node knows of.
 	StoreEra  uint64
 	Nodes     []surveyor.Node
@@ -61,10 +63,11 @@
 type ModelKey struct{ Service, Model string }
 
 // DemandKey identifies a model or an adapter that requests wait for. Adapter is
-// empty for the model itself.
+// empty for the model itself, and DataCentres allows all data centres if it is empty.
 type DemandKey struct {
 	ModelKey
-	Adapter string
+	Adapter     string
+	DataCentres DataCentres
 }
 
 // NewController returns the controller of a node.
@@ -121,6 +124,7 @@
 	case ReplicasListed:
 		c.Replicas, c.ReplicasAsOf, c.StoreEra = message.Replicas, message.CurrentAsOf, message.Era
 		c.Versions.Observe(now, message.CurrentAsOf, message.Replicas)
+		c.recordStarts(now)
 		effects = append(c.handleReplicasListed(now), c.storeVersions()...)
 	case VersionsInherited:
 		c.inheritVersions(now, message)
--- a/internal/resolver/configuration.go
+++ b/internal/resolver/configuration.go
@@ -63,6 +63,9 @@
 	Public    bool
 	Sticky    bool
 	Resumable bool
+	// AllowedRegions are the regions whose replicas may run the requests of the route. An
+	// empty list allows all.
+	AllowedRegions []string `json:",omitempty"`
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -80,6 +83,10 @@
 type Service struct {
 	Name           string
 	MaxConnections int
+	// ColdTime is how long a replica is cold, that is slow, after it starts. While cold, it
+	// bears ColdRate requests a second. 0 means that replicas are never cold.
+	ColdTime time.Duration `json:",omitempty"`
+	ColdRate float64       `json:",omitempty"`
 	// Engine is nil for a service that runs no models.
 	Engine *Engine
 }
@@ -126,6 +133,8 @@
 	// DefaultTokens is the number of tokens that a request without a token count
 	// consumes.
 	DefaultTokens float64
+	// AllowedRegions is as in Route. If both have a list, both bind.
+	AllowedRegions []string `json:",omitempty"`
 }
 
 // Limits bounds the requests of a caller.
