--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -70,6 +70,8 @@
 	// ApplyWithin applies to the configuration, and DrainWithin to replicas that
 	// are leaving.
 	ApplyWithin, DrainWithin time.Duration
+	// EvacuateWithin applies to evacuations of data centres. With 0 they are not read.
+	EvacuateWithin time.Duration
 	// HeartbeatInterval is the interval at which replicas write their entries.
 	HeartbeatInterval time.Duration
 }
@@ -124,6 +126,8 @@
 	Nodes              []Node
 	NodesRetainedUntil time.Time
 	NodeSource         Source
+
+	Evacuations Evacuations
 }
 
 // NewController returns a controller with an empty view.
@@ -135,6 +139,8 @@
 	for _, due := range []time.Time{
 		c.replicasDueAt(),
 		c.dueAt(c.NodeSource, c.maxNodesAge()),
+		c.evacuationsDueAt(),
+		c.replicasReleasedAt(),
 	} {
 		if wake.IsZero() || !due.IsZero() && due.Before(wake) {
 			wake = due
@@ -163,12 +169,14 @@
 		effects = c.handleReplicasRead(now, message)
 	case NodesRead:
 		effects = c.handleNodesRead(now, message)
+	case EvacuationsRead:
+		effects = c.handleEvacuationsRead(now, message)
 	case HolderUpdate:
 		effects = c.applyHolderUpdate(now, message)
 	case ViewUpdate:
 		effects = c.applyViewUpdate(now, message)
 	}
-	return append(effects, c.startReads(now)...)
+	return append(c.markReplicas(now, effects), c.startReads(now)...)
 }
 
 // startReads starts the reads that are due.
@@ -187,6 +195,9 @@
 	if c.NodeSource.startIfDue(now, c.dueAt(c.NodeSource, c.maxNodesAge())) {
 		effects = append(effects, ReadNodes{AllowStale: !c.Holding})
 	}
+	if c.Evacuations.startIfDue(now, c.evacuationsDueAt()) {
+		effects = append(effects, ReadEvacuations{})
+	}
 	return effects
 }
 
@@ -252,6 +263,7 @@
 func (c *Controller) applyHolderUpdate(now time.Time, message HolderUpdate) []Effect {
 	effects := c.observeEra(now, message.Era)
 	effects = append(effects, c.applyConfigurationAge(message.configurationPosition(), message.StartedAt.Add(-message.ConfigurationAge))...)
+	effects = append(effects, c.applyEvacuations(now, message.StartedAt.Add(-message.EvacuationsAge), message.EvacuationsKnown, message.Evacuated)...)
 	effects = append(effects, c.applyHolderReplicas(now, message)...)
 	if currentAsOf := message.StartedAt.Add(-message.NodesAge); currentAsOf.After(c.NodeSource.CurrentAsOf) {
 		c.NodeSource.CurrentAsOf = currentAsOf
@@ -277,6 +289,7 @@
 func (c *Controller) applyViewUpdate(now time.Time, message ViewUpdate) []Effect {
 	effects := c.observeEra(now, message.Era)
 	effects = append(effects, c.applyConfigurationAge(message.configurationPosition(), message.AsOf.Add(-message.ConfigurationAge))...)
+	effects = append(effects, c.applyEvacuations(now, message.AsOf.Add(-message.EvacuationsAge), message.EvacuationsKnown, message.Evacuated)...)
 	listedAt := message.AsOf.Add(-message.ReplicasAge)
 	if !listedAt.After(c.ReplicaSource.CurrentAsOf) || now.Sub(listedAt) > c.maxReplicasAge() {
 		return effects
--- a/internal/surveyor/message.go
+++ b/internal/surveyor/message.go
@@ -53,6 +53,14 @@
 	Nodes     []Node
 }
 
+// EvacuationsRead is the result of a ReadEvacuations.
+type EvacuationsRead struct {
+	StartedAt   time.Time
+	Failed      bool
+	Era         uint64 `json:",omitempty"`
+	DataCentres []string
+}
+
 // HolderUpdate is the view of the holder of the placement lease, as sent to
 // this node.
 type HolderUpdate struct {
@@ -69,6 +77,11 @@
 	ConfigurationAge      time.Duration
 	ReplicasAge           time.Duration
 	NodesAge              time.Duration
+	// Evacuated are the evacuated data centres. EvacuationsKnown is not set if the holder
+	// does not know them.
+	Evacuated        []string      `json:",omitempty"`
+	EvacuationsKnown bool          `json:",omitempty"`
+	EvacuationsAge   time.Duration `json:",omitempty"`
 	// Replicas are the new replicas, Updates the changes of known ones, and Removed
 	// the IDs of those that left. If Full is set, Replicas replaces all known
 	// replicas.
@@ -89,6 +102,10 @@
 	ConfigurationAge      time.Duration
 	ReplicasAge           time.Duration
 	Replicas              []Replica
+	// Evacuated, EvacuationsKnown and EvacuationsAge are as in HolderUpdate.
+	Evacuated        []string      `json:",omitempty"`
+	EvacuationsKnown bool          `json:",omitempty"`
+	EvacuationsAge   time.Duration `json:",omitempty"`
 }
 
 func (u HolderUpdate) configurationPosition() sequencer.Position {
@@ -104,13 +121,14 @@
 func (ConfigurationRead) isMessage() {}
 func (ReplicasRead) isMessage()      {}
 func (NodesRead) isMessage()         {}
+func (EvacuationsRead) isMessage()   {}
 func (HolderUpdate) isMessage()      {}
 func (SetActing) isMessage()         {}
 func (SetCandidate) isMessage()      {}
 func (ViewUpdate) isMessage()        {}
 
 // Effect is an output of Controller: ReadConfiguration, ReadReplicas,
-// ReadNodes, one of the Publish effects, StoreRestored, ProofDelayed or Note.
+// ReadNodes, ReadEvacuations, one of the Publish effects, StoreRestored, ProofDelayed or Note.
 type Effect interface{ isEffect() }
 
 // ReadConfiguration reads the desired state and results in a ConfigurationRead
@@ -125,6 +143,10 @@
 // list may be seconds old, which costs the store less.
 type ReadNodes struct{ AllowStale bool }
 
+// ReadEvacuations lists the evacuated data centres and results in an EvacuationsRead
+// message.
+type ReadEvacuations struct{}
+
 // PublishConfiguration puts the configuration in force at this node.
 // CurrentAsOf is the latest time at which it is known to have been the newest.
 type PublishConfiguration struct {
@@ -156,6 +178,12 @@
 	CurrentAsOf time.Time
 }
 
+// PublishEvacuations publishes the evacuated data centres, sorted.
+type PublishEvacuations struct {
+	DataCentres []string
+	CurrentAsOf time.Time
+}
+
 // StoreRestored reports that the store was restored from an older copy. What was written
 // before may be lost.
 type StoreRestored struct{ Era uint64 }
@@ -169,6 +197,8 @@
 	Text   string
 	Source string
 	Age    time.Duration
+	// DataCentre is the one that the note is about.
+	DataCentre string `json:",omitempty"`
 	// Version and Position are those of the configuration that the note is about.
 	Version uint64 `json:",omitempty"`
 	sequencer.Position
@@ -181,6 +211,8 @@
 func (PublishStoreReplicas) isEffect() {}
 func (PublishReplicas) isEffect()      {}
 func (PublishNodes) isEffect()         {}
+func (ReadEvacuations) isEffect()      {}
+func (PublishEvacuations) isEffect()   {}
 func (StoreRestored) isEffect()        {}
 func (ProofDelayed) isEffect()         {}
 func (Note) isEffect()                 {}
--- a/internal/surveyor/replica.go
+++ b/internal/surveyor/replica.go
@@ -26,6 +26,9 @@
 	// Unlisted is set while the store does not list the replica and it may not have
 	// registered again yet.
 	Unlisted bool `json:",omitempty"`
+	// Evacuated is set if the data centre is evacuated, as far as the node knows that
+	// publishes the replica. It is not sent to other nodes.
+	Evacuated bool `json:",omitempty"`
 	// Sequence counts the orders that the replica has accepted. It is set only
 	// in the replica's own report.
 	Sequence uint64 `json:",omitempty"`
--- a/internal/surveyor/restoration.go
+++ b/internal/surveyor/restoration.go
@@ -43,6 +43,7 @@
 	}
 	c.RetainedUntil = now.Add(reregistrationTime)
 	c.NodesRetainedUntil = now.Add(2*c.maxNodesAge() + reregistrationTime)
+	c.retainEvacuations(now)
 	return []Effect{
 		Note{Text: "store was restored from an older copy", Source: "store", Position: sequencer.Position{Era: era}},
 		StoreRestored{Era: era},
--- a/internal/surveyor/source.go
+++ b/internal/surveyor/source.go
@@ -83,16 +83,21 @@
 	if s.Reading {
 		return time.Time{}
 	}
+	return later(s.CurrentAsOf.Add(maxAge), s.LastReadAt.Add(c.retryDelay(s, maxAge, maxRetryInterval)))
+}
+
+// retryDelay returns the minimum time between two reads of a source, at most maxRetry.
+func (c *Controller) retryDelay(s Source, maxAge, maxRetry time.Duration) time.Duration {
 	retry := retryInterval
 	switch {
 	case c.readsForOthers():
 		retry = min(maxAge, retryInterval)
 	case !c.Candidate:
 		for range s.Failures - 1 {
-			retry = min(2*retry, maxRetryInterval)
+			retry = min(2*retry, maxRetry)
 		}
 	}
-	return later(s.CurrentAsOf.Add(maxAge), s.LastReadAt.Add(retry))
+	return retry
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/surveyor/task.go
+++ b/internal/surveyor/task.go
@@ -21,6 +21,9 @@
 	Replicas(ctx context.Context) ([]Replica, uint64, error)
 	// Nodes returns a list that may be seconds old if allowStale is set.
 	Nodes(ctx context.Context, allowStale bool) ([]Node, uint64, error)
+	// Evacuations returns the sorted names of the evacuated data centres. It is called
+	// only if the settings have a bound for evacuations.
+	Evacuations(ctx context.Context) ([]string, uint64, error)
 }
 
 // Settings configures a node's surveyor.
@@ -81,6 +84,11 @@
 			found, era, err := t.settings.Store.Nodes(ctx, effect.AllowStale)
 			return NodesRead{StartedAt: startedAt, Failed: err != nil, Era: era, Nodes: found}
 		})
+	case ReadEvacuations:
+		handle.Start(func(ctx context.Context) Message {
+			found, era, err := t.settings.Store.Evacuations(ctx)
+			return EvacuationsRead{StartedAt: startedAt, Failed: err != nil, Era: era, DataCentres: found}
+		})
 	default:
 		t.settings.Publish(effect)
 	}
