--- a/internal/balancer/availability.go
+++ b/internal/balancer/availability.go
@@ -16,7 +16,7 @@
 // needs is in progress.
 func (c *Controller) isLoading(need Need) bool {
 	for _, replica := range c.Replicas {
-		if replica.Description.Service == need.Service && !replica.isLeaving() {
+		if replica.Description.Service == need.Service && !replica.isExcluded() {
 			if _, ok := replica.loadEndsAt(modelKey{need.Model, need.Adapter}); ok {
 				return true
 			}
@@ -29,7 +29,7 @@
 // that the request needs and takes requests before it is given up.
 func (c *Controller) isLoaded(need Need) bool {
 	for _, replica := range c.Replicas {
-		if replica.Description.Service == need.Service && !replica.isLeaving() && !replica.isClosed(need.GiveUpAt) && replica.Description.Has(need.Model, need.Adapter) {
+		if replica.Description.Service == need.Service && !replica.isExcluded() && !replica.isClosed(need.GiveUpAt) && replica.Description.Has(need.Model, need.Adapter) {
 			return true
 		}
 	}
@@ -41,7 +41,7 @@
 func (c *Controller) allFull(now time.Time, need Need) bool {
 	found := false
 	for _, replica := range c.Replicas {
-		if replica.Description.Service != need.Service || replica.isLeaving() || !replica.Description.Has(need.Model, need.Adapter) {
+		if replica.Description.Service != need.Service || replica.isExcluded() || !replica.Description.Has(need.Model, need.Adapter) {
 			continue
 		}
 		if !replica.isFull() && !replica.isAtLimit(now) && !replica.isClosed(now) {
@@ -53,16 +53,23 @@
 }
 
 // canContinue reports whether a replica of the version that began a stream has its model or
-// is loading it. No model is loaded for the rest of a stream.
+// is loading it. No model is loaded for the rest of a stream, but what only evacuated
+// replicas hold is loaded elsewhere in any case.
 func (c *Controller) canContinue(now time.Time, need Need) bool {
 	key := modelKey{need.Model, need.Adapter}
+	evacuated, elsewhere := false, false
 	for _, replica := range c.Replicas {
 		if replica.Description.Service != need.Service || replica.Description.Version != need.Version || replica.isLeaving() {
 			continue
 		}
+		if replica.Description.Evacuated {
+			evacuated = evacuated || replica.Description.Has(need.Model, need.Adapter)
+			continue
+		}
+		elsewhere = true
 		if _, loading := replica.loadEndsAt(key); loading || replica.canServe(now, key) {
 			return true
 		}
 	}
-	return false
+	return evacuated && elsewhere && c.ordersAllowed(now)
 }
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -78,7 +78,7 @@
 
 func (c *Controller) isUsable(now time.Time, replica *Replica, need Need, key modelKey) bool {
 	switch {
-	case replica.Description.Service != need.Service, replica.isLeaving():
+	case replica.Description.Service != need.Service, replica.isExcluded():
 		return false
 	case !c.fits(need, replica.Description.Version):
 		return false
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -264,6 +264,8 @@
 		return &Refusal{Reason: "too many requests wait", RetryAfter: overloadRetryAfter}
 	case !c.hasService(need.Service):
 		return &Refusal{Reason: "service has no replicas", RetryAfter: overloadRetryAfter}
+	case c.evacuated(need.Service) != nil:
+		return c.evacuated(need.Service)
 	case need.Continued && !c.canContinue(now, need):
 		return &Refusal{Reason: "no replica of the version that began the stream has the model"}
 	}
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -183,6 +183,8 @@
 type Refusal struct {
 	Reason     string
 	RetryAfter time.Duration
+	// Evacuated is set if only replicas in evacuated data centres are left.
+	Evacuated bool `json:",omitempty"`
 }
 
 // NewDemand signals that a request waits for a model or adapter that is not
--- a/internal/balancer/notice.go
+++ b/internal/balancer/notice.go
@@ -139,7 +139,7 @@
 	var reopensAt time.Time
 	for _, replica := range c.Replicas {
 		switch {
-		case replica.Description.Service != need.Service, replica.isLeaving():
+		case replica.Description.Service != need.Service, replica.isExcluded():
 		case !replica.isClosed(need.GiveUpAt):
 			return nil
 		case reopensAt.IsZero() || replica.Notice.ReopensAt.Before(reopensAt):
--- a/internal/filter/verdict.go
+++ b/internal/filter/verdict.go
@@ -77,6 +77,7 @@
 	StreamBroken        Reason = "stream-broken"
 	Quarantined         Reason = "quarantined"
 	OriginUnknown       Reason = "origin-unknown"
+	Evacuated           Reason = "evacuated"
 )
 
 // Refusal describes why a request was not answered and whether it ran.
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -98,7 +98,11 @@
 
 // placementRefused ends a request for which the balancer has no replica.
 func (j *job) placementRefused(refusal balancer.Refusal) filter.Verdict {
-	return j.endAndRetryAfter(filter.NoEndpoint, refusal.Reason, refusal.RetryAfter)
+	reason := filter.NoEndpoint
+	if refusal.Evacuated {
+		reason = filter.Evacuated
+	}
+	return j.endAndRetryAfter(reason, refusal.Reason, refusal.RetryAfter)
 }
 
 // endAndRetryAfter ends a request like end. If the request has not run, the caller may
