--- a/internal/planner/adapters.go
+++ b/internal/planner/adapters.go
@@ -16,7 +16,7 @@
 	var best *Endpoint
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Entry.Service != key.Service || e.Entry.Leaving || !e.Synced || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || e.isExcluded() || !e.Synced || c.index.suspects[id] {
 			continue
 		}
 		if e.holdsAdapter(key.Model, key.Adapter) {
@@ -39,6 +39,20 @@
 // queueAdapter queues the load of an adapter, preceded by the unload of the least
 // recently used one if slots or memory run short.
 func (c *Controller) queueAdapter(e *Endpoint, engine *resolver.Engine, key DemandKey) []Effect {
+	if e.lacksAdapterRoom(engine, key.Model) {
+		victim, ok := e.leastRecentlyUsedAdapter()
+		if !ok {
+			return nil
+		}
+		e.Queue = append(e.Queue, victim)
+	}
+	c.Tenure.TableStale = true
+	e.Queue = append(e.Queue, Order{Load: true, Model: key.Model, Adapter: key.Adapter})
+	return []Effect{Note{Text: "adapter load planned", Replica: e.Entry.ID, Model: key.Model + "/" + key.Adapter}}
+}
+
+// lacksAdapterRoom reports whether slots or memory run short for another adapter of a model.
+func (e *Endpoint) lacksAdapterRoom(engine *resolver.Engine, model string) bool {
 	planned := e.adapterCount()
 	for _, order := range e.Queue {
 		switch {
@@ -50,16 +64,7 @@
 		}
 	}
 	free := engine.MemoryMB - e.memoryUsed(engine)
-	if planned+adapterReserve >= engine.AdapterSlots || free < 2*engine.Models[key.Model].AdapterMB {
-		victim, ok := e.leastRecentlyUsedAdapter()
-		if !ok {
-			return nil
-		}
-		e.Queue = append(e.Queue, victim)
-	}
-	c.Tenure.TableStale = true
-	e.Queue = append(e.Queue, Order{Load: true, Model: key.Model, Adapter: key.Adapter})
-	return []Effect{Note{Text: "adapter load planned", Replica: e.Entry.ID, Model: key.Model + "/" + key.Adapter}}
+	return planned+adapterReserve >= engine.AdapterSlots || free < 2*engine.Models[model].AdapterMB
 }
 
 // leastRecentlyUsedAdapter returns the order that unloads the least recently used
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -46,6 +46,10 @@
 	StoreEra  uint64
 	Nodes     []surveyor.Node
 	NodesAsOf time.Time
+	// Evacuated are the evacuated data centres, sorted. They are not known while
+	// EvacuationsAsOf is zero.
+	Evacuated       []string
+	EvacuationsAsOf time.Time
 	// Versions are the software versions that this node knows of.
 	Versions *resumer.Register
 
@@ -128,6 +132,8 @@
 		c.Versions.MarkStored(message.Services)
 	case NodesListed:
 		c.handleNodesListed(message)
+	case EvacuationsListed:
+		c.handleEvacuationsListed(message)
 	case OrderResult:
 		effects = c.handleOrderResult(now, message)
 	case StateRead:
@@ -233,10 +239,10 @@
 	endpoint := c.Tenure.Endpoints[replica.ID]
 	if endpoint == nil || endpoint.Entry.StartedMS != replica.StartedMS {
 		c.Tenure.SortedIDs = nil
-		c.Tenure.Endpoints[replica.ID] = &Endpoint{Entry: replica, ReadAt: later(now, c.Tenure.OrdersAllowedAt.Add(-stateReadLead))}
+		c.Tenure.Endpoints[replica.ID] = &Endpoint{Entry: replica, Evacuated: c.isEvacuated(replica), ReadAt: later(now, c.Tenure.OrdersAllowedAt.Add(-stateReadLead))}
 		return []Effect{Note{Text: "replica joined the list", Replica: replica.ID}}
 	}
-	endpoint.Entry = replica
+	endpoint.Entry, endpoint.Evacuated = replica, c.isEvacuated(replica)
 	return nil
 }
 
--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -74,10 +74,13 @@
 }
 
 // modelsWithCopies returns the models that some replica has loaded, is to load or
-// can load without the weight store.
+// can load without the weight store. Replicas in evacuated data centres do not count.
 func (c *Controller) modelsWithCopies() map[ModelKey]bool {
 	copied := map[ModelKey]bool{}
 	for _, e := range c.Tenure.Endpoints {
+		if e.Evacuated {
+			continue
+		}
 		for _, names := range [][]string{e.heldModels(), e.InMemory, e.OnDisk} {
 			for _, name := range names {
 				copied[ModelKey{e.Entry.Service, name}] = true
@@ -137,7 +140,9 @@
 }
 
 // prefetchTarget returns the idle replica that has the fewest copies on disk and
-// can make room for the model, with the models to unload there.
+// can make room for the model, with the models to unload there. While data centres are
+// evacuated, none is unloaded: the disks that are left may be too small for all models, and
+// copies that displace each other would cost what requests use.
 func (c *Controller) prefetchTarget(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model) (*Endpoint, []string) {
 	var best *Endpoint
 	var bestVictims []string
@@ -147,6 +152,9 @@
 			continue
 		}
 		victims, _, ok := c.selectVictims(now, e, engine, model, false)
+		if len(c.Evacuated) > 0 && len(victims) > 0 {
+			continue
+		}
 		if ok && (best == nil || len(e.OnDisk) < len(best.OnDisk)) {
 			best, bestVictims = e, victims
 		}
--- a/internal/planner/endpoint.go
+++ b/internal/planner/endpoint.go
@@ -22,6 +22,8 @@
 type Endpoint struct {
 	// Entry is the replica's entry in the store.
 	Entry surveyor.Replica
+	// Evacuated is set if the data centre of the replica is evacuated.
+	Evacuated bool
 	// Synced reports whether Models, InMemory and OnDisk match the state of the
 	// replica at Sequence.
 	Synced   bool
@@ -88,7 +90,7 @@
 
 // idle reports whether a sequence of orders may be planned for the endpoint.
 func (e *Endpoint) idle() bool {
-	return e.Synced && !e.Entry.Leaving && e.Sending == nil && e.Running == nil && len(e.Queue) == 0
+	return e.Synced && !e.isExcluded() && e.Sending == nil && e.Running == nil && len(e.Queue) == 0
 }
 
 // holdsOrLoads reports whether the endpoint has loaded a model, or will have
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -77,6 +77,13 @@
 	CurrentAsOf time.Time
 }
 
+// EvacuationsListed delivers the evacuated data centres in the store as of CurrentAsOf,
+// sorted.
+type EvacuationsListed struct {
+	DataCentres []string
+	CurrentAsOf time.Time
+}
+
 // ReportReceived delivers a node's report. It is answered with an Answer.
 type ReportReceived struct {
 	Call   runner.Call
@@ -114,6 +121,7 @@
 func (ConfigurationChanged) isMessage() {}
 func (ReplicasListed) isMessage()       {}
 func (NodesListed) isMessage()          {}
+func (EvacuationsListed) isMessage()    {}
 func (ReportReceived) isMessage()       {}
 func (OrderResult) isMessage()          {}
 func (StateRead) isMessage()            {}
--- a/internal/planner/notices.go
+++ b/internal/planner/notices.go
@@ -114,7 +114,7 @@
 // leaving.
 func (c *Controller) hasUnlimitedReplica(service string) bool {
 	for _, e := range c.Tenure.Endpoints {
-		if e.Entry.Service == service && !e.Entry.Leaving && !c.hasLimit(e) {
+		if e.Entry.Service == service && !e.isExcluded() && !c.hasLimit(e) {
 			return true
 		}
 	}
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -49,7 +49,7 @@
 }
 
 func (e *Endpoint) nextReadAt() time.Time {
-	if e.Synced || e.Reading {
+	if e.Synced || e.Reading || e.Evacuated {
 		return time.Time{}
 	}
 	return e.ReadAt
@@ -57,6 +57,10 @@
 
 // sendNext starts the next state read or order of an endpoint if one is due.
 func (c *Controller) sendNext(now time.Time, id string, e *Endpoint) []Effect {
+	if e.Evacuated && len(e.Queue) > 0 {
+		e.Queue, c.Tenure.TableStale = nil, true
+		return []Effect{Note{Text: "orders dropped: data centre evacuated", Replica: id}}
+	}
 	if due := e.nextReadAt(); !due.IsZero() && !now.Before(due) {
 		e.Reading = true
 		return []Effect{ReadState{Replica: id, Address: e.Entry.Address}}
@@ -210,7 +214,7 @@
 		return nil
 	case operation.Tier == FromStore && operation.Adapter == "":
 		e.Running.EndsAt = now.Add(storeLoadRecheckInterval)
-		if !e.Reading {
+		if !e.Reading && !e.Evacuated {
 			e.Reading = true
 			return []Effect{ReadState{Replica: id, Address: e.Entry.Address}}
 		}
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -167,12 +167,10 @@
 func (c *Controller) recordUses(now time.Time, report Report) {
 	for _, use := range report.Uses {
 		key := ModelKey{use.Service, use.Model}
-		rate := c.Tenure.Rates[key]
-		if rate == nil {
-			rate = &Rate{}
-			c.Tenure.Rates[key] = rate
+		addUse(now, c.Tenure.Rates, key, use)
+		if use.Adapter != "" && !c.EvacuationsAsOf.IsZero() {
+			addUse(now, c.Tenure.AdapterRates, DemandKey{key, use.Adapter}, use)
 		}
-		rate.add(now, use.Count, use.Tokens)
 		for _, endpoint := range c.Tenure.Endpoints {
 			if resident := endpoint.Models[use.Model]; resident != nil && endpoint.Entry.Service == use.Service {
 				resident.UsedAt = now
@@ -184,6 +182,16 @@
 	}
 }
 
+// addUse adds requests to the rate of what they used.
+func addUse[K comparable](now time.Time, rates map[K]*Rate, key K, use Use) {
+	rate := rates[key]
+	if rate == nil {
+		rate = &Rate{}
+		rates[key] = rate
+	}
+	rate.add(now, use.Count, use.Tokens)
+}
+
 // hasRunningRequests reports whether requests for a model are running on a
 // replica.
 func (c *Controller) hasRunningRequests(e *Endpoint, model string) bool {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -69,7 +69,7 @@
 		index.demanded[key.ModelKey] = true
 	}
 	for _, e := range c.Tenure.Endpoints {
-		if !e.Synced || e.Entry.Leaving {
+		if !e.Synced || e.isExcluded() {
 			continue
 		}
 		for _, name := range e.heldModels() {
@@ -108,6 +108,7 @@
 		return effects
 	}
 	c.Tenure.CopiesPlannedAt = now
+	effects = append(effects, c.planEvacuated(now)...)
 	effects = append(effects, c.planExtraReplicas(now)...)
 	return append(effects, c.planPrefetch(now)...)
 }
@@ -124,7 +125,7 @@
 // requests wait for.
 func (c *Controller) satisfied(key DemandKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || e.Entry.Leaving || !e.Synced || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || e.isExcluded() || !e.Synced || c.index.suspects[id] {
 			continue
 		}
 		if resident := e.Models[key.Model]; resident != nil && !e.unloading(key.Model) {
@@ -183,7 +184,7 @@
 // room.
 func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, engine *resolver.Engine, model resolver.Model) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || e.Entry.Leaving || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || e.isExcluded() || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
 			continue
 		}
 		if _, _, hasRoom := c.selectVictims(now.Add(minResidency), e, engine, model, false); hasRoom || !e.idle() {
@@ -197,7 +198,7 @@
 // a model.
 func (c *Controller) hasHealthyHolder(key ModelKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service == key.Service && e.Synced && !e.Entry.Leaving && e.holdsOrLoads(key.Model) && !c.index.suspects[id] {
+		if e.Entry.Service == key.Service && e.Synced && !e.isExcluded() && e.holdsOrLoads(key.Model) && !c.index.suspects[id] {
 			return true
 		}
 	}
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -193,6 +193,11 @@
 	ConfigurationAge      time.Duration
 	ReplicasAge           time.Duration
 	NodesAge              time.Duration
+	// Evacuated are the evacuated data centres. EvacuationsKnown is not set if the holder
+	// does not know them.
+	Evacuated        []string      `json:",omitempty"`
+	EvacuationsKnown bool          `json:",omitempty"`
+	EvacuationsAge   time.Duration `json:",omitempty"`
 	// OrdersAllowedIn is the time until the holder may send orders, or 0 if it may
 	// do so already.
 	OrdersAllowedIn time.Duration `json:"OrdersIn"`
@@ -216,4 +221,8 @@
 	ConfigurationAge      time.Duration
 	ReplicasAge           time.Duration
 	Replicas              []surveyor.Replica `json:",omitempty"`
+	// Evacuated, EvacuationsKnown and EvacuationsAge are as in State.
+	Evacuated        []string      `json:",omitempty"`
+	EvacuationsKnown bool          `json:",omitempty"`
+	EvacuationsAge   time.Duration `json:",omitempty"`
 }
--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -15,6 +15,9 @@
 	EvictSpares bool
 	// AvoidLimits excludes replicas that have named a limit.
 	AvoidLimits bool
+	// MayEvict reports whether a model may be unloaded. nil stands for all those that need
+	// not be kept.
+	MayEvict func(e *Endpoint, model string) bool
 }
 
 // cheapestReplica returns the idle replica that can load a model at the lowest
@@ -30,7 +33,7 @@
 			continue
 		}
 		victims, loss, ok := c.selectVictims(now, e, engine, model, rule.EvictSpares)
-		if !ok {
+		if !ok || rule.MayEvict != nil && slices.ContainsFunc(victims, func(victim string) bool { return !rule.MayEvict(e, victim) }) {
 			continue
 		}
 		cost := loadTime(model, e.tier(model.Name)) + loss
@@ -130,7 +133,7 @@
 // replica of the service that the model would never fit.
 func (c *Controller) filledByBusyModels(key ModelKey, engine *resolver.Engine, model resolver.Model) bool {
 	for _, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || e.Entry.Leaving {
+		if e.Entry.Service != key.Service || e.isExcluded() {
 			continue
 		}
 		available := engine.MemoryMB - e.memoryUsed(engine)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -107,6 +107,9 @@
 	if c.Configuration != nil {
 		common.ConfigurationEra, common.ConfigurationRevision = c.Configuration.Era, c.Configuration.Revision
 	}
+	if !c.EvacuationsAsOf.IsZero() {
+		common.Evacuated, common.EvacuationsKnown, common.EvacuationsAge = c.Evacuated, true, now.Sub(c.EvacuationsAsOf)
+	}
 	for i, workspace := range t.Workspaces {
 		common.Spent[i] = t.Totals.Consumed[workspace]
 	}
@@ -192,16 +195,19 @@
 			ReplicasAge:           now.Sub(c.ReplicasAsOf),
 			Replicas:              viewReplicas(c.Replicas),
 		}
+		if !c.EvacuationsAsOf.IsZero() {
+			c.View.Evacuated, c.View.EvacuationsKnown, c.View.EvacuationsAge = c.Evacuated, true, now.Sub(c.EvacuationsAsOf)
+		}
 	}
 	return Answer{View: c.View, StateAge: now.Sub(c.ViewCreatedAt)}
 }
 
 // viewReplicas returns the replicas without the lists of copies, which only the
-// holder needs.
+// holder needs, and without the marks that each node makes itself.
 func viewReplicas(replicas []surveyor.Replica) []surveyor.Replica {
 	view := slices.Clone(replicas)
 	for i := range view {
-		view[i].InMemory, view[i].OnDisk = nil, nil
+		view[i].InMemory, view[i].OnDisk, view[i].Evacuated = nil, nil, false
 	}
 	return view
 }
--- a/internal/planner/table.go
+++ b/internal/planner/table.go
@@ -78,7 +78,7 @@
 func (c *Controller) table(now time.Time) []surveyor.Replica {
 	table := make([]surveyor.Replica, 0, len(c.Replicas))
 	for _, replica := range c.Replicas {
-		replica.InMemory, replica.OnDisk = nil, nil
+		replica.InMemory, replica.OnDisk, replica.Evacuated = nil, nil, false
 		replica.Leaving = replica.Leaving || c.hasAnnouncedLeaving(replica)
 		if endpoint := c.Tenure.Endpoints[replica.ID]; endpoint != nil && endpoint.Synced {
 			replica.Models, replica.Pending = endpoint.publishedModels(), endpoint.pendingLoads(now)
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -53,6 +53,9 @@
 	InheritedCallers []Caller
 	Demand           map[DemandKey]*PendingDemand
 	Rates            map[ModelKey]*Rate
+	// AdapterRates are the rates of adapters. They are counted only where data centres may
+	// be evacuated.
+	AdapterRates map[DemandKey]*Rate
 	// SaturatedAt is when a node last reported all replicas of a model as full.
 	SaturatedAt map[ModelKey]time.Time
 	// Prompts is the evidence against parts of prompts that crash replicas.
@@ -130,6 +133,7 @@
 		InheritedCallers: callers,
 		Demand:           map[DemandKey]*PendingDemand{},
 		Rates:            map[ModelKey]*Rate{},
+		AdapterRates:     map[DemandKey]*Rate{},
 		SaturatedAt:      map[ModelKey]time.Time{},
 		Prompts:          screener.NewEvidence(),
 		Notices:          map[string]*notice{},
--- a/internal/planner/world_test.go
+++ b/internal/planner/world_test.go
@@ -185,6 +185,9 @@
 	if replica.lastHolder != "" && replica.lastHolder != node.name && w.now.Sub(replica.orderedAt) < worldOrderSpacing {
 		w.addProblem("order spacing violated: %s sends an order to %s %v after %s", node.name, replica.id, w.now.Sub(replica.orderedAt), replica.lastHolder)
 	}
+	if effect.Order.Load && slices.Contains(node.controller.Evacuated, replica.id) {
+		w.addProblem("%s orders a load of %s at %s, which it knows to be evacuated", node.name, effect.Order.Model, replica.id)
+	}
 	replica.lastHolder, replica.orderedAt = node.name, w.now
 	outcome := w.execute(replica, effect.Order)
 	w.send(node, OrderResult{Replica: effect.Replica, Order: effect.Order, Outcome: outcome})
@@ -284,7 +287,7 @@
 }
 
 func (w *world) replicaState(replica *worldReplica) surveyor.Replica {
-	state := surveyor.Replica{ID: replica.id, StartedMS: replica.born, Service: worldService, Address: replica.id, Slots: 24, Sequence: replica.sequence, OnDisk: slices.Clone(replica.onDisk)}
+	state := surveyor.Replica{ID: replica.id, StartedMS: replica.born, Service: worldService, Address: replica.id, DataCentre: replica.id, Slots: 24, Sequence: replica.sequence, OnDisk: slices.Clone(replica.onDisk)}
 	for name, adapters := range replica.models {
 		loaded := surveyor.LoadedModel{Name: name}
 		for adapter := range adapters {
