--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -39,7 +39,11 @@
 		n.logPostError("planner", n.planner.Post(planner.ConfigurationChanged{Configuration: effect.Configuration, CurrentAsOf: effect.CurrentAsOf}))
 	case surveyor.PublishStoreReplicas:
 		n.logPostError("planner", n.planner.Post(planner.ReplicasListed{Replicas: effect.Replicas, Era: effect.Era, CurrentAsOf: effect.CurrentAsOf}))
+	case surveyor.PublishEvacuations:
+		n.view.evacuated.Store(&effect.DataCentres)
+		n.logPostError("planner", n.planner.Post(planner.EvacuationsListed{DataCentres: effect.DataCentres, CurrentAsOf: effect.CurrentAsOf}))
 	case surveyor.PublishReplicas:
+		n.view.evacuatedReplicas.Store(countEvacuated(effect.Replicas))
 		n.logPostError("balancer", n.balancer.Post(balancer.SetReplicas{Replicas: effect.Replicas}))
 	case surveyor.PublishNodes:
 		n.setNodes(effect)
@@ -164,6 +168,9 @@
 			ConfigurationAge:      effect.View.ConfigurationAge,
 			ReplicasAge:           effect.View.ReplicasAge,
 			Replicas:              effect.View.Replicas,
+			Evacuated:             effect.View.Evacuated,
+			EvacuationsKnown:      effect.View.EvacuationsKnown,
+			EvacuationsAge:        effect.View.EvacuationsAge,
 		}))
 	case syncer.SetActing:
 		if effect.Acting && n.draining.Load() {
@@ -204,6 +211,9 @@
 		ConfigurationAge:      state.ConfigurationAge,
 		ReplicasAge:           state.ReplicasAge,
 		NodesAge:              state.NodesAge,
+		Evacuated:             state.Evacuated,
+		EvacuationsKnown:      state.EvacuationsKnown,
+		EvacuationsAge:        state.EvacuationsAge,
 		Full:                  state.Full,
 		Replicas:              state.Replicas,
 		Updates:               state.Updates,
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -114,6 +114,9 @@
 	if configuration, _ := n.view.Configuration(); configuration != nil {
 		fields["Version"], fields["Revision"], fields["Era"] = configuration.Version, configuration.Revision, configuration.Era
 	}
+	if note.DataCentre != "" {
+		fields["DataCentre"] = note.DataCentre
+	}
 	if note.Version != 0 {
 		fields["Version"] = note.Version
 	}
@@ -167,6 +170,12 @@
 		{"toucanhitch.callers", "Nodes that are named to callers.", func() float64 {
 			return float64(len(n.view.holderCallers(n.clock.Now())))
 		}},
+		{"toucanhitch.evacuations", "Data centres that are evacuated, as far as the node knows.", func() float64 {
+			return float64(n.view.countEvacuations())
+		}},
+		{"toucanhitch.replicas.evacuated", "Replicas in evacuated data centres.", func() float64 {
+			return float64(n.view.evacuatedReplicas.Load())
+		}},
 		{"toucanhitch.log.dropped", "Log lines that were dropped because the output was too slow.", func() float64 {
 			return float64(n.settings.Dropped())
 		}},
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -210,6 +210,7 @@
 	return surveyor.Bounds{
 		ApplyWithin:       min(bounds.ApplyWithin, bounds.RevokeWithin-transitMargin+keyReadMargin),
 		DrainWithin:       bounds.DrainWithin,
+		EvacuateWithin:    bounds.EvacuateWithin,
 		HeartbeatInterval: settings.HeartbeatInterval,
 	}
 }
--- a/internal/assembler/reload.go
+++ b/internal/assembler/reload.go
@@ -69,6 +69,7 @@
 	fields["Changed"] = *previous != settings.Bounds
 	startupSettings := n.settings.Settings
 	startupSettings.Bounds = settings.Bounds
+	startupSettings.Bounds.EvacuateWithin = n.settings.Bounds.EvacuateWithin
 	fields["RestartNeeded"] = startupSettings != settings
 	n.logger.WithFields(fields).Info("settings reloaded")
 }
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -216,7 +216,7 @@
 // ready reports whether callers may use this node.
 func (n *Node) ready() bool {
 	configuration, _ := n.view.Configuration()
-	return configuration != nil && !n.draining.Load()
+	return configuration != nil && !n.draining.Load() && n.knowsEvacuations()
 }
 
 // addresses returns the addresses to which callers may connect, and the
--- a/internal/assembler/view.go
+++ b/internal/assembler/view.go
@@ -18,6 +18,10 @@
 	// proofDelayedUntil is the time before which this node's own reads of the store do not
 	// prove the configuration to be the newest, nil if there is none.
 	proofDelayedUntil atomic.Pointer[time.Time]
+	// evacuated are the evacuated data centres, nil while no list is known.
+	evacuated atomic.Pointer[[]string]
+	// evacuatedReplicas is the number of replicas in evacuated data centres.
+	evacuatedReplicas atomic.Int64
 }
 
 // currentConfiguration is the configuration in force. currentAsOf is the latest
