--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -277,6 +277,8 @@
 		return &Refusal{Reason: "too many requests wait", RetryAfter: overloadRetryAfter}
 	case !c.hasService(need):
 		return &Refusal{Reason: c.noReplicas(need), RetryAfter: overloadRetryAfter}
+	case c.evacuated(need) != nil:
+		return c.evacuated(need)
 	case need.Continued && !c.canContinue(now, need):
 		return &Refusal{Reason: "no replica of the version that began the stream has the model"}
 	}
--- a/internal/planner/table.go
+++ b/internal/planner/table.go
@@ -78,7 +78,7 @@
 func (c *Controller) table(now time.Time) []surveyor.Replica {
 	table := make([]surveyor.Replica, 0, len(c.Replicas))
 	for _, replica := range c.Replicas {
-		replica.InMemory, replica.OnDisk, replica.Heartbeat = nil, nil, 0
+		replica.InMemory, replica.OnDisk, replica.Heartbeat, replica.Evacuated = nil, nil, 0, false
 		replica.ColdFor = max(0, replica.ColdFor-now.Sub(c.ReplicasAsOf))
 		replica.ColdKnown = replica.ColdKnown || c.isKnownWarm(now, replica)
 		replica.Leaving = replica.Leaving || c.hasAnnouncedLeaving(replica)
--- a/internal/surveyor/replica.go
+++ b/internal/surveyor/replica.go
@@ -26,6 +26,9 @@
 	// Unlisted is set while the store does not list the replica and it may not have
 	// registered again yet.
 	Unlisted bool `json:",omitempty"`
+	// Evacuated is set if the data centre is evacuated, as far as the node knows that
+	// publishes the replica. It is not sent to other nodes.
+	Evacuated bool `json:",omitempty"`
 	// Sequence counts the orders that the replica has accepted. It is set only
 	// in the replica's own report.
 	Sequence uint64 `json:",omitempty"`
@@ -44,8 +47,6 @@
 	// Heartbeat counts the writes of the replica's entry. It is set only in lists of the
 	// store.
 	Heartbeat uint64 `json:",omitempty"`
-	// Evacuated is set while the replica's data centre is evacuated. Each node derives it.
-	Evacuated bool `json:"-"`
 }
 
 // ReplicaUpdate replaces the fields of a known replica that change during its run.
