--- a/internal/router/chooser.go
+++ b/internal/router/chooser.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/estimator"
+)
 
 // Limits of the set of good candidates relative to the best one. The set is
 // wide enough that nodes with slightly different views do not all choose the
@@ -18,7 +22,7 @@
 	if best < 0 {
 		return -1
 	}
-	bound := scale(estimates[best].FirstToken, goodFactor) + goodMargin
+	bound := estimator.Scale(estimates[best].FirstToken, goodFactor) + goodMargin
 	good := 0
 	for _, estimate := range estimates {
 		if estimate.FirstToken <= bound {
--- a/internal/router/estimator.go
+++ b/internal/router/estimator.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/estimator"
+)
 
 // Defaults used until a speed has been measured.
 const (
@@ -75,19 +79,33 @@
 
 // EstimateGeneration estimates the time to the first token at an engine.
 func EstimateGeneration(candidate Candidate) Estimate {
-	wait := queueWait(candidate)
-	work := scale(perPromptToken(candidate), PromptWork(candidate.PromptTokens, candidate.PrefixHitProbability)+promptOverhead)
+	formula := candidate.formula()
+	formula.Running += candidate.OtherRequests
+	formula.PerPromptToken = perPromptToken(candidate)
+	formula.PromptTokens = PromptWork(candidate.PromptTokens, candidate.PrefixHitProbability)
+	formula.OverheadTokens = promptOverhead
 	if candidate.AdapterMissing {
-		work += adapterLoadTime
+		formula.Extra += adapterLoadTime
 	}
-	return Estimate{Wait: wait, FirstToken: penalizeFailures(candidate, wait+work+candidate.NetworkDelay)}
+	wait, first := formula.FirstEvent()
+	return Estimate{Wait: wait, FirstToken: first}
 }
 
 // EstimateCall estimates the time until a plain service has answered.
 func EstimateCall(candidate Candidate) Estimate {
-	serviceTime := slotDuration(candidate)
-	wait := scale(serviceTime, float64(candidate.OwnRequests)/float64(max(1, candidate.Slots)))
-	return Estimate{Wait: wait, FirstToken: penalizeFailures(candidate, wait+serviceTime+candidate.NetworkDelay)}
+	wait, first := candidate.formula().Call()
+	return Estimate{Wait: wait, FirstToken: first}
+}
+
+// formula returns what estimates of both kinds have in common.
+func (c Candidate) formula() estimator.Formula {
+	return estimator.Formula{
+		Running:      float64(c.OwnRequests),
+		Slots:        c.Slots,
+		SlotDuration: slotDuration(c),
+		Extra:        c.NetworkDelay,
+		Failures:     c.Failures,
+	}
 }
 
 // PromptWork returns the expected number of prompt tokens to compute.
@@ -95,17 +113,6 @@
 	return float64(tokens) * (1 - cachedPrefixSaving*hitProbability)
 }
 
-// queueWait returns the time until a request beyond the endpoint's slots
-// starts. On average one slot becomes free every slotDuration/slots.
-func queueWait(candidate Candidate) time.Duration {
-	slots := float64(max(1, candidate.Slots))
-	excess := float64(candidate.OwnRequests) + candidate.OtherRequests - slots + 1
-	if excess <= 0 {
-		return 0
-	}
-	return scale(slotDuration(candidate), excess/slots)
-}
-
 func slotDuration(candidate Candidate) time.Duration {
 	if candidate.Speed.SlotDuration > 0 {
 		return candidate.Speed.SlotDuration
@@ -123,11 +130,5 @@
 	case speed <= 0:
 		speed = defaultTokensPerSecond
 	}
-	return scale(time.Second, 1/(speed*prefillSpeedup))
-}
-
-// penalizeFailures raises the estimate for an endpoint that failed recently, so
-// that it gets requests again only gradually.
-func penalizeFailures(candidate Candidate, estimate time.Duration) time.Duration {
-	return estimate * time.Duration(1+min(candidate.Failures, 4))
+	return estimator.Scale(time.Second, 1/(speed*prefillSpeedup))
 }
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/estimator"
+)
 
 // smoothingFactor is the weight of one observation in a moving average: about
 // the last ten observations count.
@@ -39,26 +43,13 @@
 func (s Speed) Observe(observation Observation) Speed {
 	if observation.FirstToken > 0 {
 		work := max(observation.FirstToken-observation.ExpectedWait, observation.FirstToken/4)
-		s.PerPromptToken = MovingAverage(s.PerPromptToken, scale(work, 1/(observation.PromptTokens+promptOverhead)))
+		s.PerPromptToken = estimator.MovingAverage(s.PerPromptToken, estimator.Scale(work, 1/(observation.PromptTokens+promptOverhead)))
 	}
 	if observation.Tokens > 1 && observation.Duration > observation.FirstToken {
-		s.PerToken = MovingAverage(s.PerToken, (observation.Duration-observation.FirstToken)/time.Duration(observation.Tokens-1))
+		s.PerToken = estimator.MovingAverage(s.PerToken, (observation.Duration-observation.FirstToken)/time.Duration(observation.Tokens-1))
 	}
 	if observation.Duration > 0 {
-		s.SlotDuration = MovingAverage(s.SlotDuration, observation.Duration)
+		s.SlotDuration = estimator.MovingAverage(s.SlotDuration, observation.Duration)
 	}
 	return s
 }
-
-// MovingAverage returns the moving average of durations updated with one more
-// value. An average of zero has no values yet.
-func MovingAverage(average, value time.Duration) time.Duration {
-	if average == 0 {
-		return value
-	}
-	return average + scale(value-average, smoothingFactor)
-}
-
-func scale(duration time.Duration, factor float64) time.Duration {
-	return time.Duration(float64(duration) * factor)
-}
--- a/internal/scheduler/load_times.go
+++ b/internal/scheduler/load_times.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"toucanhitch.example/toucanhitch/internal/router"
+	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/tracker"
 )
 
@@ -125,7 +125,7 @@
 		return
 	}
 	for _, key := range []LoadTimeKey{{Model: model, Tier: load.Tier}, {Tier: load.Tier}} {
-		t.Averages[key] = router.MovingAverage(t.Averages[key], duration)
+		t.Averages[key] = estimator.MovingAverage(t.Averages[key], duration)
 	}
 }
 
