--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -8,65 +8,177 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
-// chooseReplica chooses the replica with the lowest estimated cost whose limit, if it
-// has one, allows another request, and assigns the request to it.
+const (
+	// affinityCostFactor lowers the cost of the replica that is preferred for a long prompt
+	// prefix, and maxAffinityLoad is the load up to which it is preferred: beyond that,
+	// requests that share the prefix are spread.
+	affinityCostFactor = 0.6
+	maxAffinityLoad    = 0.75
+	// suspectCostFactor raises the cost of a replica that other nodes suspect.
+	suspectCostFactor = 2
+	// limitedCostFactor raises the cost of a replica that has named a limit, so that its
+	// requests are left for models that no other replica has.
+	limitedCostFactor = 4
+	// closedElsewhereCostFactor raises the cost of a replica that wants no requests of
+	// another node, and probably takes few of this one.
+	closedElsewhereCostFactor = 4
+	// goodCostFactor and goodCostMargin are the cost, relative to the lowest, up to which a
+	// replica is a good candidate. The other nodes' requests are known 0.25 to 0.5 s late,
+	// so that lower costs than that are no reason to send all requests to one replica.
+	// Replicas at 0.45 of the usual pace are good, and get fewer requests.
+	goodCostFactor = 3
+	goodCostMargin = 10 * time.Millisecond
+)
+
+// candidate is a replica that a request may be sent to.
+type candidate struct {
+	replica  *Replica
+	estimate estimator.Estimate
+	// cost is the estimated time to the first event in nanoseconds, raised where requests
+	// are to be kept away from the replica.
+	cost float64
+	// preferred is set for the replica preferred for a long prompt prefix.
+	preferred bool
+}
+
+// chooseReplica chooses a replica whose limit, if it has one, allows another request, and
+// assigns the request to it.
 func (c *Controller) chooseReplica(now time.Time, waiter *Waiter) (Placement, bool) {
 	for {
-		best, candidates := c.cheapestReplica(now, waiter)
-		if best == nil {
+		chosen, candidates := c.pickReplica(now, waiter)
+		if chosen.replica == nil {
 			return Placement{}, false
 		}
-		if !c.takeOfLimit(now, best) {
+		replica := chosen.replica
+		if !c.takeOfLimit(now, replica) {
 			// The replica is not usable until ThrottledUntil.
 			continue
 		}
-		c.assign(best, waiter.Call, waiter.Need)
-		return Placement{
+		c.assign(now, replica, waiter.Call, waiter.Need)
+		placement := Placement{
 			ID:         waiter.Call,
-			Replica:    best.Description.ID,
-			Address:    best.Description.Address,
-			StartedMS:  best.Description.StartedMS,
-			Version:    best.Description.Version,
-			Limited:    best.Notice.RateLimit > 0,
-			Returning:  best.Notice.MaxReturning > 0,
-			Expected:   best.Latency,
+			Replica:    replica.Description.ID,
+			Address:    replica.Description.Address,
+			StartedMS:  replica.Description.StartedMS,
+			Version:    replica.Description.Version,
+			Limited:    replica.Notice.RateLimit > 0,
+			Returning:  replica.Notice.MaxReturning > 0,
 			Candidates: candidates,
 			Waited:     now.Sub(waiter.Since),
-		}, true
+		}
+		if chosen.estimate.Learnt {
+			placement.Expected, placement.ExpectedEnd = chosen.estimate.FirstEvent, chosen.estimate.End
+		}
+		return placement, true
 	}
 }
 
-// cheapestReplica returns the usable replica with the lowest estimated cost, nil if
-// there is none, and the number of usable replicas.
-func (c *Controller) cheapestReplica(now time.Time, waiter *Waiter) (*Replica, int) {
+// pickReplica picks one of the good candidates. Its replica is nil if none is usable. It
+// also returns the number of usable replicas.
+func (c *Controller) pickReplica(now time.Time, waiter *Waiter) (candidate, int) {
 	need := waiter.Need
 	key := modelKey{need.Model, need.Adapter}
-	var best *Replica
-	bestCost := math.Inf(1)
-	bestSuspect := false
-	candidates := 0
-	affinityID := c.affinityReplica(now, need, key)
+	c.candidates = c.candidates[:0]
+	usable, onlySuspects := 0, true
 	avoidanceOver := now.Sub(waiter.Since) > avoidanceTimeout
-	for _, id := range c.sortedIDs() {
-		replica := c.Replicas[id]
+	for _, replica := range c.holders(need.Service, need.Model) {
+		if !c.isUsable(now, replica, need, key) {
+			continue
+		}
 		suspect := replica.isSuspect(now)
-		if !c.isUsable(now, replica, need, key) || !avoidanceOver && c.shouldAvoid(now, need, id, suspect) {
+		if !avoidanceOver && c.shouldAvoid(now, need, replica.Description.ID, suspect) {
 			continue
 		}
-		candidates++
-		cost := c.cost(now, replica) * (1 + costJitter*c.Random.Float64())
-		if id == affinityID {
-			cost *= affinityCostFactor
+		usable++
+		if onlySuspects && !suspect {
+			onlySuspects, c.candidates = false, c.candidates[:0]
 		}
-		if best == nil || bestSuspect && !suspect || suspect == bestSuspect && cost < bestCost {
-			best, bestCost, bestSuspect = replica, cost, suspect
+		if suspect == onlySuspects {
+			c.candidates = append(c.candidates, candidate{replica: replica})
 		}
 	}
-	return best, candidates
+	if len(c.candidates) == 0 {
+		return candidate{}, 0
+	}
+	c.reviewOverdue(now)
+	reference := c.Estimator.Reference(need.work())
+	affinityID := c.affinityReplica(now, need, key)
+	for i := range c.candidates {
+		one := &c.candidates[i]
+		one.estimate = reference.At(now, one.replica.Speed, one.replica.currentLoad())
+		one.cost = one.replica.cost(now, one.estimate)
+		one.preferred = one.replica.Description.ID == affinityID && one.replica.load() < maxAffinityLoad
+	}
+	return c.drawCandidate(need.LateAt.Sub(now)), usable
+}
+
+// drawCandidate draws one of the good candidates. Each one's probability is in proportion to
+// its free capacity and to its speed, so that nodes which do not know of each other's
+// requests yet spread them together. lateIn is the time until the request is late.
+func (c *Controller) drawCandidate(lateIn time.Duration) candidate {
+	lowest, inTime := math.Inf(1), false
+	for _, one := range c.candidates {
+		lowest = min(lowest, one.cost)
+		inTime = inTime || one.estimate.FirstEvent <= lateIn
+	}
+	bound := goodCostFactor*lowest + float64(goodCostMargin)
+	total, good := 0.0, 0
+	for i := range c.candidates {
+		one := &c.candidates[i]
+		if one.preferred && one.cost*affinityCostFactor <= lowest {
+			return *one
+		}
+		if one.cost > bound || inTime && one.estimate.Known && one.estimate.FirstEvent > lateIn {
+			continue
+		}
+		c.candidates[good] = *one
+		good++
+		total += one.weight()
+	}
+	if good == 1 {
+		return c.candidates[0]
+	}
+	rest := c.Random.Float64() * total
+	for _, one := range c.candidates[:good-1] {
+		if rest -= one.weight(); rest < 0 {
+			return one
+		}
+	}
+	return c.candidates[good-1]
+}
+
+// weight returns the candidate's weight in a draw.
+func (o *candidate) weight() float64 { return o.replica.free() / o.cost }
+
+// holderKey identifies a model of a service. The model is empty for plain services.
+type holderKey struct{ service, model string }
+
+// holders returns the replicas of the service that have the model or are loading it, sorted
+// by ID.
+func (c *Controller) holders(service, model string) []*Replica {
+	key := holderKey{service, model}
+	if holders, ok := c.Holders[key]; ok {
+		return holders
+	}
+	var holders []*Replica
+	for _, id := range c.sortedIDs() {
+		if replica := c.Replicas[id]; replica.Description.Service == service && (model == "" || replica.mayHave(model)) {
+			holders = append(holders, replica)
+		}
+	}
+	if c.Holders == nil {
+		c.Holders = map[holderKey][]*Replica{}
+	}
+	if len(holders) > 0 {
+		// Callers may name any number of models that no replica has.
+		c.Holders[key] = holders
+	}
+	return holders
 }
 
 // shouldAvoid reports whether a request should wait rather than be sent to the
@@ -102,20 +214,17 @@
 	return !need.Stream || !limited || slices.Contains(versions, version)
 }
 
-// cost estimates the time to the first byte, in arbitrary units.
-func (c *Controller) cost(now time.Time, replica *Replica) float64 {
-	latency := replica.Latency
-	if latency == 0 {
-		latency = unknownLatency
-	}
-	cost := float64(latency) * (1 + 3*replica.load()) * (1 + replica.failures(now))
-	if now.Before(replica.SuspectedUntil) {
+// cost returns the estimated time to the first event, raised where requests are to be kept
+// away from the replica.
+func (r *Replica) cost(now time.Time, estimate estimator.Estimate) float64 {
+	cost := float64(max(estimate.FirstEvent, 1)) * (1 + r.failures(now))
+	if now.Before(r.SuspectedUntil) {
 		cost *= suspectCostFactor
 	}
-	if replica.Notice.RateLimit > 0 {
+	if r.Notice.RateLimit > 0 {
 		cost *= limitedCostFactor
 	}
-	if now.Before(replica.Notice.ClosedElsewhereUntil) {
+	if now.Before(r.Notice.ClosedElsewhereUntil) {
 		cost *= closedElsewhereCostFactor
 	}
 	return cost
@@ -129,8 +238,9 @@
 		return ""
 	}
 	first, firstWeight := "", uint64(0)
-	for _, id := range c.sortedIDs() {
-		if !c.isUsable(now, c.Replicas[id], need, key) {
+	for _, replica := range c.holders(need.Service, need.Model) {
+		id := replica.Description.ID
+		if !c.isUsable(now, replica, need, key) {
 			continue
 		}
 		if weight := xxhash.Sum64String(need.Affinity + "\x00" + id); first == "" || weight > firstWeight {
@@ -149,13 +259,15 @@
 	return c.SortedIDs
 }
 
-func (c *Controller) assign(replica *Replica, id runner.Call, need Need) {
+func (c *Controller) assign(now time.Time, replica *Replica, id runner.Call, need Need) {
 	returning := replica.Notice.MaxReturning > 0
 	if returning {
 		replica.Notice.Returning++
 	}
-	c.Assignments[id] = &assignment{replica, need, returning}
+	c.Assignments[id] = &assignment{replica: replica, need: need, returning: returning, sentAt: now, load: replica.currentLoad()}
+	replica.TokensAhead += need.PromptTokens
 	replica.Running[need.Model]++
+	replica.RunningTotal++
 	if need.Model == "" {
 		return
 	}
--- a/internal/balancer/collect.go
+++ b/internal/balancer/collect.go
@@ -35,6 +35,7 @@
 	answer.Demands = c.demands(now)
 	answer.RateLimits, answer.Sent = c.collectLimits(now)
 	answer.Notices = c.collectNotices(now)
+	answer.Speeds, answer.Paces = c.Estimator.Collect()
 	return answer
 }
 
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -5,29 +5,13 @@
 	"slices"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
 const (
-	// unknownLatency is the assumed latency of a replica that has not answered
-	// yet.
-	unknownLatency = 50 * time.Millisecond
-	// affinityCostFactor lowers the cost of the replica that is preferred for a
-	// long prompt prefix.
-	affinityCostFactor = 0.6
-	// suspectCostFactor raises the cost of a replica that other nodes suspect.
-	suspectCostFactor = 2
-	// limitedCostFactor raises the cost of a replica that has named a limit, so that its
-	// requests are left for models that no other replica has.
-	limitedCostFactor = 4
-	// closedElsewhereCostFactor raises the cost of a replica that wants no requests of
-	// another node, and probably takes few of this one.
-	closedElsewhereCostFactor = 4
-	// costJitter is the maximum relative random addition to a cost. It spreads
-	// the choices of nodes that have the same information.
-	costJitter = 0.15
 	// avoidanceTimeout is how long a request waits for a replica other than
 	// those to be avoided.
 	avoidanceTimeout = typicalLoadTime
@@ -66,6 +50,14 @@
 	// SortedIDs caches the sorted IDs of the replicas. It is nil after a
 	// change.
 	SortedIDs []string
+	// Holders caches the replicas that may have a model. It is nil after a change.
+	Holders map[holderKey][]*Replica
+	// Estimator knows the speeds of replicas and the paces of models. OverdueReviewedAt is
+	// when requests without a first event were last taken into account.
+	Estimator         *estimator.Estimator
+	OverdueReviewedAt time.Time
+	// Epoch is that of the holder which has this node's measurements.
+	Epoch uint64
 	// OrdersAllowedAt is when the holder may order loads, according to its last
 	// answer. It is zero until a holder has answered.
 	OrdersAllowedAt time.Time
@@ -86,6 +78,8 @@
 	Limits *rationer.Controller
 	// Random is seeded differently at each node, so that their choices differ.
 	Random *rand.Rand
+	// candidates is reused by each choice.
+	candidates []candidate
 }
 
 // Waiter is a request that has no replica yet.
@@ -102,6 +96,11 @@
 	need    Need
 	// returning is set until the replica, which was closed, begins its answer.
 	returning bool
+	// sentAt and load are the time and the replica's load of the assignment. begun is set
+	// once the first event of the answer was reported.
+	sentAt time.Time
+	load   estimator.Load
+	begun  bool
 }
 
 type useKey struct {
@@ -117,6 +116,7 @@
 		Notices:     map[replicaStart]*Notice{},
 		Assignments: map[runner.Call]*assignment{},
 		Uses:        map[useKey]*planner.Use{},
+		Estimator:   estimator.New(),
 		Limits:      rationer.NewController(0, seed),
 		Random:      rand.New(rand.NewPCG(seed, seed)),
 	}
@@ -164,6 +164,10 @@
 	case Cancel:
 		c.Waiters = slices.DeleteFunc(c.Waiters, func(waiter *Waiter) bool { return waiter.Call == message.Call })
 		c.endAttempt(now, AttemptEnded{PlacementID: message.Call, Result: Abandoned})
+	case SetModels:
+		c.Estimator.Sizes = message.Sizes
+	case AnswerBegun:
+		return c.recordBegun(now, message)
 	case AttemptEnded:
 		return append(c.endAttempt(now, message), c.serveWaiters(now)...)
 	case NoticeReceived:
@@ -172,6 +176,7 @@
 		c.Beginning = message.Versions
 	case UsageUpdate:
 		c.Limits.Step(now, message.Usage)
+		c.setEpoch(now, message.Usage.Epoch)
 	case Leave:
 		c.DrainDeadline = message.Until
 		for _, waiter := range c.Waiters {
@@ -186,6 +191,7 @@
 // setPeerState adopts the state of the other nodes.
 func (c *Controller) setPeerState(now time.Time, message SetPeerState) []Effect {
 	c.OrdersAllowedAt = now.Add(message.OrdersAllowedIn)
+	c.Estimator.Adopt(now, message.Speeds, message.Paces)
 	var effects []Effect
 	for _, id := range c.sortedIDs() {
 		replica := c.Replicas[id]
@@ -195,12 +201,13 @@
 		}
 		effects = append(effects, replica.Notice.applyPublishedLimit(now, id, message.RateLimits[id])...)
 		replica.Notice.ClosedElsewhereUntil = now.Add(message.Closed[id])
+		effects = append(effects, replica.noteSpeed()...)
 	}
 	return effects
 }
 
 func (c *Controller) setReplicas(now time.Time, message SetReplicas) {
-	c.SortedIDs = nil
+	c.SortedIDs, c.Holders = nil, nil
 	found := make(map[string]bool, len(message.Replicas))
 	for _, description := range message.Replicas {
 		found[description.ID] = true
@@ -214,6 +221,7 @@
 			}
 			c.Replicas[description.ID] = known
 		}
+		known.Speed = c.Estimator.Replica(description.ID, description.StartedMS)
 		known.update(now, description)
 	}
 	for id := range c.Replicas {
@@ -223,6 +231,7 @@
 		}
 	}
 	c.expireNotices(now)
+	c.Estimator.Retain(now, func(id string) bool { return found[id] })
 }
 
 // place assigns a replica immediately, refuses the request, or adds it to the
@@ -298,16 +307,17 @@
 	ended.endReturn(now, message.Result != Refused && message.Result != Abandoned)
 	replica := ended.replica
 	replica.recordResult(now, ended.need, message)
+	effects := c.recordEnd(now, ended, message)
 	suspect := replica.failures(now) >= suspectThreshold
 	if suspect == replica.SuspicionLogged {
-		return nil
+		return effects
 	}
 	replica.SuspicionLogged = suspect
 	text := "replica trusted again"
 	if suspect {
 		text = "replica suspected"
 	}
-	return []Effect{Note{Text: text, Replica: replica.Description.ID, Result: message.Result, Failures: replica.failures(now)}}
+	return append(effects, Note{Text: text, Replica: replica.Description.ID, Result: message.Result, Failures: replica.failures(now)})
 }
 
 // serveWaiters assigns replicas to the waiting requests for which one has
--- /dev/null
+++ b/internal/balancer/estimate.go
@@ -0,0 +1,115 @@
+package balancer
+
+import (
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/estimator"
+)
+
+// overdueReviewInterval is the shortest time between two looks at the requests that have no
+// first event yet. Each costs time in proportion to the running requests.
+const overdueReviewInterval = 50 * time.Millisecond
+
+// estimate returns the expected times of a request at a replica if it were sent now.
+func (c *Controller) estimate(now time.Time, replica *Replica, need Need) estimator.Estimate {
+	reference := c.Estimator.Reference(need.work())
+	return reference.At(now, replica.Speed, replica.currentLoad())
+}
+
+// work returns the request as far as its duration depends on it.
+func (n Need) work() estimator.Work {
+	return estimator.Work{
+		Service: n.Service, Model: n.Model, Adapter: n.Adapter, Whole: n.Whole,
+		PromptTokens: n.PromptTokens, OutputTokens: n.OutputTokens,
+	}
+}
+
+// currentLoad returns the requests of all nodes at the replica.
+func (r *Replica) currentLoad() estimator.Load {
+	return estimator.Load{Running: r.active(), Slots: r.Description.Slots, TokensAhead: r.TokensAhead}
+}
+
+// observation returns what is known of the answer to the request.
+func (a *assignment) observation() estimator.Observation {
+	return estimator.Observation{
+		Replica: a.replica.Description.ID, StartedMS: a.replica.Description.StartedMS,
+		Work: a.need.work(), Load: a.load, FirstEventObserved: a.begun,
+	}
+}
+
+// recordBegun learns from the first event of a stream.
+func (c *Controller) recordBegun(now time.Time, message AnswerBegun) []Effect {
+	begun := c.Assignments[message.PlacementID]
+	if begun == nil || begun.begun {
+		return nil
+	}
+	observation := begun.observation()
+	observation.FirstEvent = message.FirstEvent
+	c.Estimator.Observe(now, observation)
+	begun.begin()
+	return begun.replica.noteSpeed()
+}
+
+// begin marks the answer to the request as begun.
+func (a *assignment) begin() {
+	if !a.begun {
+		a.begun = true
+		a.replica.TokensAhead -= a.need.PromptTokens
+	}
+}
+
+// recordEnd learns from the end of an attempt. A replica that has not answered in time takes
+// at least that long.
+func (c *Controller) recordEnd(now time.Time, ended *assignment, message AttemptEnded) []Effect {
+	observation := ended.observation()
+	ended.begin()
+	switch message.Result {
+	case Answered:
+		observation.FirstEvent, observation.Duration, observation.Events = message.FirstByte, message.Duration, message.Events
+	case TimedOut:
+		if observation.FirstEventObserved {
+			return nil
+		}
+		observation.FirstEvent = now.Sub(ended.sentAt)
+	default:
+		return nil
+	}
+	c.Estimator.Observe(now, observation)
+	return ended.replica.noteSpeed()
+}
+
+// reviewOverdue raises the estimates of replicas whose first events are overdue. Choices call
+// it, so that it needs no wake time.
+func (c *Controller) reviewOverdue(now time.Time) {
+	if now.Sub(c.OverdueReviewedAt) < overdueReviewInterval {
+		return
+	}
+	c.OverdueReviewedAt = now
+	c.Estimator.ClearOverdue()
+	for _, running := range c.Assignments {
+		if !running.begun && !running.need.Continued {
+			c.Estimator.ObserveOverdue(now, running.observation(), now.Sub(running.sentAt))
+		}
+	}
+}
+
+// noteSpeed returns a note if the replica has become slow or is no longer slow.
+func (r *Replica) noteSpeed() []Effect {
+	if r.Speed == nil || r.Speed.Slow == r.SlowLogged {
+		return nil
+	}
+	r.SlowLogged = r.Speed.Slow
+	text := "replica no longer slow"
+	if r.SlowLogged {
+		text = "replica slow"
+	}
+	return []Effect{Note{Text: text, Replica: r.Description.ID, Factor: r.Speed.Factor}}
+}
+
+// setEpoch makes the node report its measurements again if the holder has changed.
+func (c *Controller) setEpoch(now time.Time, epoch uint64) {
+	if c.Epoch != 0 && c.Epoch != epoch {
+		c.Estimator.ReportAgain(now)
+	}
+	c.Epoch = epoch
+}
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
 	"toucanhitch.example/toucanhitch/internal/runner"
@@ -34,8 +35,15 @@
 	// OrdersAllowedIn is the time until the holder may order loads, 0 if it may
 	// now.
 	OrdersAllowedIn time.Duration
+	// Speeds and Paces are what all nodes have measured of replicas and models, as far as
+	// it has changed.
+	Speeds []estimator.PublishedSpeed `json:",omitempty"`
+	Paces  []estimator.PublishedPace  `json:",omitempty"`
 }
 
+// SetModels sets the sizes of the models in MB, by service.
+type SetModels struct{ Sizes map[string]map[string]float64 }
+
 // Place requests a replica.
 type Place struct {
 	Call runner.Call
@@ -46,13 +54,26 @@
 // assigned, the placement is released.
 type Cancel struct{ Call runner.Call }
 
+// AnswerBegun reports the first event of a stream.
+type AnswerBegun struct {
+	// PlacementID identifies the placement.
+	PlacementID runner.Call
+	// FirstEvent is the time from sending the request to the first event.
+	FirstEvent time.Duration
+}
+
 // AttemptEnded reports the result of an attempt at a replica.
 type AttemptEnded struct {
 	// PlacementID identifies the placement.
 	PlacementID runner.Call
 	Result      Result
-	// FirstByte is the time to the first byte of the answer, 0 without one.
+	// FirstByte is the time to the first event of a stream or to the first byte of another
+	// answer. It is 0 if it shows nothing about the replica's speed.
 	FirstByte time.Duration
+	// Duration is the time to the end of the answer, and Events the number of events, 0 if
+	// they are not known.
+	Duration time.Duration `json:",omitempty"`
+	Events   int           `json:",omitempty"`
 }
 
 // NoticeReceived reports what an answer to this node has announced about its replica, also that
@@ -91,7 +112,9 @@
 func (SetPeerState) isMessage()   {}
 func (Place) isMessage()          {}
 func (Cancel) isMessage()         {}
+func (AnswerBegun) isMessage()    {}
 func (AttemptEnded) isMessage()   {}
+func (SetModels) isMessage()      {}
 func (NoticeReceived) isMessage() {}
 func (SetBeginning) isMessage()   {}
 func (UsageUpdate) isMessage()    {}
@@ -110,6 +133,10 @@
 	Version   string `json:",omitempty"`
 	// Tokens is the size of the request, 0 for plain services.
 	Tokens int
+	// PromptTokens is the length of the prompt, and OutputTokens the expected length of
+	// the answer. Whole is set if the answer is not a stream.
+	PromptTokens, OutputTokens int  `json:",omitempty"`
+	Whole                      bool `json:",omitempty"`
 	// Affinity is equal for requests that share a long prompt prefix. It is
 	// empty for requests without one.
 	Affinity string
@@ -171,8 +198,10 @@
 	Returning bool `json:",omitempty"`
 	// Refused is set if no replica was assigned.
 	Refused *Refusal
-	// Expected is the average time to the first byte, 0 if unknown.
-	Expected time.Duration
+	// Expected is the estimated time to the first event, 0 if no answer of the service was
+	// observed yet, and ExpectedEnd that to the end.
+	Expected    time.Duration
+	ExpectedEnd time.Duration `json:",omitempty"`
 	// Candidates is the number of replicas that were eligible.
 	Candidates int
 	// Waited is how long the request waited for the replica.
@@ -204,6 +233,9 @@
 	// Notices are the replicas whose answers to this node announced that they leave or
 	// want no requests for a time.
 	Notices []planner.Notice `json:",omitempty"`
+	// Speeds and Paces are what this node has measured since the last Collect.
+	Speeds []estimator.SpeedSum `json:",omitempty"`
+	Paces  []estimator.PaceSum  `json:",omitempty"`
 }
 
 // Note is a log entry: a replica became suspect or is trusted again.
@@ -216,6 +248,8 @@
 	// wants no requests.
 	RateLimit float64       `json:",omitempty"`
 	Remaining time.Duration `json:",omitempty"`
+	// Factor is by how much times at the replica are longer than the mean of its service.
+	Factor float64 `json:",omitempty"`
 	// Late is the time from the expected return of requests to the first accepted one.
 	Late time.Duration `json:",omitempty"`
 }
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
@@ -20,9 +21,6 @@
 	// successDecay is the factor by which each answer reduces the weight of
 	// failures.
 	successDecay = 0.6
-	// latencySmoothing is the weight of a new measurement in the moving
-	// average.
-	latencySmoothing = 0.15
 	// loadEndMargin is added to the remaining time of a load.
 	loadEndMargin = 3 * time.Millisecond
 )
@@ -41,6 +39,8 @@
 	// counts those of the other nodes.
 	Running          map[string]int
 	RunningElsewhere int
+	// RunningTotal is the sum of Running.
+	RunningTotal int
 	// Failures is the weight of recent failures as of FailedAt.
 	Failures float64
 	FailedAt time.Time
@@ -53,8 +53,13 @@
 	// RefusedUntil is the end of the back-off after the replica refused a
 	// request because it was full or leaving.
 	RefusedUntil time.Time
-	// Latency is the moving average of the time to the first byte.
-	Latency time.Duration
+	// Speed is what is known of the replica's speed. SlowLogged is set while the last log
+	// entry about it reports that the replica is slow.
+	Speed      *estimator.Speed
+	SlowLogged bool
+	// TokensAhead counts the prompt tokens of this node's requests whose answers have not
+	// begun.
+	TokensAhead int
 	// Notice is what the replica has announced.
 	Notice *Notice
 }
@@ -62,17 +67,8 @@
 // modelKey identifies a model, with or without an adapter.
 type modelKey struct{ model, adapter string }
 
-// running returns the number of requests that this node runs at the replica.
-func (r *Replica) running() int {
-	total := 0
-	for _, count := range r.Running {
-		total += count
-	}
-	return total
-}
-
 // active returns the number of requests that all nodes run at the replica.
-func (r *Replica) active() int { return r.running() + r.RunningElsewhere }
+func (r *Replica) active() int { return r.RunningTotal + r.RunningElsewhere }
 
 // isFull reports whether a replica of an engine has no capacity for another
 // request.
@@ -83,6 +79,18 @@
 	return float64(r.active()) / float64(max(1, r.Description.Slots))
 }
 
+// free returns the number of requests that the replica takes beyond those that it runs.
+func (r *Replica) free() float64 {
+	capacity := maxPlainLoad * float64(r.Description.Slots)
+	if len(r.Description.Models) > 0 {
+		capacity = maxEngineLoad * float64(r.Description.Slots)
+	}
+	return max(minFree, capacity-float64(r.active()))
+}
+
+// minFree is the least free capacity that is assumed of a usable replica.
+const minFree = 0.1
+
 // failures returns the weight of recent failures, decayed to the present.
 func (r *Replica) failures(now time.Time) float64 {
 	if r.Failures == 0 {
@@ -125,6 +133,19 @@
 	return ok && !loadEndsAt.IsZero() && !now.Before(loadEndsAt)
 }
 
+// mayHave reports whether the replica has the model or is loading it.
+func (r *Replica) mayHave(model string) bool {
+	if r.Description.Has(model, "") {
+		return true
+	}
+	for key := range r.LoadEndsAt {
+		if key.model == model {
+			return true
+		}
+	}
+	return false
+}
+
 // loadEndsAt returns when a load of the model ends, and false if no load is
 // known. The time is zero if the end is not known.
 func (r *Replica) loadEndsAt(key modelKey) (time.Time, bool) {
@@ -155,17 +176,12 @@
 
 // recordResult records the result of an attempt.
 func (r *Replica) recordResult(now time.Time, need Need, message AttemptEnded) {
+	r.RunningTotal--
 	if r.Running[need.Model] > 1 {
 		r.Running[need.Model]--
 	} else {
 		delete(r.Running, need.Model)
 	}
-	if message.FirstByte > 0 {
-		if r.Latency == 0 {
-			r.Latency = message.FirstByte
-		}
-		r.Latency += time.Duration(latencySmoothing * float64(message.FirstByte-r.Latency))
-	}
 	switch message.Result {
 	case Answered:
 		r.Failures = r.failures(now) * successDecay
--- a/internal/estimator/belief.go
+++ b/internal/estimator/belief.go
@@ -18,10 +18,10 @@
 
 // Uncertainties of the logarithms of factors.
 var (
-	// The scale of a service is unknown at first: the first answers determine it.
-	scaleUncertainty = uncertainty{initial: 4, drift: 0.0005}
+	// The pace of the first model of a service is unknown: its first answers determine it.
+	firstPaceUncertainty = uncertainty{initial: 4, drift: 0.0005}
 	// Models of a service differ by about a factor of 1.6.
-	paceUncertainty = uncertainty{initial: 0.25, drift: 0.0002}
+	paceUncertainty = uncertainty{initial: 0.25, drift: 0.0005}
 	// Replicas of a service differ by about a factor of 1.6, and each may change.
 	speedUncertainty = uncertainty{initial: 0.25, drift: 0.004}
 )
@@ -57,33 +57,18 @@
 // isKnown reports whether the belief is based on any observation.
 func (b *Belief) isKnown() bool { return !b.UpdatedAt.IsZero() }
 
-// update corrects three beliefs whose factors were multiplied by the difference between the
+// update corrects two beliefs whose factors were multiplied by the difference between the
 // logarithms of the measurement and of the estimate. Each one takes a part of the difference
 // in proportion to its variance.
-func update(difference, noise float64, scale, pace, speed *Belief) {
-	total := noise + scale.Variance + pace.Variance + speed.Variance
-	for _, belief := range [...]*Belief{scale, pace, speed} {
+func update(difference, noise float64, pace, speed *Belief) {
+	total := noise + pace.Variance + speed.Variance
+	for _, belief := range [...]*Belief{pace, speed} {
 		gain := belief.Variance / total
 		belief.Mean += gain * difference
 		belief.Variance *= 1 - gain
 	}
 }
 
-// adoptSum corrects two beliefs whose factors are multiplied by a published value of their
-// product.
-func adoptSum(now time.Time, value float64, scale, pace *Belief) {
-	scale.age(now, scaleUncertainty)
-	pace.age(now, paceUncertainty)
-	difference := value - scale.Mean - pace.Mean
-	total := scale.Variance + pace.Variance
-	gain := adoptingGain(total)
-	for _, belief := range [...]*Belief{scale, pace} {
-		share := belief.Variance / total
-		belief.Mean += gain * share * difference
-		belief.Variance *= 1 - share*total/(total+publishedNoise)
-	}
-}
-
 // adopt moves the belief to a published value, entirely if this node has not measured it
 // recently.
 func (b *Belief) adopt(now time.Time, value float64, measured bool, u uncertainty) {
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -93,6 +93,8 @@
 	// PublishedAt is when this node last heard from the holder, which publishes the
 	// speeds that have changed.
 	PublishedAt time.Time
+	// overdue holds the speeds whose Overdue is not 0.
+	overdue []*Speed
 }
 
 // ServiceKey identifies the answers of one kind of a service.
@@ -103,9 +105,6 @@
 
 // Service is what is known of a service.
 type Service struct {
-	// FirstEvent and Interval are the scales of the time to the first event and of the
-	// interval between events.
-	FirstEvent, Interval Belief
 	// TokenCost is the time to read a token of the prompt in relation to the rest of the
 	// time to the first event, 1 with the defaults.
 	TokenCost float64
@@ -118,11 +117,15 @@
 	// normal speed.
 	SlotDuration time.Duration
 	Models       map[string]*Pace
+	// known and intervalKnown are set if the time to the first event or the interval
+	// between events of any model is known.
+	known, intervalKnown bool
 	// Observed counts the observations of first events at this node.
 	Observed int
 }
 
-// Pace is what is known of a model: factors of the times of its service.
+// Pace is what is known of a model: the factors by which the time to the first event and the
+// interval between events are longer than the defaults.
 type Pace struct {
 	FirstEvent, Interval Belief
 	// firstEventSum and intervalSum hold what was not reported yet.
@@ -172,11 +175,10 @@
 	eventTokens := float64(defaultEventTokens)
 	if service := e.Services[ServiceKey{work.Service, work.Whole}]; service != nil {
 		pace := e.paceOf(service, work)
-		reference.firstEventLog = service.FirstEvent.Mean + pace.FirstEvent.Mean
-		reference.eventLog = service.Interval.Mean + pace.Interval.Mean
+		reference.firstEventLog, reference.eventLog = pace.FirstEvent.Mean, pace.Interval.Mean
 		reference.tokenCost, reference.batchTokens = service.TokenCost, service.BatchTokens
 		reference.slotDuration = service.SlotDuration
-		reference.learnt = service.FirstEvent.isKnown()
+		reference.learnt = service.known
 		eventTokens = service.EventTokens
 	}
 	reference.scale = math.Exp(reference.firstEventLog)
@@ -208,39 +210,72 @@
 	return Estimate{FirstEvent: first, End: end, Known: known, Learnt: r.learnt}
 }
 
-// paceOf returns the pace of a model. For a model that was not observed it is that of models
-// of similar size, or that of the service.
+// paceOf returns the pace of a model. For a model that was not observed it is the mean of the
+// models of similar size, or else that of the service.
 func (e *Estimator) paceOf(service *Service, work Work) Pace {
 	if pace := service.Models[work.Model]; pace != nil && pace.FirstEvent.isKnown() {
 		return *pace
 	}
 	sizes := e.Sizes[work.Service]
 	size := sizes[work.Model]
-	if size <= 0 {
-		return Pace{}
-	}
-	var similar Pace
-	weight := 0.0
+	var similar, all meanPace
 	for model, pace := range service.Models {
-		if other := sizes[model]; pace.FirstEvent.isKnown() && other > 0 && max(size/other, other/size) <= similarSizeFactor {
-			weight++
-			similar.FirstEvent.Mean += pace.FirstEvent.Mean
-			similar.Interval.Mean += pace.Interval.Mean
+		if !pace.FirstEvent.isKnown() {
+			continue
 		}
+		all.add(pace)
+		if other := sizes[model]; size > 0 && other > 0 && max(size/other, other/size) <= similarSizeFactor {
+			similar.add(pace)
+		}
+	}
+	if similar.count > 0 {
+		return similar.pace()
 	}
-	if weight == 0 {
-		return Pace{}
+	return all.pace()
+}
+
+// meanPace is the mean of several paces.
+type meanPace struct {
+	firstEvent, interval float64
+	count, intervals     float64
+}
+
+func (m *meanPace) add(pace *Pace) {
+	m.firstEvent += pace.FirstEvent.Mean
+	m.count++
+	if pace.Interval.isKnown() {
+		m.interval += pace.Interval.Mean
+		m.intervals++
 	}
-	// The order of the map affects the last digits of the sum. Rounding removes them, so
-	// that steps are deterministic.
-	similar.FirstEvent.Mean = round(similar.FirstEvent.Mean / weight)
-	similar.Interval.Mean = round(similar.Interval.Mean / weight)
-	return similar
+}
+
+// pace returns the mean. The order of a map affects the last digits of sums. Rounding removes
+// them, so that steps are deterministic.
+func (m *meanPace) pace() Pace {
+	return Pace{FirstEvent: Belief{Mean: round(m.firstEvent / max(1, m.count))}, Interval: Belief{Mean: round(m.interval / max(1, m.intervals))}}
 }
 
 // round rounds a logarithm to a precision of one in a million.
 func round(mean float64) float64 { return math.Round(mean*1e6) / 1e6 }
 
+// unlistedLifetime is how long the speed of a replica is kept after it has left the list. The
+// list may be of an older copy of the store, or lack entries for a while.
+const unlistedLifetime = time.Minute
+
+// Retain forgets the replicas that have been missing from the list for unlistedLifetime.
+func (e *Estimator) Retain(now time.Time, isListed func(replica string) bool) {
+	for id, speed := range e.Replicas {
+		switch {
+		case isListed(id):
+			speed.unlistedAt = time.Time{}
+		case speed.unlistedAt.IsZero():
+			speed.unlistedAt = now
+		case now.Sub(speed.unlistedAt) > unlistedLifetime:
+			e.Forget(id)
+		}
+	}
+}
+
 // Forget forgets a replica that has ended.
 func (e *Estimator) Forget(replica string) { delete(e.Replicas, replica) }
 
--- a/internal/estimator/observe.go
+++ b/internal/estimator/observe.go
@@ -26,6 +26,9 @@
 	Slow bool
 	// sum holds what was not reported yet.
 	sum Sum
+	// unlistedAt is when the replica was first missing from the list, zero while it is
+	// listed.
+	unlistedAt time.Time
 }
 
 const (
@@ -35,6 +38,9 @@
 	// speed deviates by 0.69.
 	changeThreshold = 0.4
 	changeCount     = 2
+	// maxUncertain is the variance of the rest of the estimate up to which measurements
+	// show that the speed has changed.
+	maxUncertain = 0.12
 	// minShapeObservations is the number of observations of a service before the effects
 	// of the batch and of the prompt's length are learnt.
 	minShapeObservations = 30
@@ -75,23 +81,39 @@
 
 func (e *Estimator) observeFirstEvent(now time.Time, o Observation, service *Service, pace *Pace, speed *Speed) {
 	reference := e.Reference(o.Work)
-	pace.inherit(reference.firstEventLog-service.FirstEvent.Mean, reference.eventLog-service.Interval.Mean)
+	pace.inherit(reference.firstEventLog, reference.eventLog)
 	estimate := reference.At(now, &Speed{Factor: speed.Factor, ObservedAt: now}, o.Load)
 	difference := clip(math.Log(float64(o.FirstEvent) / float64(max(estimate.FirstEvent, 1))))
-	service.FirstEvent.age(now, scaleUncertainty)
-	pace.FirstEvent.age(now, paceUncertainty)
-	known := pace.FirstEvent.Variance < paceUncertainty.initial/2
-	speed.prepare(now, difference, known)
-	before := speed.Mean
-	update(difference, firstEventNoise, &service.FirstEvent, &pace.FirstEvent, &speed.Belief)
-	speed.sum.add(before+difference, firstEventNoise)
-	pace.firstEventSum.add(service.FirstEvent.Mean+pace.FirstEvent.Mean, firstEventNoise)
+	pace.FirstEvent.age(now, service.paceUncertainty())
+	service.known = true
+	uncertain := pace.FirstEvent.Variance
+	speed.prepare(now, difference, uncertain)
+	before, variance := speed.Mean, speed.Variance
+	update(difference, firstEventNoise, &pace.FirstEvent, &speed.Belief)
+	speed.sum.add(before+difference, firstEventNoise+uncertain)
+	pace.firstEventSum.add(pace.FirstEvent.Mean, firstEventNoise+variance)
 	speed.ObservedAt = now
 	if service.Observed++; service.Observed > minShapeObservations {
 		service.learnShape(difference, o.Load, reference)
 	}
 }
 
+// paceUncertainty returns how uncertain the time to the first event of a model is that was not
+// observed yet, and intervalUncertainty the same of the interval between events.
+func (s *Service) paceUncertainty() uncertainty {
+	if !s.known {
+		return firstPaceUncertainty
+	}
+	return paceUncertainty
+}
+
+func (s *Service) intervalUncertainty() uncertainty {
+	if !s.intervalKnown {
+		return firstPaceUncertainty
+	}
+	return paceUncertainty
+}
+
 // inherit sets the factors of a model that was not observed yet to those that were assumed
 // for it.
 func (p *Pace) inherit(firstEvent, interval float64) {
@@ -104,29 +126,31 @@
 }
 
 func observeInterval(now time.Time, o Observation, service *Service, pace *Pace, speed *Speed) {
-	expected := float64(defaultInterval) * math.Exp(service.Interval.Mean+pace.Interval.Mean+speed.Mean) * (1 + fullBatchIntervalShare*o.Load.share())
+	expected := float64(defaultInterval) * math.Exp(pace.Interval.Mean+speed.Mean) * (1 + fullBatchIntervalShare*o.Load.share())
 	measured := float64(o.Duration-o.FirstEvent) / float64(o.Events-1)
 	difference := clip(math.Log(measured / expected))
-	service.Interval.age(now, scaleUncertainty)
-	pace.Interval.age(now, paceUncertainty)
-	speed.prepare(now, difference, pace.Interval.Variance < paceUncertainty.initial/2)
-	before := speed.Mean
-	update(difference, intervalNoise, &service.Interval, &pace.Interval, &speed.Belief)
-	speed.sum.add(before+difference, intervalNoise)
-	pace.intervalSum.add(service.Interval.Mean+pace.Interval.Mean, intervalNoise)
+	pace.Interval.age(now, service.intervalUncertainty())
+	service.intervalKnown = true
+	uncertain := pace.Interval.Variance
+	speed.prepare(now, difference, uncertain)
+	before, variance := speed.Mean, speed.Variance
+	update(difference, intervalNoise, &pace.Interval, &speed.Belief)
+	speed.sum.add(before+difference, intervalNoise+uncertain)
+	pace.intervalSum.add(pace.Interval.Mean, intervalNoise+variance)
 	speed.ObservedAt = now
 	if o.Work.OutputTokens > 0 {
 		service.EventTokens += smoothingFactor * (float64(o.Work.OutputTokens)/float64(o.Events) - service.EventTokens)
 	}
 }
 
-// prepare ages what is known of the speed, and forgets it if the measurements of a model
-// with a known pace show that the replica has become slow or has recovered.
-func (s *Speed) prepare(now time.Time, difference float64, paceKnown bool) {
+// prepare ages what is known of the speed, and forgets it if measurements show that the
+// replica has become slow or has recovered. uncertain is the variance of the rest of the
+// estimate.
+func (s *Speed) prepare(now time.Time, difference, uncertain float64) {
 	known := s.isKnown()
 	s.age(now, speedUncertainty)
 	switch {
-	case !known || !paceKnown || math.Abs(difference) < changeThreshold:
+	case !known || uncertain > maxUncertain || math.Abs(difference) < changeThreshold:
 		s.Deviations = 0
 		return
 	case difference > 0:
@@ -162,9 +186,10 @@
 // ClearOverdue forgets what requests without a first event show. It precedes
 // ObserveOverdue for all such requests.
 func (e *Estimator) ClearOverdue() {
-	for _, speed := range e.Replicas {
+	for _, speed := range e.overdue {
 		speed.Overdue = 0
 	}
+	e.overdue = e.overdue[:0]
 }
 
 // ObserveOverdue learns from a request that has had no first event for a time: it takes at
@@ -177,12 +202,15 @@
 	}
 	normal := reference.At(now, nil, o.Load).FirstEvent
 	if factor := float64(elapsed) / float64(normal); factor > overdueMargin*speed.Factor {
+		if speed.Overdue == 0 {
+			e.overdue = append(e.overdue, speed)
+		}
 		speed.Overdue = max(speed.Overdue, factor)
 	}
 }
 
-// learnShape corrects the effects of the batch and of the prompt's length. The scale of the
-// service takes the part of the difference that depends on neither.
+// learnShape corrects the effects of the batch and of the prompt's length. The paces of models
+// and the speeds of replicas take the part of the difference that depends on neither.
 func (s *Service) learnShape(difference float64, load Load, reference Reference) {
 	prompt := reference.tokenCost * reference.promptTokens
 	tokens := prompt + reference.overhead
--- a/internal/estimator/pool.go
+++ b/internal/estimator/pool.go
@@ -127,11 +127,13 @@
 func (s *PooledSpeed) record(now time.Time, sum Sum) {
 	elapsed := now.Sub(s.UpdatedAt)
 	s.UpdatedAt = now
+	before := s.Long
 	s.Long = s.Long.times(decay(elapsed, longWindow)).plus(sum)
 	s.Recent = s.Recent.times(decay(elapsed, recentWindow)).plus(sum)
 	threshold := max(minRecentChange, significantDeviations*math.Sqrt(firstEventNoise/s.Recent.Weight))
-	if s.Recent.Weight >= minRecentWeight && math.Abs(s.Recent.mean()-s.Long.mean()) >= threshold {
-		s.Long = s.Recent
+	if before.Weight > 0 && s.Recent.Weight >= minRecentWeight && math.Abs(s.Recent.mean()-before.mean()) >= threshold {
+		// Measurements before the newest may be from before the change.
+		s.Long, s.Recent = sum, sum
 	}
 	s.Long = s.Long.bounded()
 	change := stepsOf(s.Long.mean()) - s.Published
--- a/internal/estimator/sum.go
+++ b/internal/estimator/sum.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -32,6 +32,11 @@
 // times returns the sum with its weight changed by a factor.
 func (s Sum) times(factor float64) Sum { return Sum{s.Weight * factor, s.Total * factor} }
 
+// rounded returns the sum with three decimals, which keeps reports short.
+func (s Sum) rounded() Sum {
+	return Sum{math.Round(s.Weight*1000) / 1000, math.Round(s.Total*1000) / 1000}
+}
+
 // SpeedSum is what a node has measured of one start of a replica since its last report.
 type SpeedSum struct {
 	Replica   string
@@ -52,21 +57,26 @@
 const (
 	maxReportedSpeeds = 64
 	maxReportedPaces  = 64
+	// minReportedWeight is the weight up to which a sum waits for more measurements.
+	minReportedWeight = 0.05
 )
 
 // Collect returns what was measured since the last call, sorted.
 func (e *Estimator) Collect() (speeds []SpeedSum, paces []PaceSum) {
-	for _, id := range slices.Sorted(maps.Keys(e.Replicas)) {
-		speed := e.Replicas[id]
-		if speed.sum.Weight > 0 && len(speeds) < maxReportedSpeeds {
-			speeds = append(speeds, SpeedSum{id, speed.StartedMS, speed.sum})
-			speed.sum = Sum{}
+	for id, speed := range e.Replicas {
+		if speed.sum.Weight >= minReportedWeight {
+			speeds = append(speeds, SpeedSum{id, speed.StartedMS, speed.sum.rounded()})
 		}
 	}
+	slices.SortFunc(speeds, func(a, b SpeedSum) int { return cmp.Compare(a.Replica, b.Replica) })
+	speeds = speeds[:min(len(speeds), maxReportedSpeeds)]
+	for _, reported := range speeds {
+		e.Replicas[reported.Replica].sum = Sum{}
+	}
 	for key, service := range e.Services {
 		for model, pace := range service.Models {
-			if pace.firstEventSum.Weight > 0 {
-				paces = append(paces, PaceSum{key.Service, key.Whole, model, pace.firstEventSum, pace.intervalSum})
+			if pace.firstEventSum.Weight >= minReportedWeight {
+				paces = append(paces, PaceSum{key.Service, key.Whole, model, pace.firstEventSum.rounded(), pace.intervalSum.rounded()})
 			}
 		}
 	}
@@ -100,7 +110,11 @@
 	e.PublishedAt = now
 	for _, published := range speeds {
 		speed := e.Replicas[published.Replica]
-		if speed == nil || speed.StartedMS != published.StartedMS {
+		if speed == nil || speed.StartedMS < published.StartedMS {
+			// The list of replicas may show this start later.
+			speed = e.Replica(published.Replica, published.StartedMS)
+		}
+		if speed.StartedMS != published.StartedMS {
 			continue
 		}
 		speed.adopt(now, published.value(), now.Sub(speed.ObservedAt) < ownMeasurementTime, speedUncertainty)
@@ -110,9 +124,31 @@
 	for _, published := range paces {
 		service := e.service(ServiceKey{published.Service, published.Whole})
 		pace := service.pace(published.Model)
-		adoptSum(now, logOf(published.FirstEvent), &service.FirstEvent, &pace.FirstEvent)
+		pace.FirstEvent.adopt(now, logOf(published.FirstEvent), pace.FirstEvent.isKnown(), service.paceUncertainty())
+		service.known = true
 		if published.IntervalKnown {
-			adoptSum(now, logOf(published.Interval), &service.Interval, &pace.Interval)
+			pace.Interval.adopt(now, logOf(published.Interval), pace.Interval.isKnown(), service.intervalUncertainty())
+			service.intervalKnown = true
+		}
+	}
+}
+
+// ReportAgain makes the next calls of Collect return what this node knows from its own recent
+// measurements, because a new holder has no sums yet.
+func (e *Estimator) ReportAgain(now time.Time) {
+	for _, speed := range e.Replicas {
+		if speed.sum.Weight == 0 && now.Sub(speed.ObservedAt) <= maxKnownAge {
+			speed.sum.add(speed.Mean, firstEventNoise)
+		}
+	}
+	for _, service := range e.Services {
+		for _, pace := range service.Models {
+			if pace.firstEventSum.Weight == 0 && pace.FirstEvent.isKnown() {
+				pace.firstEventSum.add(pace.FirstEvent.Mean, firstEventNoise)
+			}
+			if pace.intervalSum.Weight == 0 && pace.Interval.isKnown() {
+				pace.intervalSum.add(pace.Interval.Mean, firstEventNoise)
+			}
 		}
 	}
 }
