--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -41,6 +41,9 @@
 		fields["Status"] = event.Status
 		addNoticeFields(fields, event.Notice)
 	}
+	if measured := event.Measurement; measured.FirstEvent > 0 {
+		fields["FirstEventMs"], fields["ExpectedMs"] = measured.FirstEvent.Milliseconds(), measured.ExpectedFirstEvent.Milliseconds()
+	}
 	if event.Forward.LastEventID != "" {
 		fields["LastEvent"], fields["Resumes"] = event.Forward.LastEventID, event.Forward.Resumes
 	}
@@ -54,6 +57,8 @@
 	}
 	n.logger.WithFields(fields).Info(event.Text)
 	if event.Replica != "" {
+		n.meter.RecordEstimate("first event", event.Measurement.ExpectedFirstEvent, event.Measurement.FirstEvent)
+		n.meter.RecordEstimate("end", event.Measurement.ExpectedEnd, event.Measurement.End)
 		n.meter.RecordAttempt(filter.Class(event.Forward.Route.Kind), event.Text, event.FirstByte)
 	}
 }
@@ -103,6 +108,7 @@
 		"RateLimit": note.RateLimit,
 		"Remaining": note.Remaining.String(),
 		"LateMs":    note.Late.Milliseconds(),
+		"Factor":    note.Factor,
 	}).Info(note.Text)
 	n.meter.RecordChange("balancer", note.Text)
 }
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -110,6 +110,9 @@
 	// PromptTokens is the caller's count of prompt tokens and OutputTokens its
 	// limit of output tokens; 0 means that the caller sent none.
 	PromptTokens, OutputTokens int
+	// ExpectedOutputTokens is the expected number of output tokens, 0 if nothing is known
+	// of it.
+	ExpectedOutputTokens int
 	// Affinity identifies the first part of a long prompt prefix.
 	Affinity string
 	// SharedParts are the IDs of the parts of the prompt that other requests may
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -71,6 +71,7 @@
 func (j *job) forwardStream(ctx context.Context, e *exchange, recordBegun func()) (filter.Verdict, error) {
 	begun := false
 	write := func(event []byte) error {
+		j.observeEvent(event)
 		if !begun {
 			begun = true
 			recordBegun()
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -89,6 +89,8 @@
 	FirstByte    time.Duration
 	Duration     time.Duration
 	Status       int
+	// Measurement compares the estimate of the attempt with what was measured.
+	Measurement Measurement
 	// Notice is what the replica has announced in its answer.
 	Notice Notice
 	// EventsPassed is the number of events of a stream that the caller has.
@@ -162,7 +164,7 @@
 	startedAt := j.Clock.Now()
 	result, firstByte := balancer.Abandoned, time.Duration(0)
 	defer func() {
-		_ = j.Placer.Post(balancer.AttemptEnded{PlacementID: placement.ID, Result: result, FirstByte: firstByte})
+		_ = j.Placer.Post(j.attemptEnded(placement, result))
 	}()
 	if !j.isKeyCurrent(startedAt) {
 		return j.end(filter.NotCurrent, "keys are not current any more")
@@ -179,6 +181,7 @@
 	}
 	j.attemptsSent++
 	j.notice, j.version = Notice{}, placement.Version
+	j.beginObservation(placement, startedAt)
 	passedBefore := j.events.Passed
 	exchange, err := j.Pool.open(ctx, j.Codec, Attempt{
 		Replica:   placement.Replica,
@@ -197,6 +200,7 @@
 		return j.verdictAfterFailure(err)
 	}
 	firstByte = j.Clock.Since(startedAt)
+	j.observeHead(exchange.head, firstByte)
 	j.notice = exchange.head.Notice
 	j.reportNotice(placement, exchange.head.NotRun)
 	recordBegun := func() { j.Screen.RecordBegun(subject(j.forward), process(placement), startedAt) }
@@ -217,6 +221,6 @@
 		}
 		return nil
 	}
-	j.log("answered", placement, firstByte, exchange.head.Status, nil)
+	j.log(answeredText, placement, firstByte, exchange.head.Status, nil)
 	return verdict
 }
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -152,6 +152,7 @@
 		FirstByte:        firstByte,
 		Duration:         now.Sub(j.request.Arrived),
 		Status:           status,
+		Measurement:      j.observed.measurement(text == answeredText, now),
 		Notice:           j.notice,
 		EventsPassed:     j.events.Passed,
 		Fingerprint:      identity,
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -8,6 +8,7 @@
 	"toucanhitch.example/toucanhitch/internal/balancer"
 	"toucanhitch.example/toucanhitch/internal/dispatcher"
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/internal/resumer"
 )
 
@@ -43,6 +44,8 @@
 	notice     Notice
 	candidates int
 	waited     time.Duration
+	// observed is what the latest attempt shows about the speed of its replica.
+	observed observation
 }
 
 // parseEventID returns an event ID as a number, -1 if it is missing or not a
@@ -93,15 +96,18 @@
 		giveUpAt = now.Add(min(maxWait, max(route.Objective, minRetryWait)))
 	}
 	need := balancer.Need{
-		Service:  j.forward.Service,
-		Model:    j.forward.Model,
-		Adapter:  j.forward.Adapter,
-		Tokens:   j.forward.PromptTokens + j.forward.OutputTokens,
-		Affinity: j.forward.Affinity,
-		LateAt:   j.request.Arrived.Add(route.Objective),
-		GiveUpAt: giveUpAt,
-		Excluded: j.excluded,
-		Stream:   j.isResumable(),
+		Service:      j.forward.Service,
+		Model:        j.forward.Model,
+		Adapter:      j.forward.Adapter,
+		Tokens:       j.forward.PromptTokens + j.forward.OutputTokens,
+		PromptTokens: j.forward.PromptTokens,
+		OutputTokens: j.forward.ExpectedOutputTokens,
+		Whole:        route.Kind != resolver.Streaming,
+		Affinity:     j.forward.Affinity,
+		LateAt:       j.request.Arrived.Add(route.Objective),
+		GiveUpAt:     giveUpAt,
+		Excluded:     j.excluded,
+		Stream:       j.isResumable(),
 	}
 	if j.origin != nil {
 		need.Continued, need.Version = true, j.origin.Version
--- /dev/null
+++ b/internal/forwarder/observe.go
@@ -0,0 +1,82 @@
+package forwarder
+
+import (
+	"net/http"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/balancer"
+)
+
+// answeredText is the text of the event that reports an answered attempt.
+const answeredText = "answered"
+
+// observation is what an attempt shows about the speed of its replica.
+type observation struct {
+	placement balancer.Placement
+	startedAt time.Time
+	// valid is set unless the answer shows nothing: it is the rest of a stream that began
+	// elsewhere, or an error.
+	valid, stream bool
+	// firstEvent is the time to the first event of a stream or to the first byte of
+	// another answer. events counts the events of the stream.
+	firstEvent time.Duration
+	events     int
+}
+
+// Measurement compares the estimate of an attempt with what was measured. Its fields are 0
+// where there is no estimate or no measurement.
+type Measurement struct {
+	ExpectedFirstEvent, FirstEvent time.Duration
+	ExpectedEnd, End               time.Duration
+}
+
+func (j *job) beginObservation(placement balancer.Placement, startedAt time.Time) {
+	j.observed = observation{placement: placement, startedAt: startedAt, valid: j.events.LastID < 0 && j.forward.LastEventID == ""}
+}
+
+// observeHead records the head of an answer, the first byte of which came after firstByte.
+func (j *job) observeHead(head ResponseHead, firstByte time.Duration) {
+	o := &j.observed
+	o.stream = head.Stream
+	o.valid = o.valid && head.Status < http.StatusBadRequest
+	if !o.stream {
+		o.firstEvent = firstByte
+	}
+}
+
+// observeEvent records an event of a stream and reports the first one. Comments do not count,
+// because a replica may send them before it has begun to read the prompt.
+func (j *job) observeEvent(event []byte) {
+	o := &j.observed
+	if _, numbered := eventID(event); !numbered {
+		return
+	}
+	o.events++
+	if o.events > 1 || !o.valid {
+		return
+	}
+	o.firstEvent = j.Clock.Since(o.startedAt)
+	// Without the message, the first event is learnt at the end of the answer.
+	_ = j.Placer.Post(balancer.AnswerBegun{PlacementID: o.placement.ID, FirstEvent: o.firstEvent})
+}
+
+// attemptEnded returns the report of an attempt to the balancer.
+func (j *job) attemptEnded(placement balancer.Placement, result balancer.Result) balancer.AttemptEnded {
+	ended := balancer.AttemptEnded{PlacementID: placement.ID, Result: result}
+	if o := j.observed; o.valid && result == balancer.Answered && o.placement.ID == placement.ID {
+		ended.FirstByte, ended.Duration, ended.Events = o.firstEvent, j.Clock.Since(o.startedAt), o.events
+	}
+	return ended
+}
+
+// measurement compares the estimate with what was measured of an answered attempt.
+func (o observation) measurement(answered bool, now time.Time) Measurement {
+	if !answered || !o.valid || o.placement.Expected == 0 || o.firstEvent == 0 {
+		return Measurement{}
+	}
+	measured := Measurement{ExpectedFirstEvent: o.placement.Expected, FirstEvent: o.firstEvent}
+	if o.stream {
+		measured.ExpectedEnd, measured.End = o.placement.ExpectedEnd, now.Sub(o.startedAt)
+	}
+	return measured
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -33,12 +33,16 @@
 	firstToken metric.Float64Histogram
 	attempts   metric.Int64Counter
 	changes    metric.Int64Counter
+	estimates  metric.Float64Histogram
 }
 
 // durationBounds are the bucket boundaries of the duration histograms, in
 // seconds.
 var durationBounds = []float64{0.01, 0.03, 0.1, 0.31, 1, 3, 10, 30, 100, 300}
 
+// ratioBounds are the bucket boundaries of the histogram of estimates.
+var ratioBounds = []float64{0.1, 0.25, 0.5, 0.67, 0.8, 1, 1.25, 1.5, 2, 4, 10}
+
 // New returns a meter and a function that shuts it down.
 func New() (*Meter, func(), error) {
 	registry := prometheus.NewRegistry()
@@ -78,6 +82,11 @@
 		metric.WithDescription("Decisions about the fleet and changes of beliefs, by the part that made them.")); err != nil {
 		return merry.Wrap(err)
 	}
+	if m.estimates, err = m.meter.Float64Histogram("toucanhitch.estimate.ratio",
+		metric.WithDescription("Estimated time of an attempt divided by the measured one, by the part that was estimated."),
+		metric.WithExplicitBucketBoundaries(ratioBounds...)); err != nil {
+		return merry.Wrap(err)
+	}
 	m.duration, err = m.meter.Float64Histogram("toucanhitch.request.duration",
 		metric.WithDescription("Time from a request's arrival to its end."),
 		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(durationBounds...))
@@ -114,6 +123,14 @@
 	}
 }
 
+// RecordEstimate records the ratio of an estimate to the measurement. part says what was
+// estimated. Without an estimate or a measurement it records nothing.
+func (m *Meter) RecordEstimate(part string, estimate, measurement time.Duration) {
+	if estimate > 0 && measurement > 0 {
+		m.estimates.Record(context.Background(), float64(estimate)/float64(measurement), metric.WithAttributes(attribute.String("part", part)))
+	}
+}
+
 // RecordChange counts a decision about the fleet or a change in a node's view
 // of a replica. part is the component that reports it; kind is the text of its
 // log line.
