--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -35,6 +35,7 @@
 func (n *Node) applySurveyorEffect(effect surveyor.Effect) {
 	switch effect := effect.(type) {
 	case surveyor.PublishConfiguration:
+		n.setModels(effect.Configuration)
 		n.view.configuration.Store(&currentConfiguration{effect.Configuration, effect.CurrentAsOf})
 		n.logPostError("planner", n.planner.Post(planner.ConfigurationChanged{Configuration: effect.Configuration, CurrentAsOf: effect.CurrentAsOf}))
 	case surveyor.PublishStoreReplicas:
@@ -147,6 +148,8 @@
 		RateLimits: activity.RateLimits,
 		Notices:    activity.Notices,
 		Prompts:    prompts,
+		Speeds:     activity.Speeds,
+		Paces:      activity.Paces,
 	}, nil
 }
 
@@ -226,6 +229,8 @@
 		RateLimits:      effect.Others.RateLimits,
 		Closed:          state.Closed,
 		OrdersAllowedIn: state.OrdersAllowedIn,
+		Speeds:          state.Speeds,
+		Paces:           state.Paces,
 	}))
 }
 
--- /dev/null
+++ b/internal/assembler/models.go
@@ -0,0 +1,24 @@
+package assembler
+
+import (
+	"toucanhitch.example/toucanhitch/internal/balancer"
+	"toucanhitch.example/toucanhitch/internal/resolver"
+)
+
+// setModels passes the sizes of the models to the balancer if the configuration is a new one.
+func (n *Node) setModels(configuration *resolver.Configuration) {
+	if current := n.view.configuration.Load(); configuration == nil || current != nil && current.configuration == configuration {
+		return
+	}
+	sizes := map[string]map[string]float64{}
+	for name, service := range configuration.Services {
+		if service.Engine == nil {
+			continue
+		}
+		sizes[name] = make(map[string]float64, len(service.Engine.Models))
+		for _, model := range service.Engine.Models {
+			sizes[name][model.Name] = model.MemoryMB
+		}
+	}
+	n.logPostError("balancer", n.balancer.Post(balancer.SetModels{Sizes: sizes}))
+}
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -125,6 +125,7 @@
 	c.Tenure.Prompts.Record(now, report.Node.Name, report.Prompts)
 	c.recordLimits(now, report)
 	c.recordNotices(now, report)
+	c.Tenure.Estimates.Record(now, report.Speeds, report.Paces)
 	effects := c.reviewPrompts(now)
 	if now.Sub(c.Tenure.AdvancedAt) >= minPlanInterval {
 		effects = append(effects, c.advance(now)...)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
@@ -40,6 +41,10 @@
 	Notices []Notice `json:",omitempty"`
 	// Prompts is what the node knows about prompts that crash replicas.
 	Prompts screener.Report `json:",omitzero"`
+	// Speeds and Paces are what the node has measured of replicas and models since the last
+	// report.
+	Speeds []estimator.SpeedSum `json:",omitempty"`
+	Paces  []estimator.PaceSum  `json:",omitempty"`
 }
 
 // Notice is what a replica has announced in an answer to a node.
@@ -179,6 +184,10 @@
 	Suspects map[string]int `json:",omitempty"`
 	// Prompts are the parts of prompts that crash replicas.
 	Prompts screener.Published `json:",omitzero"`
+	// Speeds and Paces are what all nodes have measured of replicas and models, as far as it
+	// has changed.
+	Speeds []estimator.PublishedSpeed `json:",omitempty"`
+	Paces  []estimator.PublishedPace  `json:",omitempty"`
 	// Versions are the software versions of replicas, as of the list of replicas.
 	Versions resumer.Published `json:",omitzero"`
 	// Peers is the number of live nodes, and Registered the number of registered
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -75,6 +75,7 @@
 		t.TableStale = false
 		changed = t.Table.publish(next, c.table(now)) || changed
 		c.forgetNotices(t.Table.Entries)
+		t.Estimates.Retain(func(replica string) bool { return t.Table.Added[replica] > 0 })
 	}
 	if t.CandidatesStale {
 		t.CandidatesStale = false
@@ -83,6 +84,7 @@
 	if workspaces := slices.Sorted(maps.Keys(t.Totals.Consumed)); !slices.Equal(workspaces, t.Workspaces) {
 		t.Workspaces, t.WorkspacesVersion, changed = workspaces, next, true
 	}
+	changed = t.Estimates.Publish(next) || changed
 	if changed {
 		t.Version = next
 	}
@@ -142,6 +144,7 @@
 	}
 	state.Callers, state.RemovedCallers = t.Callers.since(version)
 	state.Candidates, state.RemovedCandidates = t.Candidates.since(version)
+	state.Speeds, state.Paces = t.Estimates.Since(version)
 	if t.WorkspacesVersion > version || state.Full {
 		state.Workspaces = t.Workspaces
 	}
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
@@ -59,6 +60,8 @@
 	Prompts *screener.Evidence
 	// Notices holds what replicas have announced, by ID.
 	Notices map[string]*notice
+	// Estimates is what the nodes have measured of replicas and models.
+	Estimates estimator.Pool
 	// StoringVersions are the software versions that the lease contains or will contain.
 	StoringVersions []resumer.Service
 	// StoreConcurrency is the number of concurrent loads from the weight store
