--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -1,6 +1,7 @@
 package estimator
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -262,7 +263,11 @@
 // list may be of an older copy of the store, or lack entries for a while.
 const unlistedLifetime = time.Minute
 
-// Retain forgets the replicas that have been missing from the list for unlistedLifetime.
+// paceLifetime is how long the pace of a model is kept after its last observation.
+const paceLifetime = time.Hour
+
+// Retain forgets the replicas that have been missing from the list for unlistedLifetime, and
+// the models that have not been observed for paceLifetime.
 func (e *Estimator) Retain(now time.Time, isListed func(replica string) bool) {
 	for id, speed := range e.Replicas {
 		switch {
@@ -274,6 +279,11 @@
 			e.Forget(id)
 		}
 	}
+	for _, service := range e.Services {
+		maps.DeleteFunc(service.Models, func(_ string, pace *Pace) bool {
+			return pace.FirstEvent.isKnown() && now.Sub(pace.FirstEvent.UpdatedAt) > paceLifetime
+		})
+	}
 }
 
 // Forget forgets a replica that has ended.
--- a/internal/estimator/estimator_test.go
+++ b/internal/estimator/estimator_test.go
@@ -236,3 +236,37 @@
 		t.Errorf("estimate of a new node is %v, want about %s", got, want)
 	}
 }
+
+// TestAllMeasurementsAreReported guards against replicas whose measurements are never reported
+// because others have new ones in each report, and against measurements reported twice.
+func TestAllMeasurementsAreReported(t *testing.T) {
+	e, reported := New(), map[string]float64{}
+	work := Work{Service: "llm", Model: "m"}
+	for i := range 3 * maxReportedSpeeds {
+		e.Replica(fmt.Sprintf("r%03d", i), 0)
+	}
+	observed := func(i, round int) {
+		e.Observe(start.Add(time.Duration(round)*time.Second), Observation{Replica: fmt.Sprintf("r%03d", i), Work: work, FirstEvent: 30 * time.Millisecond})
+	}
+	for round := range 6 {
+		for i := range 3 * maxReportedSpeeds {
+			// The first replicas are the busiest.
+			if round < 2 || i < maxReportedSpeeds {
+				observed(i, round)
+			}
+		}
+		speeds, _ := e.Collect()
+		for _, speed := range speeds {
+			reported[speed.Replica] += speed.Weight
+		}
+		if len(speeds) > maxReportedSpeeds {
+			t.Fatalf("report has %d speeds", len(speeds))
+		}
+	}
+	if len(reported) != 3*maxReportedSpeeds {
+		t.Errorf("%d of %d replicas were reported", len(reported), 3*maxReportedSpeeds)
+	}
+	if reported["r191"] == 0 || reported["r191"] > 2 {
+		t.Errorf("two first events have weight %v", reported["r191"])
+	}
+}
--- a/internal/estimator/pool.go
+++ b/internal/estimator/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -202,11 +203,9 @@
 	return speeds, paces
 }
 
-// Retain forgets the replicas that are not listed.
-func (p *Pool) Retain(isListed func(replica string) bool) {
-	for id := range p.Speeds {
-		if !isListed(id) {
-			delete(p.Speeds, id)
-		}
-	}
+// Retain forgets the replicas that are not listed, and the models that have not been observed
+// for paceLifetime.
+func (p *Pool) Retain(now time.Time, isListed func(replica string) bool) {
+	maps.DeleteFunc(p.Speeds, func(id string, _ *PooledSpeed) bool { return !isListed(id) })
+	maps.DeleteFunc(p.Paces, func(_ PaceKey, pace *PooledPace) bool { return now.Sub(pace.UpdatedAt) > paceLifetime })
 }
--- a/internal/estimator/sum.go
+++ b/internal/estimator/sum.go
@@ -53,7 +53,8 @@
 	FirstEvent, Interval Sum
 }
 
-// Bounds of a report. What exceeds them is reported next time.
+// Bounds of a report. The largest weights come first, and the others grow until they are
+// reported.
 const (
 	maxReportedSpeeds = 64
 	maxReportedPaces  = 64
@@ -61,14 +62,16 @@
 	minReportedWeight = 0.05
 )
 
-// Collect returns what was measured since the last call, sorted.
+// Collect returns what was measured since the last call.
 func (e *Estimator) Collect() (speeds []SpeedSum, paces []PaceSum) {
 	for id, speed := range e.Replicas {
 		if speed.sum.Weight >= minReportedWeight {
 			speeds = append(speeds, SpeedSum{id, speed.StartedMS, speed.sum.rounded()})
 		}
 	}
-	slices.SortFunc(speeds, func(a, b SpeedSum) int { return cmp.Compare(a.Replica, b.Replica) })
+	slices.SortFunc(speeds, func(a, b SpeedSum) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Replica, b.Replica))
+	})
 	speeds = speeds[:min(len(speeds), maxReportedSpeeds)]
 	for _, reported := range speeds {
 		e.Replicas[reported.Replica].sum = Sum{}
@@ -81,7 +84,7 @@
 		}
 	}
 	slices.SortFunc(paces, func(a, b PaceSum) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), compareBool(a.Whole, b.Whole))
+		return cmp.Or(cmp.Compare(b.FirstEvent.Weight, a.FirstEvent.Weight), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), compareBool(a.Whole, b.Whole))
 	})
 	paces = paces[:min(len(paces), maxReportedPaces)]
 	for _, reported := range paces {
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -75,7 +75,7 @@
 		t.TableStale = false
 		changed = t.Table.publish(next, c.table(now)) || changed
 		c.forgetNotices(t.Table.Entries)
-		t.Estimates.Retain(func(replica string) bool { return t.Table.Added[replica] > 0 })
+		t.Estimates.Retain(now, func(replica string) bool { return t.Table.Added[replica] > 0 })
 	}
 	if t.CandidatesStale {
 		t.CandidatesStale = false
