--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -97,10 +97,11 @@
 	// returning is set until the replica, which was closed, begins its answer.
 	returning bool
 	// sentAt and load are the time and the replica's load of the assignment. begun is set
-	// once the first event of the answer was reported.
-	sentAt time.Time
-	load   estimator.Load
-	begun  bool
+	// once the first event of the answer was reported, which came after firstEvent.
+	sentAt     time.Time
+	load       estimator.Load
+	begun      bool
+	firstEvent time.Duration
 }
 
 type useKey struct {
@@ -168,6 +169,8 @@
 		c.Estimator.Sizes = message.Sizes
 	case AnswerBegun:
 		return c.recordBegun(now, message)
+	case AnswerProgressed:
+		return c.recordProgress(now, message)
 	case AttemptEnded:
 		return append(c.endAttempt(now, message), c.serveWaiters(now)...)
 	case NoticeReceived:
--- a/internal/balancer/estimate.go
+++ b/internal/balancer/estimate.go
@@ -47,9 +47,23 @@
 	observation.FirstEvent = message.FirstEvent
 	c.Estimator.Observe(now, observation)
 	begun.begin()
+	begun.firstEvent = message.FirstEvent
 	return begun.replica.noteSpeed()
 }
 
+// recordProgress learns from the first intervals of a stream.
+func (c *Controller) recordProgress(now time.Time, message AnswerProgressed) []Effect {
+	running := c.Assignments[message.PlacementID]
+	if running == nil || !running.begun {
+		return nil
+	}
+	observation := running.observation()
+	observation.FirstEvent, observation.Unfinished = running.firstEvent, true
+	observation.Duration, observation.Events = message.Elapsed, message.Events
+	c.Estimator.Observe(now, observation)
+	return running.replica.noteSpeed()
+}
+
 // begin marks the answer to the request as begun.
 func (a *assignment) begin() {
 	if !a.begun {
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -62,6 +62,16 @@
 	FirstEvent time.Duration
 }
 
+// AnswerProgressed reports some events after the first one, because streams go on long after
+// their intervals show the replica's speed.
+type AnswerProgressed struct {
+	// PlacementID identifies the placement.
+	PlacementID runner.Call
+	// Elapsed is the time from sending the request to the last of Events.
+	Elapsed time.Duration
+	Events  int
+}
+
 // AttemptEnded reports the result of an attempt at a replica.
 type AttemptEnded struct {
 	// PlacementID identifies the placement.
@@ -107,19 +117,20 @@
 // Collect requests the node's part of a report to the holder.
 type Collect struct{ Call runner.Call }
 
-func (Tick) isMessage()           {}
-func (SetReplicas) isMessage()    {}
-func (SetPeerState) isMessage()   {}
-func (Place) isMessage()          {}
-func (Cancel) isMessage()         {}
-func (AnswerBegun) isMessage()    {}
-func (AttemptEnded) isMessage()   {}
-func (SetModels) isMessage()      {}
-func (NoticeReceived) isMessage() {}
-func (SetBeginning) isMessage()   {}
-func (UsageUpdate) isMessage()    {}
-func (Leave) isMessage()          {}
-func (Collect) isMessage()        {}
+func (Tick) isMessage()             {}
+func (SetReplicas) isMessage()      {}
+func (SetPeerState) isMessage()     {}
+func (Place) isMessage()            {}
+func (Cancel) isMessage()           {}
+func (AnswerBegun) isMessage()      {}
+func (AnswerProgressed) isMessage() {}
+func (AttemptEnded) isMessage()     {}
+func (SetModels) isMessage()        {}
+func (NoticeReceived) isMessage()   {}
+func (SetBeginning) isMessage()     {}
+func (UsageUpdate) isMessage()      {}
+func (Leave) isMessage()            {}
+func (Collect) isMessage()          {}
 
 // Need describes a request and its requirements for a replica.
 type Need struct {
--- a/internal/balancer/spread_test.go
+++ b/internal/balancer/spread_test.go
@@ -251,7 +251,13 @@
 		}
 		w.begun(r)
 		events := 1 + r.output/8
-		w.after(time.Duration(float64(events-1)*43/replica.speed*float64(time.Millisecond)), func() { w.end(r, events) })
+		interval := time.Duration(43 / replica.speed * float64(time.Millisecond))
+		if events > 5 {
+			w.after(4*interval, func() {
+				w.step(r.node, AnswerProgressed{PlacementID: r.call, Elapsed: w.now.Sub(r.sentAt), Events: 5})
+			})
+		}
+		w.after(time.Duration(events-1)*interval, func() { w.end(r, events) })
 	})
 }
 
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -55,6 +55,9 @@
 	// number of events.
 	Duration time.Duration
 	Events   int
+	// Unfinished is set if Duration is the time to the last of Events, after which more
+	// follow.
+	Unfinished bool
 }
 
 const (
--- a/internal/estimator/observe.go
+++ b/internal/estimator/observe.go
@@ -70,7 +70,7 @@
 	if o.FirstEvent > 0 && !o.FirstEventObserved {
 		e.observeFirstEvent(now, o, service, pace, speed)
 	}
-	if o.Duration > 0 {
+	if o.Duration > 0 && !o.Unfinished {
 		service.SlotDuration = MovingAverage(service.SlotDuration, Scale(o.Duration, 1/speed.Factor))
 	}
 	if o.Events > 1 && o.FirstEvent > 0 && o.Duration > o.FirstEvent {
@@ -138,7 +138,7 @@
 	speed.sum.add(before+difference, intervalNoise+uncertain)
 	pace.intervalSum.add(pace.Interval.Mean, intervalNoise+variance)
 	speed.ObservedAt = now
-	if o.Work.OutputTokens > 0 {
+	if o.Work.OutputTokens > 0 && !o.Unfinished {
 		service.EventTokens += smoothingFactor * (float64(o.Work.OutputTokens)/float64(o.Events) - service.EventTokens)
 	}
 }
--- a/internal/forwarder/observe.go
+++ b/internal/forwarder/observe.go
@@ -10,6 +10,10 @@
 // answeredText is the text of the event that reports an answered attempt.
 const answeredText = "answered"
 
+// progressEvents is the number of events after which the progress of a stream is reported.
+// Their intervals show the speed of the replica about 0.2 s after the first event.
+const progressEvents = 5
+
 // observation is what an attempt shows about the speed of its replica.
 type observation struct {
 	placement balancer.Placement
@@ -52,12 +56,15 @@
 		return
 	}
 	o.events++
-	if o.events > 1 || !o.valid {
-		return
+	switch {
+	case !o.valid:
+	case o.events == 1:
+		o.firstEvent = j.Clock.Since(o.startedAt)
+		// Without the message, the first event is learnt at the end of the answer.
+		_ = j.Placer.Post(balancer.AnswerBegun{PlacementID: o.placement.ID, FirstEvent: o.firstEvent})
+	case o.events == progressEvents:
+		_ = j.Placer.Post(balancer.AnswerProgressed{PlacementID: o.placement.ID, Elapsed: j.Clock.Since(o.startedAt), Events: o.events})
 	}
-	o.firstEvent = j.Clock.Since(o.startedAt)
-	// Without the message, the first event is learnt at the end of the answer.
-	_ = j.Placer.Post(balancer.AnswerBegun{PlacementID: o.placement.ID, FirstEvent: o.firstEvent})
 }
 
 // attemptEnded returns the report of an attempt to the balancer.
--- a/internal/forwarder/observe_test.go
+++ b/internal/forwarder/observe_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -34,12 +35,18 @@
 		passedLast int64
 		events     []string
 		begun      time.Duration
+		progressed time.Duration
 		ended      balancer.AttemptEnded
 	}{
 		{
 			name: "stream", head: stream, result: balancer.Answered, passedLast: -1, events: []string{": comment\n\n", "id: 0\n\n", "id: 1\n\n"},
 			begun: 30 * time.Millisecond, ended: balancer.AttemptEnded{FirstByte: 30 * time.Millisecond, Duration: 40 * time.Millisecond, Events: 2},
 		},
+		{
+			name: "long stream", head: stream, result: balancer.Answered, passedLast: -1, events: []string{"id: 0\n\n", "id: 1\n\n", "id: 2\n\n", ": comment\n\n", "id: 3\n\n", "id: 4\n\n", "id: 5\n\n"},
+			begun: 20 * time.Millisecond, progressed: 70 * time.Millisecond,
+			ended: balancer.AttemptEnded{FirstByte: 20 * time.Millisecond, Duration: 80 * time.Millisecond, Events: 6},
+		},
 		{
 			name: "broken stream", head: stream, result: balancer.Failed, passedLast: -1, events: []string{"id: 0\n\n"},
 			begun: 20 * time.Millisecond,
@@ -71,9 +78,12 @@
 		}
 		var want []balancer.Message
 		if c.begun > 0 {
-			want = []balancer.Message{balancer.AnswerBegun{PlacementID: 7, FirstEvent: c.begun}}
+			want = append(want, balancer.AnswerBegun{PlacementID: 7, FirstEvent: c.begun})
+		}
+		if c.progressed > 0 {
+			want = append(want, balancer.AnswerProgressed{PlacementID: 7, Elapsed: c.progressed, Events: 5})
 		}
-		if len(placer.posted) != len(want) || len(want) > 0 && placer.posted[0] != want[0] {
+		if !slices.Equal(placer.posted, want) {
 			t.Errorf("%s: reported %+v, want %+v", c.name, placer.posted, want)
 		}
 		measured := j.observed.measurement(c.result == balancer.Answered, clock.Now())
