--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -36,6 +36,7 @@
 	switch effect := effect.(type) {
 	case surveyor.PublishConfiguration:
 		previous := n.view.configuration.Swap(&currentConfiguration{effect.Configuration, effect.CurrentAsOf})
+		n.setModels(effect.Configuration)
 		if previous == nil || previous.configuration != effect.Configuration {
 			n.setColdRules(effect.Configuration)
 		}
@@ -154,6 +155,8 @@
 		RateLimits: activity.RateLimits,
 		Notices:    activity.Notices,
 		Prompts:    prompts,
+		Speeds:     activity.Speeds,
+		Paces:      activity.Paces,
 	}, nil
 }
 
@@ -240,6 +243,8 @@
 		RateLimits:      effect.Others.RateLimits,
 		Closed:          state.Closed,
 		OrdersAllowedIn: state.OrdersAllowedIn,
+		Speeds:          state.Speeds,
+		Paces:           state.Paces,
 	}))
 }
 
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -23,8 +23,7 @@
 	// once, the first lists have only the nodes that were early.
 	assumedNodes  = 500
 	firstListTime = 1500 * time.Millisecond
-	// coldCostFactor raises the cost and the expected time to the first byte of a cold
-	// replica.
+	// coldCostFactor raises the estimated times of a cold replica.
 	coldCostFactor = 4
 	// coldRecheckInterval is how long a node that may not send to a cold replica waits
 	// before it checks again whether it may: about one exchange with the holder.
@@ -215,7 +214,6 @@
 	placement.SendBy = now.Add(maxSendDelay)
 	if c.isCold(now, replica) {
 		c.Assignments[placement.ID].cold = true
-		placement.Expected *= coldCostFactor
 	}
 }
 
