--- a/internal/scheduler/admission.go
+++ b/internal/scheduler/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/queuer"
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
@@ -59,31 +60,27 @@
 		return c.LoadTimes.estimateRemaining(now, target.Model)
 	}
 	queue, ok := c.Queues[target.queueTarget()]
-	if !ok || queue.Foreground.Waiting == 0 || queue.GrantRate.TokensPerSecond <= 0 {
+	if !ok || queue.Foreground.Waiting == 0 || queue.GrantPace.PerSecond <= 0 {
 		return 0, false
 	}
-	ahead := queue.Foreground.tokensAhead(w)
-	return time.Duration(ahead / queue.GrantRate.TokensPerSecond * float64(time.Second)), true
+	ahead := tokensAhead(queue.Foreground, w)
+	return time.Duration(ahead / queue.GrantPace.PerSecond * float64(time.Second)), true
 }
 
 // tokensAhead estimates the tokens that are served before a new interactive
 // request: those of its own workspace plus the share that other workspaces
 // receive in the meantime, at most all waiting tokens. Assured requests of the
 // same workspace are included if they are due first.
-func (q *FairQueue) tokensAhead(w *WaitingRequest) float64 {
-	lane, ok := q.Lanes[laneKey(w.Admission)]
-	if !ok {
+func tokensAhead(q *queuer.Queue[*WaitingRequest], w *WaitingRequest) float64 {
+	flow := q.Flow(w.attributes())
+	if flow == nil {
 		return 0
 	}
-	flow, ok := lane.FlowByWorkspace[w.Admission.Workspace]
-	if !ok {
-		return 0
-	}
-	own := flow.InteractiveTokens
-	if flow.head().Admission.Class == filter.Assured {
+	own := flow.UrgentTokens
+	if flow.Head().Value.Admission.Class == filter.Assured {
 		own = flow.Tokens
 	}
-	return min(q.Tokens, own*q.Weight/flow.Weight)
+	return min(q.Tokens(), own*q.Weight()/flow.Weight)
 }
 
 // refuseIfFull handles a request that arrives when MaxWaiting is reached: it
@@ -92,8 +89,8 @@
 	if len(c.Waiting) < c.MaxWaiting {
 		return false
 	}
-	victim := c.backlogs.victim(w.Admission)
-	if victim == nil {
+	victim, found := c.backlogs.Victim(sheddingRank(w.Admission.Class), w.Admission.Workspace, w.Admission.Weight)
+	if !found {
 		c.refuse(w.Call, filter.Overloaded, retryAfterHint, "%d requests wait at this node, which is its bound", c.MaxWaiting)
 		return true
 	}
@@ -102,31 +99,43 @@
 	return false
 }
 
+// sheddingRank returns the rank of a class in the order of shedding: deferred requests
+// are shed first, assured ones last.
+func sheddingRank(class filter.Class) int {
+	switch class {
+	case filter.Assured:
+		return 0
+	case filter.Interactive:
+		return 1
+	}
+	return 2
+}
+
 func (c *Controller) enqueue(now time.Time, w *WaitingRequest) {
 	c.LastArrivalNumber++
 	w.ArrivalNumber = c.LastArrivalNumber
 	target := target(w.Admission)
 	pool := c.getOrCreatePool(target)
 	w.queue = c.getOrCreateQueue(target.queueTarget())
-	w.queue.GrantRate.startWindow(now)
-	w.queue.fairQueue(w.Admission.Class).Push(w, pool)
+	w.queue.GrantPace.Start(now)
+	w.queueEntry = w.queue.fairQueue(w.Admission.Class).Push(w, w.attributes())
 	c.addDemand(now, pool, w)
-	c.backlogs.add(w)
+	w.backlogEntry = c.backlogs.Add(w, sheddingRank(w.Admission.Class), w.Admission.Workspace, w.Admission.Weight)
 	c.Waiting[w.Call] = w
 }
 
 // dequeue removes a request that gets no slot.
 func (c *Controller) dequeue(w *WaitingRequest) {
-	w.queue.fairQueue(w.Admission.Class).Remove(w)
+	w.queue.fairQueue(w.Admission.Class).Remove(w.queueEntry)
 	c.removeFromIndexes(w)
 	if w.queue.waitingCount() == 0 {
-		w.queue.GrantRate.WindowStart = time.Time{}
+		w.queue.GrantPace.Stop()
 	}
 }
 
 func (c *Controller) removeFromIndexes(w *WaitingRequest) {
 	delete(c.Waiting, w.Call)
-	c.backlogs.remove(w)
+	c.backlogs.Remove(w.backlogEntry)
 	c.removeDemand(w)
 	c.deleteQueueIfUnused(w.queue)
 }
--- a/internal/scheduler/controller.go
+++ b/internal/scheduler/controller.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/queuer"
 	"toucanhitch.example/toucanhitch/internal/router"
 	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/tracker"
@@ -42,8 +43,8 @@
 	LastArrivalNumber uint64
 
 	// ByDeadline is ordered by earliest deadline, ByResumeTime by ResumeAt.
-	ByDeadline   heap[*Demand]
-	ByResumeTime heap[*Endpoint]
+	ByDeadline   queuer.Heap[*Demand]
+	ByResumeTime queuer.Heap[*Endpoint]
 
 	// AttainedService is the number of tokens that each workspace received
 	// recently across the fleet.
@@ -57,7 +58,7 @@
 	PublishedAt time.Time
 
 	demandReports list.List // of *Demand, ordered by NextReportAt
-	backlogs      backlogs
+	backlogs      *queuer.Backlogs[*WaitingRequest]
 	effects       []Effect
 	generation    uint64
 }
@@ -90,7 +91,7 @@
 		SlotByCall: map[runner.Call]uint64{},
 		LoadTimes:  newLoadTimes(),
 		Published:  PublishLoad{MaxWaiting: DefaultMaxWaiting},
-		backlogs:   newBacklogs(),
+		backlogs:   queuer.NewBacklogs[*WaitingRequest](),
 	}
 }
 
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/queuer"
 )
 
 // demandReportInterval is how often waiting requests are reported to the
@@ -16,14 +17,14 @@
 	if !ok {
 		demand = &Demand{Pool: pool, Class: class, NextReportAt: now.Add(demandReportInterval)}
 		pool.Demands[class] = demand
-		demand.Waiting.push(w)
-		c.ByDeadline.push(demand)
+		demand.Waiting.Push(w)
+		c.ByDeadline.Push(demand)
 		if pool.Target.Model != "" {
 			demand.reportElement = c.demandReports.PushBack(demand)
 		}
 	} else {
-		demand.Waiting.push(w)
-		c.ByDeadline.fix(demand.deadlineIndex)
+		demand.Waiting.Push(w)
+		c.ByDeadline.Fix(demand.deadlineIndex)
 	}
 	w.demand = demand
 }
@@ -31,14 +32,14 @@
 func (c *Controller) removeDemand(w *WaitingRequest) {
 	demand := w.demand
 	if len(demand.Waiting) > 1 {
-		demand.Waiting.remove(w.demandIndex)
-		c.ByDeadline.fix(demand.deadlineIndex)
+		demand.Waiting.Remove(w.demandIndex)
+		c.ByDeadline.Fix(demand.deadlineIndex)
 		return
 	}
 	// The heap compares a demand by its first request, so the demand must be
 	// removed from the heap before that request.
-	c.ByDeadline.remove(demand.deadlineIndex)
-	demand.Waiting.remove(w.demandIndex)
+	c.ByDeadline.Remove(demand.deadlineIndex)
+	demand.Waiting.Remove(w.demandIndex)
 	if demand.reportElement != nil {
 		c.demandReports.Remove(demand.reportElement)
 	}
@@ -100,7 +101,7 @@
 func (c *Controller) getOrCreateQueue(target Target) *Queue {
 	queue, ok := c.Queues[target]
 	if !ok {
-		queue = &Queue{Target: target, Foreground: NewFairQueue(), Deferred: NewFairQueue()}
+		queue = &Queue{Target: target, Foreground: queuer.New[*WaitingRequest](0), Deferred: queuer.New[*WaitingRequest](0)}
 		c.Queues[target] = queue
 	}
 	return queue
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -55,11 +55,11 @@
 func (c *Controller) pickQueue(queues []*Queue) int {
 	total := 0.0
 	for _, queue := range queues {
-		total += queue.Foreground.Weight
+		total += queue.Foreground.Weight()
 	}
 	remaining := c.Random.Float64() * total
 	for index, queue := range queues {
-		if remaining -= queue.Foreground.Weight; remaining < 0 {
+		if remaining -= queue.Foreground.Weight(); remaining < 0 {
 			return index
 		}
 	}
@@ -81,13 +81,13 @@
 		return false
 	}
 	if queue.ForegroundGrants >= deferredGrantInterval-1 && queue.Deferred.Waiting > 0 {
-		if w := queue.Deferred.Oldest((*Lane).hasOpenEndpoint); w != nil {
+		if oldest := queue.Deferred.Oldest((*WaitingRequest).hasOpenEndpoint); oldest != nil {
 			queue.ForegroundGrants = 0
-			return c.grantOrRefuse(now, w, false)
+			return c.grantOrRefuse(now, oldest.Value, false)
 		}
 	}
-	w := queue.Foreground.Next((*Lane).hasOpenEndpoint)
-	if w == nil || !c.grantOrRefuse(now, w, false) {
+	next := queue.Foreground.Next((*WaitingRequest).hasOpenEndpoint)
+	if next == nil || !c.grantOrRefuse(now, next.Value, false) {
 		return false
 	}
 	queue.ForegroundGrants++
@@ -101,15 +101,15 @@
 	if queue.Deferred.Waiting == 0 {
 		return false
 	}
-	oldest := queue.Deferred.Oldest((*Lane).hasOpenEndpoint)
+	oldest := queue.Deferred.Oldest((*WaitingRequest).hasOpenEndpoint)
 	if oldest == nil {
 		return false
 	}
-	if waitedTooLong(now, oldest) {
-		return c.grantOrRefuse(now, oldest, false)
+	if waitedTooLong(now, oldest.Value) {
+		return c.grantOrRefuse(now, oldest.Value, false)
 	}
-	w := queue.Deferred.Next(func(lane *Lane) bool { return lane.hasSpareCapacity(now) })
-	return w != nil && c.grantOrRefuse(now, w, true)
+	next := queue.Deferred.Next(func(w *WaitingRequest) bool { return w.hasSpareCapacity(now) })
+	return next != nil && c.grantOrRefuse(now, next.Value, true)
 }
 
 func waitedTooLong(now time.Time, w *WaitingRequest) bool {
@@ -149,8 +149,7 @@
 // sampleEndpoints returns the open endpoints among which the router chooses:
 // all of them, or sampleSize consecutive ones from a random offset.
 func (c *Controller) sampleEndpoints(now time.Time, w *WaitingRequest, spareOnly bool) []*Endpoint {
-	lane := w.queue.fairQueue(w.Admission.Class).Lanes[laneKey(w.Admission)]
-	open := lane.pool.Open
+	open := w.demand.Pool.Open
 	start := 0
 	if len(open) > sampleSize && !spareOnly {
 		start = c.Random.IntN(len(open))
@@ -158,7 +157,7 @@
 	var sample []*Endpoint
 	for index := range open {
 		endpoint := open[(start+index)%len(open)].Endpoint
-		if lane.avoids(endpoint) || spareOnly && !endpoint.hasSpareCapacity(now) {
+		if w.avoids(endpoint) || spareOnly && !endpoint.hasSpareCapacity(now) {
 			continue
 		}
 		if sample = append(sample, endpoint); len(sample) == sampleSize {
@@ -188,8 +187,8 @@
 
 func (c *Controller) grant(now time.Time, w *WaitingRequest, endpoint *Endpoint, estimate router.Estimate, spareOnly bool) {
 	admission := w.Admission
-	w.queue.fairQueue(admission.Class).Serve(w)
-	w.queue.GrantRate.recordGrant(now, w.Cost, w.queue.waitingCount() > 0)
+	w.queue.fairQueue(admission.Class).Serve(w.queueEntry)
+	w.queue.GrantPace.Record(now, w.Cost, w.queue.waitingCount() > 0)
 	c.removeFromIndexes(w)
 	c.LastSlotID++
 	slot := &Slot{ID: c.LastSlotID, Call: w.Call, Endpoint: endpoint, Admission: admission, ExpectedWait: estimate.Wait}
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -65,14 +65,16 @@
 	index int // index in pool.Open, or -1
 }
 
-func (e *Endpoint) before(other *Endpoint) bool {
+// Before implements queuer.Item.
+func (e *Endpoint) Before(other *Endpoint) bool {
 	if !e.ResumeAt.Equal(other.ResumeAt) {
 		return e.ResumeAt.Before(other.ResumeAt)
 	}
 	return e.Name < other.Name
 }
 
-func (e *Endpoint) setIndex(index int) { e.resumeIndex = index }
+// SetIndex implements queuer.Item.
+func (e *Endpoint) SetIndex(index int) { e.resumeIndex = index }
 
 // isLeaving reports whether the endpoint must not receive new requests any more.
 func (e *Endpoint) isLeaving() bool {
--- a/internal/scheduler/fleet.go
+++ b/internal/scheduler/fleet.go
@@ -200,11 +200,11 @@
 		at = now.Add(zeroShareRecheckDelay)
 	}
 	if endpoint.resumeIndex >= 0 {
-		c.ByResumeTime.remove(endpoint.resumeIndex)
+		c.ByResumeTime.Remove(endpoint.resumeIndex)
 	}
 	endpoint.ResumeAt = at
 	if !at.IsZero() {
-		c.ByResumeTime.push(endpoint)
+		c.ByResumeTime.Push(endpoint)
 	}
 }
 
--- a/internal/scheduler/fuzz_test.go
+++ b/internal/scheduler/fuzz_test.go
@@ -99,7 +99,7 @@
 	admission := filter.Admission{
 		Workspace: rapid.SampledFrom([]string{"v", "w", "x"}).Draw(t, "workspace"),
 		Weight:    rapid.SampledFrom([]float64{0, 1, 3}).Draw(t, "weight"),
-		Class:     rapid.SampledFrom(sheddingOrder).Draw(t, "class"),
+		Class:     rapid.SampledFrom([]filter.Class{filter.Deferred, filter.Interactive, filter.Assured}).Draw(t, "class"),
 		Deadline:  o.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "timeout")) * time.Millisecond),
 		MaxTokens: rapid.IntRange(0, 50).Draw(t, "tokens"),
 		Prefix:    uint64(rapid.IntRange(0, 2).Draw(t, "prefix")),
@@ -254,7 +254,7 @@
 	}
 	c := o.controller
 	if left := len(c.Waiting) + len(c.Slots) + len(c.SlotByCall) + len(c.Endpoints) + len(c.Queues) + len(c.Pools) +
-		len(c.ByDeadline) + len(c.ByResumeTime) + c.demandReports.Len() + len(c.backlogs.byKey); left != 0 {
+		len(c.ByDeadline) + len(c.ByResumeTime) + c.demandReports.Len() + c.backlogs.Len(); left != 0 {
 		t.Fatalf("%d entries are left after the last request", left)
 	}
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -2,10 +2,10 @@
 
 import (
 	"container/list"
-	"slices"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/queuer"
 )
 
 // Target is what a request needs at an endpoint: a service, or a model with an
@@ -50,7 +50,7 @@
 	Pool  *Pool
 	Class filter.Class
 	// Waiting is ordered by deadline.
-	Waiting heap[*WaitingRequest]
+	Waiting queuer.Heap[*WaitingRequest]
 	// NextReportAt is when the demand is next reported to the placer.
 	NextReportAt time.Time
 
@@ -58,11 +58,13 @@
 	reportElement *list.Element
 }
 
-func (d *Demand) before(other *Demand) bool {
-	return d.Waiting[0].before(other.Waiting[0])
+// Before implements queuer.Item.
+func (d *Demand) Before(other *Demand) bool {
+	return d.Waiting[0].Before(other.Waiting[0])
 }
 
-func (d *Demand) setIndex(index int) { d.deadlineIndex = index }
+// SetIndex implements queuer.Item.
+func (d *Demand) SetIndex(index int) { d.deadlineIndex = index }
 
 // Queue holds the waiting requests for a model with its adapters, or for a
 // service.
@@ -70,95 +72,21 @@
 	Target Target
 	// Foreground holds interactive and assured requests, Deferred holds
 	// deferred ones.
-	Foreground *FairQueue
-	Deferred   *FairQueue
+	Foreground *queuer.Queue[*WaitingRequest]
+	Deferred   *queuer.Queue[*WaitingRequest]
 	// ForegroundGrants counts foreground grants since the last deferred one.
 	ForegroundGrants int
-	// GrantRate is measured while requests are waiting.
-	GrantRate GrantRate
+	// GrantPace, in tokens, is measured while requests are waiting.
+	GrantPace queuer.Pace
 
 	endpointCount int // number of endpoints that serve the target
 }
 
 func (q *Queue) waitingCount() int { return q.Foreground.Waiting + q.Deferred.Waiting }
 
-func (q *Queue) fairQueue(class filter.Class) *FairQueue {
+func (q *Queue) fairQueue(class filter.Class) *queuer.Queue[*WaitingRequest] {
 	if class == filter.Deferred {
 		return q.Deferred
 	}
 	return q.Foreground
 }
-
-// avoids reports whether the lane must not use an endpoint.
-func (l *Lane) avoids(endpoint *Endpoint) bool {
-	return slices.Contains(l.Avoid, endpoint.Name)
-}
-
-// hasOpenEndpoint reports whether an endpoint can accept a request of the lane
-// now. It checks at most one endpoint more than the lane avoids.
-func (l *Lane) hasOpenEndpoint() bool {
-	for _, endpoint := range l.pool.Open {
-		if !l.avoids(endpoint.Endpoint) {
-			return true
-		}
-	}
-	return false
-}
-
-// sampleSize limits the endpoints that are estimated for one request. The
-// better of two random picks among 16 is close to that of two among all.
-const sampleSize = 16
-
-// hasSpareCapacity reports whether one of the first sampleSize open endpoints
-// has spare capacity.
-func (l *Lane) hasSpareCapacity(now time.Time) bool {
-	for index, endpoint := range l.pool.Open {
-		if index == sampleSize {
-			break
-		}
-		if !l.avoids(endpoint.Endpoint) && endpoint.hasSpareCapacity(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// grantRateWindow is the minimum duration of one rate measurement.
-const grantRateWindow = time.Second
-
-// GrantRate is the rate in tokens/s at which waiting requests are granted slots
-// while there is a backlog.
-type GrantRate struct {
-	// TokensPerSecond is a moving average, or 0 before the first measurement.
-	TokensPerSecond float64
-	// WindowStart is when the current window started, or zero without a
-	// backlog.
-	WindowStart  time.Time
-	WindowTokens float64
-}
-
-// startWindow starts a window when a backlog begins.
-func (r *GrantRate) startWindow(now time.Time) {
-	if r.WindowStart.IsZero() {
-		r.WindowStart, r.WindowTokens = now, 0
-	}
-}
-
-// recordGrant records a grant and ends the window when it is long enough.
-func (r *GrantRate) recordGrant(now time.Time, tokens float64, backlog bool) {
-	if r.WindowStart.IsZero() {
-		return
-	}
-	r.WindowTokens += tokens
-	if elapsed := now.Sub(r.WindowStart); elapsed >= grantRateWindow {
-		rate := r.WindowTokens / elapsed.Seconds()
-		if r.TokensPerSecond == 0 {
-			r.TokensPerSecond = rate
-		}
-		r.TokensPerSecond += (rate - r.TokensPerSecond) / 4
-		r.WindowStart, r.WindowTokens = now, 0
-	}
-	if !backlog {
-		r.WindowStart = time.Time{}
-	}
-}
