--- /dev/null
+++ b/internal/balancer/admission.go
@@ -0,0 +1,355 @@
+package balancer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/queuer"
+)
+
+const (
+	// maxPaceAge is the age at which a measured pace is no longer used.
+	maxPaceAge = 10 * time.Second
+	// unreachableCheckInterval is how often the waiting requests for a model are compared
+	// with the pace of their queue.
+	unreachableCheckInterval = 250 * time.Millisecond
+	// maxRetryAfter bounds the retry delay: the pace of a queue says little about later
+	// times.
+	maxRetryAfter = 10 * time.Second
+	// returnShare is the part of the pace that is reserved for callers that return. The rest
+	// is left for new requests.
+	returnShare = 0.5
+	// retrySpreadShare is the largest part of a retry delay that is added at random, so that
+	// callers that are refused together do not return together. minRetrySpread and
+	// maxRetrySpread bound the time over which they are spread.
+	retrySpreadShare = 0.25
+	minRetrySpread   = 100 * time.Millisecond
+	maxRetrySpread   = 400 * time.Millisecond
+)
+
+// ModelQueue is what is known of the waiting requests for a model or adapter of a
+// service.
+type ModelQueue struct {
+	// Waiting is the number of waiting requests.
+	Waiting int
+	// Tokens holds the cost of the waiting requests by rank and workspace.
+	Tokens [maxRank + 1]map[string]float64
+	// Pace is the cost of the requests that leave the queue with a replica, in tokens a
+	// second, while the replicas with the model are full.
+	Pace queuer.Pace
+	// ReturnAt is the time up to which the pace is taken by callers that were told to
+	// return.
+	ReturnAt time.Time
+}
+
+// modelQueue returns what is known of the queue of a model, and begins to record it if
+// nothing is known.
+func (c *Controller) modelQueue(need Need) *ModelQueue {
+	key := need.useKey()
+	queue := c.Waiting.Models[key]
+	if queue == nil {
+		queue = &ModelQueue{}
+		c.Waiting.Models[key] = queue
+	}
+	return queue
+}
+
+func (q *ModelQueue) add(need Need) {
+	q.Waiting++
+	rank := need.rank()
+	if q.Tokens[rank] == nil {
+		q.Tokens[rank] = map[string]float64{}
+	}
+	q.Tokens[rank][need.Workspace] += need.cost()
+}
+
+func (q *ModelQueue) remove(now time.Time, need Need, served bool) {
+	q.Waiting--
+	tokens := q.Tokens[need.rank()]
+	if tokens[need.Workspace] -= need.cost(); tokens[need.Workspace] <= 0 {
+		delete(tokens, need.Workspace)
+	}
+	switch {
+	case served:
+		q.Pace.Record(now, need.cost(), q.Waiting > 0)
+	case q.Waiting == 0:
+		q.Pace.Stop()
+	}
+}
+
+// forget drops the measured pace, because requests do not wait for replicas that are full.
+func (q *ModelQueue) forget() { q.Pace = queuer.Pace{} }
+
+// pace returns the tokens a second that leave the queue at most, and false if that is not
+// known.
+func (q *ModelQueue) pace(now time.Time) (float64, bool) {
+	if q.Waiting == 0 || now.Sub(q.Pace.MeasuredAt) > maxPaceAge && q.Pace.WindowStart.IsZero() {
+		return 0, false
+	}
+	total := 0.0
+	for _, tokens := range q.Tokens {
+		for _, workspace := range tokens {
+			total += workspace
+		}
+	}
+	return q.Pace.Limit(now, total/float64(q.Waiting))
+}
+
+// ahead returns the tokens that leave the queue before a request of a rank and workspace
+// that has the given tokens of its own workspace ahead: all of more urgent ranks, and as
+// much of each other workspace of its rank as of its own.
+func (q *ModelQueue) ahead(rank int, workspace string, own float64) float64 {
+	total := own
+	for number := range rank {
+		for _, tokens := range q.Tokens[number] {
+			total += tokens
+		}
+	}
+	for other, tokens := range q.Tokens[rank] {
+		if other != workspace {
+			total += min(tokens, own)
+		}
+	}
+	return total
+}
+
+// roomExpectedAt returns when a replica is expected to have room for a new request, from the
+// ends of loads or from the requests that go before it and the pace at which they leave the
+// queue. It returns false if that is not known.
+func (c *Controller) roomExpectedAt(now time.Time, need Need) (time.Time, bool) {
+	if queue := c.Waiting.Models[need.useKey()]; queue != nil {
+		if pace, known := queue.pace(now); known {
+			return now.Add(seconds(queue.ahead(need.rank(), need.Workspace, c.ownAhead(need)) / pace)), true
+		}
+	}
+	if need.Model == "" || c.isLoaded(need) {
+		return time.Time{}, false
+	}
+	return c.loadExpectedAt(now, need)
+}
+
+// ownAhead returns the tokens of the requests of the same workspace that are due before a
+// new request.
+func (c *Controller) ownAhead(need Need) float64 {
+	service := c.Waiting.Services[need.Service]
+	if service == nil {
+		return 0
+	}
+	flow := service.Flow(queuer.Attributes{Lane: need.laneKey(), Rank: need.rank(), Workspace: need.Workspace})
+	if flow == nil {
+		return 0
+	}
+	tokens := 0.0
+	for _, entry := range flow.Entries {
+		if entry.Promoted || !entry.Due.After(need.GiveUpAt) {
+			tokens += entry.Cost
+		}
+	}
+	return tokens
+}
+
+// roomDelay returns the time until a replica is expected to have room for a request, or a
+// fixed delay if that is not known.
+func (c *Controller) roomDelay(now time.Time, need Need) time.Duration {
+	at, known := c.roomExpectedAt(now, need)
+	if !known {
+		return overloadRetryAfter
+	}
+	return min(maxRetryAfter, max(overloadRetryAfter, at.Sub(now)))
+}
+
+// canOrderInTime reports whether the holder can have a model loaded before the request is
+// given up.
+func (c *Controller) canOrderInTime(now time.Time, need Need) bool {
+	return c.ordersAllowed(now) && !now.Add(typicalLoadTime).After(need.GiveUpAt)
+}
+
+// loadExpectedAt returns when the first load of a model ends that no replica has, and false
+// if no load is in progress or the end of one is not known.
+func (c *Controller) loadExpectedAt(now time.Time, need Need) (time.Time, bool) {
+	var first time.Time
+	for _, replica := range c.Replicas {
+		if replica.Description.Service != need.Service || replica.isLeaving() {
+			continue
+		}
+		endsAt, loading := replica.loadEndsAt(modelKey{need.Model, need.Adapter})
+		switch {
+		case !loading:
+		case !endsAt.After(now):
+			// The end is not known, or has passed without the replica being listed.
+			return time.Time{}, false
+		case first.IsZero() || endsAt.Before(first):
+			first = endsAt
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// unreachable returns a refusal if no replica is expected to have room for a new request
+// before it is given up. The rest of a stream is never refused because of an estimate.
+func (c *Controller) unreachable(now time.Time, need Need) *Refusal {
+	if need.Continued {
+		return nil
+	}
+	at, known := c.roomExpectedAt(now, need)
+	if !known || !at.After(need.GiveUpAt) {
+		return nil
+	}
+	return &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, at.Sub(now))}
+}
+
+// admission returns a refusal if a new request cannot be served or must not wait.
+func (c *Controller) admission(now time.Time, waiter *Waiter) *Refusal {
+	lane := waiter.lane
+	// The first request of the lane that is given up has been checked since the last
+	// change, and one with more time has no reason to be refused that this one lacks.
+	checked := len(lane.ByGiveUp) > 0 && c.isCurrent(now, lane) && !waiter.Need.GiveUpAt.Before(lane.ByGiveUp[0].Need.GiveUpAt)
+	if !checked {
+		if refusal := c.refusalFor(now, waiter); refusal != nil {
+			return c.spread(refusal)
+		}
+	}
+	if refusal := c.unreachable(now, waiter.Need); refusal != nil {
+		return c.spread(c.bookReturn(now, waiter.Need, refusal))
+	}
+	return nil
+}
+
+// refuseHopeless refuses the waiting requests of a service that can no longer be served.
+func (c *Controller) refuseHopeless(now time.Time, service *ServiceQueue) []Effect {
+	var effects []Effect
+	for _, key := range slices.Sorted(maps.Keys(service.Lanes)) {
+		lane := service.Lanes[key]
+		for len(lane.ByGiveUp) > 0 && (lane.Rescanned || !now.Before(lane.ByGiveUp[0].Need.GiveUpAt)) {
+			waiter := lane.ByGiveUp[0]
+			refusal := c.refusalFor(now, waiter)
+			if refusal == nil {
+				break
+			}
+			if !now.Before(waiter.Need.GiveUpAt) {
+				refusal = c.bookReturn(now, waiter.Need, refusal)
+			}
+			effects = append(effects, c.refuseWaiter(now, waiter, c.spread(refusal)))
+		}
+		lane.Rescanned = false
+	}
+	return effects
+}
+
+// refuseUnreachable refuses the waiting requests of a service that are no longer expected to
+// be served in time.
+func (c *Controller) refuseUnreachable(now time.Time, service *ServiceQueue) []Effect {
+	var effects []Effect
+	for _, key := range slices.Sorted(maps.Keys(service.Lanes)) {
+		lane := service.Lanes[key]
+		if lane == nil || now.Sub(lane.ComparedAt) < unreachableCheckInterval {
+			continue
+		}
+		lane.ComparedAt = now
+		first := lane.ByGiveUp[0].Need
+		queue := c.modelQueue(first)
+		if pace, known := queue.pace(now); known && !first.Continued {
+			effects = append(effects, c.refuseTail(now, lane, queue, pace)...)
+		}
+	}
+	return effects
+}
+
+// refuseTail refuses the requests of a lane that are not expected to be served in time.
+func (c *Controller) refuseTail(now time.Time, lane *Lane, queue *ModelQueue, pace float64) []Effect {
+	type flowKey struct {
+		rank      int
+		workspace string
+	}
+	own, older := map[flowKey]float64{}, lane.olderTokens()
+	var effects []Effect
+	for _, waiter := range slices.SortedFunc(slices.Values(lane.ByGiveUp), compareInFlow) {
+		flow := flowKey{waiter.Need.rank(), waiter.Need.Workspace}
+		wait := min(queue.ahead(flow.rank, flow.workspace, own[flow]), oldestInterval*older[waiter]) / pace
+		if wait <= waiter.Need.GiveUpAt.Sub(now).Seconds() {
+			own[flow] += waiter.Need.cost()
+			continue
+		}
+		refusal := &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, seconds(wait))}
+		effects = append(effects, c.refuseWaiter(now, waiter, c.spread(c.bookReturn(now, waiter.Need, refusal))))
+	}
+	return effects
+}
+
+// olderTokens returns for each request the tokens of the requests that have waited longer. A
+// part of the pace is left to the one that has waited longest.
+func (l *Lane) olderTokens() map[*Waiter]float64 {
+	older := make(map[*Waiter]float64, len(l.ByGiveUp))
+	tokens := 0.0
+	for element := l.byArrival.Front(); element != nil; element = element.Next() {
+		waiter := element.Value.(*Waiter)
+		older[waiter] = tokens
+		tokens += waiter.Need.cost()
+	}
+	return older
+}
+
+func compareInFlow(a, b *Waiter) int {
+	if a.entry.Before(b.entry) {
+		return -1
+	}
+	return 1
+}
+
+// makeRoom makes room for a new request if the number of waiting requests has reached its
+// bound, by shedding another one. It returns a refusal if the new request is the one to be
+// shed.
+func (c *Controller) makeRoom(now time.Time, need Need) ([]Effect, *Refusal) {
+	if len(c.Waiting.ByCall) < maxWaiters {
+		return nil, nil
+	}
+	refusal := &Refusal{Reason: "too many requests wait", RetryAfter: overloadRetryAfter}
+	victim, found := c.Waiting.backlogs.Victim(need.rank(), need.Workspace, 1)
+	if !found {
+		return nil, c.spread(c.bookReturn(now, need, refusal))
+	}
+	return []Effect{c.refuseWaiter(now, victim, c.spread(c.bookReturn(now, victim.Need, refusal)))}, nil
+}
+
+// bookReturn sets the retry delay of a refusal for lack of room. While the pace of the queue is
+// known, each caller is told to return when those that were refused before it have been
+// served.
+func (c *Controller) bookReturn(now time.Time, need Need, refusal *Refusal) *Refusal {
+	queue := c.modelQueue(need)
+	pace, known := queue.pace(now)
+	if !known {
+		return refusal
+	}
+	at := now.Add(refusal.RetryAfter)
+	if at.Before(queue.ReturnAt) {
+		at = queue.ReturnAt
+	}
+	if latest := now.Add(maxRetryAfter); at.After(latest) {
+		// All times are taken: spread the callers over the later half.
+		refusal.RetryAfter = maxRetryAfter - time.Duration(c.Spread.Int64N(int64(maxRetryAfter/2)))
+		return refusal
+	}
+	refusal.RetryAfter = at.Sub(now)
+	queue.ReturnAt = at.Add(seconds(need.cost() / (returnShare * pace)))
+	return refusal
+}
+
+// spread adds a random time to the retry delay of a refusal.
+func (c *Controller) spread(refusal *Refusal) *Refusal {
+	if refusal.RetryAfter > 0 {
+		spread := max(minRetrySpread, min(maxRetrySpread, time.Duration(retrySpreadShare*float64(refusal.RetryAfter))))
+		refusal.RetryAfter += time.Duration(c.Spread.Int64N(int64(spread)))
+	}
+	return refusal
+}
+
+// forgetModels drops what is known of queues in which no request waits and whose pace is
+// out of date.
+func (c *Controller) forgetModels(now time.Time) {
+	maps.DeleteFunc(c.Waiting.Models, func(_ useKey, queue *ModelQueue) bool {
+		return queue.Waiting == 0 && now.Sub(queue.Pace.MeasuredAt) > maxPaceAge && !queue.ReturnAt.After(now)
+	})
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/balancer/collect.go
+++ b/internal/balancer/collect.go
@@ -27,6 +27,7 @@
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
 	})
 	clear(c.Uses)
+	c.forgetModels(now)
 	for _, id := range c.sortedIDs() {
 		if c.Replicas[id].failures(now) >= suspectThreshold {
 			answer.Suspects = append(answer.Suspects, id)
@@ -43,8 +44,8 @@
 func (c *Controller) demands(now time.Time) []planner.Demand {
 	var demands []planner.Demand
 	indexes := map[useKey]int{}
-	for _, waiter := range c.Waiters {
-		need := waiter.Need
+	for element := c.Waiting.byArrival.Front(); element != nil; element = element.Next() {
+		need := element.Value.(*Waiter).Need
 		if need.Model == "" || need.Continued {
 			continue
 		}
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -48,10 +48,8 @@
 	// overloadRetryAfter is the retry delay for a request for which no replica
 	// was available.
 	overloadRetryAfter = 400 * time.Millisecond
-	// maxCheckInterval is the longest time between two checks of the waiting
-	// requests.
-	maxCheckInterval = 20 * time.Millisecond
-	// minCheckInterval is the shortest time between two such checks.
+	// minCheckInterval is the shortest time between two checks of the waiting requests
+	// without a message.
 	minCheckInterval = time.Millisecond
 	// maxWaiters bounds the number of waiting requests at a node.
 	maxWaiters = 2000
@@ -69,8 +67,13 @@
 	// OrdersAllowedAt is when the holder may order loads, according to its last
 	// answer. It is zero until a holder has answered.
 	OrdersAllowedAt time.Time
-	// Waiters holds the waiting requests in the order of their arrival.
-	Waiters []*Waiter
+	// Waiting holds the waiting requests.
+	Waiting Waiting
+	// Changes counts the changes after which the replicas must be scanned again for every
+	// waiting request. Freed holds the replicas of which only an attempt has ended since
+	// the waiting requests were last checked.
+	Changes uint64
+	Freed   []string
 	// Assignments holds the placements that have not ended.
 	Assignments map[runner.Call]*assignment
 	// Uses counts the requests that were sent since the last Collect.
@@ -84,15 +87,9 @@
 	Beginning map[string][]string
 	// Limits counts the requests that may be sent to replicas with limits.
 	Limits *rationer.Controller
-	// Random is seeded differently at each node, so that their choices differ.
-	Random *rand.Rand
-}
-
-// Waiter is a request that has no replica yet.
-type Waiter struct {
-	Call  runner.Call
-	Need  Need
-	Since time.Time
+	// Random is seeded differently at each node, so that their choices differ. Spread does
+	// the same for retry delays, apart from the choice of replicas.
+	Random, Spread *rand.Rand
 }
 
 // assignment is a placement that has not ended. Since it was made, the Replica in
@@ -118,27 +115,17 @@
 		Assignments: map[runner.Call]*assignment{},
 		Uses:        map[useKey]*planner.Use{},
 		Limits:      rationer.NewController(0, seed),
+		Waiting:     newWaiting(),
 		Random:      rand.New(rand.NewPCG(seed, seed)),
+		Spread:      rand.New(rand.NewPCG(seed, seed+1)),
 	}
 }
 
-// Wake returns when the waiting requests are next checked: when a load ends,
+// Wake returns when the waiting requests are next checked: when a load or a back-off ends,
 // when one of them is given up, and otherwise at maxCheckInterval.
 func (c *Controller) Wake() time.Time {
-	if len(c.Waiters) == 0 {
-		return time.Time{}
-	}
-	wake := c.CheckedAt.Add(maxCheckInterval)
-	earliest := c.CheckedAt.Add(minCheckInterval)
-	for _, waiter := range c.Waiters {
-		wake = earlier(wake, waiter.Need.GiveUpAt)
-		for _, replica := range c.Replicas {
-			if loadEnd, ok := replica.loadEndsAt(modelKey{waiter.Need.Model, waiter.Need.Adapter}); ok && loadEnd.After(c.CheckedAt) {
-				wake = earlier(wake, loadEnd)
-			}
-		}
-	}
-	if wake.Before(earliest) {
+	wake := c.nextCheckAt()
+	if earliest := c.CheckedAt.Add(minCheckInterval); !wake.IsZero() && wake.Before(earliest) {
 		return earliest
 	}
 	return wake
@@ -153,6 +140,7 @@
 
 // Step handles one message and returns the resulting effects.
 func (c *Controller) Step(now time.Time, message Message) []Effect {
+	c.noteChange(message)
 	switch message := message.(type) {
 	case Tick:
 	case SetReplicas:
@@ -162,7 +150,9 @@
 	case Place:
 		return c.place(now, message)
 	case Cancel:
-		c.Waiters = slices.DeleteFunc(c.Waiters, func(waiter *Waiter) bool { return waiter.Call == message.Call })
+		if waiter := c.Waiting.ByCall[message.Call]; waiter != nil {
+			c.dequeue(now, waiter, false)
+		}
 		c.endAttempt(now, AttemptEnded{PlacementID: message.Call, Result: Abandoned})
 	case AttemptEnded:
 		return append(c.endAttempt(now, message), c.serveWaiters(now)...)
@@ -174,9 +164,7 @@
 		c.Limits.Step(now, message.Usage)
 	case Leave:
 		c.DrainDeadline = message.Until
-		for _, waiter := range c.Waiters {
-			waiter.Need.GiveUpAt = c.beforeDrainDeadline(waiter.Need.GiveUpAt)
-		}
+		c.boundWaits()
 	case Collect:
 		return []Effect{c.collect(now, message.Call)}
 	}
@@ -226,22 +214,36 @@
 }
 
 // place assigns a replica immediately, refuses the request, or adds it to the
-// waiting requests.
+// waiting requests. Requests that wait already go first.
 func (c *Controller) place(now time.Time, message Place) []Effect {
 	waiter := &Waiter{Call: message.Call, Need: message.Need, Since: now}
 	waiter.Need.GiveUpAt = c.beforeDrainDeadline(waiter.Need.GiveUpAt)
-	if placement, ok := c.chooseReplica(now, waiter); ok {
-		return []Effect{AnswerPlace{message.Call, placement}}
+	var effects []Effect
+	if service := c.Waiting.Services[message.Need.Service]; service != nil {
+		effects = c.serveService(now, service)
+	}
+	waiter.lane = c.laneOf(waiter.Need)
+	if len(waiter.lane.ByGiveUp) == 0 {
+		if placement, ok := c.chooseReplica(now, waiter); ok {
+			return append(effects, AnswerPlace{message.Call, placement})
+		}
+	}
+	if refusal := c.admission(now, waiter); refusal != nil {
+		return append(effects, AnswerPlace{message.Call, Placement{Refused: refusal}})
 	}
-	if refusal := c.refusalFor(now, waiter); refusal != nil {
-		return []Effect{AnswerPlace{message.Call, Placement{Refused: refusal}}}
+	shed, refusal := c.makeRoom(now, waiter.Need)
+	effects = append(effects, shed...)
+	if refusal != nil {
+		return append(effects, AnswerPlace{message.Call, Placement{Refused: refusal}})
+	}
+	c.enqueue(waiter)
+	if !waiter.lane.Blocked {
+		c.hasRoom(now, waiter) // records when the lane must be checked
 	}
-	c.Waiters = append(c.Waiters, waiter)
-	c.CheckedAt = now
 	if message.Need.Model != "" && !message.Need.Continued && !c.isLoading(message.Need) {
-		return []Effect{NewDemand{}}
+		effects = append(effects, NewDemand{})
 	}
-	return nil
+	return effects
 }
 
 // beforeDrainDeadline returns giveUpAt or the drain deadline, whichever is
@@ -259,9 +261,7 @@
 	need := waiter.Need
 	switch {
 	case !now.Before(need.GiveUpAt):
-		return &Refusal{Reason: "no replica in time", RetryAfter: overloadRetryAfter}
-	case len(c.Waiters) >= maxWaiters:
-		return &Refusal{Reason: "too many requests wait", RetryAfter: overloadRetryAfter}
+		return &Refusal{Reason: "no replica in time", RetryAfter: c.roomDelay(now, need)}
 	case !c.hasService(need.Service):
 		return &Refusal{Reason: "service has no replicas", RetryAfter: overloadRetryAfter}
 	case need.Continued && !c.canContinue(now, need):
@@ -270,7 +270,13 @@
 	if refusal := c.unavailable(now, need); refusal != nil || need.Model == "" {
 		return refusal
 	}
-	if c.ordersAllowed(now) || c.isLoading(need) || c.isLoaded(need) {
+	if c.isLoaded(need) {
+		return nil
+	}
+	if at, known := c.loadExpectedAt(now, need); known && at.After(need.GiveUpAt) && !c.canOrderInTime(now, need) {
+		return &Refusal{Reason: "the load of the model ends too late", RetryAfter: at.Sub(now)}
+	}
+	if c.ordersAllowed(now) || c.isLoading(need) {
 		return nil
 	}
 	if c.OrdersAllowedAt.IsZero() {
@@ -309,22 +315,3 @@
 	}
 	return []Effect{Note{Text: text, Replica: replica.Description.ID, Result: message.Result, Failures: replica.failures(now)}}
 }
-
-// serveWaiters assigns replicas to the waiting requests for which one has
-// become available and refuses those that can no longer be served.
-func (c *Controller) serveWaiters(now time.Time) []Effect {
-	c.CheckedAt = now
-	var effects []Effect
-	c.Waiters = slices.DeleteFunc(c.Waiters, func(waiter *Waiter) bool {
-		if placement, ok := c.chooseReplica(now, waiter); ok {
-			effects = append(effects, AnswerPlace{waiter.Call, placement})
-			return true
-		}
-		if refusal := c.refusalFor(now, waiter); refusal != nil {
-			effects = append(effects, AnswerPlace{waiter.Call, Placement{Refused: refusal, Waited: now.Sub(waiter.Since)}})
-			return true
-		}
-		return false
-	})
-	return effects
-}
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -110,6 +110,13 @@
 	Version   string `json:",omitempty"`
 	// Tokens is the size of the request, 0 for plain services.
 	Tokens int
+	// Rank is the urgency of the request; 0 is the most urgent. Workspace is empty for
+	// public routes, whose requests share the place of one workspace.
+	Rank      int    `json:",omitempty"`
+	Workspace string `json:",omitempty"`
+	// Cost is what the request is charged in the order of the waiting ones, in tokens. If
+	// it is 0, the size is charged.
+	Cost int `json:",omitempty"`
 	// Affinity is equal for requests that share a long prompt prefix. It is
 	// empty for requests without one.
 	Affinity string
--- a/internal/queuer/pace.go
+++ b/internal/queuer/pace.go
@@ -1,9 +1,17 @@
 package queuer
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// paceWindow is the minimum duration of one measurement of a Pace.
-const paceWindow = time.Second
+const (
+	// paceWindow is the minimum duration of one measurement of a Pace.
+	paceWindow = time.Second
+	// paceDecay is the weight that earlier windows keep at the end of a window, so that the
+	// counts cover about four windows.
+	paceDecay = 0.75
+)
 
 // Pace is the rate at which waiting requests are served while there is a backlog.
 type Pace struct {
@@ -15,12 +23,16 @@
 	// backlog.
 	WindowStart time.Time
 	WindowCost  float64
+	// WindowCount is the number of requests served in the current window. Count, Cost and
+	// Seconds are the sums of earlier windows, of which older ones weigh less.
+	WindowCount          float64
+	Count, Cost, Seconds float64
 }
 
 // Start starts a window when a backlog begins.
 func (p *Pace) Start(now time.Time) {
 	if p.WindowStart.IsZero() {
-		p.WindowStart, p.WindowCost = now, 0
+		p.WindowStart, p.WindowCost, p.WindowCount = now, 0, 0
 	}
 }
 
@@ -31,6 +43,7 @@
 		return
 	}
 	p.WindowCost += cost
+	p.WindowCount++
 	if elapsed := now.Sub(p.WindowStart); elapsed >= paceWindow {
 		rate := p.WindowCost / elapsed.Seconds()
 		if p.PerSecond == 0 {
@@ -38,7 +51,10 @@
 		}
 		p.PerSecond += (rate - p.PerSecond) / 4
 		p.MeasuredAt = now
-		p.WindowStart, p.WindowCost = now, 0
+		p.Count = paceDecay*p.Count + p.WindowCount
+		p.Cost = paceDecay*p.Cost + p.WindowCost
+		p.Seconds = paceDecay*p.Seconds + elapsed.Seconds()
+		p.WindowStart, p.WindowCost, p.WindowCount = now, 0, 0
 	}
 	if !backlog {
 		p.Stop()
@@ -47,3 +63,22 @@
 
 // Stop ends the current window without a measurement, because nothing waits any more.
 func (p *Pace) Stop() { p.WindowStart = time.Time{} }
+
+// Limit returns the cost per second that the pace probably does not exceed, given the number
+// of requests that it was measured with: a standard deviation and one request above the
+// mean. With two of each, a fifth of the requests in a long queue were kept until their time
+// was over. MeanCost is the cost of a request if none has been served. Limit
+// returns false if the backlog has not lasted for a second.
+func (p *Pace) Limit(now time.Time, meanCost float64) (float64, bool) {
+	count, cost, elapsed := p.Count, p.Cost, p.Seconds
+	if !p.WindowStart.IsZero() {
+		count, cost, elapsed = count+p.WindowCount, cost+p.WindowCost, elapsed+now.Sub(p.WindowStart).Seconds()
+	}
+	if elapsed < paceWindow.Seconds() {
+		return 0, false
+	}
+	if count > 0 {
+		meanCost = cost / count
+	}
+	return (count + math.Sqrt(count) + 1) / elapsed * meanCost, true
+}
