--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -132,6 +132,15 @@
 	Fingerprint string
 }
 
+// Rank returns the urgency of the request, which the workspace's priority sets before the
+// route's; 0 is the most urgent.
+func (f *Forward) Rank() int {
+	if f.Workspace.Priority != nil {
+		return *f.Workspace.Priority
+	}
+	return f.Route.Priority
+}
+
 // Writer writes an answer to the caller. An error means that the caller has
 // disconnected.
 type Writer interface {
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -185,7 +185,7 @@
 		Address:   placement.Address,
 		Forward:   j.forward,
 		LastEvent: j.lastEventID(),
-		Priority:  j.priority(),
+		Priority:  j.priority(startedAt),
 		TimeLeft:  left,
 	}, j.firstByteTimeout(left, placement))
 	if !errors.Is(err, ErrNotSent) {
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -93,9 +93,11 @@
 		giveUpAt = now.Add(min(maxWait, max(route.Objective, minRetryWait)))
 	}
 	need := balancer.Need{
-		Service:  j.forward.Service,
-		Model:    j.forward.Model,
-		Adapter:  j.forward.Adapter,
+		Service:   j.forward.Service,
+		Model:     j.forward.Model,
+		Adapter:   j.forward.Adapter,
+		Rank:      j.forward.Rank(),
+		Workspace: j.request.Workspace,
 		Tokens:   j.forward.PromptTokens + j.forward.OutputTokens,
 		Affinity: j.forward.Affinity,
 		LateAt:   j.request.Arrived.Add(route.Objective),
@@ -130,21 +132,25 @@
 	return strconv.FormatInt(j.events.LastID, 10)
 }
 
-// prioritiesPerRank leaves two priorities for each rank: within a rank, requests
-// that cannot be repeated go first.
-const prioritiesPerRank = 2
+const (
+	// prioritiesPerRank leaves two priorities for each rank, so that the ranks 0 to 4 stay
+	// apart.
+	prioritiesPerRank = 2
+	maxPriority       = 9
+	// hurryShare is the share of its objective below which the time left puts a request
+	// before others of its rank.
+	hurryShare = 0.5
+)
 
-// priority returns the priority that is sent to the replica.
-func (j *job) priority() int {
-	rank := j.forward.Route.Priority
-	if j.forward.Workspace.Priority != nil {
-		rank = *j.forward.Workspace.Priority
-	}
-	priority := rank * prioritiesPerRank
-	if j.forward.Route.Repeatable() {
+// priority returns the priority that is sent to the replica: by rank, and within a rank by the
+// time left until the request is late. The rest of a stream goes before new requests.
+func (j *job) priority(now time.Time) int {
+	priority := max(0, j.forward.Rank()) * prioritiesPerRank
+	objective := j.forward.Route.Objective
+	if left := j.request.Arrived.Add(objective).Sub(now); left >= time.Duration(hurryShare*float64(objective)) && !j.responseStarted {
 		priority++
 	}
-	return min(9, priority)
+	return min(maxPriority, priority)
 }
 
 // firstByteTimeout returns how long the replica may take for its first byte.
