--- a/internal/forwarder/filters.go
+++ b/internal/forwarder/filters.go
@@ -25,6 +25,9 @@
 	otherNodeRetryDelay = 250 * time.Millisecond
 	// minTimeLeft is the time left below which no attempt is started.
 	minTimeLeft = 20 * time.Millisecond
+	// maxQuotaWaitShare is the share of its time that a request may wait for its workspace's
+	// limit, and no longer than its objective. The rest is left for the replica.
+	maxQuotaWaitShare = 0.3
 	// proofTime is how long a read of the configuration and its publication take once
 	// reads can prove something again.
 	proofTime = 100 * time.Millisecond
@@ -134,7 +137,8 @@
 	return "replicas crash on part " + trait + " of the prompt"
 }
 
-// LimitRate takes the units of a request from the rate limit of its workspace.
+// LimitRate takes the units of a request from the rate limit of its workspace. If the limit has
+// room for it soon, the request waits.
 type LimitRate struct{ Limits *rationer.Task }
 
 // Filter implements filter.Filter.
@@ -144,7 +148,13 @@
 		return filter.Pass{}
 	}
 	units := forward.Workspace.Cost(forward.PromptTokens + forward.OutputTokens)
-	decision, err := f.Limits.Take(ctx, forward.Workspace, units)
+	decision, err := f.Limits.Take(ctx, rationer.Take{
+		Workspace: forward.Workspace,
+		Units:     units,
+		WaitUntil: request.Arrived.Add(min(forward.Route.Objective, time.Duration(maxQuotaWaitShare*float64(request.Deadline.Sub(request.Arrived))))),
+		Rank:      forward.Rank(),
+		Deadline:  request.Deadline,
+	})
 	if err != nil {
 		return newRefusal(filter.Overloaded, filter.NotRun, otherNodeRetryDelay, err.Error())
 	}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -98,12 +98,12 @@
 		Adapter:   j.forward.Adapter,
 		Rank:      j.forward.Rank(),
 		Workspace: j.request.Workspace,
-		Tokens:   j.forward.PromptTokens + j.forward.OutputTokens,
-		Affinity: j.forward.Affinity,
-		LateAt:   j.request.Arrived.Add(route.Objective),
-		GiveUpAt: giveUpAt,
-		Excluded: j.excluded,
-		Stream:   j.isResumable(),
+		Tokens:    j.forward.PromptTokens + j.forward.OutputTokens,
+		Affinity:  j.forward.Affinity,
+		LateAt:    j.request.Arrived.Add(route.Objective),
+		GiveUpAt:  giveUpAt,
+		Excluded:  j.excluded,
+		Stream:    j.isResumable(),
 	}
 	if j.origin != nil {
 		need.Continued, need.Version = true, j.origin.Version
--- a/internal/rationer/controller.go
+++ b/internal/rationer/controller.go
@@ -75,6 +75,10 @@
 	// Registered is the number of registered nodes, and LiveNodes the number of
 	// those that report to the holder.
 	Registered, LiveNodes int
+	// Reports counts the reports of the others' usage.
+	Reports uint64
+	// Queues holds the requests that wait for units, by workspace.
+	Queues map[string]*Queue
 }
 
 // Bucket is the token bucket of a workspace.
@@ -122,17 +126,17 @@
 	// Rate is the limit's rate, Capacity the bucket's capacity and IsolatedCapacity that
 	// of the isolated levels of all nodes, as of the last Take.
 	Rate, Capacity, IsolatedCapacity float64
+	// ReturnAt is the time up to which units are reserved for callers that were told to
+	// return.
+	ReturnAt time.Time
 }
 
 // NewController returns a controller without buckets whose random choices are
 // derived from seed.
 func NewController(slack float64, seed uint64) *Controller {
-	return &Controller{Slack: slack, Buckets: map[string]*Bucket{}, Random: rand.New(rand.NewPCG(seed, seed))}
+	return &Controller{Slack: slack, Buckets: map[string]*Bucket{}, Queues: map[string]*Queue{}, Random: rand.New(rand.NewPCG(seed, seed))}
 }
 
-// Wake returns the zero time: the controller has no scheduled work.
-func (c *Controller) Wake() time.Time { return time.Time{} }
-
 // Step handles one message and returns the resulting effects.
 func (c *Controller) Step(now time.Time, message Message) []Effect {
 	if c.StartedAt.IsZero() {
@@ -140,10 +144,14 @@
 	}
 	switch message := message.(type) {
 	case Tick:
+		return c.serveQueues(now)
 	case Take:
-		return []Effect{AnswerTake{message.Call, c.take(now, message)}}
+		return c.takeOrWait(now, message)
+	case CancelTake:
+		c.cancel(message.Call)
 	case UsageUpdate:
 		c.applyUsage(now, message)
+		return c.serveQueues(now)
 	case SetNodes:
 		if !c.usageIsFresh(now) {
 			c.Registered = message.Registered
@@ -154,21 +162,27 @@
 	return nil
 }
 
-func (c *Controller) take(now time.Time, message Take) Decision {
-	workspace := message.Workspace
-	if workspace.Rate <= 0 {
-		return Decision{Taken: true}
-	}
+// bucket returns the bucket of a workspace with the units that have accrued.
+func (c *Controller) bucket(now time.Time, workspace resolver.Workspace) *Bucket {
 	bucket := c.Buckets[workspace.Name]
 	if bucket == nil {
 		bucket = c.openBucket(now, workspace)
 		c.Buckets[workspace.Name] = bucket
 	}
 	c.refill(now, bucket, workspace)
+	return bucket
+}
+
+// take takes the units of a request if there are enough.
+func (c *Controller) take(now time.Time, w *WaitingTake) Decision {
+	bucket := c.bucket(now, w.Workspace)
 	allowance := c.allowance(now, bucket)
 	decision := Decision{Level: allowance.level, Age: now.Sub(c.UpdatedAt)}
-	if allowance.level <= 0 || allowance.ownShare > 0 && allowance.level < message.Units*c.Random.Float64() {
-		decision.RetryAfter = allowance.retryAfter(workspace.Rate, message.Units)
+	if allowance.level > 0 && allowance.ownShare > 0 {
+		c.draw(w)
+	}
+	if allowance.level <= 0 || allowance.ownShare > 0 && allowance.level < w.Units*w.Draw {
+		decision.RetryAfter = allowance.retryAfter(bucket.Rate, w.Units)
 		bucket.Refused = true
 		return decision
 	}
@@ -177,11 +191,11 @@
 	// is repaid before further requests are admitted. If a node's share is
 	// smaller than the request, the request is admitted with the probability
 	// that keeps the average usage within the share.
-	bucket.Level -= message.Units
-	bucket.IsolatedLevel -= message.Units
-	bucket.LocalLevel -= message.Units
-	bucket.RecentlySpent += message.Units
-	bucket.Spent += message.Units
+	bucket.Level -= w.Units
+	bucket.IsolatedLevel -= w.Units
+	bucket.LocalLevel -= w.Units
+	bucket.RecentlySpent += w.Units
+	bucket.Spent += w.Units
 	decision.Taken = true
 	return decision
 }
@@ -249,6 +263,7 @@
 	newEpoch := message.Epoch != c.Epoch
 	elapsed := now.Sub(c.UpdatedAt)
 	c.Epoch, c.UpdatedAt = message.Epoch, now
+	c.Reports++
 	c.LiveNodes = max(1, message.LiveNodes)
 	c.Registered = max(c.LiveNodes, message.Registered)
 	if newEpoch {
--- a/internal/rationer/doc.go
+++ b/internal/rationer/doc.go
@@ -4,5 +4,5 @@
 // when the holder of the placement lease reports it. A node without recent
 // reports restricts itself to an equal share of the limit, so that the total
 // stays within the limit whichever nodes are cut off. The request path makes no
-// call to the store and does not wait.
+// call to the store. A request waits only if its workspace's limit has room for it soon.
 package rationer
--- a/internal/rationer/fuzz_test.go
+++ b/internal/rationer/fuzz_test.go
@@ -10,6 +10,7 @@
 
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/tester"
 )
 
@@ -75,6 +76,56 @@
 	})
 }
 
+// TestWorkspaceNearRateIsServed guards against requests of a workspace near its rate that are
+// refused by chance, because a node's share is smaller than a request or has just been used
+// up, although the limit has room within the time that they have.
+func TestWorkspaceNearRateIsServed(t *testing.T) {
+	tester.CheckN(t, 10, 1, func(t *rapid.T) {
+		f := newFleet(t)
+		f.nodes = f.nodes[:min(len(f.nodes), 7)]
+		f.noFaults, f.demandFactor, f.maxWait = true, 0.97, 900*time.Millisecond
+		f.exchange(true)
+		for range 600 {
+			f.step()
+			f.checkLimit(t)
+		}
+		if share := float64(f.refused) / float64(f.sentRequests); share > 0.001 {
+			t.Fatalf("%.4f of the requests were refused although the workspace stayed below its rate", share)
+		}
+	})
+}
+
+// TestBurstReturnsInTurn guards against callers that are refused after one burst has used up
+// the limit, and that all come back at the same time or before there is room.
+func TestBurstReturnsInTurn(t *testing.T) {
+	tester.CheckN(t, 10, 1, func(t *rapid.T) {
+		f := newFleet(t)
+		f.nodes = f.nodes[:min(len(f.nodes), 7)]
+		f.noFaults, f.demandFactor, f.maxWait = true, 0.3, 300*time.Millisecond
+		f.exchange(true)
+		for range 80 {
+			f.step()
+		}
+		f.refused, f.returns = 0, map[time.Time]int{}
+		f.pendingUnits += 12 * f.workspace.Burst
+		f.step()
+		refused := f.refused
+		for range 20 {
+			f.step()
+		}
+		most := 0
+		for _, count := range f.returns {
+			most = max(most, count)
+		}
+		if refused > 20 && most > refused/4 {
+			t.Fatalf("of %d refused callers, %d return within %v", refused, most, fuzzStep)
+		}
+		if f.longestHeld > f.maxWait {
+			t.Fatalf("a request was refused after %v", f.longestHeld)
+		}
+	})
+}
+
 // TestWorkspaceBelowRateIsServedWithoutHolder guards against requests that are
 // refused although their workspace stays far below its rate: because no holder
 // sums the usage of the nodes, because all nodes have just started, or because
@@ -129,6 +180,16 @@
 	random       *rand.Rand
 	refused      int
 	pendingUnits float64
+	// maxWait is how long requests may wait for units. lastCall numbers them, and sent is
+	// the number of units of each of them that has no answer yet.
+	maxWait  time.Duration
+	lastCall runner.Call
+	sent     map[runner.Call]float64
+	// sentRequests counts all requests, longestHeld is the longest wait of a refused one.
+	sentRequests int
+	longestHeld  time.Duration
+	// returns counts the refused callers by the step in which they may return.
+	returns map[time.Time]int
 	// killedAt is when all processes were last killed.
 	killedAt time.Time
 }
@@ -159,6 +220,8 @@
 		demandFactor: between(0.5, 6),
 		baselines:    map[*fuzzNode]float64{},
 		epoch:        1,
+		sent:         map[runner.Call]float64{},
+		maxWait:      time.Duration(random.IntN(3)) * 400 * time.Millisecond,
 	}
 	for range 2 + random.IntN(75) {
 		f.nodes = append(f.nodes, &fuzzNode{controller: NewController(fuzzSlack, random.Uint64())})
@@ -176,6 +239,11 @@
 	if f.now.Sub(tester.Start)%(10*fuzzStep) == 0 {
 		f.exchange(false)
 	}
+	for _, node := range f.nodes {
+		if wake := node.controller.Wake(); !wake.IsZero() && !wake.After(f.now) {
+			f.handle(node.controller.Step(f.now, Tick{}))
+		}
+	}
 	f.pendingUnits += f.demandFactor * f.workspace.Rate * fuzzStep.Seconds()
 	for f.pendingUnits > 0 {
 		units := 200 + 8800*f.random.Float64()*f.random.Float64()
@@ -185,12 +253,35 @@
 }
 
 func (f *fleet) take(node *fuzzNode, units float64) {
-	effects := node.controller.Step(f.now, Take{Call: 1, Workspace: f.workspace, Units: units})
-	if effects[0].(AnswerTake).Decision.Taken {
-		f.taken = append(f.taken, takenUnits{f.now, units})
-		return
+	f.lastCall++
+	f.sent[f.lastCall] = units
+	f.sentRequests++
+	message := Take{Call: f.lastCall, Workspace: f.workspace, Units: units, Rank: f.random.IntN(2), Deadline: f.now.Add(3 * f.maxWait)}
+	if f.maxWait > 0 {
+		message.WaitUntil = f.now.Add(f.maxWait)
+	}
+	f.handle(node.controller.Step(f.now, message))
+}
+
+// handle records the answers to requests.
+func (f *fleet) handle(effects []Effect) {
+	for _, effect := range effects {
+		answer, ok := effect.(AnswerTake)
+		if !ok {
+			continue
+		}
+		units := f.sent[answer.Call]
+		delete(f.sent, answer.Call)
+		if answer.Decision.Taken {
+			f.taken = append(f.taken, takenUnits{f.now, units})
+			continue
+		}
+		f.refused++
+		f.longestHeld = max(f.longestHeld, answer.Decision.Waited)
+		if f.returns != nil {
+			f.returns[f.now.Add(answer.Decision.RetryAfter).Truncate(fuzzStep)]++
+		}
 	}
-	f.refused++
 }
 
 func (f *fleet) injectFault() {
@@ -270,7 +361,7 @@
 				others += other.reported
 			}
 		}
-		node.controller.Step(f.now, UsageUpdate{Epoch: f.epoch, Spent: []planner.Spent{{Workspace: "w", Units: others}}, LiveNodes: live, Registered: len(f.nodes)})
+		f.handle(node.controller.Step(f.now, UsageUpdate{Epoch: f.epoch, Spent: []planner.Spent{{Workspace: "w", Units: others}}, LiveNodes: live, Registered: len(f.nodes)}))
 	}
 }
 
--- a/internal/rationer/message.go
+++ b/internal/rationer/message.go
@@ -11,7 +11,7 @@
 // Message is an input of Controller.
 type Message interface{ isMessage() }
 
-// Tick has no effect: the controller acts only on requests.
+// Tick is delivered at the controller's wake time.
 type Tick struct{}
 
 // Take requests units of a workspace's limit.
@@ -19,8 +19,18 @@
 	Call      runner.Call
 	Workspace resolver.Workspace
 	Units     float64
+	// WaitUntil is how long the request may wait for units. If it is zero, the request is
+	// answered at once.
+	WaitUntil time.Time `json:",omitzero"`
+	// Rank and Deadline order the waiting requests of a workspace: the lowest rank first,
+	// then the earliest deadline.
+	Rank     int       `json:",omitempty"`
+	Deadline time.Time `json:",omitzero"`
 }
 
+// CancelTake cancels a Take whose caller has gone.
+type CancelTake struct{ Call runner.Call }
+
 // UsageUpdate reports the other nodes' usage since the holder received their
 // first reports.
 type UsageUpdate struct {
@@ -44,6 +54,7 @@
 
 func (Tick) isMessage()        {}
 func (Take) isMessage()        {}
+func (CancelTake) isMessage()  {}
 func (UsageUpdate) isMessage() {}
 func (SetNodes) isMessage()    {}
 func (Collect) isMessage()     {}
@@ -60,9 +71,10 @@
 // Decision is the result of a Take.
 type Decision struct {
 	Taken bool
-	// RetryAfter is the time until units are available again if no other
-	// request takes them, between minRetryAfter and maxRetryAfter.
+	// RetryAfter is the time until units are available again, at least minRetryAfter.
 	RetryAfter time.Duration
+	// Waited is the time for which the request waited for units.
+	Waited time.Duration `json:",omitempty"`
 	// Level is the number of units that were left before the request, and Age
 	// the time since the last report of the other nodes' usage.
 	Level float64
--- a/internal/rationer/task.go
+++ b/internal/rationer/task.go
@@ -5,7 +5,6 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
@@ -35,11 +34,15 @@
 // Post delivers a message to the controller.
 func (t *Task) Post(message Message) error { return t.task.Post(message) }
 
-// Take requests units of a workspace's limit. Unless they are taken, the
-// decision contains the time after which to retry.
-func (t *Task) Take(ctx context.Context, workspace resolver.Workspace, units float64) (Decision, error) {
+// Take requests units of a workspace's limit and waits for them as long as the request
+// allows. Unless they are taken, the decision contains the time after which to retry.
+func (t *Task) Take(ctx context.Context, request Take) (Decision, error) {
 	return runner.Ask[Decision](ctx, t.task,
-		func(call runner.Call) Message { return Take{Call: call, Workspace: workspace, Units: units} }, nil)
+		func(call runner.Call) Message {
+			request.Call = call
+			return request
+		},
+		func(call runner.Call) Message { return CancelTake{Call: call} })
 }
 
 // Collect returns this node's usage since its start, by workspace.
