--- /dev/null
+++ b/internal/balancer/bench_test.go
@@ -0,0 +1,74 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// BenchmarkWaiting measures steps of a node whose replicas are full, with 20 models: a check in
+// which nothing has changed, and the end of an attempt with the next request in its place.
+func BenchmarkWaiting(b *testing.B) {
+	for _, replicas := range []int{97, 10_000} {
+		b.Run(fmt.Sprint("check/", replicas), func(b *testing.B) {
+			w := newFullNode(replicas)
+			for b.Loop() {
+				w.controller.Step(w.now, Tick{})
+			}
+		})
+		b.Run(fmt.Sprint("attempt/", replicas), func(b *testing.B) {
+			w := newFullNode(replicas)
+			for b.Loop() {
+				w.now = w.now.Add(time.Millisecond)
+				w.place()
+				for _, effect := range w.controller.Step(w.now, AttemptEnded{PlacementID: w.running[0], Result: Answered}) {
+					w.record(effect)
+				}
+				w.running = w.running[1:]
+			}
+		})
+	}
+}
+
+type fullNode struct {
+	controller *Controller
+	now        time.Time
+	lastCall   runner.Call
+	running    []runner.Call
+}
+
+func newFullNode(replicas int) *fullNode {
+	w := &fullNode{controller: NewController(1), now: tester.Start}
+	var listed []surveyor.Replica
+	for id := range replicas {
+		replica := surveyor.Replica{ID: fmt.Sprintf("r%05d", id), Service: "llm", Slots: 1}
+		for model := range 4 {
+			replica.Models = append(replica.Models, surveyor.LoadedModel{Name: fmt.Sprint("m", (id+model)%20)})
+		}
+		listed = append(listed, replica)
+	}
+	w.controller.Step(w.now, SetPeerState{})
+	w.controller.Step(w.now, SetReplicas{Replicas: listed})
+	for range replicas + 500 {
+		w.place()
+	}
+	return w
+}
+
+func (w *fullNode) place() {
+	w.lastCall++
+	need := Need{Service: "llm", Model: fmt.Sprint("m", w.lastCall%20), Tokens: 100, GiveUpAt: w.now.Add(time.Hour)}
+	for _, effect := range w.controller.Step(w.now, Place{Call: w.lastCall, Need: need}) {
+		w.record(effect)
+	}
+}
+
+func (w *fullNode) record(effect Effect) {
+	if answer, ok := effect.(AnswerPlace); ok && answer.Placement.Refused == nil {
+		w.running = append(w.running, answer.Call)
+	}
+}
--- a/internal/balancer/load_test.go
+++ b/internal/balancer/load_test.go
@@ -47,14 +47,14 @@
 // simulatedCaller sends a request every EveryMS, or Batch requests at once, between FromMS and
 // UntilMS. It gives up after WaitMS and, if Returns is set, comes back when it is told to.
 type simulatedCaller struct {
-	Name                                       string
-	Need                                       Need
-	FromMS, UntilMS, EveryMS, Batch, WaitMS    int
-	DurationMS                                 int
-	Returns                                    bool
-	sent, served, refused, late, waitedRefused int
-	returns                                    map[int]int // by 100 ms
-	longestWait, totalWait                     time.Duration
+	Name                                    string
+	Need                                    Need
+	FromMS, UntilMS, EveryMS, Batch, WaitMS int
+	DurationMS                              int
+	Returns                                 bool
+	sent, served, refused, waitedRefused    int
+	returns                                 map[int]int // by 100 ms
+	longestWait, totalWait                  time.Duration
 }
 
 // expectation bounds what a caller experiences. Fields that are 0 are not checked.
