--- a/internal/balancer/lane.go
+++ b/internal/balancer/lane.go
@@ -98,8 +98,8 @@
 // something has changed for the request's lane.
 func (c *Controller) hasRoom(now time.Time, waiter *Waiter) bool {
 	lane := waiter.lane
-	if c.isCurrent(now, lane) && !c.isFreed(now, waiter) {
-		return false
+	if c.isCurrent(now, lane) {
+		return c.isFreed(now, waiter)
 	}
 	lane.Blocked = !c.scan(now, waiter)
 	if lane.Blocked {
@@ -118,10 +118,14 @@
 		if replica == nil || replica.Description.Service != need.Service {
 			continue
 		}
-		if c.isUsable(now, replica, need, key) {
+		switch {
+		case !c.isUsable(now, replica, need, key):
+			waiter.lane.RecheckAt = earlier(waiter.lane.RecheckAt, replica.nextChangeAt(now, key))
+		case now.Sub(waiter.Since) > avoidanceTimeout || !c.shouldAvoid(now, need, id, replica.isSuspect(now)):
 			return true
+		default:
+			waiter.lane.avoid(now)
 		}
-		waiter.lane.RecheckAt = earlier(waiter.lane.RecheckAt, replica.nextChangeAt(now, key))
 	}
 	return false
 }
@@ -146,15 +150,18 @@
 		if avoidanceOver || !c.shouldAvoid(now, need, id, replica.isSuspect(now)) {
 			return true
 		}
-		lane.Avoiding = true
-	}
-	if lane.Avoiding {
-		// A suspicion fades without a message.
-		lane.RecheckAt = earlier(lane.RecheckAt, now.Add(suspectCheckInterval))
+		lane.avoid(now)
 	}
 	return false
 }
 
+// avoid records that a replica has room that the requests avoid. They are checked again
+// soon, because a suspicion fades without a message.
+func (l *Lane) avoid(now time.Time) {
+	l.Avoiding = true
+	l.RecheckAt = earlier(l.RecheckAt, now.Add(suspectCheckInterval))
+}
+
 // isSaturated reports whether a replica would serve the request if it were not full.
 func (c *Controller) isSaturated(now time.Time, replica *Replica, need Need, key modelKey) bool {
 	switch {
