--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -9,6 +9,11 @@
 )
 
 const (
+	// longQueue is the number of waiting requests from which the mean pace of the queue
+	// decides, measured with as many requests, and longQueueShare the share of its time that
+	// a new request may then wait: the queue varies, and its head must not be over its time.
+	longQueue      = 16
+	longQueueShare = 0.9
 	// unreachableCheckInterval is how often the waiting requests for a model are compared
 	// with the pace of their queue.
 	unreachableCheckInterval = 250 * time.Millisecond
@@ -105,12 +110,27 @@
 		return nil
 	}
 	at, known := c.roomExpectedAt(now, need)
-	if !known || !at.After(need.GiveUpAt) {
+	if !known || !at.After(need.GiveUpAt) && !c.isQueueTooLong(now, need) {
 		return nil
 	}
 	return &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, at.Sub(now))}
 }
 
+// isQueueTooLong reports whether a new request would be behind so many others that the mean
+// pace decides: a queue of this length keeps the replicas busy whichever request is refused.
+func (c *Controller) isQueueTooLong(now time.Time, need Need) bool {
+	queue := c.Waiting.Models[need.useKey()]
+	if queue == nil || queue.Waiting < longQueue {
+		return false
+	}
+	pace, count := queue.Pace.Mean(now)
+	if count < longQueue {
+		return false
+	}
+	ahead := queue.ahead(need.rank(), need.Workspace, c.ownAhead(need))
+	return ahead/pace > longQueueShare*need.GiveUpAt.Sub(now).Seconds()
+}
+
 // admission returns a refusal if a new request cannot be served or must not wait.
 func (c *Controller) admission(now time.Time, waiter *Waiter) *Refusal {
 	lane := waiter.lane
--- a/internal/queuer/pace.go
+++ b/internal/queuer/pace.go
@@ -66,14 +66,10 @@
 
 // Limit returns the cost per second that the pace probably does not exceed, given the number
 // of requests that it was measured with: a standard deviation and one request above the
-// mean. With two of each, a fifth of the requests in a long queue were kept until their time
-// was over. MeanCost is the cost of a request if none has been served. Limit
-// returns false if the backlog has not lasted for a second.
+// mean. MeanCost is the cost of a request if none has been served. Limit returns false if the
+// backlog has not lasted for a second.
 func (p *Pace) Limit(now time.Time, meanCost float64) (float64, bool) {
-	count, cost, elapsed := p.Count, p.Cost, p.Seconds
-	if !p.WindowStart.IsZero() {
-		count, cost, elapsed = count+p.WindowCount, cost+p.WindowCost, elapsed+now.Sub(p.WindowStart).Seconds()
-	}
+	count, cost, elapsed := p.totals(now)
 	if elapsed < paceWindow.Seconds() {
 		return 0, false
 	}
@@ -82,3 +78,22 @@
 	}
 	return (count + math.Sqrt(count) + 1) / elapsed * meanCost, true
 }
+
+// Mean returns the mean cost per second, and the number of requests that it was measured
+// with, of which older ones count less.
+func (p *Pace) Mean(now time.Time) (perSecond, count float64) {
+	count, cost, elapsed := p.totals(now)
+	if elapsed < paceWindow.Seconds() {
+		return 0, 0
+	}
+	return cost / elapsed, count
+}
+
+// totals returns the sums of the earlier windows and the current one.
+func (p *Pace) totals(now time.Time) (count, cost, seconds float64) {
+	count, cost, seconds = p.Count, p.Cost, p.Seconds
+	if !p.WindowStart.IsZero() {
+		count, cost, seconds = count+p.WindowCount, cost+p.WindowCost, seconds+now.Sub(p.WindowStart).Seconds()
+	}
+	return count, cost, seconds
+}
