--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -35,9 +35,9 @@
 // ends of loads or from the requests that go before it and the pace at which they leave the
 // queue. It returns false if that is not known.
 func (c *Controller) roomExpectedAt(now time.Time, need Need) (time.Time, bool) {
-	if queue := c.Waiting.Models[need.useKey()]; queue != nil {
+	if queue := c.Waiting.Models[need.modelQueueKey()]; queue != nil {
 		if pace, known := queue.pace(now); known {
-			return now.Add(seconds(queue.ahead(need.rank(), need.Workspace, c.ownAhead(need)) / pace)), true
+			return now.Add(seconds(queue.ahead(need.Workspace, c.ownAhead(need)) / pace)), true
 		}
 	}
 	if need.Model == "" || c.isLoaded(need) {
@@ -119,7 +119,7 @@
 // isQueueTooLong reports whether a new request would be behind so many others that the mean
 // pace decides: a queue of this length keeps the replicas busy whichever request is refused.
 func (c *Controller) isQueueTooLong(now time.Time, need Need) bool {
-	queue := c.Waiting.Models[need.useKey()]
+	queue := c.Waiting.Models[need.modelQueueKey()]
 	if queue == nil || queue.Waiting < longQueue {
 		return false
 	}
@@ -127,7 +127,7 @@
 	if count < longQueue {
 		return false
 	}
-	ahead := queue.ahead(need.rank(), need.Workspace, c.ownAhead(need))
+	ahead := queue.ahead(need.Workspace, c.ownAhead(need))
 	return ahead/pace > longQueueShare*need.GiveUpAt.Sub(now).Seconds()
 }
 
@@ -175,30 +175,33 @@
 	var effects []Effect
 	for _, key := range slices.Sorted(maps.Keys(service.Lanes)) {
 		lane := service.Lanes[key]
-		if lane == nil || now.Sub(lane.ComparedAt) < unreachableCheckInterval {
+		if now.Sub(lane.ComparedAt) < unreachableCheckInterval {
 			continue
 		}
 		lane.ComparedAt = now
-		first := lane.ByGiveUp[0].Need
-		queue := c.modelQueue(first)
-		if pace, known := queue.pace(now); known && !first.Continued {
-			effects = append(effects, c.refuseTail(now, lane, queue, pace)...)
+		if !lane.ByGiveUp[0].Need.Continued {
+			effects = append(effects, c.refuseTail(now, lane)...)
 		}
 	}
 	return effects
 }
 
 // refuseTail refuses the requests of a lane that are not expected to be served in time.
-func (c *Controller) refuseTail(now time.Time, lane *Lane, queue *ModelQueue, pace float64) []Effect {
+func (c *Controller) refuseTail(now time.Time, lane *Lane) []Effect {
 	type flowKey struct {
 		rank      int
 		workspace string
 	}
-	own, older := map[flowKey]float64{}, lane.olderTokens()
+	own := map[flowKey]float64{}
 	var effects []Effect
 	for _, waiter := range slices.SortedFunc(slices.Values(lane.ByGiveUp), compareInFlow) {
+		queue := c.modelQueue(waiter.Need)
+		pace, known := queue.pace(now)
+		if !known {
+			continue
+		}
 		flow := flowKey{waiter.Need.rank(), waiter.Need.Workspace}
-		wait := min(queue.ahead(flow.rank, flow.workspace, own[flow]), oldestInterval*older[waiter]) / pace
+		wait := queue.ahead(flow.workspace, own[flow]) / pace
 		if wait <= waiter.Need.GiveUpAt.Sub(now).Seconds() {
 			own[flow] += waiter.Need.cost()
 			continue
@@ -209,19 +212,6 @@
 	return effects
 }
 
-// olderTokens returns for each request the tokens of the requests that have waited longer. A
-// part of the pace is left to the one that has waited longest.
-func (l *Lane) olderTokens() map[*Waiter]float64 {
-	older := make(map[*Waiter]float64, len(l.ByGiveUp))
-	tokens := 0.0
-	for element := l.byArrival.Front(); element != nil; element = element.Next() {
-		waiter := element.Value.(*Waiter)
-		older[waiter] = tokens
-		tokens += waiter.Need.cost()
-	}
-	return older
-}
-
 func compareInFlow(a, b *Waiter) int {
 	if a.entry.Before(b.entry) {
 		return -1
--- a/internal/balancer/lane.go
+++ b/internal/balancer/lane.go
@@ -180,12 +180,15 @@
 	if need.Continued {
 		return
 	}
-	queue := c.modelQueue(need)
-	switch {
-	case !lane.Saturated:
-		queue.forget()
-	case queue.Waiting > 0:
-		queue.Pace.Start(now)
+	for rank := range maxRank + 1 {
+		queue := c.Waiting.Models[modelQueueKey{need.useKey(), rank}]
+		switch {
+		case queue == nil:
+		case !lane.Saturated:
+			queue.forget()
+		case queue.Waiting > 0:
+			queue.Pace.Start(now)
+		}
 	}
 }
 
--- a/internal/balancer/model_queue.go
+++ b/internal/balancer/model_queue.go
@@ -10,28 +10,37 @@
 // maxPaceAge is the age at which a measured pace is no longer used.
 const maxPaceAge = 10 * time.Second
 
-// ModelQueue is what is known of the waiting requests for a model or adapter of a
+// modelQueueKey identifies the waiting requests of one rank for a model or adapter.
+type modelQueueKey struct {
+	useKey
+	rank int
+}
+
+// ModelQueue is what is known of the waiting requests of one rank for a model or adapter of a
 // service.
 type ModelQueue struct {
 	// Waiting is the number of waiting requests.
 	Waiting int
-	// Tokens holds the cost of the waiting requests by rank and workspace.
-	Tokens [maxRank + 1]map[string]float64
+	// Tokens holds the cost of the waiting requests by workspace.
+	Tokens map[string]float64
 	// Pace is the cost of the requests that leave the queue with a replica, in tokens a
-	// second, while the replicas with the model are full.
+	// second, while the replicas with the model are full. It is what more urgent ranks
+	// leave.
 	Pace queuer.Pace
 	// ReturnAt is the time up to which the pace is taken by callers that were told to
 	// return.
 	ReturnAt time.Time
 }
 
+func (n Need) modelQueueKey() modelQueueKey { return modelQueueKey{n.useKey(), n.rank()} }
+
 // modelQueue returns what is known of the queue of a model, and begins to record it if
 // nothing is known.
 func (c *Controller) modelQueue(need Need) *ModelQueue {
-	key := need.useKey()
+	key := need.modelQueueKey()
 	queue := c.Waiting.Models[key]
 	if queue == nil {
-		queue = &ModelQueue{}
+		queue = &ModelQueue{Tokens: map[string]float64{}}
 		c.Waiting.Models[key] = queue
 	}
 	return queue
@@ -39,18 +48,13 @@
 
 func (q *ModelQueue) add(need Need) {
 	q.Waiting++
-	rank := need.rank()
-	if q.Tokens[rank] == nil {
-		q.Tokens[rank] = map[string]float64{}
-	}
-	q.Tokens[rank][need.Workspace] += need.cost()
+	q.Tokens[need.Workspace] += need.cost()
 }
 
 func (q *ModelQueue) remove(now time.Time, need Need, served bool) {
 	q.Waiting--
-	tokens := q.Tokens[need.rank()]
-	if tokens[need.Workspace] -= need.cost(); tokens[need.Workspace] <= 0 {
-		delete(tokens, need.Workspace)
+	if q.Tokens[need.Workspace] -= need.cost(); q.Tokens[need.Workspace] <= 0 {
+		delete(q.Tokens, need.Workspace)
 	}
 	switch {
 	case served:
@@ -71,24 +75,16 @@
 	}
 	total := 0.0
 	for _, tokens := range q.Tokens {
-		for _, workspace := range tokens {
-			total += workspace
-		}
+		total += tokens
 	}
 	return q.Pace.Limit(now, total/float64(q.Waiting))
 }
 
-// ahead returns the tokens that leave the queue before a request of a rank and workspace
-// that has the given tokens of its own workspace ahead: all of more urgent ranks, and as
-// much of each other workspace of its rank as of its own.
-func (q *ModelQueue) ahead(rank int, workspace string, own float64) float64 {
+// ahead returns the tokens that leave the queue before a request of a workspace that has the
+// given tokens of its own workspace ahead: as much of each other workspace.
+func (q *ModelQueue) ahead(workspace string, own float64) float64 {
 	total := own
-	for number := range rank {
-		for _, tokens := range q.Tokens[number] {
-			total += tokens
-		}
-	}
-	for other, tokens := range q.Tokens[rank] {
+	for other, tokens := range q.Tokens {
 		if other != workspace {
 			total += min(tokens, own)
 		}
@@ -99,7 +95,7 @@
 // forgetModels drops what is known of queues in which no request waits and whose pace is
 // out of date.
 func (c *Controller) forgetModels(now time.Time) {
-	maps.DeleteFunc(c.Waiting.Models, func(_ useKey, queue *ModelQueue) bool {
+	maps.DeleteFunc(c.Waiting.Models, func(_ modelQueueKey, queue *ModelQueue) bool {
 		return queue.Waiting == 0 && now.Sub(queue.Pace.MeasuredAt) > maxPaceAge && !queue.ReturnAt.After(now)
 	})
 }
--- a/internal/balancer/waiting.go
+++ b/internal/balancer/waiting.go
@@ -27,8 +27,8 @@
 	ByCall map[runner.Call]*Waiter
 	// Services holds the queue of each service with waiting requests.
 	Services map[string]*ServiceQueue
-	// Models holds what is known of the queue of each model and adapter.
-	Models map[useKey]*ModelQueue
+	// Models holds what is known of the queue of each model and adapter, by rank.
+	Models map[modelQueueKey]*ModelQueue
 
 	backlogs  *queuer.Backlogs[*Waiter]
 	byArrival list.List // of *Waiter
@@ -72,7 +72,7 @@
 	return Waiting{
 		ByCall:   map[runner.Call]*Waiter{},
 		Services: map[string]*ServiceQueue{},
-		Models:   map[useKey]*ModelQueue{},
+		Models:   map[modelQueueKey]*ModelQueue{},
 		backlogs: queuer.NewBacklogs[*Waiter](),
 	}
 }
