--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -294,7 +294,7 @@
 		forwarder.Authorize{View: &n.view, Clock: n.clock, MaxKeyAge: n.maxKeyAge},
 		&forwarder.RestrictRegions{View: &n.view, Regions: n.settings.Regions, Log: n.logNoRegion},
 		forwarder.ScreenRequest{Screen: n.screener},
-		forwarder.LimitRate{Limits: n.rationer},
+		forwarder.LimitRate{Limits: n.rationer, Observe: n.recordWait},
 		&forwarder.Dispatch{
 			Pool:      n.pool,
 			Codec:     platform.Codec{},
@@ -307,6 +307,7 @@
 			Budgets:   n.budgets,
 			Durations: n.durations,
 			Log:       n.logAttempt,
+			Observe:   n.recordWait,
 		},
 	}
 }
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -301,7 +301,7 @@
 func (c *Controller) refuseCold(now time.Time, need Need) *Refusal {
 	var warmAt time.Time
 	for _, replica := range c.Replicas {
-		if !need.allows(replica.Description) || replica.isLeaving() || replica.isClosed(need.GiveUpAt) {
+		if !need.allows(replica.Description) || replica.isExcluded() || replica.isClosed(need.GiveUpAt) {
 			continue
 		}
 		until := c.coldUntil(replica)
--- a/internal/balancer/cold_test.go
+++ b/internal/balancer/cold_test.go
@@ -84,7 +84,7 @@
 						more = true
 					}
 				}
-				node.Waiters = nil
+				node.Waiting = newWaiting()
 			}
 		}
 	}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -119,6 +119,8 @@
 	// Durations receives how long answers take.
 	Durations *Durations
 	Log       func(Event)
+	// Observe receives the wait of each placement. It must not block.
+	Observe func(Wait)
 }
 
 // Budgets holds the retry budgets of a node, one for each service.
@@ -192,7 +194,7 @@
 		Address:   placement.Address,
 		Forward:   j.forward,
 		LastEvent: j.lastEventID(),
-		Priority:  j.priority(),
+		Priority:  j.priority(startedAt),
 		TimeLeft:  left,
 	}, j.firstByteTimeout(left, placement))
 	if !errors.Is(err, ErrNotSent) {
--- a/internal/forwarder/frozen_test.go
+++ b/internal/forwarder/frozen_test.go
@@ -47,7 +47,7 @@
 	clock := clockwork.NewFakeClockAt(tester.Start)
 	placer := &slowPlacer{clock: clock}
 	dispatch := &Dispatch{
-		Placer: placer, Screen: permissiveScreen{}, View: oldView{}, Clock: clock, Budgets: &Budgets{Clock: clock}, Log: func(Event) {},
+		Placer: placer, Screen: permissiveScreen{}, View: oldView{}, Clock: clock, Budgets: &Budgets{Clock: clock}, Log: func(Event) {}, Observe: func(Wait) {},
 	}
 	forward := &filter.Forward{Route: resolver.Route{Public: true, Kind: resolver.Idempotent, MaxAttempts: 2}}
 	verdict := dispatch.Filter(t.Context(), &filter.Request{Arrived: tester.Start, Deadline: tester.Start.Add(time.Minute), Work: forward})
