--- a/internal/surveyor/evacuation_test.go
+++ b/internal/surveyor/evacuation_test.go
@@ -185,7 +185,7 @@
 			}
 		}
 	}
-	w.silent = w.now.Add(time.Duration(w.random.IntN(3000)) * time.Millisecond)
+	w.silent = w.now.Add(time.Duration(w.random.IntN(2)*w.random.IntN(3000)) * time.Millisecond)
 	w.rewriteAt = w.silent.Add(time.Duration(w.random.Int64N(int64(evacuationRewrite))))
 }
 
