--- a/internal/emulator/fleet_faults.go
+++ b/internal/emulator/fleet_faults.go
@@ -41,6 +41,9 @@
 	})
 }
 
+// SetZone moves the replica to another data centre.
+func (r *FleetReplica) SetZone(zone string) { r.executor.do(func() { r.settings.Zone = zone }) }
+
 func (r *FleetReplica) restart() {
 	r.startedAtMs = r.settings.Clock.Now().UnixMilli()
 	r.orderSequence, r.loading, r.leaving = 0, "", false
--- a/internal/soaker/deployment_test.go
+++ b/internal/soaker/deployment_test.go
@@ -58,6 +58,8 @@
 	// addedRoutes are prefixes of further routes to the plain service.
 	addedRoutes []string
 	keys        []string
+	// evacuateWithin is the bound on evacuations in the settings of nodes, 0 for none.
+	evacuateWithin time.Duration
 }
 
 // replica is an emulated replica with its proxy and its entry in the store.
@@ -235,6 +237,7 @@
 revoke-ms = %d
 grace-s = %g
 lease-ms = %d
+evacuate-ms = %d
 retry-budget-ratio = 0.2
 budget-slack = 50
 budget-window-s = 10
@@ -243,7 +246,7 @@
 [platform]
 address = %q
 `, n.name, n.ip, peersPort, peersPort+9, isFirst, n.address(callersPort), n.address(readinessPort), n.address(directoryPort),
-		revocationBound.Milliseconds(), drainGrace.Seconds(), orderSpacing.Milliseconds(), d.storeProxy.address())
+		revocationBound.Milliseconds(), drainGrace.Seconds(), orderSpacing.Milliseconds(), d.evacuateWithin.Milliseconds(), d.storeProxy.address())
 	if err := os.WriteFile(settingsPath, []byte(settings), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
