--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -167,6 +167,18 @@
 		{"toucanhitch.callers", "Nodes that are named to callers.", func() float64 {
 			return float64(len(n.view.holderCallers(n.clock.Now())))
 		}},
+		{"toucanhitch.connections", "Open connections of callers and other nodes.", func() float64 {
+			return float64(n.acceptor.Connections())
+		}},
+		{"toucanhitch.head.bytes", "Memory that the heads of requests hold, in bytes.", func() float64 {
+			return float64(n.acceptor.HeadBytes())
+		}},
+		{"toucanhitch.full", "1 if the node could not accept a connection lately.", func() float64 {
+			if n.acceptor.Full() {
+				return 1
+			}
+			return 0
+		}},
 		{"toucanhitch.log.dropped", "Log lines that were dropped because the output was too slow.", func() float64 {
 			return float64(n.settings.Dropped())
 		}},
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"toucanhitch.example/toucanhitch/internal/acceptor"
 	"toucanhitch.example/toucanhitch/internal/balancer"
 	"toucanhitch.example/toucanhitch/internal/dispatcher"
 	"toucanhitch.example/toucanhitch/internal/filter"
@@ -78,8 +79,8 @@
 	// startedAt is when the node was created.
 	startedAt time.Time
 	draining  atomic.Bool
-	// idle closes the idle connections of callers and other nodes.
-	idle *idleCloser
+	// acceptor bounds the connections of callers and other nodes.
+	acceptor *acceptor.Acceptor
 	// shutdown is nil before the node shuts down.
 	shutdown atomic.Pointer[forwarder.Shutdown]
 	// holder is the last known holder of the placement lease.
@@ -137,7 +138,6 @@
 			Capacity:      capacity(settings.Settings),
 		},
 	}
-	n.idle = &idleCloser{clock: n.clock, limit: n.idleTimeout}
 	n.bounds.Store(&settings.Bounds)
 	if err := n.initialize(ctx); err != nil {
 		n.cleanUp()
@@ -180,6 +180,7 @@
 	}
 	n.meter = metrics
 	n.cleanUps = append(n.cleanUps, endMeter)
+	n.acceptor = n.newAcceptor()
 	if err := n.createGauges(); err != nil {
 		return err
 	}
@@ -314,18 +315,19 @@
 func (n *Node) openListeners(ctx context.Context) error {
 	for _, binding := range []struct {
 		address string
+		share   acceptor.Share
 		target  *net.Listener
 	}{
-		{n.settings.CallerAddress, &n.listeners.callers},
-		{n.settings.ReadinessAddress, &n.listeners.readiness},
-		{n.settings.DirectoryAddress, &n.listeners.directory},
-		{n.settings.PeerAddress, &n.listeners.peers},
+		{n.settings.CallerAddress, acceptor.Callers, &n.listeners.callers},
+		{n.settings.ReadinessAddress, acceptor.Readiness, &n.listeners.readiness},
+		{n.settings.DirectoryAddress, acceptor.Directory, &n.listeners.directory},
+		{n.settings.PeerAddress, acceptor.Peers, &n.listeners.peers},
 	} {
 		listener, err := listen(ctx, binding.address)
 		if err != nil {
 			return merry.Wrap(err, merry.PrependMessagef("listen on %s", binding.address))
 		}
-		*binding.target = listener
+		*binding.target = n.acceptor.Listen(listener, binding.share)
 		n.cleanUps = append(n.cleanUps, func() { _ = listener.Close() })
 	}
 	return nil
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -27,11 +27,6 @@
 	// callers use it for three times as long; the shutdown time allows for
 	// that.
 	addressLifetime = 2 * time.Second
-	// callerIdleTimeout is the time after which an idle connection is closed if the
-	// configuration does not state it.
-	callerIdleTimeout = 2 * time.Minute
-	// headerTimeout limits the time for reading a request's header.
-	headerTimeout = 10 * time.Second
 	// shutdownMargin is the part of the shutdown time that is reserved for the
 	// steps after the requests have ended.
 	shutdownMargin = 500 * time.Millisecond
@@ -56,7 +51,7 @@
 	defer stop()
 	group := &run.Group{}
 	for _, task := range []runner.Runnable{
-		n.surveyor, n.planner, n.balancer, n.rationer, n.screener, n.resumer, n.syncer, n.leaser,
+		n.surveyor, n.planner, n.balancer, n.rationer, n.screener, n.resumer, n.syncer, n.leaser, n.acceptor,
 	} {
 		runner.Add(taskCtx, group, task)
 	}
@@ -80,7 +75,8 @@
 
 // serve adds an HTTP server for a listener to the group.
 func (n *Node) serve(ctx context.Context, group *run.Group, listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ConnState: n.idle.observe}
+	server := &http.Server{Handler: handler}
+	n.acceptor.Attach(server)
 	runner.Add(ctx, group, runFunc(func(ctx context.Context) error {
 		stopped := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stopped()
@@ -103,9 +99,8 @@
 			Draining:     n.draining.Load,
 			OnRequestEnd: n.logRequestEnd,
 		},
-		ReadHeaderTimeout: headerTimeout,
-		ConnState:         n.idle.observe,
 	}
+	n.acceptor.Attach(server)
 	serveDone := make(chan error, 1)
 	go func() { serveDone <- server.Serve(n.listeners.callers) }()
 	select {
@@ -214,7 +209,10 @@
 }
 
 // ready reports whether callers may use this node.
-func (n *Node) ready() bool {
+func (n *Node) ready() bool { return n.serving() && !n.acceptor.Full() }
+
+// serving reports whether the node serves callers, apart from a passing lack of room.
+func (n *Node) serving() bool {
 	configuration, _ := n.view.Configuration()
 	return configuration != nil && !n.draining.Load()
 }
@@ -223,7 +221,7 @@
 // lifetime of the answer.
 func (n *Node) addresses(platform.AddressQuery) ([]string, time.Duration) {
 	lifetime := min(addressLifetime, n.bounds.Load().AddressLifetime)
-	return n.view.addresses(n.clock.Now(), planner.Caller{Address: n.self.CallerAddress, Capacity: n.self.Capacity}, !n.ready()), lifetime
+	return n.view.addresses(n.clock.Now(), planner.Caller{Address: n.self.CallerAddress, Capacity: n.self.Capacity}, !n.serving()), lifetime
 }
 
 // defaultBodyLimit is the limit of a request body in bytes that applies until
--- a/internal/commander/node.go
+++ b/internal/commander/node.go
@@ -33,6 +33,8 @@
 	LimitSlots    int           `arg:"--limit-slots,env:TOUCANHITCH_LIMIT_SLOTS" default:"8" help:"number of standing shares of each workspace's limit; at least the number of entry instances, and equal on all of them" placeholder:"N"`
 	KeepAlive     string        `arg:"--keep-alive,env:TOUCANHITCH_KEEP_ALIVE" default:"fixed-time" help:"policy for how long idle models stay loaded: fixed-time, least-recently-used or idle-histogram; must be equal on all nodes" placeholder:"POLICY"`
 	DrainGrace    time.Duration `arg:"--drain-grace,env:TOUCANHITCH_DRAIN_GRACE" default:"10m" help:"maximum wait for running requests at shutdown" placeholder:"DURATION"`
+	MemoryMB      float64       `arg:"--memory-mb,env:TOUCANHITCH_MEMORY_MB" help:"memory of the process, which bounds connections and requests; default: 256" placeholder:"N"`
+	MaxFDs        int           `arg:"--max-fds,env:TOUCANHITCH_MAX_FDS" help:"file descriptors that the process may have open; default: unknown" placeholder:"N"`
 	LogLevel      string        `arg:"--log-level,env:TOUCANHITCH_LOG_LEVEL" default:"info" help:"error, warn, info or debug" placeholder:"LEVEL"`
 }
 
@@ -42,6 +44,8 @@
 	maxStoreAtOnce = 1000
 	maxLimitSlots  = 100_000
 	maxDrainGrace  = 24 * time.Hour
+	maxMemoryMB    = 1 << 24
+	maxDescriptors = 1 << 24
 )
 
 func (c *NodeCommand) check() error {
@@ -61,6 +65,8 @@
 	errs.checkNumber("--store-rate", c.StoreRate, 0.001, maxStoreRate)
 	errs.checkNumber("--store-at-once", float64(c.StoreAtOnce), 1, maxStoreAtOnce)
 	errs.checkNumber("--limit-slots", float64(c.LimitSlots), 1, maxLimitSlots)
+	errs.checkNumber("--memory-mb", c.MemoryMB, 0, maxMemoryMB)
+	errs.checkNumber("--max-fds", float64(c.MaxFDs), 0, maxDescriptors)
 	errs.checkDuration("--drain-grace", c.DrainGrace, time.Second, maxDrainGrace)
 	if _, err := predictor.ByName(c.KeepAlive); err != nil {
 		errs.add("--keep-alive", c.KeepAlive, "fixed-time, least-recently-used or idle-histogram")
@@ -96,6 +102,8 @@
 		LimitSlots:      c.LimitSlots,
 		KeepAlive:       policy,
 		DrainGrace:      c.DrainGrace,
+		Memory:          int64(c.MemoryMB * (1 << 20)),
+		MaxDescriptors:  c.MaxFDs,
 		Clock:           env.clock,
 		Logger:          logger.WithField("Node", c.Name),
 	}
@@ -108,6 +116,7 @@
 		return err
 	}
 	settings := c.settings(env)
+	limitMemory(c.MemoryMB)
 	redirectStandardLog(settings.Logger)
 	node, cleanUp, err := supervisor.New(settings)
 	if err != nil {
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	stdlog "log"
+	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 
@@ -33,6 +34,7 @@
 		log.WithError(err).Error("node not started: cannot read the settings")
 		return err
 	}
+	limitMemory(settings.MemoryMB)
 	node, cleanUp, err := assembler.New(env.ctx, assembler.Settings{
 		Settings:     settings,
 		SettingsPath: c.Settings,
@@ -48,6 +50,18 @@
 	return runUntilSignal(env.ctx, node)
 }
 
+// collectShare is the part of the memory from which on garbage is collected sooner. The
+// stacks, the binary and the buffers of the kernel need the rest.
+const collectShare = 0.75
+
+// limitMemory lets the runtime collect garbage sooner when the memory of the process, in
+// MB, runs short. By default it lets the heap double first.
+func limitMemory(memoryMB float64) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryMB * collectShare * (1 << 20)))
+	}
+}
+
 // redirectStandardLog makes the messages of package log structured lines of the node.
 func redirectStandardLog(target logrus.FieldLogger) {
 	stdlog.SetFlags(0)
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"toucanhitch.example/toucanhitch/internal/acceptor"
 	"toucanhitch.example/toucanhitch/internal/encoder"
 	"toucanhitch.example/toucanhitch/internal/filter"
 	"toucanhitch.example/toucanhitch/internal/tracker"
@@ -209,14 +210,23 @@
 // are still running with the cause filter.ErrDraining and returns
 // ErrRequestsAborted.
 func Serve(ctx context.Context, clock clockwork.Clock, listener net.Listener, handler http.Handler, grace time.Duration) error {
+	return serve(ctx, clock, listener, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}, grace)
+}
+
+// ServeBounded serves like Serve, on a listener of an acceptor, whose bounds apply.
+func ServeBounded(ctx context.Context, clock clockwork.Clock, bounds *acceptor.Acceptor, listener net.Listener, handler http.Handler, grace time.Duration) error {
+	server := &http.Server{Handler: handler}
+	bounds.Attach(server)
+	return serve(ctx, clock, listener, server, grace)
+}
+
+// ConnectionLimits are the limits of the connections of a node.
+var ConnectionLimits = acceptor.Limits{HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
+
+func serve(ctx context.Context, clock clockwork.Clock, listener net.Listener, server *http.Server, grace time.Duration) error {
 	requestsCtx, abort := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer abort(nil)
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		BaseContext:       func(net.Listener) context.Context { return requestsCtx },
-	}
+	server.BaseContext = func(net.Listener) context.Context { return requestsCtx }
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(listener) }()
 	select {
--- a/internal/supervisor/gauges.go
+++ b/internal/supervisor/gauges.go
@@ -24,6 +24,12 @@
 		{"toucanhitch.requests.running", "Requests that have a slot.", func() float64 {
 			return float64(n.schedulerLoad.Load().InUse)
 		}},
+		{"toucanhitch.connections", "Open connections of callers and other nodes.", func() float64 {
+			return float64(n.acceptor.Connections())
+		}},
+		{"toucanhitch.head.bytes", "Memory that the heads of requests hold, in bytes.", func() float64 {
+			return float64(n.acceptor.HeadBytes())
+		}},
 		{"toucanhitch.leases", "Leases that the node holds.", func() float64 {
 			return float64(len(n.validLeases()))
 		}},
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"toucanhitch.example/toucanhitch/internal/acceptor"
 	"toucanhitch.example/toucanhitch/internal/configurer"
 	"toucanhitch.example/toucanhitch/internal/dispatcher"
 	"toucanhitch.example/toucanhitch/internal/filter"
@@ -41,6 +42,8 @@
 	clock    clockwork.Clock
 	logger   logrus.FieldLogger
 
+	// acceptor bounds the connections of callers and other nodes.
+	acceptor       *acceptor.Acceptor
 	callerListener net.Listener
 	peerListener   net.Listener
 
@@ -84,6 +87,7 @@
 	n.schedulerLoad.Store(&scheduler.PublishLoad{})
 	n.placement.Store(&placer.View{})
 	n.heldLeases.Store(&map[string]leaser.Held{})
+	n.acceptor = n.newAcceptor()
 	var cleanUps cleanUps
 	if err := n.listen(&cleanUps); err != nil {
 		cleanUps.run()
@@ -122,10 +126,12 @@
 	if n.callerListener, err = n.settings.listen(n.settings.CallerAddress); err != nil {
 		return merry.Wrap(ErrSettings, merry.AppendMessagef("listen on caller address: %v", err))
 	}
+	n.callerListener = n.acceptor.Listen(n.callerListener, acceptor.Callers)
 	cleanUps.add(func() { _ = n.callerListener.Close() })
 	if n.peerListener, err = n.settings.listen(n.settings.PeerAddress); err != nil {
 		return merry.Wrap(ErrSettings, merry.AppendMessagef("listen on peer address: %v", err))
 	}
+	n.peerListener = n.acceptor.Listen(n.peerListener, acceptor.Peers)
 	cleanUps.add(func() { _ = n.peerListener.Close() })
 	return nil
 }
--- a/internal/supervisor/peers.go
+++ b/internal/supervisor/peers.go
@@ -39,6 +39,8 @@
 		http.Error(w, "the node is leaving", http.StatusServiceUnavailable)
 	case !n.view.Current():
 		http.Error(w, "the node cannot show that its configuration is up to date", http.StatusServiceUnavailable)
+	case n.acceptor.Full():
+		http.Error(w, "the node cannot accept more connections", http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusNoContent)
 	}
--- a/internal/supervisor/run.go
+++ b/internal/supervisor/run.go
@@ -42,7 +42,7 @@
 		runner.Add(taskCtx, group, task)
 	}
 	runner.Add(taskCtx, group, runFunc(func(ctx context.Context) error {
-		return server.Serve(ctx, n.clock, n.peerListener, n.peerHandler(), peerShutdownTimeout)
+		return server.ServeBounded(ctx, n.clock, n.acceptor, n.peerListener, n.peerHandler(), peerShutdownTimeout)
 	}))
 	runner.Add(taskCtx, group, runFunc(n.publishLoads))
 	runner.Add(ctx, group, runFunc(n.serveCallers))
@@ -57,7 +57,7 @@
 
 func (n *Node) tasks() []runner.Runnable {
 	tasks := []runner.Runnable{
-		n.configurer, n.spreader, n.tracker, n.leaser, n.scheduler, n.recorder, n.placer, n.demands,
+		n.configurer, n.spreader, n.tracker, n.leaser, n.scheduler, n.recorder, n.placer, n.demands, n.acceptor,
 	}
 	return append(tasks, n.limits.tasks()...)
 }
@@ -69,7 +69,7 @@
 	defer stop()
 	serveDone := make(chan error, 1)
 	go func() {
-		serveDone <- server.Serve(serveCtx, n.clock, n.callerListener, n.callerHandler(), n.settings.DrainGrace)
+		serveDone <- server.ServeBounded(serveCtx, n.clock, n.acceptor, n.callerListener, n.callerHandler(), n.settings.DrainGrace)
 	}()
 	select {
 	case err := <-serveDone:
--- a/internal/supervisor/settings.go
+++ b/internal/supervisor/settings.go
@@ -39,6 +39,10 @@
 	// DrainGrace limits the wait for running requests when the node shuts
 	// down.
 	DrainGrace time.Duration
+	// Memory is the memory of the process in bytes, and MaxDescriptors the number of file
+	// descriptors that it may have open. 0 means unknown.
+	Memory         int64
+	MaxDescriptors int
 	// Listen opens the node's listeners, so that benchmarks can count the
 	// traffic; nil means net.Listen for TCP.
 	Listen func(address string) (net.Listener, error)
