--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -123,6 +123,9 @@
 	Resumes string
 	// Writer sends the answer to the caller.
 	Writer Writer
+	// Releases return what the answer holds of the node's memory. They are called when
+	// the answer has been written.
+	Releases []func()
 
 	// Route, Service and Workspace are set by filters. Fingerprint is what is the same for
 	// all repetitions of the request, or "" before it is needed.
--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -21,7 +21,9 @@
 		if head.Misdirected {
 			*result = balancer.ModelMissing
 		}
-		_, err := e.readAll(ctx)
+		hold := BufferHold{Budget: e.pool.buffers}
+		_, err := e.readAll(ctx, &hold)
+		hold.Release()
 		e.release(err)
 		return nil, nil
 	case !head.Authentic, head.Encoded:
@@ -32,7 +34,10 @@
 		return j.forwardStream(ctx, e, recordBegun)
 	}
 	e.resetTimeout(max(minTimeLeft, j.request.Deadline.Sub(j.Clock.Now())))
-	body, err := e.readAll(ctx)
+	hold := &BufferHold{Budget: e.pool.buffers}
+	// The body is held until the caller has read it.
+	j.forward.Releases = append(j.forward.Releases, hold.Release)
+	body, err := e.readAll(ctx, hold)
 	e.release(err)
 	if err != nil {
 		return nil, err
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,9 @@
 	maxStaleResponses = 3
 	// maxReplyBytes bounds a response that is buffered until it is complete.
 	maxReplyBytes = 8 << 20
+	// readSpace is the space in a buffer beyond the length of a body, so that reading to
+	// its end does not enlarge it.
+	readSpace = 512
 )
 
 // exchange is one attempt on one connection. The connection is closed if the
@@ -177,20 +181,26 @@
 	}
 }
 
-// readAll reads the body of a response to its end.
-func (e *exchange) readAll(ctx context.Context) ([]byte, error) {
-	hold := BufferHold{Budget: e.pool.buffers}
-	defer hold.Release()
+// readAll reads the body of a response to its end. It waits for memory, and with it the
+// replica, for at most maxBufferWait.
+func (e *exchange) readAll(ctx context.Context, hold *BufferHold) ([]byte, error) {
 	// The length is what the replica claims: memory for it is taken as the body
 	// arrives.
-	size := max(0, min(e.head.ContentLength, freeBufferBytes))
-	body := make([]byte, 0, size+512)
+	size := max(0, min(e.head.ContentLength, freeBufferBytes)) + readSpace
+	if err := hold.growInTime(ctx, e.pool.clock, size); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, size)
 	for {
 		if len(body) == cap(body) {
-			if err := hold.Grow(2 * int64(cap(body))); err != nil {
+			size = 2 * int64(cap(body))
+			if e.head.ContentLength >= int64(cap(body)) {
+				size = min(size, e.head.ContentLength+readSpace)
+			}
+			if err := hold.growInTime(ctx, e.pool.clock, size); err != nil {
 				return nil, err
 			}
-			body = append(body, 0)[:len(body)]
+			body = slices.Grow(body, int(size)-len(body))
 		}
 		n, err := e.head.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -232,17 +242,21 @@
 		if err != nil {
 			return err
 		}
-		if _, numbered := eventID(event); numbered {
+		_, numbered := eventID(event)
+		if numbered {
 			begun = true
-			e.resetTimeout(timeout)
+			// A caller that reads slowly is not a time-out of the replica.
+			e.watchdog.Stop()
 		}
-		if !isNew {
-			continue
+		if isNew {
+			if err := write(event); err != nil {
+				return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", err))
+			}
+			events.Passed++
 		}
-		if err := write(event); err != nil {
-			return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", err))
+		if numbered {
+			e.resetTimeout(timeout)
 		}
-		events.Passed++
 	}
 }
 
--- a/internal/forwarder/limit.go
+++ b/internal/forwarder/limit.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"math"
 	"sync/atomic"
+	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
 )
 
 const (
@@ -16,9 +19,14 @@
 	maxHeadBytes      = 64 << 10
 	maxHeadLines      = 256
 	maxStaleBodyBytes = 1 << 20
-	// freeBufferBytes is the size up to which a body does not count against the budget of
-	// all requests together.
+	// freeBufferBytes is the size up to which a body counts against the budget of small
+	// parts, so that large bodies leave room for ordinary ones.
 	freeBufferBytes = 64 << 10
+	// maxBufferWait is how long a replica waits while there is no memory for its answer.
+	// Replicas cut off an answer that stays unread for some seconds.
+	maxBufferWait = 2 * time.Second
+	// bufferPollInterval is the time between two attempts to get memory.
+	bufferPollInterval = 20 * time.Millisecond
 )
 
 // ErrNoBuffer reports a body for which there is no memory.
@@ -59,38 +67,64 @@
 }
 
 // BufferBudget bounds the bytes that all requests of a node hold together, of their bodies
-// or of their responses.
+// or of their responses. The first freeBufferBytes of each are bounded apart from the rest.
 type BufferBudget struct {
-	limit int64
-	held  atomic.Int64
+	limit       int64
+	held, small atomic.Int64
 }
 
-// NewBufferBudget returns a budget of a number of bytes.
+// NewBufferBudget returns a budget of a number of bytes, and as many for small parts.
 func NewBufferBudget(limit int64) *BufferBudget { return &BufferBudget{limit: limit} }
 
 // BufferHold is what one request holds of a budget, which must be set.
 type BufferHold struct {
-	Budget *BufferBudget
-	held   int64
+	Budget      *BufferBudget
+	held, small int64
 }
 
-// Grow sets the number of bytes that the request holds; a small number is free. It returns
-// ErrNoBuffer if that exceeds the budget.
+// Grow sets the number of bytes that the request holds. It returns ErrNoBuffer if that
+// exceeds the budget.
 func (h *BufferHold) Grow(bytes int64) error {
-	wanted := max(0, bytes-freeBufferBytes)
-	if wanted <= h.held {
-		return nil
-	}
-	if h.Budget.held.Add(wanted-h.held) > h.Budget.limit {
-		h.Budget.held.Add(h.held - wanted)
+	small, large := min(bytes, freeBufferBytes), max(0, bytes-freeBufferBytes)
+	if !take(&h.Budget.small, &h.small, small, h.Budget.limit) || !take(&h.Budget.held, &h.held, large, h.Budget.limit) {
 		return merry.Wrap(ErrNoBuffer, merry.AppendMessagef("%d bytes exceed what is left of %d", bytes, h.Budget.limit))
 	}
-	h.held = wanted
 	return nil
 }
 
+// take raises what a request holds of a total. It reports false if that exceeds the limit.
+func take(total *atomic.Int64, held *int64, wanted, limit int64) bool {
+	if wanted <= *held {
+		return true
+	}
+	if total.Add(wanted-*held) > limit {
+		total.Add(*held - wanted)
+		return false
+	}
+	*held = wanted
+	return true
+}
+
+// growInTime is Grow, but waits for at most maxBufferWait until others return memory.
+func (h *BufferHold) growInTime(ctx context.Context, clock clockwork.Clock, bytes int64) error {
+	err := h.Grow(bytes)
+	if bytes-freeBufferBytes > h.Budget.limit {
+		return err
+	}
+	for waited := time.Duration(0); err != nil && waited < maxBufferWait; waited += bufferPollInterval {
+		select {
+		case <-ctx.Done():
+			return err
+		case <-clock.After(bufferPollInterval):
+		}
+		err = h.Grow(bytes)
+	}
+	return err
+}
+
 // Release returns what the request holds.
 func (h *BufferHold) Release() {
 	h.Budget.held.Add(-h.held)
-	h.held = 0
+	h.Budget.small.Add(-h.small)
+	h.held, h.small = 0, 0
 }
