--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -33,6 +33,10 @@
 // are lines of the log, which are left out, and new connections, which are refused.
 const inboxSize = 256
 
+// shortageInterval is the least time between two reports of a shortage, each of which looks
+// at all connections.
+const shortageInterval = 20 * time.Millisecond
+
 // Acceptor owns the connections of a node's listeners.
 type Acceptor struct {
 	settings Settings
@@ -42,7 +46,7 @@
 	// sendBuffer is the number of bytes that the system buffers for a client.
 	sendBuffer int
 	task       *runner.Task[Message, Effect]
-	// shortage is set while a message about a shortage is under way.
+	// shortage is set for shortageInterval after a shortage was reported.
 	shortage atomic.Bool
 	// fullUntil is the time until which the node counts as full, nil if it never was.
 	fullUntil atomic.Pointer[time.Time]
@@ -124,8 +128,8 @@
 	if !a.shortage.CompareAndSwap(false, true) {
 		return
 	}
+	a.settings.Clock.AfterFunc(shortageInterval, func() { a.shortage.Store(false) })
 	go func() {
-		defer a.shortage.Store(false)
 		excess := a.budget.held.Load() - a.budget.limit/2
 		_ = a.task.Post(Short{Excess: excess, Connections: a.describe(nil)})
 	}()
