--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -47,7 +47,7 @@
 	sendBuffer int
 	task       *runner.Task[Message, Effect]
 	// shortage is set for shortageInterval after a shortage was reported.
-	shortage atomic.Bool
+	shortage, bodyShortage atomic.Bool
 	// fullUntil is the time until which the node counts as full, nil if it never was.
 	fullUntil atomic.Pointer[time.Time]
 	// failing is set after an attempt to accept has failed, until one succeeds.
@@ -125,13 +125,23 @@
 
 // reportShortage asks the controller to free memory of heads. Reading does not wait for it.
 func (a *Acceptor) reportShortage() {
-	if !a.shortage.CompareAndSwap(false, true) {
+	a.report(&a.shortage, Short{Excess: a.budget.held.Load() - a.budget.limit/2})
+}
+
+// FreeBodies asks the controller to close connections whose body has not arrived, until the
+// given number of bytes is free. It does not wait.
+func (a *Acceptor) FreeBodies(excess int64) {
+	a.report(&a.bodyShortage, Short{Excess: excess, Bodies: true})
+}
+
+func (a *Acceptor) report(reported *atomic.Bool, message Short) {
+	if !reported.CompareAndSwap(false, true) {
 		return
 	}
-	a.settings.Clock.AfterFunc(shortageInterval, func() { a.shortage.Store(false) })
+	a.settings.Clock.AfterFunc(shortageInterval, func() { reported.Store(false) })
 	go func() {
-		excess := a.budget.held.Load() - a.budget.limit/2
-		_ = a.task.Post(Short{Excess: excess, Connections: a.describe(nil)})
+		message.Connections = a.describe(nil)
+		_ = a.task.Post(message)
 	}()
 }
 
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -186,6 +187,53 @@
 	}
 }
 
+// TestStalledBodiesMakeRoom guards against bodies that stop before their end and hold the
+// memory of all others, and against a whole request that is closed for its memory.
+func TestStalledBodiesMakeRoom(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.CopyN(io.Discard, r.Body, 1)
+		started <- struct{}{}
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-release
+	})
+	a, address := serve(t, Settings{Limits: func() Limits { return Limits{} }}, handler)
+	whole, wholeReader := dial(t, address)
+	stalled, stalledReader := dial(t, address)
+	for _, conn := range []net.Conn{whole, stalled} {
+		if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nab"); err != nil {
+			t.Fatal(err)
+		}
+		<-started
+	}
+	if _, err := io.WriteString(whole, "cdefghij"); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
+		inProgress := 0
+		for _, connection := range a.describe(nil) {
+			if connection.Whole {
+				inProgress++
+			}
+		}
+		if inProgress == 1 {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no whole request is in progress")
+		}
+	}
+	a.FreeBodies(1 << 20)
+	_ = stalled.SetReadDeadline(time.Now().Add(time.Minute))
+	if _, err := stalledReader.ReadByte(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the stalled request: %v, want a closed connection", err)
+	}
+	close(release)
+	if response, err := http.ReadResponse(wholeReader, nil); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("the whole request: %v, %v", response, err)
+	}
+}
+
 // FuzzHead compares the end of a head, read in parts of any size, with the position of the
 // first empty line after another.
 func FuzzHead(f *testing.F) {
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -259,7 +259,7 @@
 	defer c.mutex.Unlock()
 	return Connection{
 		ID: c.id, Address: c.address, Delivered: c.delivered, Waiting: now.Sub(c.since),
-		Held: c.held, Whole: c.phase == answering,
+		Held: c.held, Received: c.read, Whole: c.phase == answering,
 	}
 }
 
--- a/internal/acceptor/controller.go
+++ b/internal/acceptor/controller.go
@@ -70,17 +70,22 @@
 	return append(effects, Admit{Call: message.Call, Accepted: true})
 }
 
-// freeMemory closes connections with an incomplete head until enough memory is free.
+// freeMemory closes connections with an incomplete head, or body, until enough memory is
+// free.
 func (c *Controller) freeMemory(now time.Time, message Short) []Effect {
 	var effects []Effect
 	for _, victim := range order(message.Connections) {
 		if message.Excess <= 0 {
 			break
 		}
-		if victim.Held == 0 {
+		held := victim.Held
+		if message.Bodies {
+			held = victim.Received
+		}
+		if held == 0 {
 			continue
 		}
-		message.Excess -= victim.Held
+		message.Excess -= held
 		c.count(now, MemoryScarce, victim.Address)
 		effects = append(effects, Close{ID: victim.ID, Reason: MemoryScarce})
 	}
--- a/internal/acceptor/message.go
+++ b/internal/acceptor/message.go
@@ -37,8 +37,9 @@
 	Delivered int64
 	// Waiting is the time since its last request ended, or since it was opened.
 	Waiting time.Duration
-	// Held is the memory in bytes that its head takes.
-	Held int64
+	// Held is the memory in bytes that its head takes, and Received the number of bytes of
+	// the request that has not ended.
+	Held, Received int64
 	// Whole reports whether a whole request is in progress.
 	Whole bool
 }
@@ -54,8 +55,9 @@
 	Connections []Connection
 }
 
-// Short says that heads hold most of the memory that they may take.
+// Short says that heads, or bodies, hold most of the memory that they may take.
 type Short struct {
+	Bodies bool
 	// Excess is the memory in bytes that is to be freed.
 	Excess      int64
 	Connections []Connection
--- a/internal/assembler/accept.go
+++ b/internal/assembler/accept.go
@@ -4,6 +4,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanhitch.example/toucanhitch/internal/acceptor"
+	"toucanhitch.example/toucanhitch/internal/forwarder"
 )
 
 // newAcceptor returns the acceptor of the node's listeners.
@@ -33,3 +34,11 @@
 func (n *Node) logAcceptorNote(note acceptor.Note) {
 	n.logger.WithFields(logrus.Fields{"Reason": note.Reason, "Count": note.Count, "Example": note.Example}).Warn("connections refused or closed")
 }
+
+// newBodyBudget returns the budget of the bodies of callers' requests. When it is scarce,
+// bodies that arrive slowly make room for those of other callers.
+func (n *Node) newBodyBudget() *forwarder.BufferBudget {
+	budget := forwarder.NewBufferBudget(bufferBytes(n.settings.MemoryMB))
+	budget.OnScarce = n.acceptor.FreeBodies
+	return budget
+}
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -95,7 +95,7 @@
 			Chain:        n.chain(),
 			Clock:        n.clock,
 			BodyLimit:    n.bodyLimit,
-			Bodies:       forwarder.NewBufferBudget(bufferBytes(n.settings.MemoryMB)),
+			Bodies:       n.newBodyBudget(),
 			Draining:     n.draining.Load,
 			OnRequestEnd: n.logRequestEnd,
 		},
--- a/internal/forwarder/limit.go
+++ b/internal/forwarder/limit.go
@@ -71,6 +71,9 @@
 type BufferBudget struct {
 	limit       int64
 	held, small atomic.Int64
+	// OnScarce is called with the bytes that should be returned when more than three
+	// quarters of the budget are held. It must not block. It may be nil.
+	OnScarce func(excess int64)
 }
 
 // NewBufferBudget returns a budget of a number of bytes, and as many for small parts.
@@ -86,12 +89,23 @@
 // exceeds the budget.
 func (h *BufferHold) Grow(bytes int64) error {
 	small, large := min(bytes, freeBufferBytes), max(0, bytes-freeBufferBytes)
+	defer h.Budget.reportScarcity()
 	if !take(&h.Budget.small, &h.small, small, h.Budget.limit) || !take(&h.Budget.held, &h.held, large, h.Budget.limit) {
 		return merry.Wrap(ErrNoBuffer, merry.AppendMessagef("%d bytes exceed what is left of %d", bytes, h.Budget.limit))
 	}
 	return nil
 }
 
+// reportScarcity calls OnScarce if the budget is scarce.
+func (b *BufferBudget) reportScarcity() {
+	if b.OnScarce == nil {
+		return
+	}
+	if most := max(b.held.Load(), b.small.Load()); most > b.limit/4*3 {
+		b.OnScarce(most - b.limit/2)
+	}
+}
+
 // take raises what a request holds of a total. It reports false if that exceeds the limit.
 func take(total *atomic.Int64, held *int64, wanted, limit int64) bool {
 	if wanted <= *held {
