--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	stdlog "log"
+	"runtime/debug"
 
 	"github.com/sirupsen/logrus"
 
@@ -33,6 +34,7 @@
 		log.WithError(err).Error("node not started: cannot read the settings")
 		return err
 	}
+	limitMemory(settings.MemoryMB)
 	node, cleanUp, err := assembler.New(env.ctx, assembler.Settings{
 		Settings:     settings,
 		SettingsPath: c.Settings,
@@ -48,6 +50,19 @@
 	return runUntilSignal(env.ctx, node)
 }
 
+// collectShare is the part of the memory from which on garbage is collected sooner. The
+// binary and what the runtime returns late need the rest: with 0.75 a process of 64 MB
+// reached 55 MB under callers that read slowly.
+const collectShare = 0.65
+
+// limitMemory lets the runtime collect garbage sooner when the memory of the process, in
+// MB, runs short. By default it lets the heap double first.
+func limitMemory(memoryMB float64) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryMB * collectShare * (1 << 20)))
+	}
+}
+
 // redirectStandardLog makes the messages of package log structured lines of the node.
 func redirectStandardLog(target logrus.FieldLogger) {
 	stdlog.SetFlags(0)
