--- a/internal/forwarder/filters.go
+++ b/internal/forwarder/filters.go
@@ -25,9 +25,12 @@
 	otherNodeRetryDelay = 250 * time.Millisecond
 	// minTimeLeft is the time left below which no attempt is started.
 	minTimeLeft = 20 * time.Millisecond
-	// maxQuotaWaitShare is the share of its time that a request may wait for its workspace's
-	// limit, and no longer than its objective. The rest is left for the replica.
-	maxQuotaWaitShare = 0.3
+	// maxQuotaWaitObjectives is the share of its objective that a request may wait for its
+	// workspace's limit, and maxQuotaWaitShare that of its time. The rest is left for the
+	// replica: a request that is served late takes units that another would have used in
+	// time.
+	maxQuotaWaitObjectives = 0.6
+	maxQuotaWaitShare      = 0.3
 	// proofTime is how long a read of the configuration and its publication take once
 	// reads can prove something again.
 	proofTime = 100 * time.Millisecond
@@ -155,7 +158,7 @@
 	decision, err := f.Limits.Take(ctx, rationer.Take{
 		Workspace: forward.Workspace,
 		Units:     units,
-		WaitUntil: request.Arrived.Add(min(forward.Route.Objective, time.Duration(maxQuotaWaitShare*float64(request.Deadline.Sub(request.Arrived))))),
+		WaitUntil: request.Arrived.Add(maxQuotaWait(forward.Route, request.Deadline.Sub(request.Arrived))),
 		Rank:      forward.Rank(),
 		Deadline:  request.Deadline,
 	})
@@ -171,6 +174,12 @@
 	return filter.Pass{}
 }
 
+// maxQuotaWait returns how long a request on a route may wait for its workspace's limit if it
+// has the given time.
+func maxQuotaWait(route resolver.Route, available time.Duration) time.Duration {
+	return min(time.Duration(maxQuotaWaitObjectives*float64(route.Objective)), time.Duration(maxQuotaWaitShare*float64(available)))
+}
+
 // refuseNotCurrent refuses a request because this node's configuration may not be the
 // newest. Another node may serve it, unless proofs are delayed at all of them.
 func refuseNotCurrent(view ConfigurationView, now time.Time, detail string) filter.Refuse {
