--- a/internal/surveyor/evacuation.go
+++ b/internal/surveyor/evacuation.go
@@ -28,7 +28,7 @@
 	// restoredMaxEvacuationsAge is the age of its list above which a node without a holder
 	// reads it again until evacuationRewriteTime after a restoration, of which the first
 	// answer to a process may be one. Nodes that missed an evacuation before the restoration
-	// did not comply in 14 of 1,500 simulations when they read it again only after 2.5 s.
+	// would otherwise learn of it too late to comply.
 	restoredMaxEvacuationsAge = 800 * time.Millisecond
 )
 
