--- a/internal/balancer/lane.go
+++ b/internal/balancer/lane.go
@@ -52,7 +52,7 @@
 	case n.Stream:
 		parts[2] = "stream"
 	}
-	parts = append(parts, strings.Join(n.DataCentres, ","))
+	parts = append(parts, n.dataCentresKey())
 	return strings.Join(append(parts, slices.Sorted(slices.Values(n.Excluded))...), "\x00")
 }
 
@@ -182,7 +182,7 @@
 		return
 	}
 	for rank := range maxRank + 1 {
-		queue := c.Waiting.Models[modelQueueKey{need.useKey(), rank}]
+		queue := c.Waiting.Models[modelQueueKey{need.useKey(), need.dataCentresKey(), rank}]
 		switch {
 		case queue == nil:
 		case !lane.Saturated:
--- a/internal/balancer/model_queue.go
+++ b/internal/balancer/model_queue.go
@@ -10,14 +10,16 @@
 // maxPaceAge is the age at which a measured pace is no longer used.
 const maxPaceAge = 10 * time.Second
 
-// modelQueueKey identifies the waiting requests of one rank for a model or adapter.
+// modelQueueKey identifies the waiting requests of one rank for a model or adapter that the
+// same data centres may run: full replicas in some say nothing about those in others.
 type modelQueueKey struct {
 	useKey
-	rank int
+	dataCentres string
+	rank        int
 }
 
 // ModelQueue is what is known of the waiting requests of one rank for a model or adapter of a
-// service.
+// service in the data centres that may run them.
 type ModelQueue struct {
 	// Waiting is the number of waiting requests.
 	Waiting int
@@ -32,7 +34,9 @@
 	ReturnAt time.Time
 }
 
-func (n Need) modelQueueKey() modelQueueKey { return modelQueueKey{n.useKey(), n.rank()} }
+func (n Need) modelQueueKey() modelQueueKey {
+	return modelQueueKey{n.useKey(), n.dataCentresKey(), n.rank()}
+}
 
 // modelQueue returns what is known of the queue of a model, and begins to record it if
 // nothing is known.
--- /dev/null
+++ b/internal/balancer/together_test.go
@@ -0,0 +1,55 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// placeOne requests a replica for a call and returns the answer, nil if the request waits.
+func placeOne(c *Controller, now time.Time, call runner.Call, need Need) *Placement {
+	for _, effect := range c.Step(now, Place{Call: call, Need: need}) {
+		if answer, ok := effect.(AnswerPlace); ok && answer.Call == call {
+			return &answer.Placement
+		}
+	}
+	return nil
+}
+
+func replicaIn(id, dataCentre string, models ...string) surveyor.Replica {
+	replica := surveyor.Replica{ID: id, Service: "llm", DataCentre: dataCentre, StartedMS: 1, Slots: 1}
+	for _, model := range models {
+		replica.Models = append(replica.Models, surveyor.LoadedModel{Name: model})
+	}
+	return replica
+}
+
+// TestPaceOfOtherDataCentres guards against requests that are held until their deadline because
+// others, which different data centres may run, have made the node forget the pace of their
+// queue, and against requests that are refused because of the pace of other data centres.
+func TestPaceOfOtherDataCentres(t *testing.T) {
+	c, now := NewController(1), tester.Start
+	c.Step(now, SetPeerState{OrdersAllowedIn: time.Hour})
+	c.Step(now, SetReplicas{Replicas: []surveyor.Replica{replicaIn("r1", "a", "m"), replicaIn("r2", "b", "m")}})
+	c.Step(now, NoticeReceived{Replica: "r2", StartedMS: 1, RetryAfter: 2500 * time.Millisecond})
+	need := func(dataCentre string, wait time.Duration) Need {
+		return Need{Service: "llm", Model: "m", DataCentres: []string{dataCentre}, Tokens: 100, GiveUpAt: now.Add(wait)}
+	}
+	for call := range runner.Call(5) {
+		placeOne(c, now, call, need("a", 3*time.Second))
+	}
+	placeOne(c, now, 10, need("b", time.Minute))
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		c.Step(now, Tick{})
+	}
+	if waiting := len(c.Waiting.ByCall); waiting == 5 {
+		t.Error("no request behind a queue of several seconds is refused")
+	}
+	if placement := placeOne(c, now, 12, need("b", time.Second)); placement != nil {
+		t.Errorf("a request for a replica that is open again in 0.5 s does not wait: %+v", placement.Refused)
+	}
+}
