--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -297,13 +297,18 @@
 
 // refuseCold returns a refusal if all replicas that a request may use are cold beyond its
 // time and get nothing from this node. RetryAfter is the time until the first of them is
-// warm.
+// warm. While replicas have its model, the others do not matter: the holder loads no further
+// copy because of cold ones.
 func (c *Controller) refuseCold(now time.Time, need Need) *Refusal {
 	var warmAt time.Time
+	onlyHolders := need.Model != "" && c.isLoaded(need)
 	for _, replica := range c.Replicas {
 		if !need.allows(replica.Description) || replica.isExcluded() || replica.isClosed(need.GiveUpAt) {
 			continue
 		}
+		if onlyHolders && !replica.hasOrLoads(modelKey{need.Model, need.Adapter}) {
+			continue
+		}
 		until := c.coldUntil(replica)
 		if !need.GiveUpAt.Before(until) || c.isSender(now, replica) {
 			return nil
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -146,6 +146,12 @@
 	return false
 }
 
+// hasOrLoads reports whether the replica has the model and adapter or is loading them.
+func (r *Replica) hasOrLoads(key modelKey) bool {
+	_, loading := r.loadEndsAt(key)
+	return loading || r.Description.Has(key.model, key.adapter)
+}
+
 // loadEndsAt returns when a load of the model ends, and false if no load is
 // known. The time is zero if the end is not known.
 func (r *Replica) loadEndsAt(key modelKey) (time.Time, bool) {
--- a/internal/balancer/together_test.go
+++ b/internal/balancer/together_test.go
@@ -53,3 +53,26 @@
 		t.Errorf("a request for a replica that is open again in 0.5 s does not wait: %+v", placement.Refused)
 	}
 }
+
+// TestOnlyColdCopies guards against requests that are held until their deadline because a warm
+// replica does not have their model, although the replicas with it are cold for longer and get
+// nothing from this node.
+func TestOnlyColdCopies(t *testing.T) {
+	c, now := NewController(1), tester.Start
+	c.Step(now, SetPeerState{})
+	c.Step(now, SetColdRules{Rules: map[string]ColdRule{"llm": {Time: 3 * time.Second, Rate: 30, MaxPerSecond: 50}}})
+	c.Step(now, SetNodes{Self: "a0", Nodes: []string{"a1", "a2"}, Registered: 2})
+	cold, warm := replicaIn("r1", "a", "m"), replicaIn("r2", "a", "k")
+	cold.ColdKnown, cold.ColdFor, warm.ColdKnown = true, 3*time.Second, true
+	c.Step(now, SetReplicas{Replicas: []surveyor.Replica{cold, warm}})
+	need := Need{Service: "llm", Model: "m", GiveUpAt: now.Add(time.Second)}
+	placement := placeOne(c, now, 1, need)
+	if placement == nil || placement.Refused == nil || placement.Refused.RetryAfter < 3*time.Second {
+		t.Errorf("request is not refused until the replica is warm: %+v", placement)
+	}
+	warm.Pending = []surveyor.PendingLoad{{Model: "m", Remaining: 500 * time.Millisecond, EndKnown: true}}
+	c.Step(now, SetReplicas{Replicas: []surveyor.Replica{cold, warm}})
+	if placement := placeOne(c, now, 2, need); placement != nil {
+		t.Errorf("request does not wait for the load at the warm replica: %+v", placement)
+	}
+}
