--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -110,7 +110,10 @@
 		return nil
 	}
 	at, known := c.roomExpectedAt(now, need)
-	if !known || !at.After(need.GiveUpAt) && !c.isQueueTooLong(now, need) {
+	if !known {
+		return c.refuseByEstimates(now, need)
+	}
+	if !at.After(need.GiveUpAt) && !c.isQueueTooLong(now, need) {
 		return nil
 	}
 	return &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, at.Sub(now))}
@@ -198,6 +201,14 @@
 		queue := c.modelQueue(waiter.Need)
 		pace, known := queue.pace(now)
 		if !known {
+			// While no pace is known, only the request that is given up first is compared
+			// with the estimates, because each comparison costs a look at all replicas.
+			if waiter != lane.ByGiveUp[0] {
+				continue
+			}
+			if refusal := c.refuseByEstimates(now, waiter.Need); refusal != nil {
+				effects = append(effects, c.refuseWaiter(now, waiter, c.spread(refusal)))
+			}
 			continue
 		}
 		flow := flowKey{waiter.Need.rank(), waiter.Need.Workspace}
@@ -266,4 +277,10 @@
 	return refusal
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// maxWaitTime bounds the times that are derived from paces. The tokens in front of a request
+// are counts of callers, and a longer time may not fit into a Duration.
+const maxWaitTime = time.Hour
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, maxWaitTime.Seconds()) * float64(time.Second))
+}
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -111,10 +111,7 @@
 	affinityID := c.affinityReplica(now, need, key)
 	for i := range c.candidates {
 		one := &c.candidates[i]
-		one.estimate = reference.At(now, one.replica.Speed, one.replica.currentLoad())
-		if c.isCold(now, one.replica) {
-			one.estimate = one.estimate.Scale(coldCostFactor)
-		}
+		one.estimate = c.estimate(now, one.replica, &reference)
 		one.cost = one.replica.cost(now, one.estimate)
 		one.preferred = one.replica.Description.ID == affinityID && one.replica.load() < maxAffinityLoad
 	}
--- a/internal/balancer/estimate.go
+++ b/internal/balancer/estimate.go
@@ -10,9 +10,12 @@
 // first event yet. Each costs time in proportion to the running requests.
 const overdueReviewInterval = 50 * time.Millisecond
 
-// estimate returns the expected times of a request at a replica if it were sent now.
-func (c *Controller) estimate(now time.Time, replica *Replica, need Need) estimator.Estimate {
-	reference := c.Estimator.Reference(need.work())
+// maxLoadAge is the age up to which the requests of other nodes at a replica count as known.
+const maxLoadAge = 10 * time.Second
+
+// estimate returns the expected times of a request at a replica if it were sent now. Reference
+// is that of the request.
+func (c *Controller) estimate(now time.Time, replica *Replica, reference *estimator.Reference) estimator.Estimate {
 	estimate := reference.At(now, replica.Speed, replica.currentLoad())
 	if c.isCold(now, replica) {
 		return estimate.Scale(coldCostFactor)
@@ -20,6 +23,57 @@
 	return estimate
 }
 
+// refuseByEstimates returns a refusal if the estimates of all replicas that may run a request
+// are known, and none of them begins it before it is given up or answers before its deadline.
+// RetryAfter is when the first of them begins it.
+func (c *Controller) refuseByEstimates(now time.Time, need Need) *Refusal {
+	if need.Continued || c.mayGetCopy(now, need) {
+		return nil
+	}
+	c.reviewOverdue(now)
+	reference := c.Estimator.Reference(need.work())
+	var first time.Duration
+	found := false
+	for _, replica := range c.holders(need.Service, need.Model) {
+		if !need.allows(replica.Description) || replica.isExcluded() || replica.isClosed(need.GiveUpAt) || !c.fits(need, replica.Description.Version) {
+			continue
+		}
+		if replica.isClosed(now) || c.isCold(now, replica) || !replica.canServe(now, modelKey{need.Model, need.Adapter}) {
+			return nil
+		}
+		if replica.RunningElsewhere > 0 && now.Sub(c.Estimator.PublishedAt) > maxLoadAge {
+			return nil
+		}
+		estimate := c.estimate(now, replica, &reference)
+		inTime := !now.Add(estimate.Wait).After(need.GiveUpAt) &&
+			(need.Deadline.IsZero() || !now.Add(estimate.FirstEvent).After(need.Deadline))
+		if !estimate.Known || inTime {
+			return nil
+		}
+		if !found || estimate.Wait < first {
+			first, found = estimate.Wait, true
+		}
+	}
+	if !found {
+		return nil
+	}
+	return &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, max(overloadRetryAfter, first))}
+}
+
+// mayGetCopy reports whether the model of a request may be loaded in time on another replica
+// that may run it.
+func (c *Controller) mayGetCopy(now time.Time, need Need) bool {
+	if need.Model == "" || !c.canOrderInTime(now, need) {
+		return false
+	}
+	for _, replica := range c.Replicas {
+		if need.allows(replica.Description) && !replica.isExcluded() && !replica.Description.Has(need.Model, need.Adapter) {
+			return true
+		}
+	}
+	return false
+}
+
 // work returns the request as far as its duration depends on it.
 func (n Need) work() estimator.Work {
 	return estimator.Work{
--- a/internal/balancer/estimate_test.go
+++ b/internal/balancer/estimate_test.go
@@ -22,7 +22,8 @@
 	need := Need{Service: "llm", Model: "m1", PromptTokens: 700, OutputTokens: 90, GiveUpAt: now.Add(time.Second)}
 	var last estimator.Estimate
 	for call := range 4 {
-		estimate := c.estimate(now, c.Replicas["r1"], need)
+		reference := c.Estimator.Reference(need.work())
+		estimate := c.estimate(now, c.Replicas["r1"], &reference)
 		if !estimate.Known || estimate.FirstEvent <= last.FirstEvent {
 			t.Errorf("estimate beside %d requests is %v, beside one less %v", call, estimate, last)
 		}
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -166,6 +166,8 @@
 	// GiveUpAt is when the request is refused if no replica has been assigned
 	// to it.
 	GiveUpAt time.Time
+	// Deadline is when the caller stops waiting for the answer, zero if that is not known.
+	Deadline time.Time `json:",omitzero"`
 	// Excluded are the replicas that have failed the request.
 	Excluded []string
 }
--- a/internal/balancer/together_test.go
+++ b/internal/balancer/together_test.go
@@ -76,3 +76,43 @@
 		t.Errorf("request does not wait for the load at the warm replica: %+v", placement)
 	}
 }
+
+// TestRefusalByEstimates guards against requests that are held until their deadline although
+// known estimates say that no replica begins them in time, against waiting requests that keep
+// their place when the estimates change, and against refusals by estimates that are not known.
+func TestRefusalByEstimates(t *testing.T) {
+	c, now := NewController(1), tester.Start
+	c.Step(now, SetPeerState{})
+	c.Step(now, SetReplicas{Replicas: []surveyor.Replica{replicaIn("r1", "a", "m")}})
+	need := func(wait time.Duration) Need {
+		return Need{Service: "llm", Model: "m", OutputTokens: 100, GiveUpAt: now.Add(wait), Deadline: now.Add(time.Minute)}
+	}
+	if placement := placeOne(c, now, 1, need(time.Second)); placement == nil || placement.Refused != nil {
+		t.Fatalf("no replica: %+v", placement)
+	}
+	if placement := placeOne(c, now, 2, need(2500*time.Millisecond)); placement != nil {
+		t.Fatalf("unknown estimate: %+v", placement)
+	}
+	c.Step(now, Cancel{Call: 2})
+	now = now.Add(2 * time.Second)
+	c.Step(now, AttemptEnded{PlacementID: 1, Result: Answered, FirstByte: 20 * time.Millisecond, Duration: 2 * time.Second, Events: 12})
+	placeOne(c, now, 3, need(time.Second))
+	placement := placeOne(c, now, 4, need(500*time.Millisecond))
+	if placement == nil || placement.Refused == nil || placement.Refused.RetryAfter < time.Second {
+		t.Errorf("no refusal although a slot is free in 2 s: %+v", placement)
+	}
+	if placement := placeOne(c, now, 5, need(5*time.Second)); placement != nil {
+		t.Errorf("request that has time does not wait: %+v", placement)
+	}
+	late := need(5 * time.Second)
+	late.Deadline = now.Add(time.Second)
+	if placement := placeOne(c, now, 6, late); placement == nil || placement.Refused == nil {
+		t.Errorf("no refusal although the first event comes after the deadline: %+v", placement)
+	}
+	c.Step(now, Cancel{Call: 5})
+	now = now.Add(11 * time.Second)
+	c.Step(now, SetPeerState{})
+	if placement := placeOne(c, now, 7, need(500*time.Millisecond)); placement != nil {
+		t.Errorf("refused by an estimate that is out of date: %+v", placement)
+	}
+}
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -30,7 +30,8 @@
 
 // Estimate is the expected times from sending a request.
 type Estimate struct {
-	FirstEvent, End time.Duration
+	// Wait is the part of FirstEvent that the request spends in the replica's queue.
+	Wait, FirstEvent, End time.Duration
 	// Known is set if the replica's speed is known as of at most maxKnownAge ago.
 	// Otherwise no request may be refused because of the estimate.
 	Known bool
@@ -41,8 +42,7 @@
 
 // Scale returns the estimate with its times multiplied by a factor.
 func (e Estimate) Scale(factor float64) Estimate {
-	e.FirstEvent = time.Duration(float64(e.FirstEvent) * factor)
-	e.End = time.Duration(float64(e.End) * factor)
+	e.Wait, e.FirstEvent, e.End = Scale(e.Wait, factor), Scale(e.FirstEvent, factor), Scale(e.End, factor)
 	return e
 }
 
@@ -216,9 +216,9 @@
 		PromptTokens:   r.tokenCost * (r.promptTokens + float64(load.TokensAhead)),
 		OverheadTokens: r.overhead + r.batchTokens*share,
 	}
-	_, first := formula.FirstEvent()
+	wait, first := formula.FirstEvent()
 	end := first + Scale(r.generation, factor*(1+fullBatchIntervalShare*share))
-	return Estimate{FirstEvent: first, End: end, Known: known, Learnt: r.learnt}
+	return Estimate{Wait: wait, FirstEvent: first, End: end, Known: known, Learnt: r.learnt}
 }
 
 // paceOf returns the pace of a model. For a model that was not observed it is the mean of the
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -109,6 +109,7 @@
 		Affinity:     j.forward.Affinity,
 		LateAt:       j.request.Arrived.Add(route.Objective),
 		GiveUpAt:     giveUpAt,
+		Deadline:     j.request.Deadline,
 		Excluded:     j.excluded,
 		Stream:       j.isResumable(),
 		DataCentres:  j.forward.DataCentres,
