--- a/internal/surveyor/evacuation.go
+++ b/internal/surveyor/evacuation.go
@@ -231,7 +231,7 @@
 func (c *Controller) withheldReplicas(now time.Time) []Effect {
 	var effects []Effect
 	if !c.ListedAt.IsZero() {
-		effects = append(effects, PublishStoreReplicas{Replicas: c.Listed, Era: c.Era, CurrentAsOf: c.ListedAt})
+		effects = append(effects, PublishStoreReplicas{Replicas: c.withColdTimes(c.ListedAt, c.Listed), Era: c.Era, CurrentAsOf: c.ListedAt})
 	}
 	return append(effects, c.publishedReplicas(now)...)
 }
@@ -239,14 +239,10 @@
 // publishedReplicas publishes the replicas again that were published last, or none if there
 // were none.
 func (c *Controller) publishedReplicas(now time.Time) []Effect {
-	switch {
-	case c.FromHolder:
-		replicas := slices.DeleteFunc(slices.Clone(c.HolderReplicas), c.isGone)
-		return []Effect{PublishReplicas{Replicas: replicas, FromHolder: true, CurrentAsOf: c.ReplicaSource.CurrentAsOf}}
-	case c.ListedAt.IsZero():
+	if !c.FromHolder && c.ListedAt.IsZero() {
 		return nil
 	}
-	return []Effect{PublishReplicas{Replicas: c.withHolderModels(now), CurrentAsOf: c.ReplicaSource.CurrentAsOf}}
+	return []Effect{c.publication(now)}
 }
 
 // marked returns the replicas with those in evacuated data centres marked. The slice, which
--- a/internal/surveyor/replicas.go
+++ b/internal/surveyor/replicas.go
@@ -29,7 +29,19 @@
 		return effects
 	}
 	c.FromHolder = false
-	return append(effects, PublishReplicas{Replicas: c.withColdTimes(now, c.withHolderModels(now)), CurrentAsOf: c.ReplicaSource.CurrentAsOf})
+	return append(effects, c.publication(now))
+}
+
+// publication returns the replicas to publish, with their cold times as of now: those of the
+// holder or this node's own.
+func (c *Controller) publication(now time.Time) PublishReplicas {
+	var replicas []Replica
+	if c.FromHolder {
+		replicas = slices.DeleteFunc(slices.Clone(c.HolderReplicas), c.isGone)
+	} else {
+		replicas = c.withHolderModels(now)
+	}
+	return PublishReplicas{Replicas: c.withColdTimes(now, replicas), FromHolder: c.FromHolder, CurrentAsOf: c.ReplicaSource.CurrentAsOf}
 }
 
 // holderListIsCurrent reports whether the holder's replicas are about as recent
@@ -110,11 +122,7 @@
 		return nil
 	}
 	c.FromHolder = useHolder
-	replicas := slices.DeleteFunc(slices.Clone(c.HolderReplicas), c.isGone)
-	if !useHolder {
-		replicas = c.withHolderModels(now)
-	}
-	return []Effect{PublishReplicas{Replicas: c.withColdTimes(now, replicas), FromHolder: useHolder, CurrentAsOf: c.ReplicaSource.CurrentAsOf}}
+	return []Effect{c.publication(now)}
 }
 
 // applyChanges returns the holder's replicas after an update. The slice that
