--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -37,7 +37,7 @@
 func (c *Controller) roomExpectedAt(now time.Time, need Need) (time.Time, bool) {
 	if queue := c.Waiting.Models[need.modelQueueKey()]; queue != nil {
 		if pace, known := queue.pace(now); known {
-			return now.Add(seconds(queue.ahead(need.Workspace, c.ownAhead(need)) / pace)), true
+			return now.Add(queuer.Seconds(queue.ahead(need.Workspace, c.ownAhead(need)) / pace)), true
 		}
 	}
 	if need.Model == "" || c.isLoaded(need) {
@@ -217,7 +217,7 @@
 			own[flow] += waiter.Need.cost()
 			continue
 		}
-		refusal := &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, seconds(wait))}
+		refusal := &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, queuer.Seconds(wait))}
 		effects = append(effects, c.refuseWaiter(now, waiter, c.spread(c.bookReturn(now, waiter.Need, refusal))))
 	}
 	return effects
@@ -264,7 +264,7 @@
 		return refusal
 	}
 	refusal.RetryAfter = at.Sub(now)
-	queue.ReturnAt = at.Add(seconds(need.cost() / (returnShare * pace)))
+	queue.ReturnAt = at.Add(queuer.Seconds(need.cost() / (returnShare * pace)))
 	return refusal
 }
 
@@ -276,11 +276,3 @@
 	}
 	return refusal
 }
-
-// maxWaitTime bounds the times that are derived from paces. The tokens in front of a request
-// are counts of callers, and a longer time may not fit into a Duration.
-const maxWaitTime = time.Hour
-
-func seconds(s float64) time.Duration {
-	return time.Duration(min(s, maxWaitTime.Seconds()) * float64(time.Second))
-}
--- a/internal/queuer/pace.go
+++ b/internal/queuer/pace.go
@@ -97,3 +97,13 @@
 	}
 	return count, cost, seconds
 }
+
+// maxWaitTime bounds the times that are derived from paces and rates.
+const maxWaitTime = time.Hour
+
+// Seconds returns a number of seconds as a Duration of at most an hour. Costs are counts of
+// callers, and what results from converting a number that does not fit into a Duration
+// depends on the processor: it may be negative.
+func Seconds(s float64) time.Duration {
+	return time.Duration(min(s, maxWaitTime.Seconds()) * float64(time.Second))
+}
--- a/internal/queuer/queue_test.go
+++ b/internal/queuer/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -201,3 +202,13 @@
 		t.Fatalf("%d wait; want %d", p.fast.Waiting, len(p.naive.waiting))
 	}
 }
+
+// TestSecondsFit guards against waits that do not fit into a Duration, which are negative on
+// some processors, so that a request would wait for what is out of reach.
+func TestSecondsFit(t *testing.T) {
+	for _, s := range []float64{1e12, math.Inf(1)} {
+		if got := Seconds(s); got <= 0 || got > maxWaitTime {
+			t.Errorf("%g s are %s", s, got)
+		}
+	}
+}
--- a/internal/rationer/waiting.go
+++ b/internal/rationer/waiting.go
@@ -153,7 +153,7 @@
 		share = allowance.ownShare
 		needed += meanDraw * units
 	}
-	return time.Duration((wait + max(0, needed)/(bucket.Rate*share)) * float64(time.Second))
+	return queuer.Seconds(wait + max(0, needed)/(bucket.Rate*share))
 }
 
 // debtTime returns the time until a debt is repaid before which no request gets units. While
@@ -163,7 +163,7 @@
 		return 0
 	}
 	allowance := c.allowance(now, bucket)
-	return time.Duration(max(0, allowance.debt) / (bucket.Rate * allowance.debtShare) * float64(time.Second))
+	return queuer.Seconds(max(0, allowance.debt) / (bucket.Rate * allowance.debtShare))
 }
 
 // serveQueue takes units for the waiting requests of a workspace, in their order, and refuses
@@ -202,7 +202,7 @@
 	if allowance.ownShare > 0 {
 		share, needed = allowance.ownShare, w.Draw*w.Units-allowance.level
 	}
-	return time.Duration(max(0, needed) / (bucket.Rate * share) * float64(time.Second))
+	return queuer.Seconds(max(0, needed) / (bucket.Rate * share))
 }
 
 // refusal returns the refusal of a request for which there is no room in its time. Each
@@ -227,7 +227,7 @@
 		decision.RetryAfter = latest - time.Duration(c.Random.Int64N(int64(latest/2)))
 		return decision
 	}
-	bucket.ReturnAt = now.Add(wait + time.Duration(w.Units/(bucket.Rate*bucket.Share*returnShare)*float64(time.Second)))
+	bucket.ReturnAt = now.Add(wait + queuer.Seconds(w.Units/(bucket.Rate*bucket.Share*returnShare)))
 	decision.RetryAfter = wait + time.Duration(c.Random.Float64()*returnSpreadShare*float64(wait))
 	return decision
 }
