--- a/internal/planner/cold.go
+++ b/internal/planner/cold.go
@@ -6,13 +6,14 @@
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
-// knownStart is one start of a replica and when this node first listed it.
+// knownStart is one start of a replica and when this node first listed it or, if that is later,
+// last listed it in an evacuated data centre.
 type knownStart struct {
 	startedMS int64
 	at        time.Time
 }
 
-// recordStarts records when the starts of replicas that may be cold were first listed.
+// recordStarts records since when the starts of replicas that may be cold are listed in service.
 func (c *Controller) recordStarts(now time.Time) {
 	starts := map[string]knownStart{}
 	for _, replica := range c.Replicas {
@@ -20,7 +21,7 @@
 			continue
 		}
 		start, ok := c.Starts[replica.ID]
-		if !ok || start.startedMS != replica.StartedMS {
+		if !ok || start.startedMS != replica.StartedMS || c.isEvacuated(replica) {
 			start = knownStart{replica.StartedMS, now}
 		}
 		starts[replica.ID] = start
@@ -28,8 +29,8 @@
 	c.Starts = starts
 }
 
-// isKnownWarm reports whether this node has listed a start of a replica for longer than it is
-// cold afterwards. A node that has just started would otherwise take all replicas whose
+// isKnownWarm reports whether this node has listed a start of a replica in service for longer
+// than it is cold afterwards. A node that has just started would otherwise take all replicas whose
 // entries do not say anything for cold.
 func (c *Controller) isKnownWarm(now time.Time, replica surveyor.Replica) bool {
 	start, ok := c.Starts[replica.ID]
