--- a/internal/estimator/observe.go
+++ b/internal/estimator/observe.go
@@ -86,13 +86,7 @@
 	difference := clip(math.Log(float64(o.FirstEvent) / float64(max(estimate.FirstEvent, 1))))
 	pace.FirstEvent.age(now, service.paceUncertainty())
 	service.known = true
-	uncertain := pace.FirstEvent.Variance
-	speed.prepare(now, difference, uncertain)
-	before, variance := speed.Mean, speed.Variance
-	update(difference, firstEventNoise, &pace.FirstEvent, &speed.Belief)
-	speed.sum.add(before+difference, firstEventNoise+uncertain)
-	pace.firstEventSum.add(pace.FirstEvent.Mean, firstEventNoise+variance)
-	speed.ObservedAt = now
+	speed.learn(now, difference, firstEventNoise, &pace.FirstEvent, &pace.firstEventSum)
 	if service.Observed++; service.Observed > minShapeObservations {
 		service.learnShape(difference, o.Load, reference)
 	}
@@ -131,18 +125,25 @@
 	difference := clip(math.Log(measured / expected))
 	pace.Interval.age(now, service.intervalUncertainty())
 	service.intervalKnown = true
-	uncertain := pace.Interval.Variance
-	speed.prepare(now, difference, uncertain)
-	before, variance := speed.Mean, speed.Variance
-	update(difference, intervalNoise, &pace.Interval, &speed.Belief)
-	speed.sum.add(before+difference, intervalNoise+uncertain)
-	pace.intervalSum.add(pace.Interval.Mean, intervalNoise+variance)
-	speed.ObservedAt = now
+	speed.learn(now, difference, intervalNoise, &pace.Interval, &pace.intervalSum)
 	if o.Work.OutputTokens > 0 && !o.Unfinished {
 		service.EventTokens += smoothingFactor * (float64(o.Work.OutputTokens)/float64(o.Events) - service.EventTokens)
 	}
 }
 
+// learn corrects the speed and the pace of a model, which was aged, by the difference between the
+// logarithms of a measurement and of its estimate, and adds both to what is reported. noise is
+// the variance of the measurement.
+func (s *Speed) learn(now time.Time, difference, noise float64, pace *Belief, paceSum *Sum) {
+	uncertain := pace.Variance
+	s.prepare(now, difference, uncertain)
+	before, variance := s.Mean, s.Variance
+	update(difference, noise, pace, &s.Belief)
+	s.sum.add(before+difference, noise+uncertain)
+	paceSum.add(pace.Mean, noise+variance)
+	s.ObservedAt = now
+}
+
 // prepare ages what is known of the speed, and forgets it if measurements show that the
 // replica has become slow or has recovered. uncertain is the variance of the rest of the
 // estimate.
