--- a/internal/balancer/waiting_test.go
+++ b/internal/balancer/waiting_test.go
@@ -26,12 +26,15 @@
 }
 
 // TestNoRequestWaitsForNothing guards against a request that waits although a replica has room
-// for it, because a change was missed for its lane, against one that waits beyond its time, and
-// against one that is answered twice or not at all.
+// for it, because a change was missed for its lane, such as the return of a data centre or the
+// end of a cold time, against one that waits beyond its time, and against one that is answered
+// twice or not at all.
 func TestNoRequestWaitsForNothing(t *testing.T) {
 	tester.Check(t, 20, func(t *rapid.T) {
 		w := &waitingWorld{t: t, now: tester.Start, controller: NewController(1), open: map[runner.Call]bool{}, running: map[runner.Call]bool{}}
 		w.step(SetPeerState{})
+		w.step(SetColdRules{Rules: map[string]ColdRule{"llm": {Time: time.Second, Rate: 30, MaxPerSecond: 50}}})
+		w.step(SetNodes{Self: "a0", Nodes: []string{"a0", "a1"}, Registered: 2})
 		w.list()
 		t.Repeat(map[string]func(*rapid.T){
 			"":       func(*rapid.T) { w.check() },
@@ -81,6 +84,10 @@
 			continue
 		}
 		replica := surveyor.Replica{ID: fmt.Sprint("r", id+1), Service: "llm", Slots: 2, StartedMS: int64(w.draw(1, 2)), Leaving: w.draw(0, 9) == 0}
+		replica.DataCentre, replica.Evacuated = string(rune('a'+id)), w.draw(0, 5) == 0
+		if replica.ColdKnown = w.draw(0, 2) > 0; w.draw(0, 4) == 0 {
+			replica.ColdFor = time.Duration(w.draw(1, 900)) * time.Millisecond
+		}
 		for _, model := range []string{"m1", "m2"} {
 			switch w.draw(0, 3) {
 			case 0:
@@ -101,6 +108,9 @@
 	if w.draw(0, 4) == 0 {
 		need.Excluded = []string{w.replica()}
 	}
+	if w.draw(0, 2) == 0 {
+		need.DataCentres = []string{"a", "b"}
+	}
 	w.step(Place{Call: w.lastCall, Need: need})
 }
 
