--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -204,18 +204,6 @@
 // than keys expire without it, since nodes read before the bound.
 const keyReadMargin = 500 * time.Millisecond
 
-// viewBounds returns the bounds of the view of the fleet. The configuration must also
-// be current enough for the keys in it to be used.
-func viewBounds(settings platform.Settings) surveyor.Bounds {
-	bounds := settings.Bounds
-	return surveyor.Bounds{
-		ApplyWithin:       min(bounds.ApplyWithin, bounds.RevokeWithin-transitMargin+keyReadMargin),
-		DrainWithin:       bounds.DrainWithin,
-		EvacuateWithin:    bounds.EvacuateWithin,
-		HeartbeatInterval: settings.HeartbeatInterval,
-	}
-}
-
 func (n *Node) createTasks(engines *platform.EngineClient) {
 	bounds := n.settings.Bounds
 	n.surveyor = surveyor.New(surveyor.Settings{
--- a/internal/assembler/view.go
+++ b/internal/assembler/view.go
@@ -7,6 +7,8 @@
 
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/surveyor"
+	"toucanhitch.example/toucanhitch/platform"
 )
 
 // view holds state that requests read without a message to a task.
@@ -70,3 +72,15 @@
 // minCapacity is the capacity that is assumed for a node whose settings do not
 // state one.
 const minCapacity = 0.01
+
+// viewBounds returns the bounds of the view of the fleet. The configuration must also
+// be current enough for the keys in it to be used.
+func viewBounds(settings platform.Settings) surveyor.Bounds {
+	bounds := settings.Bounds
+	return surveyor.Bounds{
+		ApplyWithin:       min(bounds.ApplyWithin, bounds.RevokeWithin-transitMargin+keyReadMargin),
+		DrainWithin:       bounds.DrainWithin,
+		EvacuateWithin:    bounds.EvacuateWithin,
+		HeartbeatInterval: settings.HeartbeatInterval,
+	}
+}
