--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -37,7 +37,7 @@
 func (c *Controller) roomExpectedAt(now time.Time, need Need) (time.Time, bool) {
 	if queue := c.Waiting.Models[need.modelQueueKey()]; queue != nil {
 		if pace, known := queue.pace(now); known {
-			return now.Add(seconds(queue.ahead(need.Workspace, c.ownAhead(need)) / pace)), true
+			return now.Add(queuer.Seconds(queue.ahead(need.Workspace, c.ownAhead(need)) / pace)), true
 		}
 	}
 	if need.Model == "" || c.isLoaded(need) {
@@ -110,7 +110,10 @@
 		return nil
 	}
 	at, known := c.roomExpectedAt(now, need)
-	if !known || !at.After(need.GiveUpAt) && !c.isQueueTooLong(now, need) {
+	if !known {
+		return c.refuseByEstimates(now, need)
+	}
+	if !at.After(need.GiveUpAt) && !c.isQueueTooLong(now, need) {
 		return nil
 	}
 	return &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, at.Sub(now))}
@@ -198,6 +201,14 @@
 		queue := c.modelQueue(waiter.Need)
 		pace, known := queue.pace(now)
 		if !known {
+			// While no pace is known, only the request that is given up first is compared
+			// with the estimates, because each comparison costs a look at all replicas.
+			if waiter != lane.ByGiveUp[0] {
+				continue
+			}
+			if refusal := c.refuseByEstimates(now, waiter.Need); refusal != nil {
+				effects = append(effects, c.refuseWaiter(now, waiter, c.spread(refusal)))
+			}
 			continue
 		}
 		flow := flowKey{waiter.Need.rank(), waiter.Need.Workspace}
@@ -206,7 +217,7 @@
 			own[flow] += waiter.Need.cost()
 			continue
 		}
-		refusal := &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, seconds(wait))}
+		refusal := &Refusal{Reason: "no replica is expected in time", RetryAfter: min(maxRetryAfter, queuer.Seconds(wait))}
 		effects = append(effects, c.refuseWaiter(now, waiter, c.spread(c.bookReturn(now, waiter.Need, refusal))))
 	}
 	return effects
@@ -253,7 +264,7 @@
 		return refusal
 	}
 	refusal.RetryAfter = at.Sub(now)
-	queue.ReturnAt = at.Add(seconds(need.cost() / (returnShare * pace)))
+	queue.ReturnAt = at.Add(queuer.Seconds(need.cost() / (returnShare * pace)))
 	return refusal
 }
 
@@ -265,5 +276,3 @@
 	}
 	return refusal
 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/surveyor/evacuation.go
+++ b/internal/surveyor/evacuation.go
@@ -28,7 +28,7 @@
 	// restoredMaxEvacuationsAge is the age of its list above which a node without a holder
 	// reads it again until evacuationRewriteTime after a restoration, of which the first
 	// answer to a process may be one. Nodes that missed an evacuation before the restoration
-	// did not comply in 14 of 1,500 simulations when they read it again only after 2.5 s.
+	// would otherwise learn of it too late to comply.
 	restoredMaxEvacuationsAge = 800 * time.Millisecond
 )
 
@@ -231,7 +231,7 @@
 func (c *Controller) withheldReplicas(now time.Time) []Effect {
 	var effects []Effect
 	if !c.ListedAt.IsZero() {
-		effects = append(effects, PublishStoreReplicas{Replicas: c.Listed, Era: c.Era, CurrentAsOf: c.ListedAt})
+		effects = append(effects, PublishStoreReplicas{Replicas: c.withColdTimes(c.ListedAt, c.Listed), Era: c.Era, CurrentAsOf: c.ListedAt})
 	}
 	return append(effects, c.publishedReplicas(now)...)
 }
@@ -239,14 +239,10 @@
 // publishedReplicas publishes the replicas again that were published last, or none if there
 // were none.
 func (c *Controller) publishedReplicas(now time.Time) []Effect {
-	switch {
-	case c.FromHolder:
-		replicas := slices.DeleteFunc(slices.Clone(c.HolderReplicas), c.isGone)
-		return []Effect{PublishReplicas{Replicas: replicas, FromHolder: true, CurrentAsOf: c.ReplicaSource.CurrentAsOf}}
-	case c.ListedAt.IsZero():
+	if !c.FromHolder && c.ListedAt.IsZero() {
 		return nil
 	}
-	return []Effect{PublishReplicas{Replicas: c.withHolderModels(now), CurrentAsOf: c.ReplicaSource.CurrentAsOf}}
+	return []Effect{c.publication(now)}
 }
 
 // marked returns the replicas with those in evacuated data centres marked. The slice, which
