--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -44,6 +44,8 @@
 	cost float64
 	// preferred is set for the replica preferred for a long prompt prefix.
 	preferred bool
+	// lost is why it is no good candidate, empty for a good one.
+	lost Reason
 }
 
 // chooseReplica chooses a replica whose limit, if it has one, allows another request, and
@@ -82,6 +84,19 @@
 // pickReplica picks one of the good candidates. Its replica is nil if none is usable. It
 // also returns the number of usable replicas.
 func (c *Controller) pickReplica(now time.Time, waiter *Waiter) (candidate, int) {
+	need := waiter.Need
+	usable := c.findCandidates(now, waiter)
+	if len(c.candidates) == 0 {
+		return candidate{}, 0
+	}
+	c.reviewOverdue(now)
+	c.rateCandidates(now, need)
+	return c.drawCandidate(need.LateAt.Sub(now)), usable
+}
+
+// findCandidates sets the candidates: the usable replicas, without the suspect ones if there
+// are others. It returns the number of usable replicas.
+func (c *Controller) findCandidates(now time.Time, waiter *Waiter) int {
 	need := waiter.Need
 	key := modelKey{need.Model, need.Adapter}
 	c.candidates = c.candidates[:0]
@@ -103,12 +118,13 @@
 			c.candidates = append(c.candidates, candidate{replica: replica})
 		}
 	}
-	if len(c.candidates) == 0 {
-		return candidate{}, 0
-	}
-	c.reviewOverdue(now)
+	return usable
+}
+
+// rateCandidates sets the estimates and the costs of the candidates.
+func (c *Controller) rateCandidates(now time.Time, need Need) {
 	reference := c.Estimator.Reference(need.work())
-	affinityID := c.affinityReplica(now, need, key)
+	affinityID := c.affinityReplica(now, need, modelKey{need.Model, need.Adapter})
 	for i := range c.candidates {
 		one := &c.candidates[i]
 		one.estimate = reference.At(now, one.replica.Speed, one.replica.currentLoad())
@@ -118,13 +134,28 @@
 		one.cost = one.replica.cost(now, one.estimate)
 		one.preferred = one.replica.Description.ID == affinityID && one.replica.load() < maxAffinityLoad
 	}
-	return c.drawCandidate(need.LateAt.Sub(now)), usable
 }
 
 // drawCandidate draws one of the good candidates. Each one's probability is in proportion to
 // its free capacity and to its speed, so that nodes which do not know of each other's
 // requests yet spread them together. lateIn is the time until the request is late.
 func (c *Controller) drawCandidate(lateIn time.Duration) candidate {
+	good, total := c.compareCandidates(lateIn)
+	if good == 1 {
+		return c.candidates[0]
+	}
+	rest := c.Random.Float64() * total
+	for _, one := range c.candidates[:good-1] {
+		if rest -= one.weight(); rest < 0 {
+			return one
+		}
+	}
+	return c.candidates[good-1]
+}
+
+// compareCandidates moves the good candidates to the front and sets why the others lose. It
+// returns the number of good ones and the sum of their weights.
+func (c *Controller) compareCandidates(lateIn time.Duration) (int, float64) {
 	lowest, inTime := math.Inf(1), false
 	for _, one := range c.candidates {
 		lowest = min(lowest, one.cost)
@@ -135,25 +166,24 @@
 	for i := range c.candidates {
 		one := &c.candidates[i]
 		if one.preferred && one.cost*affinityCostFactor <= lowest {
-			return *one
+			c.candidates[0], c.candidates[i] = c.candidates[i], c.candidates[0]
+			for other := range c.candidates[1:] {
+				c.candidates[1+other].lost = OtherHasPrefix
+			}
+			return 1, c.candidates[0].weight()
 		}
-		if one.cost > bound || inTime && one.estimate.Known && one.estimate.FirstEvent > lateIn {
-			continue
+		switch {
+		case one.cost > bound:
+			one.lost = TooCostly
+		case inTime && one.estimate.Known && one.estimate.FirstEvent > lateIn:
+			one.lost = TooLate
+		default:
+			c.candidates[good], c.candidates[i] = c.candidates[i], c.candidates[good]
+			total += c.candidates[good].weight()
+			good++
 		}
-		c.candidates[good] = *one
-		good++
-		total += one.weight()
 	}
-	if good == 1 {
-		return c.candidates[0]
-	}
-	rest := c.Random.Float64() * total
-	for _, one := range c.candidates[:good-1] {
-		if rest -= one.weight(); rest < 0 {
-			return one
-		}
-	}
-	return c.candidates[good-1]
+	return good, total
 }
 
 // weight returns the candidate's weight in a draw.
@@ -193,19 +223,39 @@
 }
 
 func (c *Controller) isUsable(now time.Time, replica *Replica, need Need, key modelKey) bool {
+	return c.whyUnusable(now, replica, need, key) == ""
+}
+
+// whyUnusable returns why the request may not be sent to the replica now, or "" if it may.
+func (c *Controller) whyUnusable(now time.Time, replica *Replica, need Need, key modelKey) Reason {
 	switch {
-	case !need.allows(replica.Description), replica.isExcluded():
-		return false
+	case !need.allows(replica.Description):
+		return NotAllowed
+	case replica.isLeaving():
+		return Leaving
+	case replica.Description.Evacuated:
+		return Evacuated
 	case !c.fits(need, replica.Description.Version):
-		return false
-	case replica.isClosed(now), !replica.mayReopen():
-		return false
-	case now.Before(replica.RefusedUntil), now.Before(replica.Notice.ThrottledUntil):
-		return false
+		return OtherVersion
+	case replica.isClosed(now):
+		return Closed
+	case !replica.mayReopen():
+		return Reopening
+	case now.Before(replica.RefusedUntil):
+		return RefusedRecently
+	case now.Before(replica.Notice.ThrottledUntil):
+		return AtLimit
 	case need.Model == "":
-		return replica.load() < maxPlainLoad
+		if replica.load() >= maxPlainLoad {
+			return Full
+		}
+		return ""
+	case replica.isFull():
+		return Full
+	case !replica.canServe(now, key):
+		return ModelNotReady
 	}
-	return !replica.isFull() && replica.canServe(now, key)
+	return ""
 }
 
 // fits reports whether a replica with a software version may begin the stream, or go on
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -182,12 +182,7 @@
 	retryAt := now.Add(coldRecheckInterval)
 	if c.isSender(now, replica) {
 		rate := c.senderRate(replica)
-		if cold.FilledAt.IsZero() {
-			cold.Level = 1
-		} else {
-			cold.Level = min(1, cold.Level+rate*now.Sub(cold.FilledAt).Seconds())
-		}
-		cold.FilledAt = now
+		cold.Level, cold.FilledAt = cold.levelAt(now, rate), now
 		if cold.Level >= 1 {
 			return true
 		}
@@ -198,6 +193,15 @@
 	return false
 }
 
+// levelAt returns the number of requests that this node may send, at most 1, if it may send
+// the given number a second.
+func (c *Coldness) levelAt(now time.Time, rate float64) float64 {
+	if c.FilledAt.IsZero() {
+		return 1
+	}
+	return min(1, c.Level+rate*now.Sub(c.FilledAt).Seconds())
+}
+
 // takeCold takes a request that mayTakeCold has allowed.
 func (c *Controller) takeCold(now time.Time, replica *Replica) {
 	if c.isCold(now, replica) {
@@ -295,10 +299,10 @@
 	}
 }
 
-// refuseCold returns a refusal if all replicas that a request may use are cold beyond its
+// whyRefusedCold returns a refusal if all replicas that a request may use are cold beyond its
 // time and get nothing from this node. RetryAfter is the time until the first of them is
 // warm.
-func (c *Controller) refuseCold(now time.Time, need Need) *Refusal {
+func (c *Controller) whyRefusedCold(now time.Time, need Need) *Refusal {
 	var warmAt time.Time
 	for _, replica := range c.Replicas {
 		if !need.allows(replica.Description) || replica.isExcluded() || replica.isClosed(need.GiveUpAt) {
@@ -315,6 +319,5 @@
 	if warmAt.IsZero() {
 		return nil
 	}
-	spread := time.Duration(c.Random.Int64N(int64(reopenSpread)))
-	return &Refusal{Reason: "all replicas are cold and take no requests of this node", RetryAfter: warmAt.Sub(now) + spread}
+	return &Refusal{Reason: "all replicas are cold and take no requests of this node", RetryAfter: warmAt.Sub(now), spread: reopenSpread}
 }
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -183,6 +183,8 @@
 	case Leave:
 		c.DrainDeadline = message.Until
 		c.boundWaits()
+	case Explain:
+		return []Effect{AnswerExplain{message.Call, c.explain(now, message.Need)}}
 	case Collect:
 		return append(c.reviewCold(now), c.collect(now, message.Call))
 	}
@@ -283,7 +285,16 @@
 // refusalFor returns a refusal if waiting cannot help the request, and nil if
 // the request may wait.
 func (c *Controller) refusalFor(now time.Time, waiter *Waiter) *Refusal {
-	need := waiter.Need
+	refusal := c.whyRefused(now, waiter.Need)
+	if refusal != nil && refusal.spread > 0 {
+		refusal.RetryAfter += time.Duration(c.Random.Int64N(int64(refusal.spread)))
+		refusal.spread = 0
+	}
+	return refusal
+}
+
+// whyRefused is refusalFor without the random part of the retry delay.
+func (c *Controller) whyRefused(now time.Time, need Need) *Refusal {
 	switch {
 	case !now.Before(need.GiveUpAt):
 		return &Refusal{Reason: "no replica in time", RetryAfter: c.roomDelay(now, need)}
@@ -297,7 +308,7 @@
 	if refusal := c.unavailable(now, need); refusal != nil {
 		return refusal
 	}
-	if refusal := c.refuseCold(now, need); refusal != nil || need.Model == "" {
+	if refusal := c.whyRefusedCold(now, need); refusal != nil || need.Model == "" {
 		return refusal
 	}
 	if c.isLoaded(need) {
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -193,7 +193,8 @@
 	Abandoned Result = "abandoned"
 )
 
-// Effect is an output of Controller: AnswerPlace, NewDemand, AnswerCollect or Note.
+// Effect is an output of Controller: AnswerPlace, NewDemand, AnswerCollect, AnswerExplain or
+// Note.
 type Effect interface{ isEffect() }
 
 // AnswerPlace answers a Place.
@@ -238,6 +239,9 @@
 	RetryAfter time.Duration
 	// Evacuated is set if only replicas in evacuated data centres are left.
 	Evacuated bool `json:",omitempty"`
+
+	// spread is the longest random time that refusalFor adds to RetryAfter.
+	spread time.Duration
 }
 
 // NewDemand signals that a request waits for a model or adapter that is not
--- a/internal/balancer/task.go
+++ b/internal/balancer/task.go
@@ -64,6 +64,12 @@
 		func(call runner.Call) Message { return Collect{Call: call} }, nil)
 }
 
+// Explain returns where a request would go now and why. Nothing changes.
+func (t *Task) Explain(ctx context.Context, need Need) (Explanation, error) {
+	return runner.Ask[Explanation](ctx, t.task,
+		func(call runner.Call) Message { return Explain{Call: call, Need: need} }, nil)
+}
+
 func (t *Task) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case AnswerPlace:
@@ -74,5 +80,7 @@
 		t.settings.Log(effect)
 	case AnswerCollect:
 		handle.Reply(effect.Call, effect)
+	case AnswerExplain:
+		handle.Reply(effect.Call, effect.Explanation)
 	}
 }
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -88,37 +88,47 @@
 // placementNeed returns the requirements of the request for its placement.
 func (j *job) placementNeed(now time.Time, left time.Duration) balancer.Need {
 	route := j.forward.Route
-	maxWait := min(time.Duration(maxWaitShare*float64(left)), maxWaitObjectives*route.Objective)
-	giveUpAt := j.request.Arrived.Add(maxWait)
+	need := FirstNeed(j.forward, j.request.Workspace, j.request.Arrived, left)
 	switch {
 	case j.responseStarted:
-		giveUpAt = now.Add(min(left, maxResumeWait))
+		need.GiveUpAt = now.Add(min(left, maxResumeWait))
 	case j.attemptsSent > 0:
-		giveUpAt = now.Add(min(maxWait, max(route.Objective, minRetryWait)))
-	}
-	need := balancer.Need{
-		Service:      j.forward.Service,
-		Model:        j.forward.Model,
-		Adapter:      j.forward.Adapter,
-		Rank:         j.forward.Rank(),
-		Workspace:    j.request.Workspace,
-		Tokens:       j.forward.PromptTokens + j.forward.OutputTokens,
-		PromptTokens: j.forward.PromptTokens,
-		OutputTokens: j.forward.ExpectedOutputTokens,
-		Whole:        route.Kind != resolver.Streaming,
-		Affinity:     j.forward.Affinity,
-		LateAt:       j.request.Arrived.Add(route.Objective),
-		GiveUpAt:     giveUpAt,
-		Excluded:     j.excluded,
-		Stream:       j.isResumable(),
-		DataCentres:  j.forward.DataCentres,
+		need.GiveUpAt = now.Add(min(maxWait(route, left), max(route.Objective, minRetryWait)))
 	}
+	need.Excluded = j.excluded
 	if j.origin != nil {
 		need.Continued, need.Version = true, j.origin.Version
 	}
 	return need
 }
 
+// FirstNeed returns the requirements of a request for its first placement, which arrived at
+// the given time and has the given time left.
+func FirstNeed(forward *filter.Forward, workspace string, arrived time.Time, left time.Duration) balancer.Need {
+	route := forward.Route
+	return balancer.Need{
+		Service:      forward.Service,
+		Model:        forward.Model,
+		Adapter:      forward.Adapter,
+		Rank:         forward.Rank(),
+		Workspace:    workspace,
+		Tokens:       forward.PromptTokens + forward.OutputTokens,
+		PromptTokens: forward.PromptTokens,
+		OutputTokens: forward.ExpectedOutputTokens,
+		Whole:        route.Kind != resolver.Streaming,
+		Affinity:     forward.Affinity,
+		LateAt:       arrived.Add(route.Objective),
+		GiveUpAt:     arrived.Add(maxWait(route, left)),
+		Stream:       isResumable(route),
+		DataCentres:  forward.DataCentres,
+	}
+}
+
+// maxWait returns how long a request with the given time left may wait for a replica.
+func maxWait(route resolver.Route, left time.Duration) time.Duration {
+	return min(time.Duration(maxWaitShare*float64(left)), maxWaitObjectives*route.Objective)
+}
+
 // isKeyCurrent reports whether the request's key is still known to be granted.
 func (j *job) isKeyCurrent(now time.Time) bool {
 	if j.forward.Route.Public {
--- a/internal/forwarder/origin.go
+++ b/internal/forwarder/origin.go
@@ -11,8 +11,10 @@
 )
 
 // isResumable reports whether another replica may go on with the answer.
-func (j *job) isResumable() bool {
-	return j.forward.Route.Kind == resolver.Streaming && j.forward.Route.Resumable
+func (j *job) isResumable() bool { return isResumable(j.forward.Route) }
+
+func isResumable(route resolver.Route) bool {
+	return route.Kind == resolver.Streaming && route.Resumable
 }
 
 // streamID returns what identifies the stream over all requests of the caller for it.
--- a/internal/forwarder/regions.go
+++ b/internal/forwarder/regions.go
@@ -39,22 +39,32 @@
 // Filter implements filter.Filter.
 func (f *RestrictRegions) Filter(_ context.Context, request *filter.Request) filter.Verdict {
 	forward := request.Work.(*filter.Forward)
-	regions := resolver.IntersectRegions(forward.Route.AllowedRegions, forward.Workspace.AllowedRegions)
-	if regions == nil {
-		return filter.Pass{}
-	}
-	if len(regions) == 0 {
-		f.log(forward)
-		return newRefusal(filter.NoEndpoint, filter.NotRun, regionsRetryAfter, "the route and the workspace allow no common region")
-	}
-	if forward.DataCentres = resolver.DataCentresIn(regions, f.Regions); len(forward.DataCentres) == 0 {
+	dataCentres, detail := AllowedDataCentres(forward.Route, forward.Workspace, f.Regions)
+	if detail != "" {
 		f.log(forward)
-		return newRefusal(filter.NoEndpoint, filter.NotRun, regionsRetryAfter,
-			"the allowed regions have no data centre: "+strings.Join(regions, ", "))
+		return newRefusal(filter.NoEndpoint, filter.NotRun, regionsRetryAfter, detail)
 	}
+	forward.DataCentres = dataCentres
 	return filter.Pass{}
 }
 
+// AllowedDataCentres returns the sorted data centres whose replicas may run a request of a route
+// and a workspace, nil for all. If there is none, it returns the reason.
+func AllowedDataCentres(route resolver.Route, workspace resolver.Workspace, regionOf map[string]string) ([]string, string) {
+	regions := resolver.IntersectRegions(route.AllowedRegions, workspace.AllowedRegions)
+	switch {
+	case regions == nil:
+		return nil, ""
+	case len(regions) == 0:
+		return nil, "the route and the workspace allow no common region"
+	}
+	dataCentres := resolver.DataCentresIn(regions, regionOf)
+	if len(dataCentres) == 0 {
+		return nil, "the allowed regions have no data centre: " + strings.Join(regions, ", ")
+	}
+	return dataCentres, ""
+}
+
 func (f *RestrictRegions) log(forward *filter.Forward) {
 	configuration, _ := f.View.Configuration()
 	if configuration == nil {
--- a/internal/planner/adapters.go
+++ b/internal/planner/adapters.go
@@ -13,14 +13,26 @@
 	if engine == nil {
 		return nil
 	}
-	var best *Endpoint
+	best, held := c.adapterReplica(key)
+	switch {
+	case held:
+		return nil
+	case best == nil:
+		return c.planModel(now, key)
+	}
+	return c.queueAdapter(best, engine, key)
+}
+
+// adapterReplica returns the replica on which an adapter is to be loaded, nil if none has
+// loaded its model, and whether a replica holds or loads the adapter already.
+func (c *Controller) adapterReplica(key DemandKey) (best *Endpoint, held bool) {
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
 		if e.Entry.Service != key.Service || !key.DataCentres.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] {
 			continue
 		}
 		if e.holdsAdapter(key.Model, key.Adapter) {
-			return nil
+			return nil, true
 		}
 		resident := e.Models[key.Model]
 		if resident == nil || e.unloading(key.Model) || e.Running != nil && e.Running.Adapter == "" {
@@ -30,10 +42,7 @@
 			best = e
 		}
 	}
-	if best == nil {
-		return c.planModel(now, key)
-	}
-	return c.queueAdapter(best, engine, key)
+	return best, false
 }
 
 // queueAdapter queues the load of an adapter, preceded by the unload of the least
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -110,6 +110,9 @@
 
 // Step handles one message and returns the resulting effects.
 func (c *Controller) Step(now time.Time, message Message) []Effect {
+	if explain, ok := message.(Explain); ok {
+		return []Effect{AnswerExplain{explain.Call, c.explain(now, explain.Demand)}}
+	}
 	if c.Tenure != nil && !c.Tenure.Acting && !now.Before(c.Tenure.Until) {
 		// The process may have been paused until after its lease expired.
 		c.endTenure()
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -174,23 +174,50 @@
 
 // planModel queues the load of a model that no healthy replica holds or loads.
 func (c *Controller) planModel(now time.Time, demand DemandKey) []Effect {
+	choice := c.chooseLoad(now, demand)
+	if choice.obstacle != "" {
+		return nil
+	}
+	return c.queueLoad(choice.endpoint, choice.victims, choice.model, "requests wait")
+}
+
+// loadChoice is the load of a model that requests wait for: where, and what is unloaded there.
+// If there is an obstacle, it says why nothing is loaded now.
+type loadChoice struct {
+	endpoint *Endpoint
+	victims  []string
+	model    resolver.Model
+	obstacle Obstacle
+}
+
+// chooseLoad chooses the load of a model that no healthy replica holds or loads.
+func (c *Controller) chooseLoad(now time.Time, demand DemandKey) loadChoice {
 	key, in := demand.ModelKey, demand.DataCentres
 	engine := c.engine(key.Service)
 	if engine == nil {
-		return nil
+		return loadChoice{obstacle: NoEngine}
 	}
 	model, ok := engine.Models[key.Model]
-	if !ok || c.hasHealthyHolder(key, in) {
-		return nil
+	switch {
+	case !ok:
+		return loadChoice{obstacle: UnknownModel}
+	case c.hasHealthyHolder(key, in):
+		return loadChoice{obstacle: HasReplica}
 	}
 	best, victims := c.cheapestReplica(now, key, engine, model, loadRule{DataCentres: in})
 	if best == nil && c.filledByBusyModels(key, in, engine, model) {
 		best, victims = c.cheapestReplica(now, key, engine, model, loadRule{EvictSpares: true, DataCentres: in})
 	}
-	if best == nil || best.tier(model.Name) == FromStore && (c.hasLocalCopy(now, key, in, engine, model) || c.countStoreLoads() >= c.storeConcurrency()) {
-		return nil
+	switch {
+	case best == nil:
+		return loadChoice{obstacle: NoRoom}
+	case best.tier(model.Name) != FromStore:
+	case c.hasLocalCopy(now, key, in, engine, model):
+		return loadChoice{obstacle: CopyElsewhere}
+	case c.countStoreLoads() >= c.storeConcurrency():
+		return loadChoice{obstacle: StoreBusy}
 	}
-	return c.queueLoad(best, victims, model, "requests wait")
+	return loadChoice{endpoint: best, victims: victims, model: model}
 }
 
 // hasLocalCopy reports whether some replica has a copy of the model in host memory
--- a/internal/planner/script_test.go
+++ b/internal/planner/script_test.go
@@ -16,7 +16,7 @@
 			return NewController(Settings{Node: "n1", OrderSpacing: 3 * time.Second, MinTakeoverDelay: 360 * time.Millisecond})
 		},
 		Messages: []Message{
-			LeaseHeld{}, LeaseLost{}, SetActing{}, VersionsInherited{}, VersionsStored{}, ConfigurationChanged{}, ReplicasListed{}, NodesListed{}, EvacuationsListed{}, ReportReceived{}, OrderResult{}, StateRead{},
+			LeaseHeld{}, LeaseLost{}, SetActing{}, VersionsInherited{}, VersionsStored{}, ConfigurationChanged{}, ReplicasListed{}, NodesListed{}, EvacuationsListed{}, ReportReceived{}, OrderResult{}, StateRead{}, Explain{},
 		},
 		Tick: Tick{},
 	})
--- a/internal/planner/task.go
+++ b/internal/planner/task.go
@@ -75,6 +75,12 @@
 		func(call runner.Call) Message { return ReportReceived{Call: call, Report: report} }, nil)
 }
 
+// Explain returns where this node would have a model or adapter loaded now. Nothing changes.
+func (t *Task) Explain(ctx context.Context, demand Demand) (Explanation, error) {
+	return runner.Ask[Explanation](ctx, t.task,
+		func(call runner.Call) Message { return Explain{Call: call, Demand: demand} }, nil)
+}
+
 func (t *Task) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case SendOrder:
@@ -86,6 +92,8 @@
 		handle.Start(func(ctx context.Context) Message { return t.readState(ctx, effect) })
 	case AnswerReport:
 		handle.Reply(effect.Call, effect.Answer)
+	case AnswerExplain:
+		handle.Reply(effect.Call, effect.Explanation)
 	case RemoveNode:
 		handle.Start(func(ctx context.Context) Message {
 			t.settings.RemoveNode(ctx, effect.Name, effect.Revision)
--- a/internal/rationer/controller.go
+++ b/internal/rationer/controller.go
@@ -140,6 +140,9 @@
 
 // Step handles one message and returns the resulting effects.
 func (c *Controller) Step(now time.Time, message Message) []Effect {
+	if inspect, ok := message.(Inspect); ok {
+		return []Effect{AnswerInspect{inspect.Call, c.Inspect(now, inspect.Workspace, inspect.Units)}}
+	}
 	if c.StartedAt.IsZero() {
 		c.StartedAt = now
 	}
--- a/internal/rationer/message.go
+++ b/internal/rationer/message.go
@@ -59,7 +59,7 @@
 func (SetNodes) isMessage()    {}
 func (Collect) isMessage()     {}
 
-// Effect is an output of Controller: AnswerTake or AnswerCollect.
+// Effect is an output of Controller: AnswerTake, AnswerCollect or AnswerInspect.
 type Effect interface{ isEffect() }
 
 // AnswerTake answers a Take.
--- a/internal/rationer/script_test.go
+++ b/internal/rationer/script_test.go
@@ -14,7 +14,7 @@
 		New: func(*testing.T, []byte) tester.Controller[Message, Effect] {
 			return NewController(1000, 1)
 		},
-		Messages: []Message{Take{}, CancelTake{}, UsageUpdate{}, SetNodes{}, Collect{}},
+		Messages: []Message{Take{}, Inspect{}, CancelTake{}, Inspect{}, UsageUpdate{}, SetNodes{}, Collect{}},
 		Tick:     Tick{},
 	})
 }
--- a/internal/rationer/task.go
+++ b/internal/rationer/task.go
@@ -5,6 +5,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
@@ -51,11 +52,19 @@
 		func(call runner.Call) Message { return Collect{Call: call} }, nil)
 }
 
+// Inspect returns what a request would find of a workspace's limit. It takes nothing.
+func (t *Task) Inspect(ctx context.Context, workspace resolver.Workspace, units float64) (Inspection, error) {
+	return runner.Ask[Inspection](ctx, t.task,
+		func(call runner.Call) Message { return Inspect{Call: call, Workspace: workspace, Units: units} }, nil)
+}
+
 func perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case AnswerTake:
 		handle.Reply(effect.Call, effect.Decision)
 	case AnswerCollect:
 		handle.Reply(effect.Call, effect)
+	case AnswerInspect:
+		handle.Reply(effect.Call, effect.Inspection)
 	}
 }
