--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -48,6 +48,7 @@
 		n.logPostError("planner", n.planner.Post(planner.EvacuationsListed{DataCentres: effect.DataCentres, CurrentAsOf: effect.CurrentAsOf}))
 	case surveyor.PublishReplicas:
 		n.view.evacuatedReplicas.Store(countEvacuated(effect.Replicas))
+		n.view.observeReplicas(effect.CurrentAsOf)
 		n.logPostError("balancer", n.balancer.Post(balancer.SetReplicas{Replicas: effect.Replicas}))
 	case surveyor.PublishNodes:
 		n.setNodes(effect)
@@ -234,6 +235,7 @@
 	n.logPostError("rationer", n.rationer.Post(usage))
 	n.logPostError("balancer", n.balancer.Post(balancer.UsageUpdate{Usage: usage}))
 	n.logPostError("screener", n.screener.Post(screener.StateReceived{Tenure: state.Epoch, Published: state.Prompts}))
+	n.view.observeReplicas(effect.AsOf.Add(-state.ReplicasAge))
 	n.applyVersions(effect)
 	n.setBalancerNodes(effect)
 	n.view.directory.Store(n.view.directory.Load().update(effect.Callers, state.Callers, effect.AsOf))
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -346,6 +346,7 @@
 	mux := http.NewServeMux()
 	messenger.HandleReport(mux, n.handleReport)
 	messenger.HandleStreams(mux, n.rememberStreams, n.resumer.LookUp)
+	messenger.HandleExplain(mux, n.explain)
 	mux.Handle("GET /metrics", n.meter.Handler())
 	return mux
 }
--- a/internal/assembler/view.go
+++ b/internal/assembler/view.go
@@ -20,6 +20,9 @@
 	evacuated atomic.Pointer[[]string]
 	// evacuatedReplicas is the number of replicas in evacuated data centres.
 	evacuatedReplicas atomic.Int64
+	// replicasAsOf is when the list of replicas was last known to be current, nil while no
+	// list is known.
+	replicasAsOf atomic.Pointer[time.Time]
 }
 
 // currentConfiguration is the configuration in force. currentAsOf is the latest
--- a/internal/commander/command.go
+++ b/internal/commander/command.go
@@ -12,6 +12,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/explainer"
+	"toucanhitch.example/toucanhitch/internal/messenger"
 	"toucanhitch.example/toucanhitch/internal/publisher"
 	"toucanhitch.example/toucanhitch/internal/storer"
 	"toucanhitch.example/toucanhitch/internal/supervisor"
@@ -57,6 +59,7 @@
 	Withdraw *WithdrawCommand `arg:"subcommand:withdraw" help:"withdraw a key"`
 	Keys     *KeysCommand     `arg:"subcommand:keys" help:"list the keys in force"`
 	State    *StateCommand    `arg:"subcommand:state" help:"show nodes, endpoints and the models that they have loaded"`
+	Explain  *ExplainCommand  `arg:"subcommand:explain" help:"show where a node on the users' platform would send a request now, and why"`
 	Audit    *AuditCommand    `arg:"subcommand:audit" help:"list who changed what and when"`
 }
 
@@ -133,10 +136,10 @@
 		return ExitConflict
 	case errors.Is(err, storer.ErrUncertain):
 		return ExitUncertain
-	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, publisher.ErrContended), errors.Is(err, publisher.ErrUnconfirmed), errors.Is(err, ErrNotInForce):
+	case errors.Is(err, storer.ErrUnavailable), errors.Is(err, publisher.ErrContended), errors.Is(err, publisher.ErrUnconfirmed), errors.Is(err, ErrNotInForce), errors.Is(err, messenger.ErrUnreachable):
 		return ExitUnavailable
 	case errors.Is(err, ErrSettings), errors.Is(err, platform.ErrSettings), errors.Is(err, supervisor.ErrSettings), errors.Is(err, releaser.ErrInvalid), errors.Is(err, releaser.ErrUnknown),
-		errors.Is(err, encoder.ErrMalformed), errors.Is(err, encoder.ErrTooLarge), errors.Is(err, os.ErrNotExist):
+		errors.Is(err, explainer.ErrInvalid), errors.Is(err, encoder.ErrMalformed), errors.Is(err, encoder.ErrTooLarge), errors.Is(err, os.ErrNotExist):
 		return ExitInvalid
 	default:
 		return ExitFailed
--- /dev/null
+++ b/internal/explainer/doc.go
@@ -0,0 +1,3 @@
+// Package explainer defines questions about where a node would send a request now, and
+// answers them from the functions that decide, without side effects.
+package explainer
