--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -178,7 +178,9 @@
 		case inTime && one.estimate.Known && one.estimate.FirstEvent > lateIn:
 			one.lost = TooLate
 		default:
-			c.candidates[good], c.candidates[i] = c.candidates[i], c.candidates[good]
+			if good != i {
+				c.candidates[good], c.candidates[i] = c.candidates[i], c.candidates[good]
+			}
 			total += c.candidates[good].weight()
 			good++
 		}
