--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -148,6 +148,17 @@
 	return nil
 }
 
+// refusalFor returns a refusal if waiting cannot help the request, and nil if
+// the request may wait.
+func (c *Controller) refusalFor(now time.Time, waiter *Waiter) *Refusal {
+	refusal := c.whyRefused(now, waiter.Need)
+	if refusal != nil && refusal.spread > 0 {
+		refusal.RetryAfter += time.Duration(c.Random.Int64N(int64(refusal.spread)))
+		refusal.spread = 0
+	}
+	return refusal
+}
+
 // refuseHopeless refuses the waiting requests of a service that can no longer be served.
 func (c *Controller) refuseHopeless(now time.Time, service *ServiceQueue) []Effect {
 	var effects []Effect
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -282,17 +282,6 @@
 	return earlier(giveUpAt, c.DrainDeadline)
 }
 
-// refusalFor returns a refusal if waiting cannot help the request, and nil if
-// the request may wait.
-func (c *Controller) refusalFor(now time.Time, waiter *Waiter) *Refusal {
-	refusal := c.whyRefused(now, waiter.Need)
-	if refusal != nil && refusal.spread > 0 {
-		refusal.RetryAfter += time.Duration(c.Random.Int64N(int64(refusal.spread)))
-		refusal.spread = 0
-	}
-	return refusal
-}
-
 // whyRefused is refusalFor without the random part of the retry delay.
 func (c *Controller) whyRefused(now time.Time, need Need) *Refusal {
 	switch {
