--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -145,12 +145,24 @@
 			return c.spread(refusal)
 		}
 	}
+	c.reviewOverdue(now)
 	if refusal := c.unreachable(now, waiter.Need); refusal != nil {
 		return c.spread(c.bookReturn(now, waiter.Need, refusal))
 	}
 	return nil
 }
 
+// refusalFor returns a refusal if waiting cannot help the request, and nil if
+// the request may wait.
+func (c *Controller) refusalFor(now time.Time, waiter *Waiter) *Refusal {
+	refusal := c.whyRefused(now, waiter.Need)
+	if refusal != nil && refusal.spread > 0 {
+		refusal.RetryAfter += time.Duration(c.Random.Int64N(int64(refusal.spread)))
+		refusal.spread = 0
+	}
+	return refusal
+}
+
 // refuseHopeless refuses the waiting requests of a service that can no longer be served.
 func (c *Controller) refuseHopeless(now time.Time, service *ServiceQueue) []Effect {
 	var effects []Effect
@@ -195,6 +207,7 @@
 		rank      int
 		workspace string
 	}
+	c.reviewOverdue(now)
 	own := map[flowKey]float64{}
 	var effects []Effect
 	for _, waiter := range slices.SortedFunc(slices.Values(lane.ByGiveUp), compareInFlow) {
--- a/internal/balancer/estimate.go
+++ b/internal/balancer/estimate.go
@@ -30,7 +30,6 @@
 	if need.Continued || c.mayGetCopy(now, need) {
 		return nil
 	}
-	c.reviewOverdue(now)
 	reference := c.Estimator.Reference(need.work())
 	var first time.Duration
 	found := false
