--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -6,19 +6,12 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
 const (
-	// affinityCostFactor lowers the cost of the replica that is preferred for a long prompt
-	// prefix, and maxAffinityLoad is the load up to which it is preferred: beyond that,
-	// requests that share the prefix are spread.
-	affinityCostFactor = 0.6
-	maxAffinityLoad    = 0.75
 	// suspectCostFactor raises the cost of a replica that other nodes suspect.
 	suspectCostFactor = 2
 	// limitedCostFactor raises the cost of a replica that has named a limit, so that its
@@ -42,8 +35,12 @@
 	// cost is the estimated time to the first event in nanoseconds, raised where requests
 	// are to be kept away from the replica.
 	cost float64
-	// preferred is set for the replica preferred for a long prompt prefix.
-	preferred bool
+	// cached is the number of tokens of the prompt that the replica need not read, and
+	// readCost the cost if it had to read them.
+	cached   int
+	readCost float64
+	// order is the rendezvous hash of the beginning of the prompt and the replica.
+	order uint64
 }
 
 // chooseReplica chooses a replica whose limit, if it has one, allows another request, and
@@ -59,7 +56,7 @@
 			// The replica is not usable until ThrottledUntil.
 			continue
 		}
-		c.assign(now, replica, waiter.Call, waiter.Need)
+		c.assign(now, replica, waiter.Call, waiter.Need, chosen.cached)
 		placement := Placement{
 			ID:         waiter.Call,
 			Replica:    replica.Description.ID,
@@ -70,6 +67,7 @@
 			Returning:  replica.Notice.MaxReturning > 0,
 			Candidates: candidates,
 			Waited:     now.Sub(waiter.Since),
+			Cached:     chosen.cached,
 		}
 		if chosen.estimate.Learnt {
 			placement.Expected, placement.ExpectedEnd = chosen.estimate.FirstEvent, chosen.estimate.End
@@ -107,12 +105,18 @@
 	}
 	c.reviewOverdue(now)
 	reference := c.Estimator.Reference(need.work())
-	affinityID := c.affinityReplica(now, need, key)
 	for i := range c.candidates {
 		one := &c.candidates[i]
-		one.estimate = reference.At(now, one.replica.Speed, one.replica.currentLoad())
+		one.cached = c.cachedTokens(now, one.replica, need)
+		one.estimate = reference.AtCached(now, one.replica.Speed, one.replica.currentLoad(), one.cached)
 		one.cost = one.replica.cost(now, one.estimate)
-		one.preferred = one.replica.Description.ID == affinityID && one.replica.load() < maxAffinityLoad
+		one.readCost = one.cost
+		if one.cached > 0 {
+			one.readCost = one.replica.cost(now, reference.At(now, one.replica.Speed, one.replica.currentLoad()))
+		}
+	}
+	if one := c.pickForBeginning(now, need, &reference); one != nil {
+		return *one, usable
 	}
 	return c.drawCandidate(need.LateAt.Sub(now)), usable
 }
@@ -123,16 +127,13 @@
 func (c *Controller) drawCandidate(lateIn time.Duration) candidate {
 	lowest, inTime := math.Inf(1), false
 	for _, one := range c.candidates {
-		lowest = min(lowest, one.cost)
+		lowest = min(lowest, one.readCost)
 		inTime = inTime || one.estimate.FirstEvent <= lateIn
 	}
 	bound := goodCostFactor*lowest + float64(goodCostMargin)
 	total, good := 0.0, 0
 	for i := range c.candidates {
 		one := &c.candidates[i]
-		if one.preferred && one.cost*affinityCostFactor <= lowest {
-			return *one
-		}
 		if one.cost > bound || inTime && one.estimate.Known && one.estimate.FirstEvent > lateIn {
 			continue
 		}
@@ -230,26 +231,6 @@
 	return cost
 }
 
-// affinityReplica returns the ID of the replica preferred for requests that
-// share a long prompt prefix: the usable one with the highest rendezvous hash.
-// It is empty if there is none.
-func (c *Controller) affinityReplica(now time.Time, need Need, key modelKey) string {
-	if need.Affinity == "" {
-		return ""
-	}
-	first, firstWeight := "", uint64(0)
-	for _, replica := range c.holders(need.Service, need.Model) {
-		id := replica.Description.ID
-		if !c.isUsable(now, replica, need, key) {
-			continue
-		}
-		if weight := xxhash.Sum64String(need.Affinity + "\x00" + id); first == "" || weight > firstWeight {
-			first, firstWeight = id, weight
-		}
-	}
-	return first
-}
-
 // sortedIDs returns the IDs of the replicas in sorted order, so that steps are
 // deterministic.
 func (c *Controller) sortedIDs() []string {
@@ -259,13 +240,13 @@
 	return c.SortedIDs
 }
 
-func (c *Controller) assign(now time.Time, replica *Replica, id runner.Call, need Need) {
+func (c *Controller) assign(now time.Time, replica *Replica, id runner.Call, need Need, cached int) {
 	returning := replica.Notice.MaxReturning > 0
 	if returning {
 		replica.Notice.Returning++
 	}
-	c.Assignments[id] = &assignment{replica: replica, need: need, returning: returning, sentAt: now, load: replica.currentLoad()}
-	replica.TokensAhead += need.PromptTokens
+	c.Assignments[id] = &assignment{replica: replica, need: need, returning: returning, sentAt: now, load: replica.currentLoad(), cached: cached}
+	replica.TokensAhead += need.PromptTokens - cached
 	replica.Running[need.Model]++
 	replica.RunningTotal++
 	if need.Model == "" {
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -56,6 +56,8 @@
 	// when requests without a first event were last taken into account.
 	Estimator         *estimator.Estimator
 	OverdueReviewedAt time.Time
+	// Caches knows the beginnings of prompts that replicas keep.
+	Caches Caches
 	// Epoch is that of the holder which has this node's measurements.
 	Epoch uint64
 	// OrdersAllowedAt is when the holder may order loads, according to its last
@@ -102,6 +104,8 @@
 	load       estimator.Load
 	begun      bool
 	firstEvent time.Duration
+	// cached is the number of tokens that the replica was believed to keep.
+	cached int
 }
 
 type useKey struct {
@@ -118,6 +122,7 @@
 		Assignments: map[runner.Call]*assignment{},
 		Uses:        map[useKey]*planner.Use{},
 		Estimator:   estimator.New(),
+		Caches:      newCaches(),
 		Limits:      rationer.NewController(0, seed),
 		Random:      rand.New(rand.NewPCG(seed, seed)),
 	}
@@ -166,7 +171,7 @@
 		c.Waiters = slices.DeleteFunc(c.Waiters, func(waiter *Waiter) bool { return waiter.Call == message.Call })
 		c.endAttempt(now, AttemptEnded{PlacementID: message.Call, Result: Abandoned})
 	case SetModels:
-		c.Estimator.Sizes = message.Sizes
+		c.Estimator.Sizes, c.Caches.Tokens = message.Sizes, message.CacheTokens
 	case AnswerBegun:
 		return c.recordBegun(now, message)
 	case AnswerProgressed:
@@ -234,6 +239,7 @@
 		}
 	}
 	c.expireNotices(now)
+	c.retainBeliefs()
 	c.Estimator.Retain(now, func(id string) bool { return found[id] })
 }
 
--- a/internal/balancer/estimate.go
+++ b/internal/balancer/estimate.go
@@ -13,7 +13,7 @@
 // estimate returns the expected times of a request at a replica if it were sent now.
 func (c *Controller) estimate(now time.Time, replica *Replica, need Need) estimator.Estimate {
 	reference := c.Estimator.Reference(need.work())
-	return reference.At(now, replica.Speed, replica.currentLoad())
+	return reference.AtCached(now, replica.Speed, replica.currentLoad(), c.cachedTokens(now, replica, need))
 }
 
 // work returns the request as far as its duration depends on it.
@@ -31,9 +31,11 @@
 
 // observation returns what is known of the answer to the request.
 func (a *assignment) observation() estimator.Observation {
+	work := a.need.work()
+	work.CachedTokens = a.cached
 	return estimator.Observation{
 		Replica: a.replica.Description.ID, StartedMS: a.replica.Description.StartedMS,
-		Work: a.need.work(), Load: a.load, FirstEventObserved: a.begun,
+		Work: work, Load: a.load, FirstEventObserved: a.begun,
 	}
 }
 
@@ -45,6 +47,7 @@
 	}
 	observation := begun.observation()
 	observation.FirstEvent = message.FirstEvent
+	c.recordRead(now, begun, &observation)
 	c.Estimator.Observe(now, observation)
 	begun.begin()
 	begun.firstEvent = message.FirstEvent
@@ -68,7 +71,7 @@
 func (a *assignment) begin() {
 	if !a.begun {
 		a.begun = true
-		a.replica.TokensAhead -= a.need.PromptTokens
+		a.replica.TokensAhead -= a.need.PromptTokens - a.cached
 	}
 }
 
@@ -85,9 +88,15 @@
 			return nil
 		}
 		observation.FirstEvent = now.Sub(ended.sentAt)
+	case ModelMissing:
+		c.Caches.Beliefs.ForgetModel(ended.replica.Description.ID, ended.need.cacheKey())
+		return nil
 	default:
 		return nil
 	}
+	if message.Result == Answered {
+		c.recordRead(now, ended, &observation)
+	}
 	c.Estimator.Observe(now, observation)
 	return ended.replica.noteSpeed()
 }
@@ -102,7 +111,11 @@
 	c.Estimator.ClearOverdue()
 	for _, running := range c.Assignments {
 		if !running.begun && !running.need.Continued {
-			c.Estimator.ObserveOverdue(now, running.observation(), now.Sub(running.sentAt))
+			observation := running.observation()
+			// A request that is late because the replica does not keep the beginning
+			// shows nothing about its speed.
+			observation.Work.CachedTokens = 0
+			c.Estimator.ObserveOverdue(now, observation, now.Sub(running.sentAt))
 		}
 	}
 }
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/cacher"
 	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
@@ -42,7 +43,12 @@
 }
 
 // SetModels sets the sizes of the models in MB, by service.
-type SetModels struct{ Sizes map[string]map[string]float64 }
+type SetModels struct {
+	Sizes map[string]map[string]float64
+	// CacheTokens is how many tokens a replica keeps, by service. Services whose replicas
+	// do not report what they keep are left out.
+	CacheTokens map[string]int `json:",omitempty"`
+}
 
 // Place requests a replica.
 type Place struct {
@@ -148,9 +154,10 @@
 	// the answer. Whole is set if the answer is not a stream.
 	PromptTokens, OutputTokens int  `json:",omitempty"`
 	Whole                      bool `json:",omitempty"`
-	// Affinity is equal for requests that share a long prompt prefix. It is
-	// empty for requests without one.
-	Affinity string
+	// Parts is the beginning of the prompt, in order. The last Parts beyond SharedParts
+	// belong to the request or to its session.
+	Parts       []cacher.Part `json:",omitempty"`
+	SharedParts int           `json:",omitempty"`
 	// LateAt is when the request becomes late.
 	LateAt time.Time
 	// GiveUpAt is when the request is refused if no replica has been assigned
@@ -215,6 +222,8 @@
 	ExpectedEnd time.Duration `json:",omitempty"`
 	// Candidates is the number of replicas that were eligible.
 	Candidates int
+	// Cached is the number of tokens of the prompt that the replica is believed to keep.
+	Cached int `json:",omitempty"`
 	// Waited is how long the request waited for the replica.
 	Waited time.Duration
 }
--- a/internal/balancer/spread_test.go
+++ b/internal/balancer/spread_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/cacher"
 	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
@@ -40,7 +41,7 @@
 // 6 or 7 of 274 models, a quarter of the replicas at 0.45 of the pace, skewed demand, a burst
 // for one model every second, and reports that are 0.3 to 0.5 s late.
 func TestRequestsAreSpread(t *testing.T) {
-	w := newSpreadWorld()
+	w := newSpreadWorld(2)
 	w.run()
 	busiest, mean := 0.0, 0.0
 	slow, fast := 0.0, 0.0
@@ -88,6 +89,11 @@
 	refused     int
 	firstEvents []time.Duration
 	errors      []float64
+	// group is the number of replicas with the same models. cached is nil unless prompts
+	// have shared beginnings.
+	group    int
+	duration time.Duration
+	cached *cachedWorld
 }
 
 type spreadReplica struct {
@@ -96,6 +102,7 @@
 	queue             []*spreadRequest
 	// windows counts the arrivals in each spreadWindow.
 	windows map[int]int
+	cache   engineCache
 }
 
 type spreadRequest struct {
@@ -107,6 +114,8 @@
 	sentAt     time.Time
 	firstEvent time.Duration
 	expected   time.Duration
+	model      string
+	parts      []cacher.Part
 }
 
 type spreadEvent struct {
@@ -129,8 +138,8 @@
 	return last
 }
 
-func newSpreadWorld() *spreadWorld {
-	w := &spreadWorld{random: rand.New(rand.NewPCG(5, 5)), now: tester.Start, requests: map[runner.Call]*spreadRequest{}}
+func newSpreadWorld(group int) *spreadWorld {
+	w := &spreadWorld{group: group, duration: spreadTime, random: rand.New(rand.NewPCG(5, 5)), now: tester.Start, requests: map[runner.Call]*spreadRequest{}}
 	var listed []surveyor.Replica
 	for i := range spreadReplicas {
 		replica := &spreadReplica{speed: 1, windows: map[int]int{}}
@@ -139,7 +148,7 @@
 		}
 		w.replicas = append(w.replicas, replica)
 		entry := surveyor.Replica{ID: fmt.Sprintf("r%02d", i), Service: "llm", Slots: spreadSlots}
-		for model := i / 2; model < spreadModels; model += spreadReplicas / 2 {
+		for model := i / group; model < spreadModels; model += spreadReplicas / group {
 			entry.Models = append(entry.Models, surveyor.LoadedModel{Name: fmt.Sprint(model)})
 		}
 		listed = append(listed, entry)
@@ -187,7 +196,7 @@
 	arrive()
 	burst()
 	publish()
-	for end := w.now.Add(spreadTime); w.now.Before(end); {
+	for end := w.now.Add(w.duration); w.now.Before(end); {
 		event := heap.Pop(&w.events).(spreadEvent)
 		w.now = event.at
 		event.act()
@@ -198,7 +207,11 @@
 func (w *spreadWorld) request(model int) {
 	r := &spreadRequest{node: w.random.IntN(spreadNodes), call: runner.Call(len(w.requests) + 1), prompt: 100 + w.random.IntN(1400), output: 30 + w.random.IntN(140), noise: math.Exp(0.15 * w.random.NormFloat64())}
 	w.requests[r.call] = r
-	w.step(r.node, Place{Call: r.call, Need: r.need(model, w.now)})
+	need := r.need(model, w.now)
+	if w.cached != nil {
+		w.cached.begin(w, r, &need)
+	}
+	w.step(r.node, Place{Call: r.call, Need: need})
 }
 
 // step delivers a message to a node, and sends the requests to which replicas were assigned.
@@ -242,7 +255,11 @@
 	replica := w.replicas[r.replica]
 	replica.running++
 	pace := r.noise / replica.speed
-	first := 8 + float64(r.prompt)/38 + 4*float64(replica.running)/spreadSlots
+	read := r.prompt
+	if w.cached != nil {
+		read -= w.cached.read(w, r)
+	}
+	first := 8 + float64(read)/38 + 4*float64(replica.running)/spreadSlots
 	w.after(time.Duration(first*pace*float64(time.Millisecond)), func() {
 		r.firstEvent = w.now.Sub(r.sentAt)
 		if w.measuring() {
--- /dev/null
+++ b/internal/cacher/beliefs.go
@@ -0,0 +1,179 @@
+package cacher
+
+import (
+	"container/list"
+	"strings"
+	"time"
+)
+
+const (
+	// beliefTTL is how long a part counts as kept after it was last confirmed. Requests of
+	// other nodes may have displaced it unnoticed.
+	beliefTTL = 2 * time.Minute
+	// MaxPartIDBytes is the length of an ID up to which a part is considered, so that
+	// callers cannot make a node keep long ones.
+	MaxPartIDBytes = 64
+	// maxParts bounds the parts of all replicas. A part takes about 300 bytes.
+	maxParts = 16384
+	// maxReplicaParts bounds the parts of one replica.
+	maxReplicaParts = 1024
+)
+
+// Part is a part of a prompt. A replica keeps a part only with all parts before it.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// ModelKey identifies a model, with or without an adapter. Caches of different models and
+// adapters are of no use to each other.
+type ModelKey struct{ Model, Adapter string }
+
+// Beliefs holds what replicas are believed to keep. If there is no more room, the parts that
+// were confirmed least recently are forgotten first.
+type Beliefs struct {
+	Replicas map[string]*Kept
+	// recent holds all parts, the most recently confirmed first.
+	recent list.List
+}
+
+// Kept is what one start of a replica is believed to keep.
+type Kept struct {
+	StartedMS int64
+	// Tokens is the sum over all parts.
+	Tokens int
+	models map[ModelKey]map[string]*keptPart
+	// recent holds the parts of the replica, the most recently confirmed first.
+	recent list.List
+}
+
+// keptPart is a part that a replica is believed to keep.
+type keptPart struct {
+	replica     string
+	model       ModelKey
+	id          string
+	tokens      int
+	confirmedAt time.Time
+	// inAll and inReplica are its elements in the lists of Beliefs and Kept.
+	inAll, inReplica *list.Element
+}
+
+// NewBeliefs returns beliefs without any part.
+func NewBeliefs() *Beliefs { return &Beliefs{Replicas: map[string]*Kept{}} }
+
+// Len returns the number of parts.
+func (b *Beliefs) Len() int { return b.recent.Len() }
+
+// CachedTokens returns the number of tokens at the beginning of a prompt that a replica need
+// not read. A part of which it keeps less than the whole ends the beginning.
+func (b *Beliefs) CachedTokens(now time.Time, replica string, model ModelKey, parts []Part) int {
+	kept := b.Replicas[replica]
+	if kept == nil {
+		return 0
+	}
+	known := kept.models[model]
+	total := 0
+	for _, part := range parts {
+		one := known[part.ID]
+		if one == nil || now.Sub(one.confirmedAt) > beliefTTL {
+			break
+		}
+		total += min(one.tokens, part.Tokens)
+		if one.tokens < part.Tokens {
+			break
+		}
+	}
+	return total
+}
+
+// Confirm records that a replica has read the parts of a prompt. capacity is the number of
+// tokens that it can keep.
+func (b *Beliefs) Confirm(now time.Time, replica string, startedMS int64, model ModelKey, parts []Part, capacity int) {
+	kept := b.Replicas[replica]
+	if kept == nil || kept.StartedMS != startedMS {
+		b.Forget(replica)
+		kept = &Kept{StartedMS: startedMS, models: map[ModelKey]map[string]*keptPart{}}
+		b.Replicas[replica] = kept
+	}
+	known := kept.models[model]
+	if known == nil {
+		known = map[string]*keptPart{}
+		kept.models[model] = known
+	}
+	// The first part is confirmed last and so forgotten last: no other part counts
+	// without it.
+	for i := len(parts) - 1; i >= 0; i-- {
+		b.confirmPart(now, kept, known, &keptPart{replica: replica, model: model, id: parts[i].ID, tokens: parts[i].Tokens})
+	}
+	for kept.recent.Len() > 0 && (kept.Tokens > capacity || kept.recent.Len() > maxReplicaParts) {
+		b.remove(kept.recent.Back().Value.(*keptPart))
+	}
+	for b.recent.Len() > maxParts {
+		b.remove(b.recent.Back().Value.(*keptPart))
+	}
+}
+
+func (b *Beliefs) confirmPart(now time.Time, kept *Kept, known map[string]*keptPart, part *keptPart) {
+	if one := known[part.id]; one != nil {
+		kept.Tokens += part.tokens - one.tokens
+		one.tokens, one.confirmedAt = part.tokens, now
+		b.recent.MoveToFront(one.inAll)
+		kept.recent.MoveToFront(one.inReplica)
+		return
+	}
+	// The ID is a part of a header that is not to be kept.
+	part.id, part.confirmedAt = strings.Clone(part.id), now
+	part.inAll, part.inReplica = b.recent.PushFront(part), kept.recent.PushFront(part)
+	known[part.id] = part
+	kept.Tokens += part.tokens
+}
+
+// Forget forgets a replica that has ended.
+func (b *Beliefs) Forget(replica string) {
+	if kept := b.Replicas[replica]; kept != nil {
+		for kept.recent.Len() > 0 {
+			b.remove(kept.recent.Back().Value.(*keptPart))
+		}
+	}
+	delete(b.Replicas, replica)
+}
+
+// Retain forgets what a replica kept of models and adapters that it no longer has, and
+// everything if it was started again.
+func (b *Beliefs) Retain(replica string, startedMS int64, has func(model, adapter string) bool) {
+	kept := b.Replicas[replica]
+	if kept == nil {
+		return
+	}
+	if kept.StartedMS != startedMS {
+		b.Forget(replica)
+		return
+	}
+	for key := range kept.models {
+		if !has(key.Model, key.Adapter) {
+			b.ForgetModel(replica, key)
+		}
+	}
+}
+
+// ForgetModel forgets what a replica kept of a model.
+func (b *Beliefs) ForgetModel(replica string, model ModelKey) {
+	if kept := b.Replicas[replica]; kept != nil {
+		for _, part := range kept.models[model] {
+			b.remove(part)
+		}
+		delete(kept.models, model)
+	}
+}
+
+func (b *Beliefs) remove(part *keptPart) {
+	kept := b.Replicas[part.replica]
+	kept.Tokens -= part.tokens
+	kept.recent.Remove(part.inReplica)
+	b.recent.Remove(part.inAll)
+	known := kept.models[part.model]
+	delete(known, part.id)
+	if len(known) == 0 {
+		delete(kept.models, part.model)
+	}
+}
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -194,6 +194,12 @@
 
 // At returns the estimate at a replica, of which nothing is known if speed is nil.
 func (r *Reference) At(now time.Time, speed *Speed, load Load) Estimate {
+	return r.AtCached(now, speed, load, 0)
+}
+
+// AtCached returns the estimate at a replica that need not read cached tokens of the prompt
+// beyond those of the Work.
+func (r *Reference) AtCached(now time.Time, speed *Speed, load Load, cached int) Estimate {
 	factor := 1.0
 	known := false
 	if speed != nil {
@@ -206,7 +212,7 @@
 		Slots:          load.Slots,
 		SlotDuration:   Scale(r.slotDuration, factor),
 		PerPromptToken: Scale(defaultPerPromptToken, r.scale*factor),
-		PromptTokens:   r.tokenCost * (r.promptTokens + float64(load.TokensAhead)),
+		PromptTokens:   r.tokenCost * (max(0, r.promptTokens-float64(cached)) + float64(load.TokensAhead)),
 		OverheadTokens: r.overhead + r.batchTokens*share,
 	}
 	_, first := formula.FirstEvent()
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/cacher"
 	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
@@ -113,8 +114,8 @@
 	// ExpectedOutputTokens is the expected number of output tokens, 0 if nothing is known
 	// of it.
 	ExpectedOutputTokens int
-	// Affinity identifies the first part of a long prompt prefix.
-	Affinity string
+	// PromptParts are the parts of the beginning of the prompt, in order.
+	PromptParts []cacher.Part
 	// SharedParts are the IDs of the parts of the prompt that other requests may
 	// have as well, in the order of the prompt.
 	SharedParts []string
--- a/internal/resolver/configuration.go
+++ b/internal/resolver/configuration.go
@@ -91,6 +91,9 @@
 	// KVTokens is the capacity in tokens of the key-value cache for running
 	// requests and cached prompts.
 	KVTokens int
+	// EventCalls is the number of calls for changes of that cache which a replica keeps
+	// waiting at a time, 0 if replicas do not report what they keep.
+	EventCalls int `json:",omitempty"`
 	// MemoryMB is the memory for the weights of models and adapters.
 	MemoryMB     float64
 	AdapterSlots int
