--- a/internal/cacher/beliefs.go
+++ b/internal/cacher/beliefs.go
@@ -35,6 +35,8 @@
 	Replicas map[string]*Kept
 	// recent holds all parts, the most recently confirmed first.
 	recent list.List
+	// pending holds the changes that were not reported to the holder yet.
+	pending map[changeKey]Change
 }
 
 // Kept is what one start of a replica is believed to keep.
@@ -49,17 +51,25 @@
 
 // keptPart is a part that a replica is believed to keep.
 type keptPart struct {
-	replica     string
-	model       ModelKey
-	id          string
-	tokens      int
-	confirmedAt time.Time
+	replica string
+	model   ModelKey
+	id      string
+	// tokens is 0 if the replica no longer keeps the part.
+	tokens int
+	// confirmedAt is when it was last confirmed, and readAt when an answer to this node
+	// last did so.
+	confirmedAt, readAt time.Time
+	// sharedAt is when the holder last published the part, and reportedAt when this node
+	// last reported it, each zero if never.
+	sharedAt, reportedAt time.Time
 	// inAll and inReplica are its elements in the lists of Beliefs and Kept.
 	inAll, inReplica *list.Element
 }
 
 // NewBeliefs returns beliefs without any part.
-func NewBeliefs() *Beliefs { return &Beliefs{Replicas: map[string]*Kept{}} }
+func NewBeliefs() *Beliefs {
+	return &Beliefs{Replicas: map[string]*Kept{}, pending: map[changeKey]Change{}}
+}
 
 // Len returns the number of parts.
 func (b *Beliefs) Len() int { return b.recent.Len() }
@@ -75,7 +85,7 @@
 	total := 0
 	for _, part := range parts {
 		one := known[part.ID]
-		if one == nil || now.Sub(one.confirmedAt) > beliefTTL {
+		if one == nil || now.Sub(one.confirmedAt) > beliefTTL && now.Sub(one.sharedAt) > sharedTTL {
 			break
 		}
 		total += min(one.tokens, part.Tokens)
@@ -86,6 +96,18 @@
 	return total
 }
 
+// Read records that an answer to this node shows that a replica has read the parts of a prompt.
+// The first shared ones are reported to the holder.
+func (b *Beliefs) Read(now time.Time, replica string, startedMS int64, model ModelKey, parts []Part, shared, capacity int) {
+	b.Confirm(now, replica, startedMS, model, parts, capacity)
+	for _, part := range parts {
+		if one := b.part(replica, model, part.ID); one != nil {
+			one.readAt = now
+		}
+	}
+	b.ReportShared(now, replica, model, parts[:min(shared, len(parts))])
+}
+
 // Confirm records that a replica has read the parts of a prompt. capacity is the number of
 // tokens that it can keep.
 func (b *Beliefs) Confirm(now time.Time, replica string, startedMS int64, model ModelKey, parts []Part, capacity int) {
@@ -97,6 +119,7 @@
 	}
 	known := kept.models[model]
 	if known == nil {
+		model = ModelKey{strings.Clone(model.Model), strings.Clone(model.Adapter)}
 		known = map[string]*keptPart{}
 		kept.models[model] = known
 	}
