--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -42,6 +42,8 @@
 		n.logPostError("planner", n.planner.Post(planner.ReplicasListed{Replicas: effect.Replicas, Era: effect.Era, CurrentAsOf: effect.CurrentAsOf}))
 	case surveyor.PublishReplicas:
 		n.logPostError("balancer", n.balancer.Post(balancer.SetReplicas{Replicas: effect.Replicas}))
+		configuration, _ := n.view.Configuration()
+		n.setCacheReplicas(configuration, effect.Replicas)
 	case surveyor.PublishNodes:
 		n.setNodes(effect)
 	case surveyor.StoreRestored:
@@ -150,6 +152,7 @@
 		Prompts:    prompts,
 		Speeds:     activity.Speeds,
 		Paces:      activity.Paces,
+		Cached:     activity.Cached,
 	}, nil
 }
 
@@ -222,6 +225,7 @@
 	n.logPostError("balancer", n.balancer.Post(balancer.UsageUpdate{Usage: usage}))
 	n.logPostError("screener", n.screener.Post(screener.StateReceived{Tenure: state.Epoch, Published: state.Prompts}))
 	n.applyVersions(effect)
+	n.setCacheNodes(effect.Callers)
 	n.view.directory.Store(&directory{callers: effect.Callers, asOf: effect.AsOf})
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
 		Active:          effect.Others.Active,
@@ -231,6 +235,7 @@
 		OrdersAllowedIn: state.OrdersAllowedIn,
 		Speeds:          state.Speeds,
 		Paces:           state.Paces,
+		Cached:          state.Cached,
 	}))
 }
 
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -43,6 +43,9 @@
 	}
 	if measured := event.Measurement; measured.FirstEvent > 0 {
 		fields["FirstEventMs"], fields["ExpectedMs"] = measured.FirstEvent.Milliseconds(), measured.ExpectedFirstEvent.Milliseconds()
+		if measured.CachedTokens > 0 {
+			fields["CachedTokens"] = measured.CachedTokens
+		}
 	}
 	if event.Forward.LastEventID != "" {
 		fields["LastEvent"], fields["Resumes"] = event.Forward.LastEventID, event.Forward.Resumes
@@ -59,6 +62,7 @@
 	if event.Replica != "" {
 		n.meter.RecordEstimate("first event", event.Measurement.ExpectedFirstEvent, event.Measurement.FirstEvent)
 		n.meter.RecordEstimate("end", event.Measurement.ExpectedEnd, event.Measurement.End)
+		n.meter.RecordPrompt(event.Forward.PromptTokens, event.Measurement.CachedTokens)
 		n.meter.RecordAttempt(filter.Class(event.Forward.Route.Kind), event.Text, event.FirstByte)
 	}
 }
--- a/internal/assembler/models.go
+++ b/internal/assembler/models.go
@@ -15,7 +15,7 @@
 		if service.Engine == nil {
 			continue
 		}
-		if service.Engine.EventCalls > 0 && service.Engine.KVTokens > 0 {
+		if service.Engine.ReportsCache() {
 			cacheTokens[name] = service.Engine.KVTokens
 		}
 		sizes[name] = make(map[string]float64, len(service.Engine.Models))
@@ -24,4 +24,5 @@
 		}
 	}
 	n.logPostError("balancer", n.balancer.Post(balancer.SetModels{Sizes: sizes, CacheTokens: cacheTokens}))
+	n.setCacheReplicas(configuration, n.cacher.replicas)
 }
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -92,6 +92,7 @@
 	surveyor *surveyor.Task
 	planner  *planner.Task
 	balancer *balancer.Task
+	cacher   cacheReader
 	rationer *rationer.Task
 	screener *screener.Task
 	resumer  *resumer.Task
@@ -119,8 +120,7 @@
 // empty if it is not known.
 type holderHint struct{ name, address string }
 
-// New creates a node and opens its listeners. The returned function releases
-// all resources of the node.
+// New creates a node and opens its listeners. The returned function releases all its resources.
 func New(ctx context.Context, settings Settings) (*Node, func(), error) {
 	n := &Node{
 		settings:     settings,
@@ -241,6 +241,7 @@
 		OnNewDemand: func() { n.logPostError("syncer", n.syncer.Post(syncer.ExchangeNow{})) },
 		Log:         n.logBalancerNote,
 	})
+	n.createCacher(engines)
 	n.rationer = rationer.New(n.clock, bounds.QuotaSlack, seed(n.self.RunID))
 	n.screener = screener.New(screener.Settings{
 		Node:     n.settings.Node,
--- a/internal/balancer/cached.go
+++ b/internal/balancer/cached.go
@@ -14,6 +14,8 @@
 	// minSavedTokens is the number of tokens from which a beginning affects the choice: an
 	// engine reads 200 tokens in about a step of its batch.
 	minSavedTokens = 200
+	// minUnknownTokens is the same for services whose replicas do not report what they keep.
+	minUnknownTokens = 1000
 	// fullKeepingLoad is the load of a replica up to which it gets all requests whose
 	// beginning it keeps, and maxKeepingLoad that from which it gets them only by the draw.
 	// In between a part of them is drawn, so that nodes which hear of each other's
@@ -58,51 +60,77 @@
 
 // pickForBeginning returns the candidate that is preferred because of the beginning of the
 // prompt, or nil if the draw decides: the first of those that keep it, or, if none is known
-// to, the one on which all nodes agree. Both are taken in rendezvous order, so that a
-// beginning is kept by more replicas only while the first ones have no room for its requests.
+// to have room, the one on which all nodes agree. Both are taken in rendezvous order, so that
+// a beginning is kept by more replicas only while the first ones have no room for its
+// requests.
 func (c *Controller) pickForBeginning(now time.Time, need Need, reference *estimator.Reference) *candidate {
-	if len(need.Parts) == 0 || len(c.candidates) < 2 || need.sharedTokens() < minSavedTokens {
+	if len(need.Parts) == 0 || len(c.candidates) < 2 {
+		return nil
+	}
+	least := minSavedTokens
+	if c.Caches.Tokens[need.Service] == 0 {
+		least = minUnknownTokens
+	}
+	if need.sharedTokens() < least {
 		return nil
 	}
 	most := 0
 	for i := range c.candidates {
-		most = max(most, c.candidates[i].cached)
+		one := &c.candidates[i]
+		one.setOrder(need)
+		most = max(most, one.cached)
+	}
+	if most >= minSavedTokens {
+		if keeper := c.pickKeeper(most, need.LateAt.Sub(now)); keeper != nil {
+			return keeper
+		}
+	} else {
+		most = math.MaxInt
 	}
-	if most < minSavedTokens {
-		return c.pickFirstReader(now, need, reference)
+	return c.pickReader(now, need, most, reference)
+}
+
+// next returns the first candidate in rendezvous order after the one with the order below that
+// does or does not keep the beginning, or nil if there is none.
+func (c *Controller) next(below uint64, most int, keeps bool) *candidate {
+	var next *candidate
+	for i := range c.candidates {
+		if one := &c.candidates[i]; one.keeps(most) == keeps && one.order < below && (next == nil || one.order > next.order) {
+			next = one
+		}
 	}
-	return c.pickKeeper(need, most, need.LateAt.Sub(now))
+	return next
 }
 
-// pickFirstReader returns the candidate that is first in rendezvous order, if it would be the
-// best one if it kept the beginning.
-func (c *Controller) pickFirstReader(now time.Time, need Need, reference *estimator.Reference) *candidate {
+// pickReader returns the first candidate in rendezvous order that does not keep the beginning,
+// has room and would be the best one if it kept the beginning.
+func (c *Controller) pickReader(now time.Time, need Need, most int, reference *estimator.Reference) *candidate {
 	lowest := math.Inf(1)
-	var first *candidate
 	for i := range c.candidates {
-		one := &c.candidates[i]
-		lowest = min(lowest, one.cost)
-		one.setOrder(need)
-		if first == nil || one.order > first.order {
-			first = one
+		if one := &c.candidates[i]; !one.keeps(most) {
+			lowest = min(lowest, one.cost)
 		}
 	}
-	replica := first.replica
-	saved := replica.cost(now, reference.AtCached(now, replica.Speed, replica.currentLoad(), need.sharedTokens()))
-	if saved <= lowest && c.hasRoomForBeginning(replica) {
-		return first
+	for below := uint64(math.MaxUint64); ; {
+		next := c.next(below, most, false)
+		if next == nil {
+			return nil
+		}
+		replica := next.replica
+		saved := replica.cost(now, reference.AtCached(now, replica.Speed, replica.currentLoad(), need.sharedTokens()))
+		if saved <= lowest && c.hasRoomForBeginning(replica) {
+			return next
+		}
+		below = next.order
 	}
-	return nil
 }
 
 // pickKeeper returns the first candidate in rendezvous order that keeps the beginning, has room
 // and is no slower than one that would read it anew.
-func (c *Controller) pickKeeper(need Need, most int, lateIn time.Duration) *candidate {
+func (c *Controller) pickKeeper(most int, lateIn time.Duration) *candidate {
 	lowestKeeper, lowestReader, inTime := math.Inf(1), math.Inf(1), false
 	for i := range c.candidates {
-		one := &c.candidates[i]
-		if one.keeps(most) {
-			one.setOrder(need)
+		if one := &c.candidates[i]; one.keeps(most) {
 			lowestKeeper = min(lowestKeeper, one.cost)
 			inTime = inTime || one.estimate.FirstEvent <= lateIn
 		} else {
@@ -111,12 +139,7 @@
 	}
 	bound := min(lowestReader, goodCostFactor*lowestKeeper+float64(goodCostMargin))
 	for below := uint64(math.MaxUint64); ; {
-		var next *candidate
-		for i := range c.candidates {
-			if one := &c.candidates[i]; one.keeps(most) && one.order < below && (next == nil || one.order > next.order) {
-				next = one
-			}
-		}
+		next := c.next(below, most, true)
 		if next == nil {
 			return nil
 		}
@@ -148,30 +171,55 @@
 }
 
 // recordRead records that the replica has read the prompt. If the time to the first event shows
-// that it had kept more or less of it than was believed, the observation is corrected, so
-// that the difference is not attributed to the replica's speed.
+// that it had kept the shared parts although that was not known, the observation is
+// corrected, so that the difference is not attributed to the replica's speed. There is no
+// correction in the other direction: it would hide that replicas have become slow.
 func (c *Controller) recordRead(now time.Time, read *assignment, observation *estimator.Observation) {
 	need, description := &read.need, read.replica.Description
 	capacity := c.Caches.Tokens[need.Service]
 	if len(need.Parts) == 0 || capacity == 0 || observation.FirstEvent == 0 || observation.FirstEventObserved {
 		return
 	}
-	speed := c.Estimator.Replicas[description.ID]
-	if speed == nil || speed.StartedMS != description.StartedMS {
+	if speed := c.Estimator.Replicas[description.ID]; read.cached == 0 && speed != nil && speed.StartedMS == description.StartedMS {
+		shared := need.sharedTokens()
+		reference := c.Estimator.Reference(need.work())
+		usual := &estimator.Speed{Factor: speed.Factor, ObservedAt: speed.ObservedAt, Published: speed.Published}
+		expected := reference.AtCached(now, usual, read.load, 0)
+		kept := reference.AtCached(now, usual, read.load, shared)
+		if expected.Known && expected.Learnt && deviation(observation.FirstEvent, kept) < deviation(observation.FirstEvent, expected) {
+			observation.Work.CachedTokens = shared
+		}
+	}
+	if current := c.Replicas[description.ID]; current == nil || !current.Description.Has(need.Model, need.Adapter) {
+		// The replica releases the model, and with it what it has kept.
 		return
 	}
-	other := 0
-	if read.cached == 0 {
-		other = need.sharedTokens()
+	c.Caches.Beliefs.Read(now, description.ID, description.StartedMS, need.cacheKey(), need.Parts, need.SharedParts, capacity)
+}
+
+// applyCached adopts what other nodes know of caches. The newest changes come first, and are
+// applied last, so that they are forgotten last.
+func (c *Controller) applyCached(now time.Time, changes []cacher.Change) {
+	for i := len(changes) - 1; i >= 0; i-- {
+		change := changes[i]
+		// A node that starts hears of replicas later than of what they keep.
+		capacity := math.MaxInt
+		if replica := c.Replicas[change.Replica]; replica != nil {
+			if replica.Description.StartedMS != change.StartedMS || !replica.Description.Has(change.Model, change.Adapter) {
+				continue
+			}
+			capacity = c.Caches.Tokens[replica.Description.Service]
+		}
+		c.Caches.Beliefs.Apply(now, change, capacity)
 	}
-	reference := c.Estimator.Reference(need.work())
-	usual := &estimator.Speed{Factor: speed.Factor, ObservedAt: speed.ObservedAt, Published: speed.Published}
-	expected := reference.AtCached(now, usual, read.load, read.cached)
-	otherwise := reference.AtCached(now, usual, read.load, other)
-	if expected.Known && expected.Learnt && deviation(observation.FirstEvent, otherwise) < deviation(observation.FirstEvent, expected) {
-		observation.Work.CachedTokens = other
+}
+
+// recordEvents adopts what a replica has reported of its cache.
+func (c *Controller) recordEvents(now time.Time, message CacheEvents) {
+	if message.Gap {
+		c.Caches.Beliefs.Drop(message.Replica, message.StartedMS)
 	}
-	c.Caches.Beliefs.Confirm(now, description.ID, description.StartedMS, need.cacheKey(), need.Parts, capacity)
+	c.Caches.Beliefs.Observe(now, message.Replica, message.StartedMS, message.Events)
 }
 
 // deviation returns the logarithm of the factor between the measured and the estimated time.
--- a/internal/balancer/cached_test.go
+++ b/internal/balancer/cached_test.go
@@ -15,6 +15,8 @@
 type engineCache struct {
 	parts  []engineCachePart
 	tokens int
+	// events are those that were not delivered yet.
+	events []cacher.Event
 }
 
 type engineCachePart struct {
@@ -31,12 +33,15 @@
 		if i := slices.Index(e.parts, one); i >= 0 {
 			e.parts = slices.Delete(e.parts, i, i+1)
 			e.tokens -= part.Tokens
+		} else {
+			e.events = append(e.events, cacher.Event{Model: model, ID: part.ID, Tokens: part.Tokens})
 		}
 		e.parts = append(e.parts, one)
 		e.tokens += part.Tokens
 	}
 	for e.tokens > capacity {
 		e.tokens -= e.parts[0].Tokens
+		e.events = append(e.events, cacher.Event{Model: e.parts[0].model, ID: e.parts[0].ID})
 		e.parts = slices.Delete(e.parts, 0, 1)
 	}
 	return saved
@@ -54,7 +59,7 @@
 }
 
 // cachedTime is long enough for beginnings that change three times.
-const cachedTime = 16 * time.Second
+const cachedTime = 12 * time.Second
 
 // cachedWorld adds beginnings of prompts to a spreadWorld.
 type cachedWorld struct {
@@ -69,6 +74,16 @@
 	// shared counts the tokens of shared parts, and again those which were read although a
 	// replica with the model kept them.
 	shared, again int
+	// alone is set if the nodes exchange nothing. Of the events of replicas every missing-th
+	// is lost, unless it is 0.
+	alone bool
+	// releases is the time after which a third of the replicas has released its models, and
+	// those that had released theirs have loaded them again, 0 for never.
+	releases  time.Duration
+	missing   int
+	events    int
+	pool      cacher.Pool
+	published int
 }
 
 // newCachedWorld returns a world in which 9 replicas have the same models.
@@ -80,9 +95,31 @@
 			w.step(node, SetModels{CacheTokens: map[string]int{"llm": cached.believed}})
 		}
 	}
+	if cached.releases > 0 {
+		cached.release(w, 0)
+	}
 	return w
 }
 
+// release lets a third of the replicas release their models.
+func (c *cachedWorld) release(w *spreadWorld, round int) {
+	listed := slices.Clone(w.listed)
+	for i := range listed {
+		if i%3 == round%3 {
+			listed[i].Models, w.replicas[i].cache = nil, engineCache{}
+		}
+	}
+	for node := range w.nodes {
+		w.step(node, SetReplicas{Replicas: listed})
+	}
+	c.pool.Retain(w.now, func(change cacher.Change) bool {
+		var i int
+		_, _ = fmt.Sscanf(change.Replica, "r%d", &i)
+		return listed[i].Models != nil
+	})
+	w.after(c.releases, func() { c.release(w, round+1) })
+}
+
 // begin gives a request two shared parts and one of its own.
 func (c *cachedWorld) begin(w *spreadWorld, r *spreadRequest, need *Need) {
 	rank := int(math.Pow(float64(c.beginnings+1), w.random.Float64())) - 1
@@ -102,6 +139,32 @@
 	}
 }
 
+// exchange delivers the events of the replicas to one node each, up to 0.5 s late, and passes what
+// the nodes report to the holder.
+func (c *cachedWorld) exchange(w *spreadWorld) bool {
+	if c.alone || c.ignored {
+		return false
+	}
+	for i, replica := range w.replicas {
+		var delivered []cacher.Event
+		for _, event := range replica.cache.events {
+			if c.events++; c.missing == 0 || c.events%c.missing != 0 {
+				delivered = append(delivered, event)
+			}
+		}
+		replica.cache.events = nil
+		if len(delivered) > 0 {
+			w.after(time.Duration(w.random.Int64N(int64(reportDelay))), func() {
+				w.step(i*37%spreadNodes, CacheEvents{Replica: fmt.Sprintf("r%02d", i), Events: delivered})
+			})
+		}
+	}
+	for _, node := range w.nodes {
+		c.pool.Record(w.now, node.Caches.Beliefs.Collect())
+	}
+	return c.pool.Publish(w.now, w.version+1)
+}
+
 // read returns the tokens that the replica need not read.
 func (c *cachedWorld) read(w *spreadWorld, r *spreadRequest) int {
 	shared, best := r.parts[:2], 0
@@ -129,8 +192,8 @@
 	slices.Sort(w.firstEvents)
 	late = w.firstEvents[len(w.firstEvents)*95/100]
 	again = float64(c.again) / float64(c.shared)
-	t.Logf("%s: %.1f%% of the shared tokens read again; first event: mean %s, 95%% %s; %d of %d waited at a replica, %d refused; ratio of estimate: %s",
-		name, 100*again, mean, late, w.queued, len(w.firstEvents), w.refused, w.ratios())
+	t.Logf("%s: %.1f%% of the shared tokens read again; first event: mean %s, 95%% %s; %d of %d waited at a replica, %d refused; ratio of estimate: %s; %d changes published",
+		name, 100*again, mean, late, w.queued, len(w.firstEvents), w.refused, w.ratios(), c.published)
 	return again, mean, late
 }
 
@@ -147,8 +210,9 @@
 		maxAgain float64
 	}{
 		{"skew", cachedWorld{capacity: 200_000, believed: 200_000, beginnings: 6}, 1.0 / 3},
-		{"churn", cachedWorld{capacity: 200_000, believed: 200_000, beginnings: 6, churn: 4 * time.Second}, 0.5},
-		{"full memory", cachedWorld{capacity: 20_000, believed: 20_000, beginnings: 6}, 0.5},
+		{"churn", cachedWorld{capacity: 200_000, believed: 200_000, beginnings: 6, churn: 3 * time.Second}, 0.5},
+		{"full memory, missing events", cachedWorld{capacity: 20_000, believed: 20_000, beginnings: 6, missing: 5}, 0.5},
+		{"releases", cachedWorld{capacity: 200_000, believed: 200_000, beginnings: 2, releases: 4 * time.Second}, 1.0 / 3},
 		{"wrong beliefs", cachedWorld{capacity: 2_500, believed: 200_000, beginnings: 6}, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -166,6 +230,19 @@
 	}
 }
 
+// TestNodesShareWhatReplicasKeep guards against nodes that do not use what the others know: after
+// releases, the replicas on which all nodes agree do not keep the beginnings that others keep.
+func TestNodesShareWhatReplicasKeep(t *testing.T) {
+	world := cachedWorld{capacity: 200_000, believed: 200_000, beginnings: 1, releases: 4 * time.Second}
+	alone, shared := world, world
+	alone.alone = true
+	before, _, _ := alone.result(t, "without exchange")
+	after, _, _ := shared.result(t, "with exchange")
+	if after >= before {
+		t.Errorf("%.1f%% of the shared tokens were read again, without exchange %.1f%%", 100*after, 100*before)
+	}
+}
+
 // maxEstimateError is the ratio of estimate to measurement that 90% of the requests keep to
 // in TestRequestsAreSpread.
 const maxEstimateError = 1.37
--- a/internal/balancer/collect.go
+++ b/internal/balancer/collect.go
@@ -36,6 +36,7 @@
 	answer.RateLimits, answer.Sent = c.collectLimits(now)
 	answer.Notices = c.collectNotices(now)
 	answer.Speeds, answer.Paces = c.Estimator.Collect()
+	answer.Cached = c.Caches.Beliefs.Collect()
 	return answer
 }
 
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -47,8 +47,7 @@
 	// Notices holds what replicas have announced. It outlasts the entries of
 	// Replicas, and a list that shows an earlier start.
 	Notices map[replicaStart]*Notice
-	// SortedIDs caches the sorted IDs of the replicas. It is nil after a
-	// change.
+	// SortedIDs caches the sorted IDs of the replicas. It is nil after a change.
 	SortedIDs []string
 	// Holders caches the replicas that may have a model. It is nil after a change.
 	Holders map[holderKey][]*Replica
@@ -113,8 +112,7 @@
 	modelKey
 }
 
-// NewController returns a controller whose random choices are derived from
-// seed.
+// NewController returns a controller whose random choices are derived from seed.
 func NewController(seed uint64) *Controller {
 	return &Controller{
 		Replicas:    map[string]*Replica{},
@@ -128,8 +126,8 @@
 	}
 }
 
-// Wake returns when the waiting requests are next checked: when a load ends,
-// when one of them is given up, and otherwise at maxCheckInterval.
+// Wake returns when the waiting requests are next checked: when a load ends, when one of them
+// is given up, and otherwise at maxCheckInterval.
 func (c *Controller) Wake() time.Time {
 	if len(c.Waiters) == 0 {
 		return time.Time{}
@@ -190,6 +188,8 @@
 		for _, waiter := range c.Waiters {
 			waiter.Need.GiveUpAt = c.beforeDrainDeadline(waiter.Need.GiveUpAt)
 		}
+	case CacheEvents:
+		c.recordEvents(now, message)
 	case Collect:
 		return []Effect{c.collect(now, message.Call)}
 	}
@@ -200,6 +200,7 @@
 func (c *Controller) setPeerState(now time.Time, message SetPeerState) []Effect {
 	c.OrdersAllowedAt = now.Add(message.OrdersAllowedIn)
 	c.Estimator.Adopt(now, message.Speeds, message.Paces)
+	c.applyCached(now, message.Cached)
 	var effects []Effect
 	for _, id := range c.sortedIDs() {
 		replica := c.Replicas[id]
@@ -262,8 +263,7 @@
 	return nil
 }
 
-// beforeDrainDeadline returns giveUpAt or the drain deadline, whichever is
-// earlier.
+// beforeDrainDeadline returns giveUpAt or the drain deadline, whichever is earlier.
 func (c *Controller) beforeDrainDeadline(giveUpAt time.Time) time.Time {
 	if c.DrainDeadline.IsZero() {
 		return giveUpAt
--- a/internal/balancer/estimate.go
+++ b/internal/balancer/estimate.go
@@ -137,6 +137,7 @@
 func (c *Controller) setEpoch(now time.Time, epoch uint64) {
 	if c.Epoch != 0 && c.Epoch != epoch {
 		c.Estimator.ReportAgain(now)
+		c.Caches.Beliefs.ReportAgain()
 	}
 	c.Epoch = epoch
 }
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -40,6 +40,18 @@
 	// it has changed.
 	Speeds []estimator.PublishedSpeed `json:",omitempty"`
 	Paces  []estimator.PublishedPace  `json:",omitempty"`
+	// Cached are the parts of prompts that replicas keep, as far as it has changed, the
+	// newest changes first.
+	Cached []cacher.Change `json:",omitempty"`
+}
+
+// CacheEvents reports what a replica has announced of its cache. Gap is set if changes before
+// Events are not known.
+type CacheEvents struct {
+	Replica   string
+	StartedMS int64
+	Gap       bool           `json:",omitempty"`
+	Events    []cacher.Event `json:",omitempty"`
 }
 
 // SetModels sets the sizes of the models in MB, by service.
@@ -137,6 +149,7 @@
 func (UsageUpdate) isMessage()      {}
 func (Leave) isMessage()            {}
 func (Collect) isMessage()          {}
+func (CacheEvents) isMessage()      {}
 
 // Need describes a request and its requirements for a replica.
 type Need struct {
@@ -256,6 +269,8 @@
 	// Speeds and Paces are what this node has measured since the last Collect.
 	Speeds []estimator.SpeedSum `json:",omitempty"`
 	Paces  []estimator.PaceSum  `json:",omitempty"`
+	// Cached are the changes of what replicas keep.
+	Cached []cacher.Change `json:",omitempty"`
 }
 
 // Note is a log entry: a replica became suspect or is trusted again.
--- a/internal/balancer/spread_test.go
+++ b/internal/balancer/spread_test.go
@@ -80,6 +80,7 @@
 	nodes       []*Controller
 	running     [][]int // by node and replica
 	replicas    []*spreadReplica
+	listed      []surveyor.Replica
 	events      spreadEvents
 	requests    map[runner.Call]*spreadRequest
 	pool        estimator.Pool
@@ -93,7 +94,7 @@
 	// have shared beginnings.
 	group    int
 	duration time.Duration
-	cached *cachedWorld
+	cached   *cachedWorld
 }
 
 type spreadReplica struct {
@@ -153,6 +154,7 @@
 		}
 		listed = append(listed, entry)
 	}
+	w.listed = listed
 	for i := range spreadNodes {
 		node := NewController(uint64(i))
 		node.Step(w.now, SetReplicas{Replicas: listed})
@@ -342,11 +344,19 @@
 		speeds, paces := node.Estimator.Collect()
 		w.pool.Record(w.now, speeds, paces)
 	}
-	if w.pool.Publish(w.version + 1) {
+	changed := w.pool.Publish(w.version + 1)
+	if w.cached != nil {
+		changed = w.cached.exchange(w) || changed
+	}
+	if changed {
 		w.version++
 	}
 	var message SetPeerState
 	message.Speeds, message.Paces = w.pool.Since(w.known)
+	if w.cached != nil {
+		message.Cached = w.cached.pool.Since(w.known)
+		w.cached.published += len(message.Cached)
+	}
 	w.known = w.version
 	return message
 }
--- a/internal/forwarder/observe.go
+++ b/internal/forwarder/observe.go
@@ -32,6 +32,9 @@
 type Measurement struct {
 	ExpectedFirstEvent, FirstEvent time.Duration
 	ExpectedEnd, End               time.Duration
+	// CachedTokens is the number of tokens of the prompt that the replica was believed to
+	// keep.
+	CachedTokens int
 }
 
 func (j *job) beginObservation(placement balancer.Placement, startedAt time.Time) {
@@ -81,7 +84,7 @@
 	if !answered || !o.valid || o.placement.Expected == 0 || o.firstEvent == 0 {
 		return Measurement{}
 	}
-	measured := Measurement{ExpectedFirstEvent: o.placement.Expected, FirstEvent: o.firstEvent}
+	measured := Measurement{ExpectedFirstEvent: o.placement.Expected, FirstEvent: o.firstEvent, CachedTokens: o.placement.Cached}
 	if o.stream {
 		measured.ExpectedEnd, measured.End = o.placement.ExpectedEnd, now.Sub(o.startedAt)
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -34,6 +34,7 @@
 	attempts   metric.Int64Counter
 	changes    metric.Int64Counter
 	estimates  metric.Float64Histogram
+	prompts    metric.Int64Counter
 }
 
 // durationBounds are the bucket boundaries of the duration histograms, in
@@ -82,6 +83,10 @@
 		metric.WithDescription("Decisions about the fleet and changes of beliefs, by the part that made them.")); err != nil {
 		return merry.Wrap(err)
 	}
+	if m.prompts, err = m.meter.Int64Counter("toucanhitch.prompt.tokens",
+		metric.WithDescription("Prompt tokens of attempts, by whether the replica was expected to keep them.")); err != nil {
+		return merry.Wrap(err)
+	}
 	if m.estimates, err = m.meter.Float64Histogram("toucanhitch.estimate.ratio",
 		metric.WithDescription("Estimated time of an attempt divided by the measured one, by the part that was estimated."),
 		metric.WithExplicitBucketBoundaries(ratioBounds...)); err != nil {
@@ -131,6 +136,15 @@
 	}
 }
 
+// RecordPrompt counts the tokens of a prompt, cached of which the replica was expected to keep.
+func (m *Meter) RecordPrompt(tokens, cached int) {
+	for state, count := range map[string]int{"cached": cached, "read": tokens - cached} {
+		if count > 0 {
+			m.prompts.Add(context.Background(), int64(count), metric.WithAttributes(attribute.String("state", state)))
+		}
+	}
+}
+
 // RecordChange counts a decision about the fleet or a change in a node's view
 // of a replica. part is the component that reports it; kind is the text of its
 // log line.
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -126,6 +126,7 @@
 	c.recordLimits(now, report)
 	c.recordNotices(now, report)
 	c.Tenure.Estimates.Record(now, report.Speeds, report.Paces)
+	c.Tenure.Cached.Record(now, report.Cached)
 	effects := c.reviewPrompts(now)
 	if now.Sub(c.Tenure.AdvancedAt) >= minPlanInterval {
 		effects = append(effects, c.advance(now)...)
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/cacher"
 	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/screener"
@@ -45,6 +46,8 @@
 	// report.
 	Speeds []estimator.SpeedSum `json:",omitempty"`
 	Paces  []estimator.PaceSum  `json:",omitempty"`
+	// Cached are changes of the parts of prompts that replicas keep.
+	Cached []cacher.Change `json:",omitempty"`
 }
 
 // Notice is what a replica has announced in an answer to a node.
@@ -188,6 +191,9 @@
 	// has changed.
 	Speeds []estimator.PublishedSpeed `json:",omitempty"`
 	Paces  []estimator.PublishedPace  `json:",omitempty"`
+	// Cached are the parts of prompts that replicas keep, as far as it has changed, the
+	// newest changes first.
+	Cached []cacher.Change `json:",omitempty"`
 	// Versions are the software versions of replicas, as of the list of replicas.
 	Versions resumer.Published `json:",omitzero"`
 	// Peers is the number of live nodes, and Registered the number of registered
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/cacher"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
@@ -76,6 +77,7 @@
 		changed = t.Table.publish(next, c.table(now)) || changed
 		c.forgetNotices(t.Table.Entries)
 		t.Estimates.Retain(now, func(replica string) bool { return t.Table.Added[replica] > 0 })
+		t.Cached.Retain(now, isKept(t.Table.Entries))
 	}
 	if t.CandidatesStale {
 		t.CandidatesStale = false
@@ -85,6 +87,7 @@
 		t.Workspaces, t.WorkspacesVersion, changed = workspaces, next, true
 	}
 	changed = t.Estimates.Publish(next) || changed
+	changed = t.Cached.Publish(now, next) || changed
 	if changed {
 		t.Version = next
 	}
@@ -145,6 +148,7 @@
 	state.Callers, state.RemovedCallers = t.Callers.since(version)
 	state.Candidates, state.RemovedCandidates = t.Candidates.since(version)
 	state.Speeds, state.Paces = t.Estimates.Since(version)
+	state.Cached = t.Cached.Since(version)
 	if t.WorkspacesVersion > version || state.Full {
 		state.Workspaces = t.Workspaces
 	}
@@ -154,6 +158,19 @@
 	return &state
 }
 
+// isKept returns a function that reports whether the start of a replica that a change is about
+// is listed and has the model.
+func isKept(listed []surveyor.Replica) func(cacher.Change) bool {
+	replicas := make(map[string]surveyor.Replica, len(listed))
+	for _, replica := range listed {
+		replicas[replica.ID] = replica
+	}
+	return func(change cacher.Change) bool {
+		replica, ok := replicas[change.Replica]
+		return ok && replica.StartedMS == change.StartedMS && replica.Has(change.Model, change.Adapter)
+	}
+}
+
 // candidates returns the nodes that may hold the lease, sorted by name. The holder
 // is one of them, because the others need its address.
 func (c *Controller) candidates() []surveyor.Node {
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"toucanhitch.example/toucanhitch/internal/cacher"
 	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/screener"
@@ -62,6 +63,8 @@
 	Notices map[string]*notice
 	// Estimates is what the nodes have measured of replicas and models.
 	Estimates estimator.Pool
+	// Cached is what the nodes have reported of the parts of prompts that replicas keep.
+	Cached cacher.Pool
 	// StoringVersions are the software versions that the lease contains or will contain.
 	StoringVersions []resumer.Service
 	// StoreConcurrency is the number of concurrent loads from the weight store
