--- a/internal/balancer/cached.go
+++ b/internal/balancer/cached.go
@@ -16,6 +16,10 @@
 	minSavedTokens = 200
 	// minUnknownTokens is the same for services whose replicas do not report what they keep.
 	minUnknownTokens = 1000
+	// keptShare is the part of the requests for which a replica is expected to keep a
+	// beginning that nodes without knowledge send to it. Beginnings change and are
+	// displaced, so that with 1 slow replicas are chosen that read most of them anew.
+	keptShare = 2.0 / 3
 	// fullKeepingLoad is the load of a replica up to which it gets all requests whose
 	// beginning it keeps, and maxKeepingLoad that from which it gets them only by the draw.
 	// In between a part of them is drawn, so that nodes which hear of each other's
@@ -103,7 +107,7 @@
 }
 
 // pickReader returns the first candidate in rendezvous order that does not keep the beginning,
-// has room and would be the best one if it kept the beginning.
+// has room and would be the best one if it kept the beginning for keptShare of the requests.
 func (c *Controller) pickReader(now time.Time, need Need, most int, reference *estimator.Reference) *candidate {
 	lowest := math.Inf(1)
 	for i := range c.candidates {
@@ -118,7 +122,7 @@
 		}
 		replica := next.replica
 		saved := replica.cost(now, reference.AtCached(now, replica.Speed, replica.currentLoad(), need.sharedTokens()))
-		if saved <= lowest && c.hasRoomForBeginning(replica) {
+		if keptShare*saved+(1-keptShare)*next.cost <= lowest && c.hasRoomForBeginning(replica) {
 			return next
 		}
 		below = next.order
