--- a/internal/balancer/cached.go
+++ b/internal/balancer/cached.go
@@ -20,6 +20,9 @@
 	// beginning that nodes without knowledge send to it. Beginnings change and are
 	// displaced, so that with 1 slow replicas are chosen that read most of them anew.
 	keptShare = 2.0 / 3
+	// maxTries is the number of candidates that are tried in rendezvous order. Each try
+	// looks at all candidates.
+	maxTries = 16
 	// fullKeepingLoad is the load of a replica up to which it gets all requests whose
 	// beginning it keeps, and maxKeepingLoad that from which it gets them only by the draw.
 	// In between a part of them is drawn, so that nodes which hear of each other's
@@ -115,10 +118,11 @@
 			lowest = min(lowest, one.cost)
 		}
 	}
-	for below := uint64(math.MaxUint64); ; {
+	below := uint64(math.MaxUint64)
+	for range maxTries {
 		next := c.next(below, most, false)
 		if next == nil {
-			return nil
+			break
 		}
 		replica := next.replica
 		saved := replica.cost(now, reference.AtCached(now, replica.Speed, replica.currentLoad(), need.sharedTokens()))
@@ -127,6 +131,7 @@
 		}
 		below = next.order
 	}
+	return nil
 }
 
 // pickKeeper returns the first candidate in rendezvous order that keeps the beginning, has room
@@ -142,10 +147,11 @@
 		}
 	}
 	bound := min(lowestReader, goodCostFactor*lowestKeeper+float64(goodCostMargin))
-	for below := uint64(math.MaxUint64); ; {
+	below := uint64(math.MaxUint64)
+	for range maxTries {
 		next := c.next(below, most, true)
 		if next == nil {
-			return nil
+			break
 		}
 		late := inTime && next.estimate.Known && next.estimate.FirstEvent > lateIn
 		if next.cost <= bound && !late && c.hasRoomForBeginning(next.replica) {
@@ -153,13 +159,19 @@
 		}
 		below = next.order
 	}
+	return nil
 }
 
 // keeps reports whether the candidate keeps about as much as the one that keeps most.
 func (o *candidate) keeps(most int) bool { return o.cached > most-minSavedTokens }
 
 func (o *candidate) setOrder(need Need) {
-	o.order = xxhash.Sum64String(need.Parts[0].ID + "\x00" + o.replica.Description.ID)
+	var hash xxhash.Digest
+	hash.Reset()
+	_, _ = hash.WriteString(need.Parts[0].ID)
+	_, _ = hash.WriteString("\x00")
+	_, _ = hash.WriteString(o.replica.Description.ID)
+	o.order = hash.Sum64()
 }
 
 // hasRoomForBeginning decides whether the replica gets a request because of its beginning.
--- a/internal/cacher/beliefs.go
+++ b/internal/cacher/beliefs.go
@@ -126,7 +126,18 @@
 	// The first part is confirmed last and so forgotten last: no other part counts
 	// without it.
 	for i := len(parts) - 1; i >= 0; i-- {
-		b.confirmPart(now, kept, known, &keptPart{replica: replica, model: model, id: parts[i].ID, tokens: parts[i].Tokens})
+		if one := known[parts[i].ID]; one != nil {
+			b.setTokens(one, parts[i].Tokens)
+			one.confirmedAt = now
+			b.recent.MoveToFront(one.inAll)
+			kept.recent.MoveToFront(one.inReplica)
+			continue
+		}
+		// The ID is a part of a header that is not to be kept.
+		one := &keptPart{replica: replica, model: model, id: strings.Clone(parts[i].ID), confirmedAt: now}
+		one.inAll, one.inReplica = b.recent.PushFront(one), kept.recent.PushFront(one)
+		known[one.id] = one
+		b.setTokens(one, parts[i].Tokens)
 	}
 	for kept.recent.Len() > 0 && (kept.Tokens > capacity || kept.recent.Len() > maxReplicaParts) {
 		b.remove(kept.recent.Back().Value.(*keptPart))
@@ -136,21 +147,6 @@
 	}
 }
 
-func (b *Beliefs) confirmPart(now time.Time, kept *Kept, known map[string]*keptPart, part *keptPart) {
-	if one := known[part.id]; one != nil {
-		kept.Tokens += part.tokens - one.tokens
-		one.tokens, one.confirmedAt = part.tokens, now
-		b.recent.MoveToFront(one.inAll)
-		kept.recent.MoveToFront(one.inReplica)
-		return
-	}
-	// The ID is a part of a header that is not to be kept.
-	part.id, part.confirmedAt = strings.Clone(part.id), now
-	part.inAll, part.inReplica = b.recent.PushFront(part), kept.recent.PushFront(part)
-	known[part.id] = part
-	kept.Tokens += part.tokens
-}
-
 // Forget forgets a replica that has ended.
 func (b *Beliefs) Forget(replica string) {
 	if kept := b.Replicas[replica]; kept != nil {
