--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -50,6 +50,8 @@
 		n.view.evacuatedReplicas.Store(countEvacuated(effect.Replicas))
 		n.view.observeReplicas(effect.CurrentAsOf)
 		n.logPostError("balancer", n.balancer.Post(balancer.SetReplicas{Replicas: effect.Replicas}))
+		configuration, _ := n.view.Configuration()
+		n.setCacheReplicas(configuration, effect.Replicas)
 	case surveyor.PublishNodes:
 		n.setNodes(effect)
 	case surveyor.StoreRestored:
@@ -158,6 +160,7 @@
 		Prompts:    prompts,
 		Speeds:     activity.Speeds,
 		Paces:      activity.Paces,
+		Cached:     activity.Cached,
 	}, nil
 }
 
@@ -237,6 +240,7 @@
 	n.logPostError("screener", n.screener.Post(screener.StateReceived{Tenure: state.Epoch, Published: state.Prompts}))
 	n.view.observeReplicas(effect.AsOf.Add(-state.ReplicasAge))
 	n.applyVersions(effect)
+	n.setCacheNodes(effect.Callers)
 	n.setBalancerNodes(effect)
 	n.view.directory.Store(n.view.directory.Load().update(effect.Callers, state.Callers, effect.AsOf))
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
@@ -247,6 +251,7 @@
 		OrdersAllowedIn: state.OrdersAllowedIn,
 		Speeds:          state.Speeds,
 		Paces:           state.Paces,
+		Cached:          state.Cached,
 	}))
 }
 
--- a/internal/assembler/explain.go
+++ b/internal/assembler/explain.go
@@ -13,7 +13,7 @@
 func (n *Node) explain(ctx context.Context, question explainer.Question) (explainer.Answer, error) {
 	sources := explainer.Sources{
 		Choose: n.balancer.Explain, Inspect: n.rationer.Inspect, Load: n.explainLoad,
-		Affinity: platform.PromptAffinity, Regions: n.settings.Regions, MaxTime: platform.DefaultDeadline,
+		Regions: n.settings.Regions, MaxTime: platform.DefaultDeadline,
 	}
 	now := n.clock.Now()
 	configuration, currentAsOf := n.view.Configuration()
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -45,8 +45,7 @@
 	// Notices holds what replicas have announced. It outlasts the entries of
 	// Replicas, and a list that shows an earlier start.
 	Notices map[replicaStart]*Notice
-	// SortedIDs caches the sorted IDs of the replicas. It is nil after a
-	// change.
+	// SortedIDs caches the sorted IDs of the replicas. It is nil after a change.
 	SortedIDs []string
 	// Holders caches the replicas that may have a model. It is nil after a change.
 	Holders map[holderKey][]*Replica
@@ -54,6 +53,8 @@
 	// when requests without a first event were last taken into account.
 	Estimator         *estimator.Estimator
 	OverdueReviewedAt time.Time
+	// Caches knows the beginnings of prompts that replicas keep.
+	Caches Caches
 	// Epoch is that of the holder which has this node's measurements.
 	Epoch uint64
 	// OrdersAllowedAt is when the holder may order loads, according to its last
@@ -103,6 +104,8 @@
 	load       estimator.Load
 	begun      bool
 	firstEvent time.Duration
+	// cached is the number of tokens that the replica was believed to keep.
+	cached int
 }
 
 type useKey struct {
@@ -110,8 +113,7 @@
 	modelKey
 }
 
-// NewController returns a controller whose random choices are derived from
-// seed.
+// NewController returns a controller whose random choices are derived from seed.
 func NewController(seed uint64) *Controller {
 	return &Controller{
 		Replicas:    map[string]*Replica{},
@@ -119,6 +121,7 @@
 		Assignments: map[runner.Call]*assignment{},
 		Uses:        map[useKey]*planner.Use{},
 		Estimator:   estimator.New(),
+		Caches:      newCaches(),
 		Limits:      rationer.NewController(0, seed),
 		Waiting:     newWaiting(),
 		Random:      rand.New(rand.NewPCG(seed, seed)),
@@ -166,7 +169,7 @@
 		}
 		c.endAttempt(now, AttemptEnded{PlacementID: message.Call, Result: Abandoned})
 	case SetModels:
-		c.Estimator.Sizes = message.Sizes
+		c.Estimator.Sizes, c.Caches.Tokens = message.Sizes, message.CacheTokens
 	case AnswerBegun:
 		return c.recordBegun(now, message)
 	case AnswerProgressed:
@@ -185,6 +188,8 @@
 		c.boundWaits()
 	case Explain:
 		return []Effect{AnswerExplain{message.Call, c.explain(now, message.Need)}}
+	case CacheEvents:
+		c.recordEvents(now, message)
 	case Collect:
 		return append(c.reviewCold(now), c.collect(now, message.Call))
 	}
@@ -195,6 +200,7 @@
 func (c *Controller) setPeerState(now time.Time, message SetPeerState) []Effect {
 	c.OrdersAllowedAt = now.Add(message.OrdersAllowedIn)
 	c.Estimator.Adopt(now, message.Speeds, message.Paces)
+	c.applyCached(now, message.Cached)
 	effects := c.reviewCold(now)
 	for _, id := range c.sortedIDs() {
 		replica := c.Replicas[id]
@@ -236,6 +242,7 @@
 		}
 	}
 	c.expireNotices(now)
+	c.retainBeliefs()
 	c.Estimator.Retain(now, func(id string) bool { return found[id] })
 	return c.reviewCold(now)
 }
@@ -273,8 +280,7 @@
 	return effects
 }
 
-// beforeDrainDeadline returns giveUpAt or the drain deadline, whichever is
-// earlier.
+// beforeDrainDeadline returns giveUpAt or the drain deadline, whichever is earlier.
 func (c *Controller) beforeDrainDeadline(giveUpAt time.Time) time.Time {
 	if c.DrainDeadline.IsZero() {
 		return giveUpAt
--- a/internal/balancer/estimate.go
+++ b/internal/balancer/estimate.go
@@ -13,10 +13,10 @@
 // maxLoadAge is the age up to which the requests of other nodes at a replica count as known.
 const maxLoadAge = 10 * time.Second
 
-// estimate returns the expected times of a request at a replica if it were sent now. Reference
-// is that of the request.
-func (c *Controller) estimate(now time.Time, replica *Replica, reference *estimator.Reference) estimator.Estimate {
-	estimate := reference.At(now, replica.Speed, replica.currentLoad())
+// estimate returns the expected times of a request at a replica that keeps a number of tokens
+// of its prompt if it were sent now. Reference is that of the request.
+func (c *Controller) estimate(now time.Time, replica *Replica, reference *estimator.Reference, cached int) estimator.Estimate {
+	estimate := reference.AtCached(now, replica.Speed, replica.currentLoad(), cached)
 	if c.isCold(now, replica) {
 		return estimate.Scale(coldCostFactor)
 	}
@@ -43,7 +43,7 @@
 		if replica.RunningElsewhere > 0 && now.Sub(c.Estimator.PublishedAt) > maxLoadAge {
 			return nil
 		}
-		estimate := c.estimate(now, replica, &reference)
+		estimate := c.estimate(now, replica, &reference, c.cachedTokens(now, replica, need))
 		inTime := !now.Add(estimate.Wait).After(need.GiveUpAt) &&
 			(need.Deadline.IsZero() || !now.Add(estimate.FirstEvent).After(need.Deadline))
 		if !estimate.Known || inTime {
@@ -88,9 +88,11 @@
 
 // observation returns what is known of the answer to the request.
 func (a *assignment) observation() estimator.Observation {
+	work := a.need.work()
+	work.CachedTokens = a.cached
 	return estimator.Observation{
 		Replica: a.replica.Description.ID, StartedMS: a.replica.Description.StartedMS,
-		Work: a.need.work(), Load: a.load, FirstEventObserved: a.begun,
+		Work: work, Load: a.load, FirstEventObserved: a.begun,
 	}
 }
 
@@ -106,6 +108,7 @@
 		return nil
 	}
 	observation.FirstEvent = message.FirstEvent
+	c.recordRead(now, begun, &observation)
 	c.Estimator.Observe(now, observation)
 	begun.firstEvent = message.FirstEvent
 	return begun.replica.noteSpeed()
@@ -128,7 +131,7 @@
 func (a *assignment) begin() {
 	if !a.begun {
 		a.begun = true
-		a.replica.TokensAhead -= a.need.PromptTokens
+		a.replica.TokensAhead -= a.need.PromptTokens - a.cached
 	}
 }
 
@@ -148,9 +151,15 @@
 			return nil
 		}
 		observation.FirstEvent = now.Sub(ended.sentAt)
+	case ModelMissing:
+		c.Caches.Beliefs.ForgetModel(ended.replica.Description.ID, ended.need.cacheKey())
+		return nil
 	default:
 		return nil
 	}
+	if message.Result == Answered {
+		c.recordRead(now, ended, &observation)
+	}
 	c.Estimator.Observe(now, observation)
 	return ended.replica.noteSpeed()
 }
@@ -165,7 +174,11 @@
 	c.Estimator.ClearOverdue()
 	for _, running := range c.Assignments {
 		if !running.begun && !running.cold && !running.need.Continued {
-			c.Estimator.ObserveOverdue(now, running.observation(), now.Sub(running.sentAt))
+			observation := running.observation()
+			// A request that is late because the replica does not keep the beginning
+			// shows nothing about its speed.
+			observation.Work.CachedTokens = 0
+			c.Estimator.ObserveOverdue(now, observation, now.Sub(running.sentAt))
 		}
 	}
 }
@@ -187,6 +200,7 @@
 func (c *Controller) setEpoch(now time.Time, epoch uint64) {
 	if c.Epoch != 0 && c.Epoch != epoch {
 		c.Estimator.ReportAgain(now)
+		c.Caches.Beliefs.ReportAgain()
 	}
 	c.Epoch = epoch
 }
--- a/internal/balancer/estimate_test.go
+++ b/internal/balancer/estimate_test.go
@@ -23,7 +23,7 @@
 	var last estimator.Estimate
 	for call := range 4 {
 		reference := c.Estimator.Reference(need.work())
-		estimate := c.estimate(now, c.Replicas["r1"], &reference)
+		estimate := c.estimate(now, c.Replicas["r1"], &reference, 0)
 		if !estimate.Known || estimate.FirstEvent <= last.FirstEvent {
 			t.Errorf("estimate beside %d requests is %v, beside one less %v", call, estimate, last)
 		}
--- a/internal/balancer/explain.go
+++ b/internal/balancer/explain.go
@@ -106,8 +106,10 @@
 	LeftOut     Reason  `json:",omitempty"`
 	Lost        Reason  `json:",omitempty"`
 	Probability float64 `json:",omitempty"`
-	// Preferred is set for the replica that is preferred for the prompt prefix.
+	// Preferred is set for the replica that is preferred for the prompt prefix, and Cached is
+	// the number of tokens of it that the replica is believed to keep.
 	Preferred bool `json:",omitempty"`
+	Cached    int  `json:",omitempty"`
 	// HeldBack is set if the replica's limit would hold the request back after the draw, which
 	// is then repeated without the replica. By chance says that this is not certain, because
 	// the node is limited to its share.
@@ -205,7 +207,12 @@
 func (c *Controller) explainReplicas(now time.Time, waiter *Waiter) []ReplicaExplanation {
 	need := waiter.Need
 	c.findCandidates(now, waiter)
-	c.rateCandidates(now, need)
+	reference := c.Estimator.Reference(need.work())
+	c.rateCandidates(now, need, &reference)
+	var preferred *Replica
+	if one := c.pickForBeginning(now, need, &reference, (*Replica).hasRoomForAll); one != nil {
+		preferred = one.replica
+	}
 	good, total := 0, 0.0
 	if len(c.candidates) > 0 {
 		good, total = c.compareCandidates(need.LateAt.Sub(now))
@@ -222,8 +229,13 @@
 		case one.LeftOut != "":
 		case isCandidate:
 			found := c.candidates[index]
-			one.Lost, one.Preferred = found.lost, found.preferred
-			if index < good {
+			one.Lost, one.Preferred = found.lost, replica == preferred
+			switch {
+			case one.Preferred:
+				one.Lost, one.Probability = "", 1
+			case preferred != nil:
+				one.Lost = OtherHasPrefix
+			case index < good:
 				one.Probability = found.weight() / total
 			}
 			one.HeldBack, one.ByChance = c.isHeldBack(now, replica)
@@ -239,11 +251,12 @@
 
 func (c *Controller) explainReplica(now time.Time, replica *Replica, need Need) ReplicaExplanation {
 	reference := c.Estimator.Reference(need.work())
-	estimate := c.estimate(now, replica, &reference)
+	cached := c.cachedTokens(now, replica, need)
+	estimate := c.estimate(now, replica, &reference, cached)
 	return ReplicaExplanation{
 		Replica: replica.Description.ID, DataCentre: replica.Description.DataCentre, Version: replica.Description.Version,
-		LeftOut:  c.whyUnusable(now, replica, need, modelKey{need.Model, need.Adapter}),
-		Estimate: estimate, Cost: time.Duration(replica.cost(now, estimate)),
+		LeftOut: c.whyUnusable(now, replica, need, modelKey{need.Model, need.Adapter}),
+		Cached:  cached, Estimate: estimate, Cost: time.Duration(replica.cost(now, estimate)),
 		Slots: replica.Description.Slots, Free: replica.free(),
 		Running: replica.RunningTotal, RunningElsewhere: replica.RunningElsewhere,
 		RateLimit: replica.Notice.RateLimit, ColdFor: max(0, c.coldUntil(replica).Sub(now)),
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"toucanhitch.example/toucanhitch/internal/cacher"
 	"toucanhitch.example/toucanhitch/internal/estimator"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
@@ -39,10 +40,27 @@
 	// it has changed.
 	Speeds []estimator.PublishedSpeed `json:",omitempty"`
 	Paces  []estimator.PublishedPace  `json:",omitempty"`
+	// Cached are the parts of prompts that replicas keep, as far as it has changed, the
+	// newest changes first.
+	Cached []cacher.Change `json:",omitempty"`
+}
+
+// CacheEvents reports what a replica has announced of its cache. Gap is set if changes before
+// Events are not known.
+type CacheEvents struct {
+	Replica   string
+	StartedMS int64
+	Gap       bool           `json:",omitempty"`
+	Events    []cacher.Event `json:",omitempty"`
 }
 
 // SetModels sets the sizes of the models in MB, by service.
-type SetModels struct{ Sizes map[string]map[string]float64 }
+type SetModels struct {
+	Sizes map[string]map[string]float64
+	// CacheTokens is how many tokens a replica keeps, by service. Services whose replicas
+	// do not report what they keep are left out.
+	CacheTokens map[string]int `json:",omitempty"`
+}
 
 // Place requests a replica.
 type Place struct {
@@ -131,6 +149,7 @@
 func (UsageUpdate) isMessage()      {}
 func (Leave) isMessage()            {}
 func (Collect) isMessage()          {}
+func (CacheEvents) isMessage()      {}
 
 // Need describes a request and its requirements for a replica.
 type Need struct {
@@ -158,9 +177,10 @@
 	// Cost is what the request is charged in the order of the waiting ones, in tokens. If
 	// it is 0, the size is charged.
 	Cost int `json:",omitempty"`
-	// Affinity is equal for requests that share a long prompt prefix. It is
-	// empty for requests without one.
-	Affinity string
+	// Parts is the beginning of the prompt, in order. The last Parts beyond SharedParts
+	// belong to the request or to its session.
+	Parts       []cacher.Part `json:",omitempty"`
+	SharedParts int           `json:",omitempty"`
 	// LateAt is when the request becomes late.
 	LateAt time.Time
 	// GiveUpAt is when the request is refused if no replica has been assigned
@@ -228,6 +248,8 @@
 	ExpectedEnd time.Duration `json:",omitempty"`
 	// Candidates is the number of replicas that were eligible.
 	Candidates int
+	// Cached is the number of tokens of the prompt that the replica is believed to keep.
+	Cached int `json:",omitempty"`
 	// Waited is how long the request waited for the replica.
 	Waited time.Duration
 	// SendBy is the time after which the placement must not be used and a new one is
@@ -268,6 +290,8 @@
 	// Speeds and Paces are what this node has measured since the last Collect.
 	Speeds []estimator.SpeedSum `json:",omitempty"`
 	Paces  []estimator.PaceSum  `json:",omitempty"`
+	// Cached are the changes of what replicas keep.
+	Cached []cacher.Change `json:",omitempty"`
 }
 
 // Note is a log entry: a replica became suspect or is trusted again.
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -160,6 +160,7 @@
 		{one.Leaving, "leaving"},
 		{one.Suspect, "suspect"},
 		{one.Preferred, "preferred for the prefix"},
+		{one.Cached > 0, fmt.Sprintf("keeps %d tokens", one.Cached)},
 	} {
 		if item.set {
 			state = append(state, item.text)
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -20,8 +20,6 @@
 	Choose  func(ctx context.Context, need balancer.Need) (balancer.Explanation, error)
 	Inspect func(ctx context.Context, workspace resolver.Workspace, units float64) (rationer.Inspection, error)
 	Load    func(ctx context.Context, demand planner.Demand) (Load, error)
-	// Affinity returns the affinity key of a prompt prefix.
-	Affinity func(prefix string) string
 	// Regions holds the regions of data centres, and MaxTime the time of a request whose
 	// route states none.
 	Regions map[string]string
@@ -41,8 +39,8 @@
 	forward := &filter.Forward{
 		Model: question.Model, Adapter: question.Adapter,
 		PromptTokens: question.PromptTokens, OutputTokens: question.OutputTokens, ExpectedOutputTokens: question.OutputTokens,
-		Affinity: s.Affinity(FormatPrefix(question.Prefix)),
 	}
+	forward.PromptParts, forward.SharedParts = question.promptParts()
 	var err error
 	if forward.Route, err = findRoute(configuration, question); err != nil {
 		return Answer{}, err
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/balancer"
+	"toucanhitch.example/toucanhitch/internal/cacher"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
 	"toucanhitch.example/toucanhitch/internal/resolver"
@@ -43,15 +44,14 @@
 			demand = got
 			return Load{Holder: "n2"}, nil
 		},
-		Affinity: func(prefix string) string { return "key of " + prefix },
-		Regions:  map[string]string{"a": "north", "b": "south"}, MaxTime: time.Minute,
+		Regions: map[string]string{"a": "north", "b": "south"}, MaxTime: time.Minute,
 	}
 	now := tester.Start
 	question := Question{Host: "H", Path: "/chat/x", Workspace: "w", Model: "m", Adapter: "x", PromptTokens: 30, OutputTokens: 12, Prefix: []Part{{"p", 1500}}}
 	answer, err := sources.Explain(context.Background(), now, configuration, question)
 	want := balancer.Need{
 		Service: "llm", Model: "m", Adapter: "x", Stream: true, DataCentres: []string{"a"}, Tokens: 42, PromptTokens: 30, OutputTokens: 12,
-		Rank: 1, Workspace: "w", Affinity: "key of p:1500", LateAt: now.Add(time.Second), GiveUpAt: now.Add(2400 * time.Millisecond),
+		Rank: 1, Workspace: "w", Parts: []cacher.Part{{ID: "p", Tokens: 1500}}, LateAt: now.Add(time.Second), GiveUpAt: now.Add(2400 * time.Millisecond),
 		Deadline: now.Add(4 * time.Second),
 	}
 	if err != nil || !reflect.DeepEqual(need, want) || units != 42 {
--- a/internal/explainer/question.go
+++ b/internal/explainer/question.go
@@ -8,6 +8,7 @@
 	"github.com/ansel1/merry/v2"
 
 	"toucanhitch.example/toucanhitch/internal/balancer"
+	"toucanhitch.example/toucanhitch/internal/cacher"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
 )
@@ -86,13 +87,14 @@
 	return parts, nil
 }
 
-// FormatPrefix returns the parts as "ID:TOKENS,...".
-func FormatPrefix(parts []Part) string {
-	var items []string
-	for _, part := range parts {
-		items = append(items, part.ID+":"+strconv.Itoa(part.Tokens))
+// promptParts returns the parts of the prompt and the IDs of those that other requests may
+// share, all but the last one.
+func (q Question) promptParts() (parts []cacher.Part, shared []string) {
+	for _, part := range q.Prefix {
+		parts = append(parts, cacher.Part{ID: part.ID, Tokens: part.Tokens})
+		shared = append(shared, part.ID)
 	}
-	return strings.Join(items, ",")
+	return parts, shared[:max(0, len(shared)-1)]
 }
 
 // Answer says where the request would go now and why. Durations are in nanoseconds on the
--- a/internal/resolver/configuration.go
+++ b/internal/resolver/configuration.go
@@ -98,6 +98,9 @@
 	// KVTokens is the capacity in tokens of the key-value cache for running
 	// requests and cached prompts.
 	KVTokens int
+	// EventCalls is the number of calls for changes of that cache which a replica keeps
+	// waiting at a time, 0 if replicas do not report what they keep.
+	EventCalls int `json:",omitempty"`
 	// MemoryMB is the memory for the weights of models and adapters.
 	MemoryMB     float64
 	AdapterSlots int
@@ -110,6 +113,9 @@
 	Models         map[string]Model
 }
 
+// ReportsCache reports whether replicas say what they keep in their key-value caches.
+func (e *Engine) ReportsCache() bool { return e.EventCalls > 0 && e.KVTokens > 0 }
+
 // Model is a model that an engine may be ordered to load.
 type Model struct {
 	Name     string
