--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -150,7 +150,7 @@
 }
 
 // TestWholeRequestsStay guards against a whole request in progress whose connection is
-// closed for another, and against a node that is full and does not say so.
+// closed for another, and against a node that is full and does not report it.
 func TestWholeRequestsStay(t *testing.T) {
 	started, release := make(chan struct{}), make(chan struct{})
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
--- a/internal/acceptor/limits.go
+++ b/internal/acceptor/limits.go
@@ -42,7 +42,7 @@
 	connectionBytes = 24 << 10
 	// fileDescriptors are reserved for files and for listeners.
 	fileDescriptors = 200
-	// minConnections are allowed whatever the settings say.
+	// minConnections are allowed whatever the settings are.
 	minConnections = 16
 	// headAllowance is the number of bytes by which a head may exceed the limit.
 	headAllowance = 1 << 10
--- a/internal/acceptor/message.go
+++ b/internal/acceptor/message.go
@@ -6,7 +6,7 @@
 	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
-// Reason says why a connection was refused or closed. It is a label of metrics.
+// Reason is why a connection was refused or closed. It is a label of metrics.
 type Reason string
 
 const (
@@ -55,7 +55,7 @@
 	Connections []Connection
 }
 
-// Short says that heads, or bodies, hold most of the memory that they may take.
+// Short reports that heads, or bodies, hold most of the memory that they may take.
 type Short struct {
 	Bodies bool
 	// Excess is the memory in bytes that is to be freed.
@@ -63,13 +63,13 @@
 	Connections []Connection
 }
 
-// Refused says that a connection was refused or closed.
+// Refused reports that a connection was refused or closed.
 type Refused struct {
 	Reason  Reason
 	Address string
 }
 
-// Tick says that the wake time has come.
+// Tick is delivered at the wake time.
 type Tick struct{}
 
 func (Crowded) isMessage() {}
--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -17,7 +17,7 @@
 	// unreachableCheckInterval is how often the waiting requests for a model are compared
 	// with the pace of their queue.
 	unreachableCheckInterval = 250 * time.Millisecond
-	// maxRetryAfter bounds the retry delay: the pace of a queue says little about later
+	// maxRetryAfter bounds the retry delay: the pace of a queue shows little about later
 	// times.
 	maxRetryAfter = 10 * time.Second
 	// returnShare is the part of the pace that is reserved for callers that return. The rest
@@ -259,7 +259,7 @@
 }
 
 // bookReturn sets the retry delay of a refusal for lack of room. While the pace of the queue is
-// known, each caller is told to return when those that were refused before it have been
+// known, each caller gets a delay until those that were refused before it have been
 // served.
 func (c *Controller) bookReturn(now time.Time, need Need, refusal *Refusal) *Refusal {
 	queue := c.modelQueue(need)
--- a/internal/balancer/cached.go
+++ b/internal/balancer/cached.go
@@ -221,7 +221,7 @@
 func (c *Controller) applyCached(now time.Time, changes []cacher.Change) {
 	for i := len(changes) - 1; i >= 0; i-- {
 		change := changes[i]
-		// A node that starts hears of replicas later than of what they keep.
+		// A node that starts learns of replicas later than of what they keep.
 		capacity := math.MaxInt
 		if replica := c.Replicas[change.Replica]; replica != nil {
 			if replica.Description.StartedMS != change.StartedMS || !replica.Description.Has(change.Model, change.Adapter) {
--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -37,7 +37,7 @@
 // are never cold.
 type SetColdRules struct{ Rules map[string]ColdRule }
 
-// ColdRule says what the cold replicas of a service bear.
+// ColdRule is what the cold replicas of a service bear.
 type ColdRule struct {
 	// Time is how long a replica is cold after a start. Rate is the number of requests a
 	// second that it then bears, and MaxPerSecond the number that it may get in any second
@@ -102,7 +102,7 @@
 	return senders, max(min(r.Rate, budget-float64(senders)), budget/2)
 }
 
-// observeCold adopts what a list says of a replica's cold time. isNew is set if this start of
+// observeCold adopts a replica's cold time from a list. isNew is set if this start of
 // the replica was not known before.
 func (n *Notice) observeCold(now time.Time, isNew bool, description surveyor.Replica) {
 	cold := &n.Cold
@@ -236,7 +236,7 @@
 
 // isSender reports whether this node may send to a replica while it is cold. The nodes with
 // the highest rendezvous hashes may: with all nodes, the shares of each would be smaller than
-// one request. Nodes that do not reach each other are told apart by the number of registered
+// one request. Nodes that do not reach each other are distinguished by the number of registered
 // nodes, of which each group uses its part only.
 func (c *Controller) isSender(now time.Time, replica *Replica) bool {
 	cold, id := &replica.Notice.Cold, replica.Description.ID
--- a/internal/balancer/estimate.go
+++ b/internal/balancer/estimate.go
@@ -136,7 +136,7 @@
 }
 
 // recordEnd learns from the end of an attempt. A replica that has not answered in time takes
-// at least that long. The times of a cold replica do not say anything about its usual speed.
+// at least that long. The times of a cold replica show nothing about its usual speed.
 func (c *Controller) recordEnd(now time.Time, ended *assignment, message AttemptEnded) []Effect {
 	observation := ended.observation()
 	ended.begin()
--- a/internal/balancer/explain.go
+++ b/internal/balancer/explain.go
@@ -27,7 +27,7 @@
 
 func (AnswerExplain) isEffect() {}
 
-// Reason says why a replica is left out or loses against others.
+// Reason is why a replica is left out or loses against others.
 type Reason string
 
 // The reasons for which a replica is left out, in the order in which they are checked.
@@ -74,7 +74,7 @@
 	Refuses Outcome = "refused"
 )
 
-// Explanation says where a request would go now and why.
+// Explanation is where a request would go now and why.
 type Explanation struct {
 	Outcome Outcome
 	// Refused is set for the outcome Refuses. Its retry delay lacks the random part and the
@@ -111,7 +111,7 @@
 	Preferred bool `json:",omitempty"`
 	Cached    int  `json:",omitempty"`
 	// HeldBack is set if the replica's limit would hold the request back after the draw, which
-	// is then repeated without the replica. By chance says that this is not certain, because
+	// is then repeated without the replica. ByChance is set if this is not certain, because
 	// the node is limited to its share.
 	HeldBack bool `json:",omitempty"`
 	ByChance bool `json:",omitempty"`
--- a/internal/balancer/lane.go
+++ b/internal/balancer/lane.go
@@ -175,7 +175,7 @@
 }
 
 // measurePace measures the pace of the queue while requests wait because replicas are full.
-// While they wait for a load, or for replicas that take none, the pace says nothing about
+// While they wait for a load, or for replicas that take none, the pace shows nothing about
 // the time after that. The rest of a stream can use only some of the replicas.
 func (c *Controller) measurePace(now time.Time, lane *Lane, need Need) {
 	if need.Continued {
--- a/internal/balancer/load_test.go
+++ b/internal/balancer/load_test.go
@@ -16,7 +16,7 @@
 	"toucanhitch.example/toucanhitch/internal/tester"
 )
 
-// TestLoads plays the loads of testdata/load in virtual time. The head of each file says
+// TestLoads plays the loads of testdata/load in virtual time. The head of each file names
 // which failure it guards against.
 func TestLoads(t *testing.T) {
 	paths, err := filepath.Glob("testdata/load/*.txtar")
@@ -45,7 +45,7 @@
 }
 
 // simulatedCaller sends a request every EveryMS, or Batch requests at once, between FromMS and
-// UntilMS. It gives up after WaitMS and, if Returns is set, comes back when it is told to.
+// UntilMS. It gives up after WaitMS and, if Returns is set, comes back after the retry delay.
 type simulatedCaller struct {
 	Name                                    string
 	Need                                    Need
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -308,7 +308,7 @@
 	Factor float64 `json:",omitempty"`
 	// Late is the time from the expected return of requests to the first accepted one.
 	Late time.Duration `json:",omitempty"`
-	// Source says why a replica is taken to be cold, ColdReplicas is the number of cold
+	// Source is why a replica is taken to be cold, ColdReplicas is the number of cold
 	// replicas, and HeldBack how often requests were held back from the replica.
 	Source       string `json:",omitempty"`
 	ColdReplicas int    `json:",omitempty"`
--- a/internal/balancer/model_queue.go
+++ b/internal/balancer/model_queue.go
@@ -11,7 +11,7 @@
 const maxPaceAge = 10 * time.Second
 
 // modelQueueKey identifies the waiting requests of one rank for a model or adapter that the
-// same data centres may run: full replicas in some say nothing about those in others.
+// same data centres may run: full replicas in some show nothing about those in others.
 type modelQueueKey struct {
 	useKey
 	dataCentres string
@@ -29,7 +29,7 @@
 	// second, while the replicas with the model are full. It is what more urgent ranks
 	// leave.
 	Pace queuer.Pace
-	// ReturnAt is the time up to which the pace is taken by callers that were told to
+	// ReturnAt is the time up to which the pace is taken by callers that were asked to
 	// return.
 	ReturnAt time.Time
 }
--- a/internal/balancer/together_test.go
+++ b/internal/balancer/together_test.go
@@ -78,7 +78,7 @@
 }
 
 // TestRefusalByEstimates guards against requests that are held until their deadline although
-// known estimates say that no replica begins them in time, against waiting requests that keep
+// known estimates show that no replica begins them in time, against waiting requests that keep
 // their place when the estimates change, and against refusals by estimates that are not known.
 func TestRefusalByEstimates(t *testing.T) {
 	c, now := NewController(1), tester.Start
--- a/internal/cacher/change.go
+++ b/internal/cacher/change.go
@@ -26,7 +26,7 @@
 	maxTokens = 1 << 24
 )
 
-// Change says that a replica keeps a part, or no longer does if Tokens is 0.
+// Change reports that a replica keeps a part, or no longer does if Tokens is 0.
 type Change struct {
 	Replica        string
 	StartedMS      int64
--- a/internal/cacher/message.go
+++ b/internal/cacher/message.go
@@ -42,7 +42,7 @@
 	Changes []Event `json:",omitempty"`
 }
 
-// Event says that a replica keeps a part, or no longer does if Tokens is 0. Without an Adapter
+// Event reports that a replica keeps a part, or no longer does if Tokens is 0. Without an Adapter
 // it may be about any adapter of the model.
 type Event struct {
 	Model   string
--- a/internal/cacher/pool.go
+++ b/internal/cacher/pool.go
@@ -72,7 +72,7 @@
 	case change.StartedMS < entry.change.StartedMS:
 		return
 	case change == entry.change && p.pending[key] == nil && now.Sub(entry.publishedAt) < reportAgainDelay:
-		// Nodes report again what they have not heard of.
+		// Nodes report again what they have not received.
 		return
 	}
 	if change.Tokens == 0 && entry.version == 0 {
--- a/internal/clienttester/client_test.go
+++ b/internal/clienttester/client_test.go
@@ -25,7 +25,7 @@
 )
 
 // crowd connects a number of clients to an address at the same time, each of which sends
-// as the function says and then reads to the end of the connection.
+// as the function does and then reads to the end of the connection.
 func (n *node) crowd(address string, clients int, send func(conn net.Conn)) (wait func()) {
 	var group sync.WaitGroup
 	stop := n.watchDescriptors()
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -101,7 +101,7 @@
 	Replicas map[string]*Speed
 	// Sizes holds the sizes of models in MB, by service.
 	Sizes map[string]map[string]float64
-	// PublishedAt is when this node last heard from the holder, which publishes the
+	// PublishedAt is when this node last got an answer of the holder, which publishes the
 	// speeds that have changed.
 	PublishedAt time.Time
 	// overdue holds the speeds whose Overdue is not 0.
--- a/internal/explainer/question.go
+++ b/internal/explainer/question.go
@@ -97,7 +97,7 @@
 	return parts, shared[:max(0, len(shared)-1)]
 }
 
-// Answer says where the request would go now and why. Durations are in nanoseconds on the
+// Answer is where the request would go now and why. Durations are in nanoseconds on the
 // wire, as everywhere between nodes.
 type Answer struct {
 	Node, Route string
@@ -135,7 +135,7 @@
 	Load *Load `json:",omitempty"`
 }
 
-// Load says where the holder of the placement lease would load the model now.
+// Load is where the holder of the placement lease would load the model now.
 type Load struct {
 	planner.Explanation
 	// Holder names the holder if that is another node, as far as this node knows it: only the
--- a/internal/forwarder/regions_test.go
+++ b/internal/forwarder/regions_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestRestrictRegions guards against requests that may run anywhere although their route or
-// workspace allows some regions only, against refusals that do not say that the request has
+// workspace allows some regions only, against refusals that do not state that the request has
 // not run, and against a log line for each of them.
 func TestRestrictRegions(t *testing.T) {
 	configuration := &resolver.Configuration{Version: 1}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// RecordEstimate records the ratio of an estimate to the measurement. part says what was
+// RecordEstimate records the ratio of an estimate to the measurement. part is what was
 // estimated. Without an estimate or a measurement it records nothing.
 func (m *Meter) RecordEstimate(part string, estimate, measurement time.Duration) {
 	if estimate > 0 && measurement > 0 {
--- a/internal/planner/cold.go
+++ b/internal/planner/cold.go
@@ -31,7 +31,7 @@
 
 // isKnownWarm reports whether this node has listed a start of a replica in service for longer
 // than it is cold afterwards. A node that has just started would otherwise take all replicas whose
-// entries do not say anything for cold.
+// entries do not state anything for cold.
 func (c *Controller) isKnownWarm(now time.Time, replica surveyor.Replica) bool {
 	start, ok := c.Starts[replica.ID]
 	return ok && start.startedMS == replica.StartedMS && replica.ColdFor == 0 &&
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -23,7 +23,7 @@
 
 func (AnswerExplain) isEffect() {}
 
-// Obstacle says why a model is not loaded now.
+// Obstacle is why a model is not loaded now.
 type Obstacle string
 
 // The obstacles.
@@ -38,7 +38,7 @@
 	StoreBusy     Obstacle = "the weight store is busy with other loads"
 )
 
-// Explanation says where a model or adapter would be loaded.
+// Explanation is where a model or adapter would be loaded.
 type Explanation struct {
 	// Holding is set if this node holds the lease. Otherwise it knows nothing else.
 	Holding bool
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -182,7 +182,7 @@
 }
 
 // loadChoice is the load of a model that requests wait for: where, and what is unloaded there.
-// If there is an obstacle, it says why nothing is loaded now.
+// If there is an obstacle, it is why nothing is loaded now.
 type loadChoice struct {
 	endpoint *Endpoint
 	victims  []string
--- a/internal/rationer/controller.go
+++ b/internal/rationer/controller.go
@@ -127,7 +127,7 @@
 	// Rate is the limit's rate, Capacity the bucket's capacity and IsolatedCapacity that
 	// of the isolated levels of all nodes, as of the last Take.
 	Rate, Capacity, IsolatedCapacity float64
-	// ReturnAt is the time up to which units are reserved for callers that were told to
+	// ReturnAt is the time up to which units are reserved for callers that were asked to
 	// return.
 	ReturnAt time.Time
 }
--- a/internal/rationer/waiting.go
+++ b/internal/rationer/waiting.go
@@ -206,7 +206,7 @@
 }
 
 // refusal returns the refusal of a request for which there is no room in its time. Each
-// caller is told to return when there is room after those that were told before it.
+// caller is asked to return when there is room after those that were asked before it.
 func (c *Controller) refusal(now time.Time, bucket *Bucket, w *WaitingTake) Decision {
 	allowance := c.allowance(now, bucket)
 	decision := Decision{Level: allowance.level, Age: now.Sub(c.UpdatedAt), Waited: now.Sub(w.Since)}
--- a/internal/resolver/configuration.go
+++ b/internal/resolver/configuration.go
@@ -113,7 +113,7 @@
 	Models         map[string]Model
 }
 
-// ReportsCache reports whether replicas say what they keep in their key-value caches.
+// ReportsCache reports whether replicas report what they keep in their key-value caches.
 func (e *Engine) ReportsCache() bool { return e.EventCalls > 0 && e.KVTokens > 0 }
 
 // Model is a model that an engine may be ordered to load.
--- a/internal/soaker/evacuation_test.go
+++ b/internal/soaker/evacuation_test.go
@@ -21,7 +21,7 @@
 
 // TestEvacuatedDataCentresGetNoRequests guards against requests and loads that reach a data
 // centre after the bound on its evacuation, while the holder is killed, the store is
-// restored from an older copy and a node restarts, against callers that are not told that
+// restored from an older copy and a node restarts, against callers that do not learn that
 // nothing is left when all are evacuated, and against one that gets no requests after it was
 // returned to service.
 func TestEvacuatedDataCentresGetNoRequests(t *testing.T) {
--- a/internal/surveyor/cold.go
+++ b/internal/surveyor/cold.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// coldEntry is what the latest known heartbeat of a replica says of its cold time.
+// coldEntry is the cold time of a replica as of its latest known heartbeat.
 type coldEntry struct {
 	startedMS int64
 	heartbeat uint64
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -118,7 +118,7 @@
 	// Listed.
 	FromHolder bool
 
-	// Cold holds what the entries in the store say of cold replicas, and HolderCold the end
+	// Cold holds the cold times in the entries of the store, and HolderCold the end
 	// of the cold time that the holder has reported, by replica ID.
 	Cold       map[string]coldEntry
 	HolderCold map[string]time.Time
--- a/internal/surveyor/replica.go
+++ b/internal/surveyor/replica.go
@@ -41,7 +41,7 @@
 	Pending []PendingLoad `json:",omitempty"`
 	// ColdFor is how much longer the replica is cold, that is slow, as of the creation of
 	// the message that carries it. It is 0 if the replica is not cold or if its entry does
-	// not say, in which case ColdKnown is not set.
+	// not state it, in which case ColdKnown is not set.
 	ColdFor   time.Duration `json:",omitempty"`
 	ColdKnown bool          `json:",omitempty"`
 	// Heartbeat counts the writes of the replica's entry. It is set only in lists of the
