Draw a replica also if those in time are too costly

Callers saw connections close without an answer: nodes ended with "slice bounds out of range [:-1]" in drawCandidate.

A replica loses the draw if it is too costly, or if it would answer late while another answers in time. The one in time may itself have lost as too costly, for example because requests fail there. Then no candidate was left. Only candidates that are not too costly make others too late now, so the cheapest one always stays.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -158,12 +158,16 @@
 // compareCandidates moves the good candidates to the front and sets why the others lose. It
 // returns the number of good ones and the sum of their weights.
 func (c *Controller) compareCandidates(lateIn time.Duration) (int, float64) {
-	lowest, inTime := math.Inf(1), false
+	lowest := math.Inf(1)
 	for _, one := range c.candidates {
 		lowest = min(lowest, one.readCost)
-		inTime = inTime || one.estimate.FirstEvent <= lateIn
 	}
 	bound := goodCostFactor*lowest + float64(goodCostMargin)
+	// A candidate that is too costly must not rule out the others as too late, or none
+	// would be left.
+	inTime := slices.ContainsFunc(c.candidates, func(one candidate) bool {
+		return one.cost <= bound && one.estimate.FirstEvent <= lateIn
+	})
 	total, good := 0.0, 0
 	for i := range c.candidates {
 		one := &c.candidates[i]
