Log how many requests a brittle replica can turn away

A replica that ends when it has to turn too many requests away says so in Server-Brittle. Nothing else depends on it yet.

--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -77,6 +77,9 @@
 	if notice.RateLimit > 0 {
 		fields["RateLimit"] = notice.RateLimit
 	}
+	if notice.Brittle {
+		fields["ReplicaMaxRefusals"] = notice.MaxRefusals
+	}
 	if notice.Leaving {
 		fields["ReplicaLeaving"] = true
 	}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -89,6 +89,10 @@
 	// RateLimit is the number of requests a second that the replica takes from all
 	// nodes together, 0 if it names no limit.
 	RateLimit float64
+	// Brittle reports that the replica ends if it has to turn more than MaxRefusals
+	// requests away in a second for want of room.
+	Brittle     bool
+	MaxRefusals int
 	// Leaving reports that the replica is about to end. It takes no new requests.
 	Leaving bool
 	// RetryAfter is the time for which the replica wants no requests of this node, 0
