Bound the requests at brittle replicas with permits

Such replicas name Server-Brittle, the number of requests that they can turn away in a second. Nobody read it. Nodes learn of each other's requests 0.25 to 0.5 s late, and together fill a replica within 0.02 to 0.1 s of a burst, so no rule that a node keeps by itself prevents that: a share of the slots for each of 76 nodes is smaller than one request.

Nodes now read the header, report it to the holder and publish it like limits. A replica of a brittle service that has not answered since its start counts as brittle. For each brittle replica the node with the highest rendezvous hash grants permits, and each request to the replica holds one while it runs. Permits are no more than the slots, less an eighth that is left for runs whose connection was closed. A request without a permit returns to the queue of its node, and asks again after a time that grows with the number of waiting nodes. A refusal in spite of a permit lowers the number of permits for a time and closes the replica to that node for a second. In a partition each part grants its part only.

--- a/internal/assembler/cold.go
+++ b/internal/assembler/cold.go
@@ -51,6 +51,7 @@
 	for _, caller := range effect.Callers {
 		addresses = append(addresses, callerAddress(caller))
 	}
+	n.setGranters(effect.Callers)
 	n.logPostError("balancer", n.balancer.Post(balancer.SetNodes{
 		Self: n.self.CallerAddress, Nodes: addresses, Registered: effect.Answer.State.Registered,
 	}))
--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -247,6 +247,7 @@
 		Active:          effect.Others.Active,
 		Suspects:        effect.Others.Suspects,
 		RateLimits:      effect.Others.RateLimits,
+		Brittle:         brittleReplicas(effect.Others.Brittle),
 		Closed:          state.Closed,
 		OrdersAllowedIn: state.OrdersAllowedIn,
 		Speeds:          state.Speeds,
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -114,15 +114,16 @@
 // logBalancerNote logs a change in this node's view of a replica.
 func (n *Node) logBalancerNote(note balancer.Note) {
 	n.logger.WithFields(logrus.Fields{
-		"Replica":   note.Replica,
-		"Result":    note.Result,
-		"Failures":  note.Failures,
-		"RateLimit": note.RateLimit,
-		"Remaining": note.Remaining.String(),
-		"LateMs":    note.Late.Milliseconds(),
-		"Source":    note.Source,
-		"HeldBack":  note.HeldBack,
-		"Factor":    note.Factor,
+		"Replica":     note.Replica,
+		"Result":      note.Result,
+		"Failures":    note.Failures,
+		"RateLimit":   note.RateLimit,
+		"MaxRefusals": note.MaxRefusals,
+		"Remaining":   note.Remaining.String(),
+		"LateMs":      note.Late.Milliseconds(),
+		"Source":      note.Source,
+		"HeldBack":    note.HeldBack,
+		"Factor":      note.Factor,
 	}).Info(note.Text)
 	n.cold.record(note)
 	n.meter.RecordChange("balancer", note.Text)
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -20,6 +20,7 @@
 	"toucanhitch.example/toucanhitch/internal/leaser"
 	"toucanhitch.example/toucanhitch/internal/messenger"
 	"toucanhitch.example/toucanhitch/internal/meter"
+	"toucanhitch.example/toucanhitch/internal/permitter"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
 	"toucanhitch.example/toucanhitch/internal/resumer"
@@ -94,15 +95,19 @@
 	surveyor *surveyor.Task
 	planner  *planner.Task
 	balancer *balancer.Task
-	cacher   cacheReader
-	rationer *rationer.Task
-	screener *screener.Task
-	resumer  *resumer.Task
-	syncer   *syncer.Task
-	leaser   *leaser.Task
-	peers    *messenger.Client
-	pool     *forwarder.Pool
-	budgets  *forwarder.Budgets
+	// permitter grants permits for brittle replicas, and granters holds the peer addresses
+	// of the nodes that do, by their addresses for callers.
+	permitter *permitter.Task
+	granters  atomic.Pointer[map[string]string]
+	cacher    cacheReader
+	rationer  *rationer.Task
+	screener  *screener.Task
+	resumer   *resumer.Task
+	syncer    *syncer.Task
+	leaser    *leaser.Task
+	peers     *messenger.Client
+	pool      *forwarder.Pool
+	budgets   *forwarder.Budgets
 	// durations are those of the answers to callers.
 	durations *forwarder.Durations
 
@@ -222,6 +227,12 @@
 		},
 		LogError: func(err error) { n.logPostError("resumer", err) },
 	})
+	n.permitter = permitter.New(permitter.Settings{
+		Clock: n.clock,
+		Seed:  seed(n.self.RunID),
+		Send:  n.peers.ReleasePermit,
+		Log:   n.logPermitterNote,
+	})
 	n.syncer = syncer.New(syncer.Settings{
 		Node:          n.settings.Node,
 		Lease:         placementLease,
@@ -264,6 +275,7 @@
 			Placer:    n.balancer,
 			Screen:    n.screener,
 			Streams:   n.resumer,
+			Permits:   permits{n},
 			View:      &n.view,
 			Clock:     n.clock,
 			MaxKeyAge: n.maxKeyAge,
@@ -311,6 +323,7 @@
 	messenger.HandleReport(mux, n.handleReport)
 	messenger.HandleStreams(mux, n.rememberStreams, n.resumer.LookUp)
 	messenger.HandleExplain(mux, n.explain)
+	messenger.HandlePermits(mux, n.permitter.Acquire, func(release permitter.Release) error { return n.permitter.Post(release) })
 	mux.Handle("GET /metrics", n.meter.Handler())
 	return mux
 }
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/estimator"
-	"toucanhitch.example/toucanhitch/internal/planner"
-	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
 const (
@@ -54,6 +52,11 @@
 			return Placement{}, false
 		}
 		replica := chosen.replica
+		permit, known := c.permitNeed(now, replica)
+		if !known {
+			replica.Notice.ThrottledUntil = now.Add(unlistedRetryDelay)
+			continue
+		}
 		if !c.takeOfLimit(now, replica) {
 			// The replica is not usable until ThrottledUntil.
 			continue
@@ -65,7 +68,8 @@
 			Address:    replica.Description.Address,
 			StartedMS:  replica.Description.StartedMS,
 			Version:    replica.Description.Version,
-			Limited:    replica.Notice.RateLimit > 0,
+			Limited:    replica.Notice.RateLimit > 0 || permit != nil,
+			Permit:     permit,
 			Returning:  replica.Notice.MaxReturning > 0,
 			Candidates: candidates,
 			Cached:     chosen.cached,
@@ -293,25 +297,3 @@
 	}
 	return c.SortedIDs
 }
-
-func (c *Controller) assign(now time.Time, replica *Replica, id runner.Call, need Need, cached int) {
-	returning := replica.Notice.MaxReturning > 0
-	if returning {
-		replica.Notice.Returning++
-	}
-	c.Assignments[id] = &assignment{replica: replica, need: need, returning: returning, sentAt: now, load: replica.currentLoad(), cached: cached}
-	replica.TokensAhead += need.PromptTokens - cached
-	replica.Running[need.Model]++
-	replica.RunningTotal++
-	if need.Model == "" {
-		return
-	}
-	key := useKey{need.Service, modelKey{need.Model, need.Adapter}}
-	use := c.Uses[key]
-	if use == nil {
-		use = &planner.Use{Service: need.Service, Model: need.Model, Adapter: need.Adapter}
-		c.Uses[key] = use
-	}
-	use.Count++
-	use.Tokens += need.Tokens
-}
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -78,6 +78,8 @@
 	CheckedAt time.Time
 	// Beginning holds the software versions that may begin streams, by service.
 	Beginning map[string][]string
+	// BrittleServices holds when a replica of a service was last known to be brittle.
+	BrittleServices map[string]time.Time
 	// Cold is what is known of cold replicas in general.
 	Cold ColdState
 	// Limits counts the requests that may be sent to replicas with limits.
@@ -89,30 +91,6 @@
 	candidates []candidate
 }
 
-// assignment is a placement that has not ended. Since it was made, the Replica in
-// Controller.Replicas may have been replaced by a new one.
-type assignment struct {
-	replica *Replica
-	need    Need
-	// returning is set until the replica, which was closed, begins its answer.
-	returning bool
-	// cold is set if the replica was cold when the request was assigned to it.
-	cold bool
-	// sentAt and load are the time and the replica's load of the assignment. begun is set
-	// once the first event of the answer was reported, which came after firstEvent.
-	sentAt     time.Time
-	load       estimator.Load
-	begun      bool
-	firstEvent time.Duration
-	// cached is the number of tokens that the replica was believed to keep.
-	cached int
-}
-
-type useKey struct {
-	service string
-	modelKey
-}
-
 // NewController returns a controller whose random choices are derived from seed.
 func NewController(seed uint64) *Controller {
 	return &Controller{
@@ -124,8 +102,10 @@
 		Caches:      newCaches(),
 		Limits:      rationer.NewController(0, seed),
 		Waiting:     newWaiting(),
-		Random:      rand.New(rand.NewPCG(seed, seed)),
-		Spread:      rand.New(rand.NewPCG(seed, seed+1)),
+
+		BrittleServices: map[string]time.Time{},
+		Random:          rand.New(rand.NewPCG(seed, seed)),
+		Spread:          rand.New(rand.NewPCG(seed, seed+1)),
 	}
 }
 
@@ -208,7 +188,8 @@
 		if slices.Contains(message.Suspects, id) {
 			replica.SuspectedUntil = now.Add(peerSuspicionTTL)
 		}
-		effects = append(effects, replica.Notice.applyPublishedLimit(now, id, message.RateLimits[id])...)
+		effects = append(effects, replica.Notice.applyPublished(now, id, message.RateLimits[id], message.Brittle[id])...)
+		c.noteBrittle(now, replica)
 		replica.Notice.ClosedElsewhereUntil = now.Add(message.Closed[id])
 		effects = append(effects, replica.noteSpeed()...)
 	}
@@ -332,8 +313,11 @@
 		return nil
 	}
 	delete(c.Assignments, message.PlacementID)
-	ended.endReturn(now, message.Result != Refused && message.Result != Abandoned)
+	ended.endReturn(now, message.Result != Refused && message.Result != Abandoned && message.Result != NotPermitted)
 	replica := ended.replica
+	if message.Result == NotPermitted {
+		c.denyPermit(now, ended, message.RetryAfter)
+	}
 	replica.recordResult(now, ended.need, message)
 	effects := c.recordEnd(now, ended, message)
 	suspect := replica.failures(now) >= suspectThreshold
--- a/internal/balancer/lane.go
+++ b/internal/balancer/lane.go
@@ -168,6 +168,8 @@
 	switch {
 	case replica.isExcluded(), replica.isClosed(now), !replica.mayReopen(), !c.fits(need, replica.Description.Version):
 		return false
+	case c.awaitsPermit(now, replica):
+		return replica.canServe(now, key)
 	case need.Model == "":
 		return replica.load() >= maxPlainLoad
 	}
--- a/internal/balancer/limit.go
+++ b/internal/balancer/limit.go
@@ -38,19 +38,19 @@
 	return []Effect{Note{Text: text, Replica: replica, RateLimit: rate}}
 }
 
-// applyPublishedLimit adopts the limit that the holder has published, unless the holder
-// knows of none or an answer to this node has named another one since.
-func (n *Notice) applyPublishedLimit(now time.Time, replica string, rate float64) []Effect {
-	n.PublishedLimit = rate
+// applyPublished adopts the limit and the brittleness that the holder has published, unless
+// the holder does not know them or an answer to this node has named others since.
+func (n *Notice) applyPublished(now time.Time, replica string, rate float64, state Brittleness) []Effect {
+	n.PublishedLimit, n.PublishedBrittle = rate, state
 	if rate == 0 || !n.NamedAt.IsZero() && now.Sub(n.NamedAt) < ownLimitTime {
 		return nil
 	}
-	return n.setLimit(replica, max(0, rate))
+	return append(n.setLimit(replica, max(0, rate)), n.setBrittle(replica, state)...)
 }
 
 // isAtLimit reports whether the limit of the replica has recently held back requests.
 func (r *Replica) isAtLimit(now time.Time) bool {
-	return r.Notice.RateLimit > 0 && now.Before(r.Notice.ThrottledUntil.Add(atLimitTime))
+	return (r.Notice.RateLimit > 0 || r.Notice.Brittle) && now.Before(r.Notice.ThrottledUntil.Add(atLimitTime))
 }
 
 // takeOfLimit takes a request of the limit of the replica. If there is none left, the
@@ -79,8 +79,10 @@
 func (c *Controller) collectLimits(now time.Time) ([]planner.RateLimit, []planner.Spent) {
 	var limits []planner.RateLimit
 	for _, id := range c.sortedIDs() {
-		if n := c.Replicas[id].Notice; !n.NamedAt.IsZero() && n.RateLimit != max(0, n.PublishedLimit) {
-			limits = append(limits, planner.RateLimit{Replica: id, StartedMS: n.StartedMS, Rate: n.RateLimit, Age: now.Sub(n.NamedAt)})
+		if n := c.Replicas[id].Notice; !n.NamedAt.IsZero() && (n.RateLimit != max(0, n.PublishedLimit) || n.Brittleness != n.PublishedBrittle) {
+			limits = append(limits, planner.RateLimit{
+				Replica: id, StartedMS: n.StartedMS, Rate: n.RateLimit, Age: now.Sub(n.NamedAt), Brittle: n.Brittle, MaxRefusals: n.MaxRefusals,
+			})
 		}
 	}
 	for _, effect := range c.Limits.Step(now, rationer.Collect{}) {
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -30,6 +30,8 @@
 	// RateLimits holds the limits of replicas, or planner.NoLimit, as far as the holder
 	// knows them.
 	RateLimits map[string]float64 `json:",omitempty"`
+	// Brittle holds the brittle replicas, as far as RateLimits knows the replicas.
+	Brittle map[string]Brittleness `json:",omitempty"`
 	// Closed holds the replicas that want no requests of a node, with the longest of the
 	// remaining times.
 	Closed map[string]time.Duration `json:",omitempty"`
@@ -98,6 +100,9 @@
 	// FirstByte is the time to the first event of a stream or to the first byte of another
 	// answer. It is 0 if it shows nothing about the replica's speed.
 	FirstByte time.Duration
+	// RetryAfter is the time after which a permit may be requested again if the result is
+	// NotPermitted.
+	RetryAfter time.Duration `json:",omitempty"`
 	// Duration is the time to the end of the answer, and Events the number of events, 0 if
 	// they are not known.
 	Duration time.Duration `json:",omitempty"`
@@ -115,6 +120,7 @@
 	// RateLimit is the requests a second that the replica takes from all nodes together,
 	// 0 if it has named none.
 	RateLimit float64 `json:"Rate"`
+	Brittleness
 	// Leaving is set if the replica leaves, and RetryAfter is the time for which it wants
 	// no requests of this node.
 	Leaving    bool          `json:",omitempty"`
@@ -211,6 +217,8 @@
 	TimedOut Result = "silent"
 	// ServerError attempts were answered with a server error.
 	ServerError Result = "erred"
+	// NotPermitted attempts were not sent because there was no permit.
+	NotPermitted Result = "not permitted"
 	// Abandoned attempts were ended by the caller.
 	Abandoned Result = "abandoned"
 )
@@ -235,8 +243,11 @@
 	StartedMS int64 `json:",omitempty"`
 	// Version is that of the replica's software.
 	Version string `json:",omitempty"`
-	// Limited is set if the replica has named a limit.
+	// Limited is set if the replica has named a limit or is brittle. Its answer must be
+	// reported also if it names nothing any more.
 	Limited bool `json:",omitempty"`
+	// Permit is the permit that the request needs before it is sent, nil for none.
+	Permit *PermitNeed `json:",omitempty"`
 	// Returning is set for one of the first requests after a time for which the replica
 	// wanted none. The head of its answer must be reported.
 	Returning bool `json:",omitempty"`
@@ -300,6 +311,8 @@
 	Replica  string
 	Result   Result
 	Failures float64
+	// MaxRefusals is the number of requests that a brittle replica can turn away in a second.
+	MaxRefusals int `json:",omitempty"`
 	// RateLimit is the limit that the replica named, and Remaining the time for which it
 	// wants no requests.
 	RateLimit float64       `json:",omitempty"`
--- a/internal/balancer/notice.go
+++ b/internal/balancer/notice.go
@@ -27,6 +27,10 @@
 	// what the holder published last: a limit, planner.NoLimit, or 0 if it does not know.
 	RateLimit, PublishedLimit float64
 	NamedAt                   time.Time
+	// Brittleness is known like the limit, PublishedBrittle what the holder published with
+	// PublishedLimit.
+	Brittleness
+	PublishedBrittle Brittleness
 	// ThrottledUntil is when this node may next try to take a request of the limit.
 	ThrottledUntil time.Time
 	// Leaving is set once an answer to this node has announced that the replica leaves.
@@ -91,6 +95,10 @@
 	}
 	notice.NamedAt = now
 	effects = append(effects, notice.setLimit(message.Replica, message.RateLimit)...)
+	effects = append(effects, notice.setBrittle(message.Replica, message.Brittleness)...)
+	if replica := c.Replicas[message.Replica]; replica != nil {
+		c.noteBrittle(now, replica)
+	}
 	if message.Leaving && !notice.Leaving {
 		notice.Leaving = true
 		effects = append(effects, Note{Text: "replica said that it leaves", Replica: message.Replica})
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -202,6 +202,9 @@
 		r.MissingUntil[modelKey{need.Model, need.Adapter}] = now.Add(missingBackoff)
 	case Refused:
 		r.RefusedUntil = now.Add(refusedBackoff)
+		if r.Notice.Brittle {
+			r.RefusedUntil = now.Add(brittleRefusedBackoff)
+		}
 		r.addFailure(now, refusedWeight)
 	}
 }
--- a/internal/balancer/waiting.go
+++ b/internal/balancer/waiting.go
@@ -201,6 +201,7 @@
 		return nil, false
 	}
 	c.dequeue(now, waiter, true)
+	c.Assignments[waiter.Call].waited = true
 	return AnswerPlace{waiter.Call, placement}, true
 }
 
--- a/internal/emulator/fleet_faults.go
+++ b/internal/emulator/fleet_faults.go
@@ -25,6 +25,13 @@
 	// NamedLimit is the limit in requests a second that the replica names in its
 	// answers. 0 names none. The replica serves all requests all the same.
 	NamedLimit float64
+	// Room is the number of requests that the replica runs at once, 0 for any. It turns
+	// others away.
+	Room int
+	// Brittle makes the replica name MaxRefusals in its answers and crash when it has to
+	// turn more requests away in a second for want of room.
+	Brittle     bool
+	MaxRefusals int
 }
 
 // Restart simulates a restart of the replica's process: no model is loaded, and
@@ -61,6 +68,7 @@
 	close(r.crashed)
 	r.crashed = make(chan struct{})
 	r.restart()
+	r.active, r.full = 0, nil
 	r.downUntil = r.settings.Clock.Now().Add(crashDowntime)
 }
 
--- a/internal/emulator/fleet_notice.go
+++ b/internal/emulator/fleet_notice.go
@@ -31,6 +31,33 @@
 	return refusals
 }
 
+// turnAway counts a request that is turned away for want of room. It reports whether the
+// replica, which is brittle, crashes because of it.
+func (r *FleetReplica) turnAway() bool {
+	now := r.settings.Clock.Now()
+	r.full = append(slices.DeleteFunc(r.full, func(at time.Time) bool { return now.Sub(at) > time.Second }), now)
+	if !r.faults.Brittle || len(r.full) <= r.faults.MaxRefusals {
+		return false
+	}
+	r.falls++
+	r.crashProcess()
+	return true
+}
+
+// endRun ends a run of the process that ends when crashed is closed.
+func (r *FleetReplica) endRun(crashed chan struct{}) {
+	if r.crashed == crashed {
+		r.active--
+	}
+}
+
+// Falls returns how often the replica has crashed because it had to turn away more requests
+// than it bears.
+func (r *FleetReplica) Falls() (falls int) {
+	r.executor.do(func() { falls = r.falls })
+	return falls
+}
+
 // refuseWithTime answers that a request was not run and that the replica wants none for a
 // time.
 func refuseWithTime(w http.ResponseWriter, attempt string, retryAfter time.Duration) {
--- a/internal/emulator/fleet_replica.go
+++ b/internal/emulator/fleet_replica.go
@@ -77,6 +77,12 @@
 	leaving     bool
 	turnAwayFor time.Duration
 	refusals    []FleetRefusal
+	// active is the number of running requests of a plain service or of streams. full holds
+	// the times of the requests that were turned away for want of room since the last start,
+	// and falls counts the crashes because of them.
+	active int
+	full   []time.Time
+	falls  int
 	// downUntil is the end of the time in which the replica, which has crashed, takes
 	// no requests. crashed is closed when the current process of the replica crashes.
 	downUntil time.Time
@@ -124,36 +130,6 @@
 	return violations
 }
 
-type fleetModel struct {
-	Name     string   `json:"name"`
-	Version  int      `json:"version"`
-	Adapters []string `json:"adapters"`
-}
-
-// Entry returns the replica's entry in the store, with the given state.
-func (r *FleetReplica) Entry(state string) map[string]any {
-	entry := map[string]any{}
-	r.executor.do(func() {
-		entry = r.describe()
-		entry["service"], entry["address"], entry["zone"] = r.settings.Service, r.settings.Address, r.settings.Zone
-		entry["version"] = r.settings.Version
-		entry["slots"], entry["state"], entry["seq"] = r.settings.Slots, state, r.servedRequests
-	})
-	return entry
-}
-
-func (r *FleetReplica) describe() map[string]any {
-	models := []fleetModel{}
-	for name := range r.loaded {
-		models = append(models, fleetModel{Name: name, Version: 1, Adapters: []string{}})
-	}
-	slices.SortFunc(models, func(a, b fleetModel) int { return strings.Compare(a.Name, b.Name) })
-	return map[string]any{
-		"models": models, "born": r.startedAtMs, "stage": "unified",
-		"available": map[string]any{"in-memory": []string{}, "on-disk": slices.Clone(r.onDisk)},
-	}
-}
-
 // ServeHTTP implements http.Handler.
 func (r *FleetReplica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
@@ -183,16 +159,6 @@
 	}
 }
 
-func (r *FleetReplica) serveReport(w http.ResponseWriter) {
-	report := map[string]any{}
-	r.executor.do(func() {
-		report = r.describe()
-		report["busy"], report["seq"], report["pending"] = r.loading != "", r.orderSequence, []string{}
-	})
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(report)
-}
-
 type fleetOrderRequest struct {
 	Op       string `json:"op"`
 	Model    string `json:"model"`
@@ -263,7 +229,7 @@
 	var faults ReplicaFaults
 	var turnAwayFor time.Duration
 	var crashed chan struct{}
-	runNumber, modelMissing, origin := 0, false, ""
+	runNumber, modelMissing, noRoom, fell, origin := 0, false, false, false, ""
 	r.executor.do(func() {
 		modelMissing = model != "" && !r.loaded[model]
 		faults, crashed, turnAwayFor = r.faults, r.crashed, r.turnAwayFor
@@ -274,6 +240,11 @@
 		if modelMissing || faults.Full {
 			return
 		}
+		if noRoom = faults.Room > 0 && r.active >= faults.Room; noRoom {
+			fell = r.turnAway()
+			return
+		}
+		r.active++
 		r.servedRequests++
 		runNumber = r.servedRequests
 		if r.settings.Version != "" {
@@ -286,7 +257,19 @@
 			StartedMS: r.startedAtMs, At: r.settings.Clock.Now(),
 		})
 	})
+	if runNumber > 0 {
+		defer r.executor.do(func() { r.endRun(crashed) })
+	}
+	if faults.Brittle {
+		w.Header().Set("Server-Brittle", strconv.Itoa(faults.MaxRefusals))
+	}
 	switch {
+	case fell:
+		panic(http.ErrAbortHandler)
+	case noRoom:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case turnAwayFor > 0:
 		refuseWithTime(w, attempt, turnAwayFor)
 		return
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -108,6 +108,8 @@
 	Codec  Codec
 	Placer Placer
 	Screen Screen
+	// Permits grants the permits of brittle replicas.
+	Permits Permits
 	// Streams knows at which versions streams go on.
 	Streams Streams
 	View    ConfigurationView
@@ -166,6 +168,7 @@
 	startedAt := j.Clock.Now()
 	result, firstByte := balancer.Abandoned, time.Duration(0)
 	defer func() {
+		j.result = result
 		_ = j.Placer.Post(j.attemptEnded(placement, result))
 	}()
 	if !j.isKeyCurrent(startedAt) {
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -42,13 +42,14 @@
 // reportNotice reports what the replica has announced, that it names no limit any
 // more, or that it takes requests again.
 func (j *job) reportNotice(placement balancer.Placement, refused bool) {
-	if j.notice.RateLimit == 0 && !placement.Limited && !placement.Returning && !j.notice.Leaving && j.notice.RetryAfter == 0 {
+	if j.notice.RateLimit == 0 && !j.notice.Brittle && !placement.Limited && !placement.Returning && !j.notice.Leaving && j.notice.RetryAfter == 0 {
 		return
 	}
 	err := j.Placer.Post(balancer.NoticeReceived{
 		PlacementID: placement.ID, Accepted: !refused && j.notice.RetryAfter == 0,
 		Replica: placement.Replica, StartedMS: placement.StartedMS,
-		RateLimit: j.notice.RateLimit, Leaving: j.notice.Leaving, RetryAfter: j.notice.RetryAfter,
+		Brittleness: balancer.Brittleness{Brittle: j.notice.Brittle, MaxRefusals: j.notice.MaxRefusals},
+		RateLimit:   j.notice.RateLimit, Leaving: j.notice.Leaving, RetryAfter: j.notice.RetryAfter,
 	})
 	if err != nil {
 		j.log("notice of the replica not recorded", balancer.Placement{}, 0, 0, fmt.Errorf("replica %s: %w", placement.Replica, err))
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -44,6 +44,10 @@
 	notice     Notice
 	candidates int
 	waited     time.Duration
+	// result is that of the latest attempt. giveUpAt is set while the request has a replica
+	// but no permit: it is then not given more time to wait.
+	result   balancer.Result
+	giveUpAt time.Time
 	// observed is what the latest attempt shows about the speed of its replica.
 	observed observation
 }
@@ -73,7 +77,11 @@
 		}
 		j.paid = true
 	}
-	placement, err := j.Placer.Place(ctx, j.placementNeed(now, left))
+	need := j.placementNeed(now, left)
+	if !j.giveUpAt.IsZero() {
+		need.GiveUpAt = j.giveUpAt
+	}
+	placement, err := j.Placer.Place(ctx, need)
 	if err != nil {
 		return j.end(filter.Overloaded, err.Error())
 	}
@@ -82,6 +90,18 @@
 	if placement.Refused != nil {
 		return j.placementRefused(*placement.Refused)
 	}
+	if placement.Permit == nil {
+		return j.attempt(ctx, placement)
+	}
+	permit := j.newPermit(placement)
+	if retryAfter, granted := j.acquire(ctx, permit, placement); !granted {
+		j.giveUpAt = need.GiveUpAt
+		_ = j.Placer.Post(balancer.AttemptEnded{PlacementID: placement.ID, Result: balancer.NotPermitted, RetryAfter: retryAfter})
+		return nil
+	}
+	j.giveUpAt, j.result = time.Time{}, balancer.Abandoned
+	sentBefore := j.attemptsSent
+	defer func() { j.release(permit, placement, j.attemptsSent > sentBefore) }()
 	return j.attempt(ctx, placement)
 }
 
--- /dev/null
+++ b/internal/permitter/script_test.go
@@ -0,0 +1,20 @@
+package permitter
+
+import (
+	"testing"
+
+	"toucanhitch.example/toucanhitch/internal/tester"
+)
+
+// TestScripts replays the scripts in testdata. The head of each script states the failure that
+// it guards against.
+func TestScripts(t *testing.T) {
+	tester.Replay(t, tester.Suite[Message, Effect]{
+		Directory: "testdata",
+		New: func(*testing.T, []byte) tester.Controller[Message, Effect] {
+			return NewController(1)
+		},
+		Messages: []Message{Acquire{}, Release{}, ForwardRelease{}, ReleaseForwarded{}},
+		Tick:     Tick{},
+	})
+}
--- a/internal/planner/notices.go
+++ b/internal/planner/notices.go
@@ -22,6 +22,9 @@
 	// nothing is known of a limit.
 	Rate    float64
 	NamedAt time.Time
+	// Brittle and MaxRefusals are as the same answer named them.
+	Brittle     bool
+	MaxRefusals int
 	// Leaving is set if the replica has announced that it leaves, and ClosedUntil is the end
 	// of the longest time for which it wants no requests of a node.
 	Leaving     bool
@@ -127,6 +130,7 @@
 		known, namedAt := c.Tenure.noticeOf(limit.Replica, limit.StartedMS), now.Add(-limit.Age)
 		if known != nil && namedAt.After(known.NamedAt) {
 			known.Rate, known.NamedAt = limit.Rate, namedAt
+			known.Brittle, known.MaxRefusals = limit.Brittle, limit.MaxRefusals
 		}
 	}
 }
@@ -155,6 +159,23 @@
 	return limits
 }
 
+// brittleReplicas returns the brittle replicas of the table with the requests that each can
+// turn away in a second, nil if there are none.
+func (c *Controller) brittleReplicas(table []surveyor.Replica) map[string]int {
+	var brittle map[string]int
+	for _, replica := range table {
+		known := c.Tenure.Notices[replica.ID]
+		if known == nil || !known.Brittle || known.StartedMS != replica.StartedMS {
+			continue
+		}
+		if brittle == nil {
+			brittle = map[string]int{}
+		}
+		brittle[replica.ID] = known.MaxRefusals
+	}
+	return brittle
+}
+
 // forgetNotices removes the notices of replicas that are not in the table or have started
 // again, and what was counted for the limits of the former. The nodes keep those that they
 // need and report them again.
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -68,6 +68,10 @@
 	Rate      float64
 	// Age is the time since the answer.
 	Age time.Duration
+	// Brittle is set if the replica ends if it has to turn more than MaxRefusals requests
+	// away in a second.
+	Brittle     bool `json:",omitempty"`
+	MaxRefusals int  `json:",omitempty"`
 }
 
 // Running counts the running requests of a model on a replica. Model is empty for
@@ -182,6 +186,9 @@
 	// RateLimits are the limits of replicas in requests a second, in the order of Active:
 	// NoLimit, or 0 if the holder does not know. It is nil if it knows of none.
 	RateLimits []float64 `json:",omitempty"`
+	// Brittle holds the brittle replicas of which RateLimits knows something, with the
+	// requests that each can turn away in a second.
+	Brittle map[string]int `json:",omitempty"`
 	// Closed holds the replicas that want no requests of at least one node, with the
 	// longest of the remaining times. Replicas that have announced that they leave are marked
 	// in the table.
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -101,6 +101,7 @@
 		Prompts:          t.Prompts.Publish(now),
 		Versions:         c.Versions.Publish(now, max(len(c.Nodes), t.MinRegistered)),
 		RateLimits:       c.publishedLimits(t.Table.Entries),
+		Brittle:          c.brittleReplicas(t.Table.Entries),
 		Closed:           c.closedReplicas(now),
 		Peers:            max(1, c.livePeers(now)),
 		Registered:       max(len(c.Nodes), t.MinRegistered),
--- a/internal/queuer/pace.go
+++ b/internal/queuer/pace.go
@@ -61,6 +61,13 @@
 	}
 }
 
+// Retract takes back a request that was recorded as served and has returned to the queue.
+func (p *Pace) Retract(cost float64) {
+	if !p.WindowStart.IsZero() {
+		p.WindowCost, p.WindowCount = max(0, p.WindowCost-cost), max(0, p.WindowCount-1)
+	}
+}
+
 // Stop ends the current window without a measurement, because nothing waits any more.
 func (p *Pace) Stop() { p.WindowStart = time.Time{} }
 
--- a/internal/syncer/fleet.go
+++ b/internal/syncer/fleet.go
@@ -32,6 +32,9 @@
 	// RateLimits holds the limits of replicas in requests a second, or planner.NoLimit,
 	// as far as the holder knows them.
 	RateLimits map[string]float64 `json:",omitempty"`
+	// Brittle holds the brittle replicas, with the requests that each can turn away in a
+	// second.
+	Brittle map[string]int `json:",omitempty"`
 	// Spent counts units consumed in the holder's epoch, by workspace.
 	Spent []planner.Spent
 }
@@ -84,7 +87,7 @@
 // itself has reported. The report is the one that the state contains; it is empty
 // if the state contains none.
 func (f *Fleet) usageOfOthers(state *planner.State, own planner.Report) Usage {
-	usage := Usage{Active: map[string]int{}}
+	usage := Usage{Active: map[string]int{}, Brittle: state.Brittle}
 	for i, count := range state.Active {
 		if i < len(f.ReplicaIDs) && count > 0 {
 			usage.Active[f.ReplicaIDs[i]] = count
