Space permits after a refusal by what the replica can turn away

A replica may turn a request with a permit away for another reason than its slots, and the next ones as well.

After a refusal no permit is granted for a second divided by the number that the replica names.

--- a/internal/balancer/brittle.go
+++ b/internal/balancer/brittle.go
@@ -35,6 +35,9 @@
 	// Capacity is the number of requests that the replica may run, and Active the number of
 	// others that this node knows of.
 	Capacity, Active int
+	// MaxRefusals is the number of requests that the replica can turn away in a second, 0 if
+	// it is not known.
+	MaxRefusals int `json:",omitempty"`
 }
 
 // setBrittle sets whether the replica is brittle, and returns a note if that has changed.
@@ -85,7 +88,7 @@
 		// The nodes that are cut off may have a granter of their own.
 		capacity = max(1, capacity*nodes/c.Cold.Registered)
 	}
-	return &PermitNeed{Granter: c.granter(replica), Capacity: capacity, Active: replica.active()}, true
+	return &PermitNeed{Granter: c.granter(replica), Capacity: capacity, Active: replica.active(), MaxRefusals: replica.Notice.MaxRefusals}, true
 }
 
 // granter returns the node with the highest rendezvous hash for a replica.
--- a/internal/forwarder/permit.go
+++ b/internal/forwarder/permit.go
@@ -37,7 +37,8 @@
 func (j *job) acquire(ctx context.Context, permit permitter.Permit, placement balancer.Placement) (time.Duration, bool) {
 	left := j.request.Deadline.Sub(j.Clock.Now())
 	decision, err := j.Permits.Acquire(ctx, placement.Permit.Granter, permitter.Request{
-		Permit: permit, Capacity: placement.Permit.Capacity, Active: placement.Permit.Active, TTL: left + abortedRunTime,
+		Permit: permit, Capacity: placement.Permit.Capacity, Active: placement.Permit.Active,
+		MaxRefusals: placement.Permit.MaxRefusals, TTL: left + abortedRunTime,
 	})
 	if err != nil {
 		// The permit may have been granted.
--- a/internal/messenger/permits.go
+++ b/internal/messenger/permits.go
@@ -22,6 +22,7 @@
 	Permit           permitRecord
 	Node             string
 	Capacity, Active int
+	MaxRefusals      int `json:",omitempty"`
 	TTLMS            int64
 }
 
@@ -42,7 +43,7 @@
 func (c *Client) AcquirePermit(ctx context.Context, address string, request permitter.Request) (permitter.Decision, error) {
 	answer, err := Exchange[acquireRequest, acquireAnswer](ctx, c, address, acquirePath, acquireRequest{
 		Permit: permitRecord(request.Permit), Node: request.Node,
-		Capacity: request.Capacity, Active: request.Active, TTLMS: request.TTL.Milliseconds(),
+		Capacity: request.Capacity, Active: request.Active, MaxRefusals: request.MaxRefusals, TTLMS: request.TTL.Milliseconds(),
 	})
 	return permitter.Decision{Granted: answer.Granted, RetryAfter: time.Duration(answer.RetryAfterMS) * time.Millisecond}, err
 }
@@ -60,7 +61,7 @@
 	mux.Handle("POST "+acquirePath, Handle(func(ctx context.Context, request acquireRequest) (acquireAnswer, error) {
 		decision, err := acquire(ctx, permitter.Request{
 			Permit: permitter.Permit(request.Permit), Node: request.Node,
-			Capacity: request.Capacity, Active: request.Active, TTL: time.Duration(request.TTLMS) * time.Millisecond,
+			Capacity: request.Capacity, Active: request.Active, MaxRefusals: request.MaxRefusals, TTL: time.Duration(request.TTLMS) * time.Millisecond,
 		})
 		return acquireAnswer{decision.Granted, decision.RetryAfter.Milliseconds()}, err
 	}))
--- a/internal/permitter/controller.go
+++ b/internal/permitter/controller.go
@@ -22,6 +22,8 @@
 	retryPerNode  = 3 * time.Millisecond
 	minRetryAfter = 10 * time.Millisecond
 	maxRetryAfter = 250 * time.Millisecond
+	// refusalPeriod is the time in which a replica counts the requests that it turns away.
+	refusalPeriod = time.Second
 	// recoveryTime is the time after which a replica that turned a request away is tried
 	// with one request more.
 	recoveryTime = 500 * time.Millisecond
@@ -50,6 +52,8 @@
 	// at RefusedAt, the zero time if it has turned none away.
 	Limit     int
 	RefusedAt time.Time
+	// MaxRefusals is the number of requests that the replica can turn away in a second.
+	MaxRefusals int
 	// Denied holds the nodes that were denied a permit, with the last times.
 	Denied map[string]time.Time
 }
@@ -111,7 +115,11 @@
 		return Decision{RetryAfter: maxRetryAfter}
 	}
 	replica.expire(now)
-	replica.UsedAt = now
+	replica.UsedAt, replica.MaxRefusals = now, request.MaxRefusals
+	if pause := replica.pause(now); pause > 0 {
+		replica.Denied[request.Node] = now
+		return Decision{RetryAfter: pause + c.retryAfter(replica)}
+	}
 	used := len(replica.Permits)
 	if now.Sub(replica.Since) < settleTime {
 		used = max(used, request.Active)
@@ -154,6 +162,15 @@
 	return []Effect{Note{Text: "replica turned away a request with a permit", Replica: permit.Replica, Limit: replica.Limit}}
 }
 
+// pause returns the time for which no permit is granted because the replica has turned a
+// request away: it may lack something else than slots, and turn the next one away as well.
+func (r *Replica) pause(now time.Time) time.Duration {
+	if r.RefusedAt.IsZero() {
+		return 0
+	}
+	return r.RefusedAt.Add(refusalPeriod / time.Duration(max(1, r.MaxRefusals))).Sub(now)
+}
+
 // limit returns the number of permits that may be in use.
 func (r *Replica) limit(now time.Time, capacity int) int {
 	if r.RefusedAt.IsZero() {
--- a/internal/permitter/message.go
+++ b/internal/permitter/message.go
@@ -26,6 +26,8 @@
 	// Capacity is the number of requests that the replica may run, and Active the number
 	// of those that the node knows of.
 	Capacity, Active int
+	// MaxRefusals is the number of requests that the replica can turn away in a second.
+	MaxRefusals int `json:",omitempty"`
 	// TTL is the time after which the permit expires if it is not released.
 	TTL time.Duration
 }
