Choose a late replica if the one in time is too costly

Cause: the choice leaves out candidates whose cost is far above the lowest, and candidates that are late while another one is in time. The one in time could be among those left out for their cost, as a replica that has named a limit or is closed for another node. Then none remained, and drawCandidate indexed before the first: "slice bounds out of range [:-1]".

Now only candidates of acceptable cost count as those in time, and the candidate with the lowest cost is always acceptable, so that at least one remains.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -156,14 +156,19 @@
 }
 
 // compareCandidates moves the good candidates to the front and sets why the others lose. It
-// returns the number of good ones and the sum of their weights.
+// returns the number of good ones, of which there is at least one, and the sum of their
+// weights.
 func (c *Controller) compareCandidates(lateIn time.Duration) (int, float64) {
-	lowest, inTime := math.Inf(1), false
+	lowest := math.Inf(1)
 	for _, one := range c.candidates {
 		lowest = min(lowest, one.readCost)
-		inTime = inTime || one.estimate.FirstEvent <= lateIn
 	}
 	bound := goodCostFactor*lowest + float64(goodCostMargin)
+	// A candidate in time that is too costly is no reason to leave out those that are late:
+	// none would be left.
+	inTime := slices.ContainsFunc(c.candidates, func(one candidate) bool {
+		return one.cost <= bound && one.estimate.FirstEvent <= lateIn
+	})
 	total, good := 0.0, 0
 	for i := range c.candidates {
 		one := &c.candidates[i]
