Load models for the rest of streams

Cause: the rest of a stream was never a demand for its model. It was refused where no replica of its version had the model, and where it waited the holder did not hear of it.

Now it is a demand that names the version which began the stream. The holder loads the model on a replica of that version; a node waits for it if orders are allowed and a load can end in time. planner.Scope joins data centres and version.

--- a/internal/balancer/availability.go
+++ b/internal/balancer/availability.go
@@ -53,9 +53,9 @@
 	return found
 }
 
-// canContinue reports whether a replica of the version that began a stream has its model or
-// is loading it. No model is loaded for the rest of a stream, but what only evacuated
-// replicas hold is loaded elsewhere in any case.
+// canContinue reports whether a replica of the version that began a stream has its model, is
+// loading it or can be ordered to load it in time. What only evacuated replicas hold is loaded
+// elsewhere in any case.
 func (c *Controller) canContinue(now time.Time, need Need) bool {
 	key := modelKey{need.Model, need.Adapter}
 	evacuated, elsewhere := false, false
@@ -72,7 +72,7 @@
 			return true
 		}
 	}
-	return evacuated && elsewhere && c.ordersAllowed(now)
+	return elsewhere && (evacuated && c.ordersAllowed(now) || c.canOrderInTime(now, need))
 }
 
 // ordersAllowed reports whether the holder may order loads now.
--- a/internal/balancer/collect.go
+++ b/internal/balancer/collect.go
@@ -42,25 +42,29 @@
 }
 
 // demands returns the models and adapters that requests wait for, in the order
-// in which the first request for each arrived.
+// in which the first request for each arrived. The rest of a stream is no reason for a
+// further copy, because it does not come again.
 func (c *Controller) demands(now time.Time) []planner.Demand {
 	var demands []planner.Demand
 	type demandKey struct {
 		useKey
-		dataCentres string
+		dataCentres, version string
 	}
 	indexes := map[demandKey]int{}
 	for element := c.Waiting.byArrival.Front(); element != nil; element = element.Next() {
 		need := element.Value.(*Waiter).Need
-		if need.Model == "" || need.Continued {
+		if need.Model == "" {
 			continue
 		}
-		key := demandKey{useKey{need.Service, modelKey{need.Model, need.Adapter}}, need.dataCentresKey()}
+		key := demandKey{useKey{need.Service, modelKey{need.Model, need.Adapter}}, need.dataCentresKey(), need.Version}
 		i, ok := indexes[key]
 		if !ok {
 			i = len(demands)
 			indexes[key] = i
-			demands = append(demands, planner.Demand{DataCentres: need.DataCentres, Service: need.Service, Model: need.Model, Adapter: need.Adapter, TimeToLate: need.LateAt.Sub(now), ReplicasFull: c.allFull(now, need)})
+			demands = append(demands, planner.Demand{
+				Service: need.Service, Model: need.Model, Adapter: need.Adapter, DataCentres: need.DataCentres, Version: need.Version,
+				TimeToLate: need.LateAt.Sub(now), ReplicasFull: !need.Continued && c.allFull(now, need),
+			})
 		}
 		demands[i].Waiting++
 		demands[i].TimeToLate = max(demands[i].TimeToLate, need.LateAt.Sub(now))
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -274,7 +274,7 @@
 	if !waiter.lane.Blocked {
 		c.hasRoom(now, waiter) // records when the lane must be checked
 	}
-	if message.Need.Model != "" && !message.Need.Continued && !c.isLoading(message.Need) {
+	if message.Need.Model != "" && !c.isLoading(message.Need) {
 		effects = append(effects, NewDemand{})
 	}
 	return effects
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -67,11 +67,11 @@
 type ModelKey struct{ Service, Model string }
 
 // DemandKey identifies a model or an adapter that requests wait for. Adapter is
-// empty for the model itself, and DataCentres allows all data centres if it is empty.
+// empty for the model itself.
 type DemandKey struct {
 	ModelKey
-	Adapter     string
-	DataCentres DataCentres
+	Adapter string
+	Scope
 }
 
 // NewController returns the controller of a node.
--- a/internal/planner/explain.go
+++ b/internal/planner/explain.go
@@ -61,7 +61,7 @@
 		return Explanation{}
 	}
 	explanation := Explanation{Holding: true, OrdersAllowedIn: max(0, c.Tenure.OrdersAllowedAt.Sub(now))}
-	key := DemandKey{ModelKey{demand.Service, demand.Model}, demand.Adapter, joinDataCentres(demand.DataCentres)}
+	key := demand.key()
 	if key.Adapter != "" {
 		best, held := c.adapterReplica(key)
 		switch {
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -215,7 +215,7 @@
 }
 
 func (c *Controller) recordDemand(now time.Time, demand Demand) {
-	key := DemandKey{ModelKey{demand.Service, demand.Model}, demand.Adapter, joinDataCentres(demand.DataCentres)}
+	key := demand.key()
 	if demand.ReplicasFull {
 		c.recordSaturation(now, key)
 	}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -139,7 +139,7 @@
 // requests wait for.
 func (c *Controller) satisfied(key DemandKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || !key.DataCentres.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !key.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] {
 			continue
 		}
 		if resident := e.Models[key.Model]; resident != nil && !e.unloading(key.Model) {
@@ -167,7 +167,7 @@
 	}
 	slices.SortFunc(keys, func(a, b DemandKey) int {
 		return cmp.Or(cmp.Compare(late(a), late(b)), c.Tenure.Demand[a].LateAt.Compare(c.Tenure.Demand[b].LateAt),
-			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.DataCentres, b.DataCentres))
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.DataCentres, b.DataCentres), cmp.Compare(a.Version, b.Version))
 	})
 	return keys
 }
@@ -192,7 +192,7 @@
 
 // chooseLoad chooses the load of a model that no healthy replica holds or loads.
 func (c *Controller) chooseLoad(now time.Time, demand DemandKey) loadChoice {
-	key, in := demand.ModelKey, demand.DataCentres
+	key, in := demand.ModelKey, demand.Scope
 	engine := c.engine(key.Service)
 	if engine == nil {
 		return loadChoice{obstacle: NoEngine}
@@ -204,9 +204,9 @@
 	case c.hasHealthyHolder(key, in):
 		return loadChoice{obstacle: HasReplica}
 	}
-	best, victims := c.cheapestReplica(now, key, engine, model, loadRule{DataCentres: in})
+	best, victims := c.cheapestReplica(now, key, engine, model, loadRule{Scope: in})
 	if best == nil && c.filledByBusyModels(key, in, engine, model) {
-		best, victims = c.cheapestReplica(now, key, engine, model, loadRule{EvictSpares: true, DataCentres: in})
+		best, victims = c.cheapestReplica(now, key, engine, model, loadRule{EvictSpares: true, Scope: in})
 	}
 	switch {
 	case best == nil:
@@ -224,7 +224,7 @@
 // or on disk and can soon load it. If that replica executes an order, waiting for it takes
 // less time than a load from the weight store. One that busy models fill may never have
 // room.
-func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, in DataCentres, engine *resolver.Engine, model resolver.Model) bool {
+func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, in Scope, engine *resolver.Engine, model resolver.Model) bool {
 	for id, e := range c.Tenure.Endpoints {
 		if e.Entry.Service != key.Service || !in.allows(e) || e.isExcluded() || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
 			continue
@@ -238,7 +238,7 @@
 
 // hasHealthyHolder reports whether a replica that is not suspected holds or loads
 // a model.
-func (c *Controller) hasHealthyHolder(key ModelKey, in DataCentres) bool {
+func (c *Controller) hasHealthyHolder(key ModelKey, in Scope) bool {
 	for id, e := range c.Tenure.Endpoints {
 		if e.Entry.Service == key.Service && in.allows(e) && e.Synced && !e.isExcluded() && e.holdsOrLoads(key.Model) && !c.index.suspects[id] {
 			return true
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -87,6 +87,9 @@
 	// DataCentres are the sorted data centres whose replicas may run the requests, empty
 	// for all.
 	DataCentres []string `json:",omitempty"`
+	// Version is the software version of the replicas that may run the requests, which are
+	// the rest of streams, empty for all.
+	Version string `json:",omitempty"`
 	// ReplicasFull is set if replicas hold the model or adapter and all of them
 	// are full.
 	ReplicasFull bool `json:"Full,omitempty"`
--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -15,8 +15,8 @@
 	EvictSpares bool
 	// AvoidLimits excludes replicas that have named a limit.
 	AvoidLimits bool
-	// DataCentres excludes replicas in other data centres.
-	DataCentres DataCentres
+	// Scope excludes all other replicas.
+	Scope
 	// MayEvict reports whether a model may be unloaded. nil stands for all those that need
 	// not be kept.
 	MayEvict func(e *Endpoint, model string) bool
@@ -31,7 +31,7 @@
 	bestCost := time.Duration(math.MaxInt64)
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Entry.Service != key.Service || !rule.DataCentres.allows(e) || !e.idle() || e.holdsOrLoads(model.Name) || c.index.suspects[id] || rule.AvoidLimits && c.hasLimit(e) {
+		if e.Entry.Service != key.Service || !rule.allows(e) || !e.idle() || e.holdsOrLoads(model.Name) || c.index.suspects[id] || rule.AvoidLimits && c.hasLimit(e) {
 			continue
 		}
 		victims, loss, ok := c.selectVictims(now, e, engine, model, rule.EvictSpares)
@@ -133,7 +133,7 @@
 
 // filledByBusyModels reports whether busy models take so much memory on every
 // replica of the service that the model would never fit.
-func (c *Controller) filledByBusyModels(key ModelKey, in DataCentres, engine *resolver.Engine, model resolver.Model) bool {
+func (c *Controller) filledByBusyModels(key ModelKey, in Scope, engine *resolver.Engine, model resolver.Model) bool {
 	for _, e := range c.Tenure.Endpoints {
 		if e.Entry.Service != key.Service || !in.allows(e) || e.isExcluded() {
 			continue
