Give callers whose stream cannot go on yet a time to come back

What callers saw: a stream that they took up again was refused without Retry-After because no replica of its version had the model.

Such a refusal now names the time to load the model.

--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -298,7 +298,7 @@
 	case c.evacuated(need) != nil:
 		return c.evacuated(need)
 	case need.Continued && !c.canContinue(now, need):
-		return &Refusal{Reason: "no replica of the version that began the stream has the model"}
+		return &Refusal{Reason: "no replica of the version that began the stream has the model", RetryAfter: typicalLoadTime}
 	}
 	if refusal := c.unavailable(now, need); refusal != nil {
 		return refusal
