--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -171,6 +171,7 @@
 		"Model":   note.Model,
 		"Reason":  note.Reason,
 		"Age":     logger.FormatAge(note.Age),
+		"Waiting": note.Waiting,
 	}).Info(note.Text)
 	n.meter.RecordChange("planner", note.Text)
 }
--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -32,10 +32,14 @@
 			rule.DataCentres = ""
 			best, victims = c.cheapestReplica(now, key, engine, model, rule)
 		}
-		if best == nil || best.tier(model.Name) == FromStore && c.countStoreLoads() >= c.storeConcurrency() {
-			continue
+		switch {
+		case best == nil:
+			effects = append(effects, c.noteUnmet(now, key, NoRoom)...)
+		case best.tier(model.Name) == FromStore && c.countStoreLoads() >= c.storeConcurrency():
+			effects = append(effects, c.noteUnmet(now, key, StoreBusy)...)
+		default:
+			effects = append(effects, c.queueLoad(best, victims, model, "busy model")...)
 		}
-		effects = append(effects, c.queueLoad(best, victims, model, "busy model")...)
 	}
 	return effects
 }
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -189,6 +189,8 @@
 	Model   string
 	Reason  string
 	Age     time.Duration
+	// Waiting is the number of requests that wait for Model.
+	Waiting int `json:",omitempty"`
 }
 
 func (SendOrder) isEffect()     {}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -122,6 +122,7 @@
 		return effects
 	}
 	c.Tenure.CopiesPlannedAt = now
+	c.forgetUnmet(now)
 	effects = append(effects, c.planEvacuated(now)...)
 	effects = append(effects, c.planExtraReplicas(now)...)
 	return append(effects, c.planPrefetch(now)...)
@@ -176,7 +177,7 @@
 func (c *Controller) planModel(now time.Time, demand DemandKey) []Effect {
 	choice := c.chooseLoad(now, demand)
 	if choice.obstacle != "" {
-		return nil
+		return c.noteUnmet(now, demand.ModelKey, choice.obstacle)
 	}
 	return c.queueLoad(choice.endpoint, choice.victims, choice.model, "requests wait")
 }
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -63,6 +63,8 @@
 	AdapterRates map[DemandKey]*Rate
 	// SaturatedAt is when a node last reported all replicas of a model as full.
 	SaturatedAt map[saturationKey]time.Time
+	// Unmet holds the demands that the last plans have left without a load.
+	Unmet map[ModelKey]*unmet
 	// Prompts is the evidence against parts of prompts that crash replicas.
 	Prompts *screener.Evidence
 	// Notices holds what replicas have announced, by ID.
@@ -146,6 +148,7 @@
 		Rates:            map[ModelKey]*Rate{},
 		AdapterRates:     map[DemandKey]*Rate{},
 		SaturatedAt:      map[saturationKey]time.Time{},
+		Unmet:            map[ModelKey]*unmet{},
 		Prompts:          screener.NewEvidence(),
 		Notices:          map[string]*notice{},
 		TableStale:       true,
