Load models outside the limits that hold their requests back

Cause: a replica that has a model counted as serving it, whatever it takes. A replica at its limit of one request a second met the demand of a model with nineteen, so that the holder dropped it. A further copy was only planned for what all demands of models without any replica had left, which is nothing while rare models are loaded one after the other. And a copy without a limit could be unloaded because those at their limits were counted as its spares.

Evidence: the lines "requests still wait for a model" name the second to sixth most requested models from 11 to 22 s, with no waiting requests known to the holder; of 95 loads planned from 12 to 20 s, 93 were for rarely used models.

While all replicas of a model are full or at their limits and the service has replicas without a limit, those with one do not meet its demand. The demand is planned with the others, by urgency, and only replicas without a limit may load it. Only copies without a limit can stand in for one of them. Nothing changes where no replica names a limit.

--- a/internal/planner/adapters.go
+++ b/internal/planner/adapters.go
@@ -28,7 +28,7 @@
 func (c *Controller) adapterReplica(key DemandKey) (best *Endpoint, held bool) {
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Entry.Service != key.Service || !key.DataCentres.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !key.DataCentres.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] || c.holdsBack(e, key) {
 			continue
 		}
 		if e.holdsAdapter(key.Model, key.Adapter) {
--- a/internal/planner/evacuation.go
+++ b/internal/planner/evacuation.go
@@ -83,7 +83,7 @@
 		return nil
 	}
 	if best.tier(model.Name) == FromStore &&
-		(c.hasLocalCopy(now, item.ModelKey, "", engine, model) || c.countStoreLoads() >= max(1, c.storeConcurrency()-prefetchReserve)) {
+		(c.hasLocalCopy(now, item.ModelKey, loadRule{}, engine, model) || c.countStoreLoads() >= max(1, c.storeConcurrency()-prefetchReserve)) {
 		return nil
 	}
 	return c.queueLoad(best, victims, model, "only in evacuated data centres")
--- a/internal/planner/notices.go
+++ b/internal/planner/notices.go
@@ -99,62 +99,6 @@
 	return closed
 }
 
-// limitedReplicaCost is added to the cost of a load at a replica that has named a limit:
-// more than a load from a replica's own copies takes, and less than one from the weight
-// store.
-const limitedReplicaCost = time.Second
-
-// hasLimit reports whether a replica has named a limit.
-func (c *Controller) hasLimit(e *Endpoint) bool {
-	known := c.Tenure.Notices[e.Entry.ID]
-	return known != nil && known.Rate > 0 && known.StartedMS == e.Entry.StartedMS
-}
-
-// hasUnlimitedReplica reports whether a service has a replica without a limit that is not
-// leaving.
-func (c *Controller) hasUnlimitedReplica(service string) bool {
-	for _, e := range c.Tenure.Endpoints {
-		if e.Entry.Service == service && !e.isExcluded() && !c.hasLimit(e) {
-			return true
-		}
-	}
-	return false
-}
-
-// recordLimits adopts the limits in a node's report that are newer than the known ones.
-func (c *Controller) recordLimits(now time.Time, report Report) {
-	for _, limit := range report.RateLimits {
-		known, namedAt := c.Tenure.noticeOf(limit.Replica, limit.StartedMS), now.Add(-limit.Age)
-		if known != nil && namedAt.After(known.NamedAt) {
-			known.Rate, known.NamedAt = limit.Rate, namedAt
-		}
-	}
-}
-
-// NoLimit is published for a replica that names no limit any more. Without it nodes
-// could not distinguish that from a limit which a new holder does not know yet.
-const NoLimit = -1
-
-// publishedLimits returns the limits of the replicas of the table, nil if none has named
-// one. They are 0 for replicas of which the holder knows nothing.
-func (c *Controller) publishedLimits(table []surveyor.Replica) []float64 {
-	limits, found := make([]float64, len(table)), false
-	for i, replica := range table {
-		known := c.Tenure.Notices[replica.ID]
-		if known == nil || known.NamedAt.IsZero() || known.StartedMS != replica.StartedMS {
-			continue
-		}
-		limits[i], found = known.Rate, true
-		if known.Rate == 0 {
-			limits[i] = NoLimit
-		}
-	}
-	if !found {
-		return nil
-	}
-	return limits
-}
-
 // forgetNotices removes the notices of replicas that are not in the table or have started
 // again, and what was counted for the limits of the former. The nodes keep those that they
 // need and report them again.
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -46,9 +46,13 @@
 	suspects map[string]bool
 	// demanded are the models that requests wait for.
 	demanded map[ModelKey]bool
-	// holders is the number of replicas that hold or will hold each model, and
-	// wanted the number that a busy model needs.
-	holders, wanted map[ModelKey]int
+	// holders is the number of replicas that hold or will hold each model, unlimitedHolders
+	// the number of those without a limit, and wanted the number that a busy model needs.
+	holders, unlimitedHolders, wanted map[ModelKey]int
+	// saturated are the models whose replicas are all full or at their limits.
+	saturated map[saturationKey]bool
+	// unlimited are the services that have replicas without a limit.
+	unlimited map[string]bool
 	// saturatedIn holds the data centres in which full replicas of a model need another
 	// one. It allows all if one of the demands does.
 	saturatedIn map[ModelKey]DataCentres
@@ -65,8 +69,8 @@
 
 func (c *Controller) buildIndex(now time.Time) planIndex {
 	index := planIndex{
-		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
-		saturatedIn: map[ModelKey]DataCentres{},
+		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, unlimitedHolders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
+		saturated: map[saturationKey]bool{}, unlimited: map[string]bool{}, saturatedIn: map[ModelKey]DataCentres{},
 	}
 	for _, peer := range c.Tenure.Peers {
 		if now.Sub(peer.LastReportAt) < peerReportTimeout {
@@ -78,15 +82,23 @@
 	for id := range c.closedReplicas(now) {
 		index.suspects[id] = true
 	}
-	for key := range c.Tenure.Demand {
-		index.demanded[key.ModelKey] = true
-	}
 	for _, e := range c.Tenure.Endpoints {
-		if !e.Synced || e.isExcluded() {
+		if e.isExcluded() {
+			continue
+		}
+		unlimited := !c.hasLimit(e)
+		if unlimited {
+			index.unlimited[e.Entry.Service] = true
+		}
+		if !e.Synced {
 			continue
 		}
 		for _, name := range e.heldModels() {
-			index.holders[ModelKey{e.Entry.Service, name}]++
+			key := ModelKey{e.Entry.Service, name}
+			index.holders[key]++
+			if unlimited {
+				index.unlimitedHolders[key]++
+			}
 		}
 	}
 	for key := range c.Tenure.Rates {
@@ -97,6 +109,7 @@
 	for key, at := range c.Tenure.SaturatedAt {
 		if now.Sub(at) < saturationLifetime {
 			index.wanted[key.ModelKey] = max(index.wanted[key.ModelKey], index.holders[key.ModelKey]+1)
+			index.saturated[key] = true
 			index.restrict(key)
 		} else {
 			delete(c.Tenure.SaturatedAt, key)
@@ -108,8 +121,11 @@
 // plan queues the orders that meet the demand and, at longer intervals, loads of
 // extra replicas and prefetches.
 func (c *Controller) plan(now time.Time) []Effect {
-	c.expireDemand(now)
 	c.index = c.buildIndex(now)
+	c.expireDemand(now)
+	for key := range c.Tenure.Demand {
+		c.index.demanded[key.ModelKey] = true
+	}
 	var effects []Effect
 	for _, key := range c.sortedDemands(now) {
 		if key.Adapter != "" {
@@ -140,7 +156,7 @@
 // requests wait for.
 func (c *Controller) satisfied(key DemandKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || !key.DataCentres.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !key.DataCentres.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] || c.holdsBack(e, key) {
 			continue
 		}
 		if resident := e.Models[key.Model]; resident != nil && !e.unloading(key.Model) {
@@ -202,18 +218,20 @@
 	switch {
 	case !ok:
 		return loadChoice{obstacle: UnknownModel}
-	case c.hasHealthyHolder(key, in):
+	case c.hasHealthyHolder(demand):
 		return loadChoice{obstacle: HasReplica}
 	}
-	best, victims := c.cheapestReplica(now, key, engine, model, loadRule{DataCentres: in})
-	if best == nil && c.filledByBusyModels(key, in, engine, model) {
-		best, victims = c.cheapestReplica(now, key, engine, model, loadRule{EvictSpares: true, DataCentres: in})
+	rule := loadRule{DataCentres: in, AvoidLimits: c.needsUnlimited(demand)}
+	best, victims := c.cheapestReplica(now, key, engine, model, rule)
+	if best == nil && c.filledByBusyModels(key, rule, engine, model) {
+		rule.EvictSpares = true
+		best, victims = c.cheapestReplica(now, key, engine, model, rule)
 	}
 	switch {
 	case best == nil:
 		return loadChoice{obstacle: NoRoom}
 	case best.tier(model.Name) != FromStore:
-	case c.hasLocalCopy(now, key, in, engine, model):
+	case c.hasLocalCopy(now, key, rule, engine, model):
 		return loadChoice{obstacle: CopyElsewhere}
 	case c.countStoreLoads() >= c.storeConcurrency():
 		return loadChoice{obstacle: StoreBusy}
@@ -225,9 +243,9 @@
 // or on disk and can soon load it. If that replica executes an order, waiting for it takes
 // less time than a load from the weight store. One that busy models fill may never have
 // room.
-func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, in DataCentres, engine *resolver.Engine, model resolver.Model) bool {
+func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, rule loadRule, engine *resolver.Engine, model resolver.Model) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || !in.allows(e) || e.isExcluded() || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !c.meets(e, rule) || e.isExcluded() || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
 			continue
 		}
 		if _, _, hasRoom := c.selectVictims(now.Add(minResidency), e, engine, model, false); hasRoom || !e.idle() {
@@ -237,11 +255,11 @@
 	return false
 }
 
-// hasHealthyHolder reports whether a replica that is not suspected holds or loads
-// a model.
-func (c *Controller) hasHealthyHolder(key ModelKey, in DataCentres) bool {
+// hasHealthyHolder reports whether a replica that is not suspected holds or loads what a demand
+// is for, and is not at its limit while others have none.
+func (c *Controller) hasHealthyHolder(demand DemandKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service == key.Service && in.allows(e) && e.Synced && !e.isExcluded() && e.holdsOrLoads(key.Model) && !c.index.suspects[id] {
+		if e.Entry.Service == demand.Service && demand.DataCentres.allows(e) && e.Synced && !e.isExcluded() && e.holdsOrLoads(demand.Model) && !c.index.suspects[id] && !c.holdsBack(e, demand) {
 			return true
 		}
 	}
--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -22,6 +22,11 @@
 	MayEvict func(e *Endpoint, model string) bool
 }
 
+// meets reports whether a replica may load a model under the rule.
+func (c *Controller) meets(e *Endpoint, rule loadRule) bool {
+	return rule.DataCentres.allows(e) && !(rule.AvoidLimits && c.hasLimit(e))
+}
+
 // cheapestReplica returns the idle replica that can load a model at the lowest
 // cost under the rule, with the models to unload there. The replica is nil if there is
 // none.
@@ -31,7 +36,7 @@
 	bestCost := time.Duration(math.MaxInt64)
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
-		if e.Entry.Service != key.Service || !rule.DataCentres.allows(e) || !e.idle() || e.holdsOrLoads(model.Name) || c.index.suspects[id] || rule.AvoidLimits && c.hasLimit(e) {
+		if e.Entry.Service != key.Service || !c.meets(e, rule) || !e.idle() || e.holdsOrLoads(model.Name) || c.index.suspects[id] {
 			continue
 		}
 		victims, loss, ok := c.selectVictims(now, e, engine, model, rule.EvictSpares)
@@ -118,7 +123,7 @@
 		return true
 	}
 	if evictSpares {
-		return c.index.wanted[key] > 0 && c.index.holders[key] <= 1
+		return c.index.wanted[key] > 0 && c.replicasLike(e, key) <= 1
 	}
 	return c.hasNoSpareReplica(e, name)
 }
@@ -128,14 +133,14 @@
 func (c *Controller) hasNoSpareReplica(e *Endpoint, name string) bool {
 	key := ModelKey{e.Entry.Service, name}
 	wanted := c.index.wanted[key]
-	return wanted > 0 && c.index.holders[key] <= wanted
+	return wanted > 0 && c.replicasLike(e, key) <= wanted
 }
 
 // filledByBusyModels reports whether busy models take so much memory on every
-// replica of the service that the model would never fit.
-func (c *Controller) filledByBusyModels(key ModelKey, in DataCentres, engine *resolver.Engine, model resolver.Model) bool {
+// replica of the service that may load the model that it would never fit.
+func (c *Controller) filledByBusyModels(key ModelKey, rule loadRule, engine *resolver.Engine, model resolver.Model) bool {
 	for _, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || !in.allows(e) || e.isExcluded() {
+		if e.Entry.Service != key.Service || !c.meets(e, rule) || e.isExcluded() {
 			continue
 		}
 		available := engine.MemoryMB - e.memoryUsed(engine)
@@ -156,9 +161,9 @@
 	c.Tenure.TableStale = true
 	for _, victim := range victims {
 		e.Queue = append(e.Queue, Order{Model: victim})
-		c.index.holders[ModelKey{e.Entry.Service, victim}]--
+		c.countHolder(e, victim, -1)
 	}
-	c.index.holders[ModelKey{e.Entry.Service, model.Name}]++
+	c.countHolder(e, model.Name, 1)
 	e.Queue = append(e.Queue, Order{Load: true, Model: model.Name})
 	text := "load planned"
 	if e.tier(model.Name) == FromStore {
