Do not wait for replicas that load from the weight store

Cause: what is in progress counted as nearly done. A load from the weight store, which takes six seconds, counted as a replica that has the model, so that no other load was considered. Likewise a copy on the disk of a replica was waited for while that replica executed a load from the weight store for another model.

Evidence: "requests still wait for a model: a replica that is not suspected has it or is loading it" for that model in these seconds, and no second load.

If all replicas with a model only load it from the weight store, a replica that loads a copy of its own sooner gets an order as well. A replica with a copy is waited for only if the rest of its present load and the load of the copy take no longer than the weight store.

--- a/internal/planner/endpoint.go
+++ b/internal/planner/endpoint.go
@@ -167,6 +167,26 @@
 	return FromStore
 }
 
+// storeLoadEndsIn returns the estimated time until the end of the load of a model from the
+// weight store, or 0 if the endpoint holds the model or loads a copy of its own.
+func (e *Endpoint) storeLoadEndsIn(now time.Time, model resolver.Model) time.Duration {
+	switch {
+	case e.Models[model.Name] != nil || e.tier(model.Name) != FromStore:
+		return 0
+	case e.Running != nil && e.Running.Load && e.Running.Model == model.Name:
+		return e.busyFor(now)
+	}
+	return model.StoreLoadTime
+}
+
+// busyFor returns the estimated time until the end of the load in progress.
+func (e *Endpoint) busyFor(now time.Time) time.Duration {
+	if e.Running == nil {
+		return 0
+	}
+	return max(0, e.Running.EndsAt.Sub(now))
+}
+
 // loadTime returns the duration of a load from a tier.
 func loadTime(model resolver.Model, tier Tier) time.Duration {
 	switch tier {
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -215,10 +215,11 @@
 		return loadChoice{obstacle: NoEngine}
 	}
 	model, ok := engine.Models[key.Model]
-	switch {
-	case !ok:
+	if !ok {
 		return loadChoice{obstacle: UnknownModel}
-	case c.hasHealthyHolder(demand):
+	}
+	readyIn, held := c.holderReadyIn(now, demand, model)
+	if held && readyIn <= model.DiskLoadTime {
 		return loadChoice{obstacle: HasReplica}
 	}
 	rule := loadRule{DataCentres: in, AvoidLimits: c.needsUnlimited(demand)}
@@ -228,6 +229,8 @@
 		best, victims = c.cheapestReplica(now, key, engine, model, rule)
 	}
 	switch {
+	case held && (best == nil || loadTime(model, best.tier(model.Name)) >= readyIn):
+		return loadChoice{obstacle: HasReplica}
 	case best == nil:
 		return loadChoice{obstacle: NoRoom}
 	case best.tier(model.Name) != FromStore:
@@ -240,30 +243,34 @@
 }
 
 // hasLocalCopy reports whether some replica has a copy of the model in host memory
-// or on disk and can soon load it. If that replica executes an order, waiting for it takes
-// less time than a load from the weight store. One that busy models fill may never have
-// room.
+// or on disk and can load it sooner than the weight store. One that busy models fill may never
+// have room.
 func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, rule loadRule, engine *resolver.Engine, model resolver.Model) bool {
 	for id, e := range c.Tenure.Endpoints {
 		if e.Entry.Service != key.Service || !c.meets(e, rule) || e.isExcluded() || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
 			continue
 		}
-		if _, _, hasRoom := c.selectVictims(now.Add(minResidency), e, engine, model, false); hasRoom || !e.idle() {
+		if _, _, hasRoom := c.selectVictims(now.Add(minResidency), e, engine, model, false); !hasRoom && e.idle() {
+			continue
+		}
+		if e.busyFor(now)+loadTime(model, e.tier(key.Model)) <= model.StoreLoadTime {
 			return true
 		}
 	}
 	return false
 }
 
-// hasHealthyHolder reports whether a replica that is not suspected holds or loads what a demand
-// is for, and is not at its limit while others have none.
-func (c *Controller) hasHealthyHolder(demand DemandKey) bool {
+// holderReadyIn returns the time until a replica that is not suspected, nor at its limit while
+// others have none, has what a demand is for, and false if none holds or loads it. The time is 0
+// unless all of them load it from the weight store.
+func (c *Controller) holderReadyIn(now time.Time, demand DemandKey, model resolver.Model) (time.Duration, bool) {
+	readyIn, held := time.Duration(math.MaxInt64), false
 	for id, e := range c.Tenure.Endpoints {
 		if e.Entry.Service == demand.Service && demand.DataCentres.allows(e) && e.Synced && !e.isExcluded() && e.holdsOrLoads(demand.Model) && !c.index.suspects[id] && !c.holdsBack(e, demand) {
-			return true
+			readyIn, held = min(readyIn, e.storeLoadEndsIn(now, model)), true
 		}
 	}
-	return false
+	return readyIn, held
 }
 
 // wantedReplicas returns the number of replicas that a busy model needs, or 0 if
