--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -24,18 +24,21 @@
 			continue
 		}
 		// A copy that its replica's limit holds back does not relieve the others.
-		avoidLimits := c.hasUnlimitedReplica(key.Service)
-		rule := loadRule{AvoidLimits: avoidLimits, Scope: Scope{DataCentres: c.index.saturatedIn[key]}}
+		rule := loadRule{AvoidLimits: c.index.unlimited[key.Service], Scope: Scope{DataCentres: c.index.saturatedIn[key]}}
 		best, victims := c.cheapestReplica(now, key, engine, model, rule)
 		if best == nil && rule.DataCentres != "" && c.index.holders[key] < c.wantedReplicas(now, key) {
 			// The full data centres have no room. The rate needs a copy, wherever it is.
 			rule.DataCentres = ""
 			best, victims = c.cheapestReplica(now, key, engine, model, rule)
 		}
-		if best == nil || best.tier(model.Name) == FromStore && c.countStoreLoads() >= c.storeConcurrency() {
-			continue
+		switch {
+		case best == nil:
+			effects = append(effects, c.noteUnmet(now, key, NoRoom)...)
+		case best.tier(model.Name) == FromStore && c.countStoreLoads() >= c.storeConcurrency():
+			effects = append(effects, c.noteUnmet(now, key, StoreBusy)...)
+		default:
+			effects = append(effects, c.queueLoad(best, victims, model, "busy model")...)
 		}
-		effects = append(effects, c.queueLoad(best, victims, model, "busy model")...)
 	}
 	return effects
 }
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -46,9 +46,13 @@
 	suspects map[string]bool
 	// demanded are the models that requests wait for.
 	demanded map[ModelKey]bool
-	// holders is the number of replicas that hold or will hold each model, and
-	// wanted the number that a busy model needs.
-	holders, wanted map[ModelKey]int
+	// holders is the number of replicas that hold or will hold each model, unlimitedHolders
+	// the number of those without a limit, and wanted the number that a busy model needs.
+	holders, unlimitedHolders, wanted map[ModelKey]int
+	// saturated are the models whose replicas are all full or at their limits.
+	saturated map[saturationKey]bool
+	// unlimited are the services that have replicas without a limit.
+	unlimited map[string]bool
 	// saturatedIn holds the data centres in which full replicas of a model need another
 	// one. It allows all if one of the demands does.
 	saturatedIn map[ModelKey]DataCentres
@@ -65,8 +69,8 @@
 
 func (c *Controller) buildIndex(now time.Time) planIndex {
 	index := planIndex{
-		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
-		saturatedIn: map[ModelKey]DataCentres{},
+		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, unlimitedHolders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
+		saturated: map[saturationKey]bool{}, unlimited: map[string]bool{}, saturatedIn: map[ModelKey]DataCentres{},
 	}
 	for _, peer := range c.Tenure.Peers {
 		if now.Sub(peer.LastReportAt) < peerReportTimeout {
@@ -78,15 +82,23 @@
 	for id := range c.closedReplicas(now) {
 		index.suspects[id] = true
 	}
-	for key := range c.Tenure.Demand {
-		index.demanded[key.ModelKey] = true
-	}
 	for _, e := range c.Tenure.Endpoints {
-		if !e.Synced || e.isExcluded() {
+		if e.isExcluded() {
+			continue
+		}
+		unlimited := !c.hasLimit(e)
+		if unlimited {
+			index.unlimited[e.Entry.Service] = true
+		}
+		if !e.Synced {
 			continue
 		}
 		for _, name := range e.heldModels() {
-			index.holders[ModelKey{e.Entry.Service, name}]++
+			key := ModelKey{e.Entry.Service, name}
+			index.holders[key]++
+			if unlimited {
+				index.unlimitedHolders[key]++
+			}
 		}
 	}
 	for key := range c.Tenure.Rates {
@@ -97,6 +109,7 @@
 	for key, at := range c.Tenure.SaturatedAt {
 		if now.Sub(at) < saturationLifetime {
 			index.wanted[key.ModelKey] = max(index.wanted[key.ModelKey], index.holders[key.ModelKey]+1)
+			index.saturated[key] = true
 			index.restrict(key)
 		} else {
 			delete(c.Tenure.SaturatedAt, key)
@@ -108,8 +121,11 @@
 // plan queues the orders that meet the demand and, at longer intervals, loads of
 // extra replicas and prefetches.
 func (c *Controller) plan(now time.Time) []Effect {
-	c.expireDemand(now)
 	c.index = c.buildIndex(now)
+	c.expireDemand(now)
+	for key := range c.Tenure.Demand {
+		c.index.demanded[key.ModelKey] = true
+	}
 	var effects []Effect
 	for _, key := range c.sortedDemands(now) {
 		if key.Adapter != "" {
@@ -122,6 +138,7 @@
 		return effects
 	}
 	c.Tenure.CopiesPlannedAt = now
+	c.forgetUnmet(now)
 	effects = append(effects, c.planEvacuated(now)...)
 	effects = append(effects, c.planExtraReplicas(now)...)
 	return append(effects, c.planPrefetch(now)...)
@@ -139,7 +156,7 @@
 // requests wait for.
 func (c *Controller) satisfied(key DemandKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || !key.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !key.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] || c.holdsBack(e, key) {
 			continue
 		}
 		if resident := e.Models[key.Model]; resident != nil && !e.unloading(key.Model) {
@@ -176,7 +193,7 @@
 func (c *Controller) planModel(now time.Time, demand DemandKey) []Effect {
 	choice := c.chooseLoad(now, demand)
 	if choice.obstacle != "" {
-		return nil
+		return c.noteUnmet(now, demand.ModelKey, choice.obstacle)
 	}
 	return c.queueLoad(choice.endpoint, choice.victims, choice.model, "requests wait")
 }
@@ -192,27 +209,32 @@
 
 // chooseLoad chooses the load of a model that no healthy replica holds or loads.
 func (c *Controller) chooseLoad(now time.Time, demand DemandKey) loadChoice {
-	key, in := demand.ModelKey, demand.Scope
+	key := demand.ModelKey
 	engine := c.engine(key.Service)
 	if engine == nil {
 		return loadChoice{obstacle: NoEngine}
 	}
 	model, ok := engine.Models[key.Model]
-	switch {
-	case !ok:
+	if !ok {
 		return loadChoice{obstacle: UnknownModel}
-	case c.hasHealthyHolder(key, in):
+	}
+	readyIn, held := c.holderReadyIn(now, demand, model)
+	if held && readyIn <= model.DiskLoadTime {
 		return loadChoice{obstacle: HasReplica}
 	}
-	best, victims := c.cheapestReplica(now, key, engine, model, loadRule{Scope: in})
-	if best == nil && c.filledByBusyModels(key, in, engine, model) {
-		best, victims = c.cheapestReplica(now, key, engine, model, loadRule{EvictSpares: true, Scope: in})
+	rule := loadRule{Scope: demand.Scope, AvoidLimits: c.needsUnlimited(demand)}
+	best, victims := c.cheapestReplica(now, key, engine, model, rule)
+	if best == nil && c.filledByBusyModels(key, rule, engine, model) {
+		rule.EvictSpares = true
+		best, victims = c.cheapestReplica(now, key, engine, model, rule)
 	}
 	switch {
+	case held && (best == nil || loadTime(model, best.tier(model.Name)) >= readyIn):
+		return loadChoice{obstacle: HasReplica}
 	case best == nil:
 		return loadChoice{obstacle: NoRoom}
 	case best.tier(model.Name) != FromStore:
-	case c.hasLocalCopy(now, key, in, engine, model):
+	case c.hasLocalCopy(now, key, rule, engine, model):
 		return loadChoice{obstacle: CopyElsewhere}
 	case c.countStoreLoads() >= c.storeConcurrency():
 		return loadChoice{obstacle: StoreBusy}
@@ -221,30 +243,34 @@
 }
 
 // hasLocalCopy reports whether some replica has a copy of the model in host memory
-// or on disk and can soon load it. If that replica executes an order, waiting for it takes
-// less time than a load from the weight store. One that busy models fill may never have
-// room.
-func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, in Scope, engine *resolver.Engine, model resolver.Model) bool {
+// or on disk and can load it sooner than the weight store. One that busy models fill may never
+// have room.
+func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, rule loadRule, engine *resolver.Engine, model resolver.Model) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || !in.allows(e) || e.isExcluded() || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !c.meets(e, rule) || e.isExcluded() || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
 			continue
 		}
-		if _, _, hasRoom := c.selectVictims(now.Add(minResidency), e, engine, model, false); hasRoom || !e.idle() {
+		if _, _, hasRoom := c.selectVictims(now.Add(minResidency), e, engine, model, false); !hasRoom && e.idle() {
+			continue
+		}
+		if e.busyFor(now)+loadTime(model, e.tier(key.Model)) <= model.StoreLoadTime {
 			return true
 		}
 	}
 	return false
 }
 
-// hasHealthyHolder reports whether a replica that is not suspected holds or loads
-// a model.
-func (c *Controller) hasHealthyHolder(key ModelKey, in Scope) bool {
+// holderReadyIn returns the time until a replica that is not suspected, nor at its limit while
+// others have none, has what a demand is for, and false if none holds or loads it. The time is 0
+// unless all of them load it from the weight store.
+func (c *Controller) holderReadyIn(now time.Time, demand DemandKey, model resolver.Model) (time.Duration, bool) {
+	readyIn, held := time.Duration(math.MaxInt64), false
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service == key.Service && in.allows(e) && e.Synced && !e.isExcluded() && e.holdsOrLoads(key.Model) && !c.index.suspects[id] {
-			return true
+		if e.Entry.Service == demand.Service && demand.allows(e) && e.Synced && !e.isExcluded() && e.holdsOrLoads(demand.Model) && !c.index.suspects[id] && !c.holdsBack(e, demand) {
+			readyIn, held = min(readyIn, e.storeLoadEndsIn(now, model)), true
 		}
 	}
-	return false
+	return readyIn, held
 }
 
 // wantedReplicas returns the number of replicas that a busy model needs, or 0 if
