Count only replicas that take requests as free of limits

A demand whose model is held back by limits is met by replicas without a limit only, if the service has some. That included replicas which are closed, suspected or not read yet, and those in data centres that must not run the requests: a model was then loaded nowhere, though a replica with a limit had room.

Such replicas do not count any more, and each demand counts those in its own data centres.

--- a/internal/planner/copies.go
+++ b/internal/planner/copies.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		// A copy that its replica's limit holds back does not relieve the others.
-		rule := loadRule{AvoidLimits: c.index.unlimited[key.Service], Scope: Scope{DataCentres: c.index.saturatedIn[key]}}
+		rule := loadRule{AvoidLimits: c.hasUnlimited(key.Service, c.index.saturatedIn[key]), Scope: Scope{DataCentres: c.index.saturatedIn[key]}}
 		best, victims := c.cheapestReplica(now, key, engine, model, rule)
 		if best == nil && rule.DataCentres != "" && c.index.holders[key] < c.wantedReplicas(now, key) {
 			// The full data centres have no room. The rate needs a copy, wherever it is.
--- a/internal/planner/limits.go
+++ b/internal/planner/limits.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"strings"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/surveyor"
@@ -35,11 +36,26 @@
 	}
 }
 
+// location is the replicas of a service in a data centre, or in all of them if DataCentre is
+// empty.
+type location struct{ Service, DataCentre string }
+
+// hasUnlimited reports whether a service has a replica without a limit in the data centres that
+// takes requests.
+func (c *Controller) hasUnlimited(service string, in DataCentres) bool {
+	for name := range strings.SplitSeq(string(in), ",") {
+		if c.index.unlimited[location{service, name}] {
+			return true
+		}
+	}
+	return false
+}
+
 // needsUnlimited reports whether the replicas that have a model hold its requests back, so that
 // only a replica without a limit relieves them. The rest of a stream goes on at any replica of its
 // version, because there may be few.
 func (c *Controller) needsUnlimited(demand DemandKey) bool {
-	return demand.Version == "" && c.index.unlimited[demand.Service] && c.index.saturated[saturationKey{demand.ModelKey, demand.DataCentres}]
+	return demand.Version == "" && c.hasUnlimited(demand.Service, demand.DataCentres) && c.index.saturated[saturationKey{demand.ModelKey, demand.DataCentres}]
 }
 
 // holdsBack reports whether a replica that has what a demand is for is at its limit while others
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -51,8 +51,8 @@
 	holders, unlimitedHolders, wanted map[ModelKey]int
 	// saturated are the models whose replicas are all full or at their limits.
 	saturated map[saturationKey]bool
-	// unlimited are the services that have replicas without a limit.
-	unlimited map[string]bool
+	// unlimited are the locations with replicas that have no limit and take requests.
+	unlimited map[location]bool
 	// saturatedIn holds the data centres in which full replicas of a model need another
 	// one. It allows all if one of the demands does.
 	saturatedIn map[ModelKey]DataCentres
@@ -70,7 +70,7 @@
 func (c *Controller) buildIndex(now time.Time) planIndex {
 	index := planIndex{
 		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, unlimitedHolders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
-		saturated: map[saturationKey]bool{}, unlimited: map[string]bool{}, saturatedIn: map[ModelKey]DataCentres{},
+		saturated: map[saturationKey]bool{}, unlimited: map[location]bool{}, saturatedIn: map[ModelKey]DataCentres{},
 	}
 	for _, peer := range c.Tenure.Peers {
 		if now.Sub(peer.LastReportAt) < peerReportTimeout {
@@ -87,12 +87,13 @@
 			continue
 		}
 		unlimited := !c.hasLimit(e)
-		if unlimited {
-			index.unlimited[e.Entry.Service] = true
-		}
 		if !e.Synced {
 			continue
 		}
+		if unlimited && !index.suspects[e.Entry.ID] {
+			index.unlimited[location{e.Entry.Service, e.Entry.DataCentre}] = true
+			index.unlimited[location{Service: e.Entry.Service}] = true
+		}
 		for _, name := range e.heldModels() {
 			key := ModelKey{e.Entry.Service, name}
 			index.holders[key]++
