Change the path of reports with their format

Found by the review. Another path makes reports between the two builds fail alike, as docs/protocols.md describes.

--- a/internal/messenger/report.go
+++ b/internal/messenger/report.go
@@ -12,7 +12,7 @@
 
 // reportPath contains the version of the format: a node of another version answers
 // 404, and the report counts as refused.
-const reportPath = "/peer/v5/report"
+const reportPath = "/peer/v6/report"
 
 // Reports, states and views of the planner are encoded directly: their exported fields
 // define the wire format.
