Ask for the models of streams in time

The rest of a stream was late from the start, because it took the time of its first event, and the holder loads what is late last. And it was not reported at once if a replica of another version was loading its model.

The rest is late when it is given up, and only replicas that may run a request count as loading its model.

--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -87,7 +87,7 @@
 func (c *Controller) loadExpectedAt(now time.Time, need Need) (time.Time, bool) {
 	var first time.Time
 	for _, replica := range c.Replicas {
-		if !need.allows(replica.Description) || replica.isExcluded() {
+		if !need.allows(replica.Description) || replica.isExcluded() || !c.fits(need, replica.Description.Version) {
 			continue
 		}
 		endsAt, loading := replica.loadEndsAt(modelKey{need.Model, need.Adapter})
--- a/internal/balancer/availability.go
+++ b/internal/balancer/availability.go
@@ -14,10 +14,10 @@
 }
 
 // isLoading reports whether a load of the model or adapter that the request
-// needs is in progress.
+// needs is in progress, on a replica of a version that may run it.
 func (c *Controller) isLoading(need Need) bool {
 	for _, replica := range c.Replicas {
-		if need.allows(replica.Description) && !replica.isExcluded() {
+		if need.allows(replica.Description) && !replica.isExcluded() && c.fits(need, replica.Description.Version) {
 			if _, ok := replica.loadEndsAt(modelKey{need.Model, need.Adapter}); ok {
 				return true
 			}
@@ -30,7 +30,7 @@
 // that the request needs and takes requests before it is given up.
 func (c *Controller) isLoaded(need Need) bool {
 	for _, replica := range c.Replicas {
-		if need.allows(replica.Description) && !replica.isExcluded() && !replica.isClosed(need.GiveUpAt) && replica.Description.Has(need.Model, need.Adapter) {
+		if need.allows(replica.Description) && !replica.isExcluded() && !replica.isClosed(need.GiveUpAt) && c.fits(need, replica.Description.Version) && replica.Description.Has(need.Model, need.Adapter) {
 			return true
 		}
 	}
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -97,7 +97,8 @@
 	}
 	need.Deadline, need.Excluded = j.request.Deadline, j.excluded
 	if j.origin != nil {
-		need.Continued, need.Version = true, j.origin.Version
+		// The first event has come in time. What matters now is when the caller gives up.
+		need.Continued, need.Version, need.LateAt = true, j.origin.Version, need.GiveUpAt
 	}
 	return need
 }
--- a/internal/forwarder/job_test.go
+++ b/internal/forwarder/job_test.go
@@ -6,6 +6,7 @@
 
 	"toucanhitch.example/toucanhitch/internal/filter"
 	"toucanhitch.example/toucanhitch/internal/resolver"
+	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/tester"
 )
 
@@ -40,3 +41,21 @@
 		})
 	}
 }
+
+// TestRestOfStreamIsNotLate guards against the rest of a stream whose model is loaded after
+// those of all new requests, because its first event was due long ago.
+func TestRestOfStreamIsNotLate(t *testing.T) {
+	arrived := tester.Start
+	now := arrived.Add(3 * time.Second)
+	j := &job{
+		Dispatch:        &Dispatch{},
+		request:         &filter.Request{Arrived: arrived, Deadline: arrived.Add(10 * time.Second)},
+		forward:         &filter.Forward{Route: resolver.Route{Kind: resolver.Streaming, Resumable: true, Objective: 500 * time.Millisecond}},
+		origin:          &resumer.Origin{Service: "llm", Version: "v1"},
+		responseStarted: true,
+	}
+	need := j.placementNeed(now, 7*time.Second)
+	if !need.Continued || !need.LateAt.After(now) || !need.LateAt.Equal(need.GiveUpAt) {
+		t.Errorf("late at %v, given up at %v, now %v: want a rest that is late when it is given up", need.LateAt, need.GiveUpAt, now)
+	}
+}
