Tell callers that have gone from streams that the node breaks off

A caller that is gone has a reason of its own now, and an attempt that failed logs how long its replica had been silent.

--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -56,6 +56,7 @@
 		if len(event.Forward.SharedParts) > 0 {
 			fields["SharedParts"] = strings.Join(event.Forward.SharedParts, " ")
 			fields["EventsPassed"] = event.EventsPassed
+			fields["SilentMs"] = event.Silence.Milliseconds()
 		}
 	}
 	n.logger.WithFields(fields).Info(event.Text)
--- a/internal/filter/verdict.go
+++ b/internal/filter/verdict.go
@@ -78,6 +78,7 @@
 	Quarantined         Reason = "quarantined"
 	OriginUnknown       Reason = "origin-unknown"
 	Evacuated           Reason = "evacuated"
+	CallerGone          Reason = "caller-gone"
 )
 
 // Refusal describes why a request was not answered and whether it ran.
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -95,6 +95,8 @@
 	Notice Notice
 	// EventsPassed is the number of events of a stream that the caller has.
 	EventsPassed int
+	// Silence is the time since the last event of the replica, 0 if it has sent none.
+	Silence time.Duration
 	// Fingerprint identifies the whole request. It is set if Err is set.
 	Fingerprint string
 	Err         error
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -81,7 +81,7 @@
 func (j *job) verdictAfterFailure(err error) filter.Verdict {
 	switch {
 	case errors.Is(err, ErrCallerGone):
-		return j.end(filter.StreamBroken, "the caller is gone")
+		return j.end(filter.CallerGone, "the caller is gone")
 	case errors.Is(err, ErrShutdown):
 		return j.end(filter.EndpointFailed, "this node shuts down")
 	case j.attemptsSent >= maxAttemptsSent:
@@ -121,6 +121,8 @@
 func (j *job) end(reason filter.Reason, detail string) filter.Verdict {
 	j.log("ended: "+detail, balancer.Placement{}, 0, 0, j.lastErr)
 	switch {
+	case reason == filter.CallerGone:
+		return newRefusal(filter.CallerGone, filter.Unknown, 0, detail)
 	case j.responseStarted:
 		return newRefusal(filter.StreamBroken, filter.Unknown, 0, detail)
 	case j.fallback != nil:
@@ -159,6 +161,7 @@
 		Measurement:      j.observed.measurement(text == answeredText, now),
 		Notice:           j.notice,
 		EventsPassed:     j.events.Passed,
+		Silence:          j.observed.silence(now),
 		Fingerprint:      identity,
 		Err:              err,
 		ConfigurationAge: now.Sub(currentAsOf),
--- a/internal/forwarder/observe.go
+++ b/internal/forwarder/observe.go
@@ -22,9 +22,19 @@
 	// elsewhere, or an error.
 	valid, stream bool
 	// firstEvent is the time to the first event of a stream or to the first byte of
-	// another answer. events counts the events of the stream.
-	firstEvent time.Duration
-	events     int
+	// another answer. events counts the events of the stream, and lastEventAt is the time
+	// of the latest one.
+	firstEvent  time.Duration
+	events      int
+	lastEventAt time.Time
+}
+
+// silence returns the time since the latest event, 0 if there was none.
+func (o observation) silence(now time.Time) time.Duration {
+	if o.lastEventAt.IsZero() {
+		return 0
+	}
+	return now.Sub(o.lastEventAt)
 }
 
 // Measurement compares the estimate of an attempt with what was measured. Its fields are 0
@@ -59,6 +69,7 @@
 		return
 	}
 	o.events++
+	o.lastEventAt = j.Clock.Now()
 	switch {
 	case !o.valid:
 	case o.events == 1:
--- a/internal/server/problem.go
+++ b/internal/server/problem.go
@@ -49,6 +49,7 @@
 	filter.OutcomeUnknown:      {http.StatusBadGateway, "Outcome unknown"},
 	filter.EndpointFailed:      {http.StatusBadGateway, "Endpoint failed"},
 	filter.StreamBroken:        {http.StatusBadGateway, "Stream broke off"},
+	filter.CallerGone:          {http.StatusBadGateway, "Caller gone"},
 }
 
 func newProblem(identity string, refusal filter.Refusal) problem {
