Do not begin answers with events of a stream that has timed out

Callers saw the beginning of a stream that broke off: the first-byte timer closed the connection to the replica between the arrival of the head and its handling, and the events that had arrived with the head were passed on. If no replica could go on, the caller's connection was closed in the middle of the answer.

Cause: stopping the timer was not checked. The timer is now stopped before the first event is handled; if it has fired, the attempt counts as timed out and nothing has been passed on, so that another attempt or a whole answer follows.

TestSilence/late_head failed before: "begun: true, stream-broken"; now the request ends as deadline-passed, with an answer.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -90,7 +90,10 @@
 		}
 		return j.forward.Writer.Write(event)
 	}
-	err := e.forwardEvents(ctx, &j.events, j.eventTimeout(), write)
+	err := e.endFirstByteTimeout()
+	if err == nil {
+		err = e.forwardEvents(ctx, &j.events, j.eventTimeout(), write)
+	}
 	e.release(err)
 	if err != nil {
 		return nil, err
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -143,6 +143,16 @@
 	return merry.Wrap(ErrTruncated, merry.AppendMessagef("%v", err))
 }
 
+// endFirstByteTimeout ends the timeout of the first byte. It returns ErrReadTimeout if the
+// timer has fired and the connection is closed. Events that have arrived before must not
+// begin an answer that nothing can complete.
+func (e *exchange) endFirstByteTimeout() error {
+	if e.watchdog.Stop() {
+		return nil
+	}
+	return merry.Wrap(ErrReadTimeout, merry.AppendMessage("the first event came with the time-out"))
+}
+
 // resetTimeout restarts the read timeout from now.
 func (e *exchange) resetTimeout(timeout time.Duration) { e.watchdog.Reset(timeout) }
 
