Give up a silent replica only if another one goes on with its stream

Callers saw streams break off in the middle although their replica would have gone on: a stream on a repeatable route was given up after 2.5 s without an event, and only then was it known whether an attempt, budget or a replica was left for the rest. Where none was, the node closed the caller's connection.

A timer that expires now interrupts the read instead of closing the connection. The goroutine that reads reserves the next replica, with its budget, and gives the silent one up only then; otherwise it reads on, until the time of the request is over. The reserved replica is used for the next attempt or returned.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -90,7 +90,7 @@
 		}
 		return j.forward.Writer.Write(event)
 	}
-	err := e.endFirstByteTimeout()
+	err := e.watchSilence(func() bool { return j.givesUp(ctx, e) })
 	if err == nil {
 		err = e.forwardEvents(ctx, &j.events, j.eventTimeout(), write)
 	}
@@ -107,11 +107,12 @@
 	return filter.Accept{}, nil
 }
 
-// eventTimeout returns the longest time between two events of a stream. A stream
-// that cannot be resumed at another replica has until the request's deadline.
+// eventTimeout returns the time between two events of a stream after which another replica
+// may take it over. A stream that cannot be resumed there has until the request's deadline.
 func (j *job) eventTimeout() time.Duration {
+	left := max(minTimeLeft, j.request.Deadline.Sub(j.Clock.Now()))
 	if !j.forward.Route.Repeatable() {
-		return max(minTimeLeft, j.request.Deadline.Sub(j.Clock.Now()))
+		return left
 	}
-	return maxEventGap
+	return min(maxEventGap, left)
 }
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -40,8 +40,8 @@
 	// minFirstByteTimeout is the minimum first-byte timeout, before
 	// soleCandidateFactor.
 	minFirstByteTimeout = 250 * time.Millisecond
-	// maxEventGap is how long a stream may pause before it is resumed at another
-	// replica. A slow replica is no reason to end a response: callers wait for
+	// maxEventGap is how long a stream may pause before another replica goes on with it,
+	// if there is one. A slow replica is no reason to end a response: callers wait for
 	// eight times the longest pause, 4.8 s with the current routes.
 	maxEventGap = 2500 * time.Millisecond
 )
@@ -152,6 +152,7 @@
 	}
 	j.budget = d.Budgets.Service(forward.Service)
 	j.budget.RecordAttempt()
+	defer j.releaseSuccessor()
 	for {
 		verdict := j.tryReplica(ctx)
 		if _, answered := verdict.(filter.Accept); answered {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -36,9 +36,10 @@
 	attempt Attempt
 	conn    *connection
 	head    ResponseHead
-	// timedOut is set when the watchdog has closed the connection.
+	// timedOut is set when the replica was given up because it was silent.
 	timedOut atomic.Bool
 	watchdog clockwork.Timer
+	silence  silence
 	// stopCallerWatch stops closing the connection when the caller's context
 	// ends.
 	stopCallerWatch func() bool
@@ -56,10 +57,7 @@
 	}
 	e := &exchange{pool: p, attempt: attempt, conn: conn}
 	e.stopCallerWatch = context.AfterFunc(ctx, func() { conn.Close() })
-	e.watchdog = p.clock.AfterFunc(timeout, func() {
-		e.timedOut.Store(true)
-		conn.Close()
-	})
+	e.watchdog = p.clock.AfterFunc(timeout, e.expire)
 	if err := e.send(codec.EncodeHead(attempt), attempt.Forward.Body); err != nil {
 		e.close()
 		return nil, err
@@ -143,21 +141,15 @@
 	return merry.Wrap(ErrTruncated, merry.AppendMessagef("%v", err))
 }
 
-// endFirstByteTimeout ends the timeout of the first byte. It returns ErrReadTimeout if the
-// timer has fired and the connection is closed. Events that have arrived before must not
-// begin an answer that nothing can complete.
-func (e *exchange) endFirstByteTimeout() error {
-	if e.watchdog.Stop() {
-		return nil
-	}
-	return merry.Wrap(ErrReadTimeout, merry.AppendMessage("the first event came with the time-out"))
-}
-
 // resetTimeout restarts the read timeout from now.
-func (e *exchange) resetTimeout(timeout time.Duration) { e.watchdog.Reset(timeout) }
+func (e *exchange) resetTimeout(timeout time.Duration) {
+	e.silence.until = e.pool.clock.Now().Add(timeout)
+	e.watchdog.Reset(timeout)
+}
 
 // close ends the exchange and closes its connection.
 func (e *exchange) close() {
+	e.endSilence()
 	e.watchdog.Stop()
 	e.stopCallerWatch()
 	e.conn.Close()
@@ -166,6 +158,7 @@
 // finish returns the connection to the pool after a complete response if it can
 // be reused, and closes it otherwise.
 func (e *exchange) finish() {
+	e.endSilence()
 	stopped := e.watchdog.Stop()
 	if !e.stopCallerWatch() || !stopped || e.head.CloseConnection || !e.isRequestWritten() {
 		e.conn.Close()
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -44,6 +44,8 @@
 	notice     Notice
 	candidates int
 	waited     time.Duration
+	// successor is reserved for the rest of a stream whose replica was given up.
+	successor *balancer.Placement
 	// observed is what the latest attempt shows about the speed of its replica.
 	observed observation
 }
@@ -60,25 +62,23 @@
 
 // tryReplica makes one attempt. It returns nil if another one may follow.
 func (j *job) tryReplica(ctx context.Context) filter.Verdict {
+	if j.successor != nil {
+		placement := *j.successor
+		j.successor = nil
+		return j.attempt(ctx, placement)
+	}
 	now := j.Clock.Now()
 	left := j.request.Deadline.Sub(now)
 	if left < minTimeLeft {
 		return j.end(filter.DeadlinePassed, "the time is over")
 	}
-	// An attempt that does not reach a replica, such as one to a closed port, costs the
-	// replicas nothing.
-	if j.arrivals > 0 && !j.paid {
-		if !j.budget.Spend() {
-			return j.end(filter.Overloaded, "no budget for another attempt")
-		}
-		j.paid = true
+	if !j.pay() {
+		return j.end(filter.Overloaded, "no budget for another attempt")
 	}
-	placement, err := j.Placer.Place(ctx, j.placementNeed(now, left))
+	placement, err := j.place(ctx, j.placementNeed(now, left))
 	if err != nil {
 		return j.end(filter.Overloaded, err.Error())
 	}
-	j.candidates, j.waited = placement.Candidates, j.waited+placement.Waited
-	j.Observe(Wait{For: waitForReplica, Rank: j.forward.Rank(), Refused: placement.Refused != nil, Duration: placement.Waited})
 	if placement.Refused != nil {
 		return j.placementRefused(*placement.Refused)
 	}
--- a/internal/forwarder/limit.go
+++ b/internal/forwarder/limit.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"math"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +42,9 @@
 	remaining int64
 	// lines is the number of lines that may still be read.
 	lines int
+	// onTimeout, unless nil, is called when a read has reached its deadline. The reader
+	// reads on if it returns true.
+	onTimeout func() bool
 }
 
 // limitHead allows the bytes and lines of a head to be read. The lines of a body that
@@ -56,16 +61,26 @@
 func (r *limitedReader) Read(buffer []byte) (int, error) {
 	switch {
 	case r.remaining < 0:
-		return r.source.Read(buffer)
+		return r.readOn(buffer)
 	case r.remaining == 0, r.lines < 0:
 		return 0, merry.Wrap(ErrInvalidResponse, merry.AppendMessage("the head of the response is too long"))
 	}
-	n, err := r.source.Read(buffer[:min(int64(len(buffer)), r.remaining)])
+	n, err := r.readOn(buffer[:min(int64(len(buffer)), r.remaining)])
 	r.remaining -= int64(n)
 	r.lines -= bytes.Count(buffer[:n], []byte("\n"))
 	return n, err
 }
 
+// readOn reads from the source, after a time-out again if onTimeout allows it.
+func (r *limitedReader) readOn(buffer []byte) (int, error) {
+	for {
+		n, err := r.source.Read(buffer)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || r.onTimeout == nil || !r.onTimeout() {
+			return n, err
+		}
+	}
+}
+
 // BufferBudget bounds the bytes that all requests of a node hold together, of their bodies
 // or of their responses. The first freeBufferBytes of each are bounded apart from the rest.
 type BufferBudget struct {
--- /dev/null
+++ b/internal/forwarder/silence.go
@@ -0,0 +1,127 @@
+package forwarder
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucanhitch.example/toucanhitch/internal/balancer"
+)
+
+// silence is what an exchange does about a replica that sends nothing for its read timeout.
+// Before the answer has begun, the connection is closed. Afterwards the read is interrupted,
+// and the goroutine that reads decides whether to go on.
+type silence struct {
+	// until is when the replica counts as silent. Only the reading goroutine uses it.
+	until time.Time
+
+	mutex sync.Mutex
+	// answering is set once the answer has begun, and ended at the end of the exchange,
+	// when the connection may belong to another one.
+	answering, ended bool
+}
+
+// expire is called when the read timeout is over.
+func (e *exchange) expire() {
+	e.silence.mutex.Lock()
+	defer e.silence.mutex.Unlock()
+	switch {
+	case e.silence.ended:
+	case e.silence.answering:
+		_ = e.conn.SetReadDeadline(time.Unix(1, 0))
+	default:
+		e.timedOut.Store(true)
+		e.conn.Close()
+	}
+}
+
+// watchSilence ends the timeout of the first byte. From then on givesUp is called when the
+// replica has been silent for the read timeout, and the exchange goes on unless it returns
+// true. watchSilence returns ErrReadTimeout if the timer has fired and the connection is
+// closed: events that arrived before must not begin an answer that nothing can complete.
+func (e *exchange) watchSilence(givesUp func() bool) error {
+	if !e.watchdog.Stop() {
+		return merry.Wrap(ErrReadTimeout, merry.AppendMessage("the first event came with the time-out"))
+	}
+	e.silence.mutex.Lock()
+	e.silence.answering = true
+	e.silence.mutex.Unlock()
+	e.conn.limited.onTimeout = func() bool {
+		_ = e.conn.SetReadDeadline(time.Time{})
+		if e.pool.clock.Now().Before(e.silence.until) {
+			return true // an event arrived while the timer fired
+		}
+		e.timedOut.Store(givesUp())
+		return !e.timedOut.Load()
+	}
+	return nil
+}
+
+// endSilence makes a timer that has fired ineffective.
+func (e *exchange) endSilence() {
+	e.silence.mutex.Lock()
+	defer e.silence.mutex.Unlock()
+	e.silence.ended = true
+	e.conn.limited.onTimeout = nil
+}
+
+// givesUp reports whether to give up the replica of a stream that has been silent: when the
+// time of the request is over, or when another replica is reserved for the rest. A stream
+// that nobody else can go on with stays, because its replica may still go on.
+func (j *job) givesUp(ctx context.Context, e *exchange) bool {
+	if j.request.Deadline.Sub(j.Clock.Now()) < minTimeLeft || j.reserveSuccessor(ctx, e) {
+		return true
+	}
+	e.resetTimeout(j.eventTimeout())
+	return false
+}
+
+// reserveSuccessor reserves another replica for the rest of a stream.
+func (j *job) reserveSuccessor(ctx context.Context, e *exchange) bool {
+	route := j.forward.Route
+	if !route.Repeatable() || j.possibleRuns+1 >= route.MaxAttempts || j.attemptsSent >= maxAttemptsSent || !j.pay() {
+		return false
+	}
+	now := j.Clock.Now()
+	need := j.placementNeed(now, j.request.Deadline.Sub(now))
+	need.Excluded = append(slices.Clone(j.excluded), e.attempt.Replica)
+	placement, err := j.place(ctx, need)
+	if err != nil || placement.Refused != nil {
+		return false
+	}
+	j.successor = &placement
+	return true
+}
+
+// releaseSuccessor returns a reserved replica that is not used.
+func (j *job) releaseSuccessor() {
+	if j.successor != nil {
+		_ = j.Placer.Post(balancer.AttemptEnded{PlacementID: j.successor.ID, Result: balancer.Abandoned})
+		j.successor = nil
+	}
+}
+
+// place asks for a replica.
+func (j *job) place(ctx context.Context, need balancer.Need) (balancer.Placement, error) {
+	placement, err := j.Placer.Place(ctx, need)
+	if err != nil {
+		return placement, err
+	}
+	j.candidates, j.waited = placement.Candidates, j.waited+placement.Waited
+	j.Observe(Wait{For: waitForReplica, Rank: j.forward.Rank(), Refused: placement.Refused != nil, Duration: placement.Waited})
+	return placement, nil
+}
+
+// pay takes the next attempt from the budget, unless that was done or is not needed. An
+// attempt that does not reach a replica, such as one to a closed port, costs the replicas
+// nothing.
+func (j *job) pay() bool {
+	if j.arrivals > 0 && !j.paid {
+		j.paid = j.budget.Spend()
+		return j.paid
+	}
+	return true
+}
