Take no request from a connection whose time is over

A caller whose request arrived while its idle connection was being closed could get neither an answer nor a refusal: the connection was found idle under the lock and closed after the lock had been released and the close been counted. A request that was read in between was passed on, and its connection was closed under it.

The reason of a close is now set under the lock that the reader of a head takes, so that a head which arrives afterwards is refused as not run. Closes for want of room work alike.

TestExpiredConnectionTakesNoRequest failed before: the request was run.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -22,7 +22,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	settings.Clock = clockwork.NewRealClock()
-	settings.Count, settings.Log = func(Reason) {}, func(Note) {}
+	if settings.Count == nil {
+		settings.Count = func(Reason) {}
+	}
+	settings.Log = func(Note) {}
 	a := New(settings)
 	go func() { _ = a.Run(ctx) }()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
@@ -96,6 +99,43 @@
 	awaitClosed(t, a)
 }
 
+// TestExpiredConnectionTakesNoRequest guards against a request that arrives while its idle
+// connection is being closed, is run, and gets neither an answer nor a refusal.
+func TestExpiredConnectionTakesNoRequest(t *testing.T) {
+	expired, sent, started := make(chan struct{}), make(chan struct{}), make(chan struct{}, 2)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		if r.URL.Path == "/late" {
+			<-r.Context().Done()
+		}
+	})
+	_, address := serve(t, Settings{
+		Limits: func() Limits { return Limits{IdleTimeout: 100 * time.Millisecond} },
+		Count: func(reason Reason) {
+			if reason == Idle {
+				close(expired)
+				<-sent
+				time.Sleep(100 * time.Millisecond) // for a request that is taken to start
+			}
+		},
+	}, handler)
+	conn, reader := dial(t, address)
+	exchange(t, conn, reader, get)
+	<-started
+	<-expired
+	_, _ = io.WriteString(conn, "GET /late HTTP/1.1\r\nHost: h\r\n\r\n")
+	close(sent)
+	_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+	if response, err := http.ReadResponse(reader, nil); err == nil && response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("status %d, want 503 or a closed connection", response.StatusCode)
+	}
+	select {
+	case <-started:
+		t.Error("the request was run")
+	default:
+	}
+}
+
 // TestHeadsReturnTheirMemory guards against memory of the budget that is lost with each
 // request, until no head gets any, and against a limit on a head that a body before it on
 // the same connection brings nearer.
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -43,8 +43,9 @@
 	phase phase
 	// expiresAt is when the timer closes the connection.
 	expiresAt time.Time
-	// evicted is set when the connection is closed for others.
-	evicted bool
+	// closing is why the connection is being closed, "" if it is not. A head that arrives
+	// from then on is refused.
+	closing Reason
 	// since is when the connection was opened or its last request ended.
 	since time.Time
 	head  head
@@ -78,6 +79,9 @@
 func (c *connection) received(data []byte) Reason {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.closing != "" && (c.phase == idle || c.phase == readingHead) {
+		return c.closing
+	}
 	c.read += int64(len(data))
 	limits := c.acceptor.limits()
 	switch c.phase {
@@ -106,7 +110,7 @@
 
 // hold sets the memory that the head holds. It reports false if the budget has no room.
 func (c *connection) hold(bytes int64) bool {
-	if c.closed.Load() || c.evicted || !c.acceptor.budget.resize(c.held, bytes) {
+	if c.closed.Load() || c.closing != "" || !c.acceptor.budget.resize(c.held, bytes) {
 		return false
 	}
 	c.held = bytes
@@ -175,7 +179,7 @@
 	c.mutex.Lock()
 	reason := Reason("")
 	switch left := c.expiresAt.Sub(c.acceptor.settings.Clock.Now()); {
-	case c.closed.Load(), c.phase == readingBody, c.phase == answering:
+	case c.closed.Load(), c.closing != "", c.phase == readingBody, c.phase == answering:
 	case left > 0:
 		// The time was changed while the timer fired.
 		c.timer.Reset(left)
@@ -184,6 +188,10 @@
 	default:
 		reason = HeadTooSlow
 	}
+	if reason != "" {
+		// A head that arrives from now on is not handled, since it could not be answered.
+		c.closing = reason
+	}
 	c.mutex.Unlock()
 	if reason != "" {
 		c.acceptor.refused(reason, c.address)
@@ -194,8 +202,10 @@
 // evict closes the connection unless a whole request is in progress.
 func (c *connection) evict(reason Reason) {
 	c.mutex.Lock()
-	c.evicted = c.phase != answering
-	evicted := c.evicted
+	evicted := c.phase != answering && c.closing == ""
+	if evicted {
+		c.closing = reason
+	}
 	c.mutex.Unlock()
 	if evicted {
 		c.acceptor.settings.Count(reason)
@@ -205,8 +215,11 @@
 
 // refusals are the answers to heads that are refused. None of the requests has run.
 var refusals = map[Reason]string{
-	HeadTooLong: "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-	NoMemory:    refusalFull,
+	HeadTooLong:       "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+	NoMemory:          refusalFull,
+	Idle:              refusalFull,
+	MemoryScarce:      refusalFull,
+	ConnectionsScarce: refusalFull,
 }
 
 const refusalFull = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.250\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -217,7 +230,13 @@
 
 // refuse answers a head that is not read to its end, and closes the connection.
 func (c *connection) refuse(reason Reason) {
-	c.acceptor.refused(reason, c.address)
+	c.mutex.Lock()
+	counted := c.closing != ""
+	c.closing = reason
+	c.mutex.Unlock()
+	if !counted {
+		c.acceptor.refused(reason, c.address)
+	}
 	writeRefusal(c.acceptor.settings.Clock, c.Conn, refusals[reason])
 	_ = c.Close()
 }
