Let a raised idle limit apply to connections that are idle already

Callers use connections for four fifths of the newest idle-timeout-ms. A connection that had become idle under a lower limit was still closed by that one, so that requests met closing connections until each connection had carried another request. The limit in force now counts when the timer fires. A lowered limit applies from the next request on, as before.

TestRaisedIdleLimitHolds failed before (unexpected EOF).

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -136,6 +136,22 @@
 	}
 }
 
+// TestRaisedIdleLimitHolds guards against a connection that is closed by the limit of an
+// earlier configuration while its caller may use it by that of the present one.
+func TestRaisedIdleLimitHolds(t *testing.T) {
+	const limit = 200 * time.Millisecond
+	var current atomic.Int64
+	current.Store(int64(limit))
+	_, address := serve(t, Settings{Limits: func() Limits { return Limits{IdleTimeout: time.Duration(current.Load())} }}, readBody)
+	conn, reader := dial(t, address)
+	exchange(t, conn, reader, get)
+	current.Store(int64(time.Hour))
+	time.Sleep(2 * limit)
+	if status := exchange(t, conn, reader, get); status != http.StatusOK {
+		t.Errorf("status %d, want 200", status)
+	}
+}
+
 // TestHeadsReturnTheirMemory guards against memory of the budget that is lost with each
 // request, until no head gets any, and against a limit on a head that a body before it on
 // the same connection brings nearer.
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -178,10 +178,13 @@
 func (c *connection) expire() {
 	c.mutex.Lock()
 	reason := Reason("")
+	if raised := c.since.Add(c.acceptor.limits().IdleTimeout); c.phase == idle && raised.After(c.expiresAt) {
+		c.expiresAt = raised
+	}
 	switch left := c.expiresAt.Sub(c.acceptor.settings.Clock.Now()); {
 	case c.closed.Load(), c.closing != "", c.phase == readingBody, c.phase == answering:
 	case left > 0:
-		// The time was changed while the timer fired.
+		// The time was changed while the timer fired, or a new configuration allows more.
 		c.timer.Reset(left)
 	case c.phase == idle:
 		reason = Idle
