Keep connections to peers that are silent for a second or so

Requests that waited for an answer lost their connection, on the caller's or on the replica's side, when the other end acknowledged nothing for about a second: with TCP_USER_TIMEOUT the system gives up at the first keep-alive check after that time, whatever the number of probes. With 2 s, and probes from 2 s on, one probe without an answer within a second closed the connection. For a request that may not be repeated that is a lost answer; a single lost packet is enough.

The time-out is now the time after which the probes would give up by their count, 5 s. A dead peer is noticed 2 s later than before; requests that may be repeated have time limits of their own.

TestSilentPeerKeepsItsConnection failed before, in both directions: "read: connection timed out" after 1.5 s of silence. It drops the packets of one end by a socket filter.

--- a/internal/assembler/network.go
+++ b/internal/assembler/network.go
@@ -10,14 +10,16 @@
 )
 
 const (
-	// userTimeout closes a connection whose peer does not acknowledge sent
-	// data. It is shorter than the time for which callers wait for a stream.
-	userTimeout = 2 * time.Second
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect a dead peer
 	// on a connection on which nothing is being sent.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// userTimeout closes a connection whose peer does not acknowledge sent
+	// data. The system ends keep-alive by this time as well, whatever
+	// keepAliveCount is: with less, a single probe without an answer closes a
+	// connection to a peer that is only silent for a second.
+	userTimeout = keepAliveIdle + keepAliveCount*keepAliveInterval
 	// connectTimeout limits connection attempts of calls that have no deadline
 	// of their own.
 	connectTimeout = time.Second
