--- a/internal/soaker/deployment_test.go
+++ b/internal/soaker/deployment_test.go
@@ -75,6 +75,8 @@
 type node struct {
 	name, ip string
 	command  *exec.Cmd
+	// environment replaces that of the test, nil for no change.
+	environment []string
 	// starts counts the processes.
 	starts atomic.Int64
 	exited chan struct{}
@@ -251,7 +253,7 @@
 		d.t.Fatal(err)
 	}
 	n.command = exec.Command(d.binary, "serve", "--settings", settingsPath)
-	n.command.Stdout, n.command.Stderr = n.logs, n.logs
+	n.command.Stdout, n.command.Stderr, n.command.Env = n.logs, n.logs, n.environment
 	if err := n.command.Start(); err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/soaker/proxy_test.go
+++ b/internal/soaker/proxy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -31,6 +32,9 @@
 	listener net.Listener
 	target   string
 	mode     atomic.Int32
+	// modes holds the modes of the connections from single addresses, and open the open
+	// connections from all, by address and port.
+	modes, open sync.Map
 }
 
 func newProxy(ctx context.Context, target string) (*proxy, error) {
@@ -48,6 +52,36 @@
 
 func (p *proxy) setMode(m mode) { p.mode.Store(int32(m)) }
 
+// setModeOf sets the mode of the connections from an IP address.
+func (p *proxy) setModeOf(ip string, m mode) { p.modes.Store(ip, m) }
+
+// resetConnections resets the open connections from an IP address.
+func (p *proxy) resetConnections(ip string) {
+	p.open.Range(func(_, conn any) bool {
+		if conn := conn.(*net.TCPConn); remoteIP(conn) == ip {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		}
+		return true
+	})
+}
+
+// modeOf returns the mode of a connection of a node.
+func (p *proxy) modeOf(downstream net.Conn) mode {
+	if m, ok := p.modes.Load(remoteIP(downstream)); ok && m != forward {
+		return m.(mode)
+	}
+	return mode(p.mode.Load())
+}
+
+func remoteIP(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 func (p *proxy) accept() {
 	for {
 		downstream, err := p.listener.Accept()
@@ -59,6 +93,7 @@
 			downstream.Close()
 			continue
 		}
+		p.open.Store(downstream.RemoteAddr().String(), downstream)
 		go p.copy(upstream, downstream, true)
 		go p.copy(downstream, upstream, false)
 	}
@@ -69,11 +104,16 @@
 func (p *proxy) copy(dst, src net.Conn, fromNode bool) {
 	defer dst.Close()
 	defer src.Close()
+	downstream := dst
+	if fromNode {
+		downstream = src
+		defer p.open.Delete(downstream.RemoteAddr().String())
+	}
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buffer)
 		if n > 0 {
-			switch current := mode(p.mode.Load()); {
+			switch current := p.modeOf(downstream); {
 			case current == delay:
 				time.Sleep(proxyDelay)
 			case current == reset:
