Log which replicas nodes suspect, and which do not answer the holder

The holder of the placement lease loads no models on replicas that a node suspects, and sends no orders to replicas whose state it cannot read. Its log showed neither, so that a holder without orders because of suspicions could not be told from one that reaches no replica. Both are noted when they change.

--- a/internal/planner/endpoint.go
+++ b/internal/planner/endpoint.go
@@ -53,6 +53,8 @@
 	// at ReadAt.
 	Reading bool
 	ReadAt  time.Time
+	// Silent is set while the replica does not answer reads of its state.
+	Silent bool
 	// ChangedAt is when the last order was accepted.
 	ChangedAt time.Time
 }
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -254,17 +254,18 @@
 	c.recordOwnNotice(e, message.State.Leaving && message.State.StartedMS == e.Entry.StartedMS)
 	e.Reading = false
 	e.ReadAt = now.Add(readRetryInterval)
+	effects := e.noteRead(message.Failed)
 	switch {
 	case message.Failed, message.Busy && !e.Synced, message.State.StartedMS != 0 && message.State.StartedMS != e.Entry.StartedMS:
-		return nil
+		return effects
 	case e.Synced:
-		return c.confirmLoad(now, message, e)
+		return append(effects, c.confirmLoad(now, message, e)...)
 	case message.RequestedAt.Sub(e.ChangedAt) < maxReportAge || message.State.Sequence < e.Sequence:
-		return nil
+		return effects
 	}
 	c.Tenure.TableStale = true
 	e.applyState(now, c.engine(e.Entry.Service), message.State)
-	return []Effect{Note{Text: "replica state read", Replica: message.Replica, Reason: modelNames(message.State)}}
+	return append(effects, Note{Text: "replica state read", Replica: message.Replica, Reason: modelNames(message.State)})
 }
 
 // confirmLoad completes a load that the replica's report shows as complete, or
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -68,12 +68,8 @@
 		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
 		saturatedIn: map[ModelKey]DataCentres{},
 	}
-	for _, peer := range c.Tenure.Peers {
-		if now.Sub(peer.LastReportAt) < peerReportTimeout {
-			for _, id := range peer.Suspects {
-				index.suspects[id] = true
-			}
-		}
+	for id := range c.Tenure.SuspectedBy {
+		index.suspects[id] = true
 	}
 	for id := range c.closedReplicas(now) {
 		index.suspects[id] = true
@@ -109,8 +105,8 @@
 // extra replicas and prefetches.
 func (c *Controller) plan(now time.Time) []Effect {
 	c.expireDemand(now)
+	effects := c.noteSuspects(c.suspectedBy(now))
 	c.index = c.buildIndex(now)
-	var effects []Effect
 	for _, key := range c.sortedDemands(now) {
 		if key.Adapter != "" {
 			effects = append(effects, c.planAdapter(now, key)...)
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -191,12 +191,8 @@
 // suspectCounts returns the number of live nodes that suspect each replica.
 func (c *Controller) suspectCounts(now time.Time) map[string]int {
 	counts := map[string]int{}
-	for _, peer := range c.Tenure.Peers {
-		if now.Sub(peer.LastReportAt) < peerReportTimeout {
-			for _, id := range peer.Suspects {
-				counts[id]++
-			}
-		}
+	for id, names := range c.suspectedBy(now) {
+		counts[id] = len(names)
 	}
 	return counts
 }
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -63,6 +63,9 @@
 	AdapterRates map[DemandKey]*Rate
 	// SaturatedAt is when a node last reported all replicas of a model as full.
 	SaturatedAt map[saturationKey]time.Time
+	// SuspectedBy holds the names of the live nodes that suspect a replica, by its ID, as of
+	// the last planning pass.
+	SuspectedBy map[string][]string
 	// Prompts is the evidence against parts of prompts that crash replicas.
 	Prompts *screener.Evidence
 	// Notices holds what replicas have announced, by ID.
