Do not report suspicions while no replica answers a node

What callers saw: while three of six nodes were partitioned from all replicas, the callers of the other three were refused models that were not loaded.

Cause: a node reports the replicas at which its attempts fail as suspect. The holder of the placement lease takes the word of any node and loads nothing on a suspected replica.

A node whose attempts fail at three replicas (all, of fewer), and that has had no answer of any since, now reports no suspicion: that the replicas have failed is no longer the likely cause. One or two replicas that crash are still reported, and an answer of any replica ends the exception at once.

The script balancer/alone failed before (all three replicas were reported).

--- a/internal/balancer/collect.go
+++ b/internal/balancer/collect.go
@@ -28,11 +28,7 @@
 	})
 	clear(c.Uses)
 	c.forgetModels(now)
-	for _, id := range c.sortedIDs() {
-		if c.Replicas[id].failures(now) >= suspectThreshold {
-			answer.Suspects = append(answer.Suspects, id)
-		}
-	}
+	answer.Suspects = c.suspects(now)
 	answer.Demands = c.demands(now)
 	answer.RateLimits, answer.Sent = c.collectLimits(now)
 	answer.Notices = c.collectNotices(now)
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -76,6 +76,9 @@
 	DrainDeadline time.Time
 	// CheckedAt is when the waiting requests were last checked.
 	CheckedAt time.Time
+	// FailedAlone holds the IDs of the replicas that have failed attempts since any replica
+	// answered one.
+	FailedAlone map[string]bool
 	// Beginning holds the software versions that may begin streams, by service.
 	Beginning map[string][]string
 	// Cold is what is known of cold replicas in general.
@@ -119,6 +122,7 @@
 		Replicas:    map[string]*Replica{},
 		Notices:     map[replicaStart]*Notice{},
 		Assignments: map[runner.Call]*assignment{},
+		FailedAlone: map[string]bool{},
 		Uses:        map[useKey]*planner.Use{},
 		Estimator:   estimator.New(),
 		Caches:      newCaches(),
@@ -335,6 +339,7 @@
 	ended.endReturn(now, message.Result != Refused && message.Result != Abandoned)
 	replica := ended.replica
 	replica.recordResult(now, ended.need, message)
+	c.recordContact(replica.Description.ID, message.Result)
 	effects := c.recordEnd(now, ended, message)
 	suspect := replica.failures(now) >= suspectThreshold
 	if suspect == replica.SuspicionLogged {
