Hand the placement lease over when its holder reaches no replica

What callers saw: while the node that holds the placement lease is partitioned from all replicas, callers of all nodes are refused models that are not loaded.

Cause: the holder reaches the store and the other nodes, so it renews the lease for as long as the partition lasts, and its orders and reads of states fail.

The planner now counts the replicas that have not answered its calls since any replica has. From two on it sends no orders and reads the state of further replicas; one that answers ends it, so that crashed replicas cost a read. From four on (all, of fewer), or from one on if the node's own requests already lead through other nodes, it looks for a successor: a capable node that is not partitioned and that replicas have answered since. Without one it keeps the lease, so that a lease does not pass round while nobody reaches the replicas. With one it names itself, and the nodes that no replica answers, in the published state, so that they are not candidates; after 0.6 s, and with no order in progress, it ends its tenure and releases the lease as at the end of a process. It does not take it again before two replicas answer it, or 15 s have passed. The successor waits out the whole spacing of orders.

TestPartitionedHolderHandsLeaseOver fails without the handover (no order of another node in 10 s). The planner scripts out_of_reach* and the syncer scripts partitioned and handed_over guard the decisions; TestOneHolderAtATime and TestOneHolderAcrossRestorations withdraw nodes as well.

RECOVER stays broken at the partitioned nodes.

--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -198,6 +198,9 @@
 		RemoveNode:    n.removeNode,
 		StoreVersions: n.storeVersions,
 		Log:           n.logPlannerNote,
+
+		HandOver:        n.handLeaseOver,
+		RegainCandidacy: n.regainCandidacy,
 	})
 	n.balancer = balancer.New(balancer.Settings{
 		Clock:       n.clock,
--- a/internal/leaser/controller.go
+++ b/internal/leaser/controller.go
@@ -55,6 +55,8 @@
 		c.setNodes(now, message.Names)
 	case Release:
 		effects = append(effects, c.release(now, message)...)
+	case Resume:
+		c.resume(now, message)
 	case SetData:
 		c.setData(now, message)
 	case ReadDone:
--- a/internal/leaser/controller_test.go
+++ b/internal/leaser/controller_test.go
@@ -23,7 +23,7 @@
 			return leaser.NewController(decoded.Node, decoded.Run, decoded.Names, leaser.DefaultTiming)
 		},
 		Messages: []leaser.Message{
-			leaser.Tick{}, leaser.SetNodes{}, leaser.Release{}, leaser.SetData{}, leaser.ReadDone{}, leaser.WriteDone{},
+			leaser.Tick{}, leaser.SetNodes{}, leaser.Release{}, leaser.Resume{}, leaser.SetData{}, leaser.ReadDone{}, leaser.WriteDone{},
 		},
 		Tick: leaser.Tick{},
 	})
--- a/internal/leaser/entry.go
+++ b/internal/leaser/entry.go
@@ -79,6 +79,8 @@
 	// by then.
 	Deadline time.Time
 	Done     bool
+	// Resume is set if this node becomes a candidate again when the release is done.
+	Resume bool
 }
 
 // observe records a version of the object. It returns false if the version was
@@ -126,7 +128,7 @@
 		return []Effect{e.endTenure()}
 	}
 	if e.Release != nil && !e.Release.Done && !now.Before(e.Release.Deadline) {
-		return e.finishRelease(false)
+		return e.finishRelease(now, false)
 	}
 	return nil
 }
--- a/internal/leaser/message.go
+++ b/internal/leaser/message.go
@@ -24,6 +24,9 @@
 	Data []byte
 }
 
+// Resume makes this node a candidate again after a Release.
+type Resume struct{ Name string }
+
 // SetData requests that data be stored in a lease that this node holds. The
 // next renewal, which becomes due immediately, writes the data, and Stored
 // reports when the lease contains it. Data that is replaced before it is
@@ -57,6 +60,7 @@
 func (Tick) isMessage()      {}
 func (SetNodes) isMessage()  {}
 func (Release) isMessage()   {}
+func (Resume) isMessage()    {}
 func (SetData) isMessage()   {}
 func (ReadDone) isMessage()  {}
 func (WriteDone) isMessage() {}
--- a/internal/leaser/release.go
+++ b/internal/leaser/release.go
@@ -27,7 +27,7 @@
 		entry.Release.Data = entry.Lease.Data
 		return nil
 	}
-	return entry.finishRelease(false)
+	return entry.finishRelease(now, false)
 }
 
 // continueRelease starts the next call of a release, or completes the release.
@@ -41,10 +41,31 @@
 		released := Lease{Epoch: entry.Release.Epoch, Duration: entry.Timing.Duration, Data: entry.Release.Data}
 		return []Effect{entry.write(now, Handover, released)}
 	}
-	return entry.finishRelease(entry.Lease.Holder == "" && entry.Lease.Epoch == entry.Release.Epoch)
+	return entry.finishRelease(now, entry.Lease.Holder == "" && entry.Lease.Epoch == entry.Release.Epoch)
 }
 
-func (e *Entry) finishRelease(released bool) []Effect {
+func (e *Entry) finishRelease(now time.Time, released bool) []Effect {
+	answer := AnswerRelease{Call: e.Release.Call, Released: released}
 	e.Release.Done = true
-	return []Effect{AnswerRelease{Call: e.Release.Call, Released: released}}
+	if e.Release.Resume {
+		e.endRelease(now)
+	}
+	return []Effect{answer}
+}
+
+// resume ends a release that is done, and otherwise lets it end when it is.
+func (c *Controller) resume(now time.Time, message Resume) {
+	entry := c.entry(message.Name)
+	if entry == nil || entry.Release == nil {
+		return
+	}
+	entry.Release.Resume = true
+	if entry.Release.Done {
+		entry.endRelease(now)
+	}
+}
+
+// endRelease makes this node a candidate again. What it knows of the lease may be old.
+func (e *Entry) endRelease(now time.Time) {
+	e.Release, e.MustRead, e.DueAt = nil, true, now
 }
--- a/internal/leaser/safety_test.go
+++ b/internal/leaser/safety_test.go
@@ -23,7 +23,7 @@
 func TestOneHolderAtATime(t *testing.T) {
 	tester.Check(t, 30, func(t *rapid.T) {
 		w := drawWorld(t)
-		end := drawFaults(t, w, []string{"pause", "crash", "outage", "release", "keep"})
+		end := drawFaults(t, w, []string{"pause", "crash", "outage", "release", "withdraw", "keep"})
 		w.runUntil(max(end, w.faultyUntil+maxStall, w.outageUntil)+recoveryTime, never)
 		if w.holder() == nil {
 			w.violate("no node holds the lease %s after the last fault", recoveryTime)
@@ -44,7 +44,7 @@
 	tester.Check(t, 30, func(t *rapid.T) {
 		w := drawWorld(t)
 		w.era = 1
-		end := drawFaults(t, w, []string{"pause", "crash", "outage", "release", "keep", "restore", "restore"})
+		end := drawFaults(t, w, []string{"pause", "crash", "outage", "release", "withdraw", "keep", "restore", "restore"})
 		w.runUntil(max(end, w.faultyUntil+maxStall, w.outageUntil)+recoveryTime, never)
 		if w.holder() == nil {
 			w.violate("no node holds the lease %s after the last fault", recoveryTime)
@@ -109,6 +109,10 @@
 	case "release":
 		w.release(n)
 		w.after(length, func() { w.start(n) })
+	case "withdraw":
+		w.release(n)
+		run := n.run
+		w.after(length, func() { w.resume(n, run) })
 	case "crash":
 		w.crash(n)
 		w.after(length, func() { w.start(n) })
--- a/internal/leaser/task.go
+++ b/internal/leaser/task.go
@@ -97,6 +97,9 @@
 		func(call runner.Call) Message { return Release{Call: call, Name: name, Data: data} }, nil)
 }
 
+// Resume makes this node a candidate for a lease again that it has released.
+func (t *Task) Resume(name string) error { return t.task.Post(Resume{Name: name}) }
+
 func (t *Task) perform(handle runner.Handle[Message], effect Effect) {
 	switch effect := effect.(type) {
 	case Read:
--- a/internal/leaser/world_test.go
+++ b/internal/leaser/world_test.go
@@ -265,6 +265,11 @@
 	w.deliver(n, n.run, leaser.Release{Name: leaseName, Data: n.releaseData})
 }
 
+// resume makes a run of a node a candidate again.
+func (w *world) resume(n *node, run int) {
+	w.deliver(n, run, leaser.Resume{Name: leaseName})
+}
+
 // setData makes a node store new data in the lease, if the node holds it.
 func (w *world) setData(n *node) {
 	if n.controller != nil && n.validUntil > w.now {
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -52,6 +52,8 @@
 	// EvacuationsAsOf is zero.
 	Evacuated       []string
 	EvacuationsAsOf time.Time
+	// Contact is what is known of this node's way to the replicas.
+	Contact Contact
 	// Versions are the software versions that this node knows of.
 	Versions *resumer.Register
 
@@ -79,11 +81,14 @@
 	return &Controller{Settings: settings, Versions: resumer.NewRegister()}
 }
 
-// Wake returns when the next order, state read or planning pass is due. It is
-// zero while this node does not hold the lease.
+// Wake returns when the next order, state read or planning pass is due. It is zero while this
+// node neither holds the lease nor has handed it over.
 func (c *Controller) Wake() time.Time {
 	if c.Tenure == nil {
-		return time.Time{}
+		if c.Contact.WithdrawnAt.IsZero() {
+			return time.Time{}
+		}
+		return c.Contact.ReadAt.Add(withdrawnReadInterval)
 	}
 	wake := c.Tenure.AdvancedAt.Add(maxPlanInterval)
 	if c.Tenure.Acting {
@@ -94,9 +99,13 @@
 			wake = candidate
 		}
 	}
+	suspended := c.isSuspended()
 	for _, endpoint := range c.Tenure.Endpoints {
 		orderAt := endpoint.nextOrderAt()
-		if !orderAt.IsZero() {
+		switch {
+		case suspended:
+			orderAt = time.Time{}
+		case !orderAt.IsZero():
 			orderAt = later(orderAt, c.Tenure.OrdersAllowedAt)
 		}
 		for _, due := range []time.Time{orderAt, endpoint.operationEndsAt(), endpoint.nextReadAt()} {
@@ -117,6 +126,7 @@
 		// The process may have been paused until after its lease expired.
 		c.endTenure()
 	}
+	c.recordContact(message)
 	var effects []Effect
 	switch message := message.(type) {
 	case Tick:
@@ -155,13 +165,20 @@
 // state reads.
 func (c *Controller) advance(now time.Time) []Effect {
 	if c.Tenure == nil {
-		return nil
+		return c.reviewWithdrawal(now)
 	}
 	c.Tenure.AdvancedAt = now
-	if c.Configuration == nil || c.Tenure.Acting {
+	if c.Configuration == nil {
 		return nil
 	}
-	effects := c.removeSilentNodes(now)
+	if c.Tenure.Acting {
+		return c.reviewWithdrawal(now)
+	}
+	effects := c.reviewContact(now)
+	if c.Tenure == nil {
+		return effects
+	}
+	effects = append(effects, c.removeSilentNodes(now)...)
 	c.expireRunning(now)
 	ids := c.endpointIDs()
 	for _, id := range ids {
@@ -171,8 +188,9 @@
 		c.Tenure.PlannedAt = now
 		effects = append(effects, c.plan(now)...)
 	}
+	suspended := c.isSuspended()
 	for _, id := range ids {
-		effects = append(effects, c.sendNext(now, id, c.Tenure.Endpoints[id])...)
+		effects = append(effects, c.sendNext(now, id, c.Tenure.Endpoints[id], suspended)...)
 	}
 	return effects
 }
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -149,7 +149,7 @@
 )
 
 // Effect is an output of Controller: SendOrder, ReadState, AnswerReport,
-// RemoveNode, StoreVersions or Note.
+// RemoveNode, StoreVersions, HandOver, RegainCandidacy or Note.
 type Effect interface{ isEffect() }
 
 // SendOrder sends an order. Its result is an OrderResult.
@@ -181,6 +181,13 @@
 // StoreVersions stores the software versions in the lease. Its result is a VersionsStored.
 type StoreVersions struct{ Services []resumer.Service }
 
+// HandOver releases the lease, because other nodes reach the replicas and this one does not.
+// This node must not take it before RegainCandidacy.
+type HandOver struct{}
+
+// RegainCandidacy allows this node to take the lease again.
+type RegainCandidacy struct{}
+
 // Note is a log entry for a decision or a change of observed state. Text is also
 // a metric label value.
 type Note struct {
@@ -191,12 +198,14 @@
 	Age     time.Duration
 }
 
-func (SendOrder) isEffect()     {}
-func (ReadState) isEffect()     {}
-func (AnswerReport) isEffect()  {}
-func (RemoveNode) isEffect()    {}
-func (StoreVersions) isEffect() {}
-func (Note) isEffect()          {}
+func (SendOrder) isEffect()       {}
+func (ReadState) isEffect()       {}
+func (AnswerReport) isEffect()    {}
+func (RemoveNode) isEffect()      {}
+func (StoreVersions) isEffect()   {}
+func (HandOver) isEffect()        {}
+func (RegainCandidacy) isEffect() {}
+func (Note) isEffect()            {}
 
 // Order loads or unloads a model or an adapter on a replica. Adapter is empty for
 // the model itself.
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -55,8 +55,9 @@
 	return e.ReadAt
 }
 
-// sendNext starts the next state read or order of an endpoint if one is due.
-func (c *Controller) sendNext(now time.Time, id string, e *Endpoint) []Effect {
+// sendNext starts the next state read or order of an endpoint if one is due. While orders are
+// suspended, only states are read.
+func (c *Controller) sendNext(now time.Time, id string, e *Endpoint, suspended bool) []Effect {
 	if e.Evacuated && len(e.Queue) > 0 {
 		e.Queue, c.Tenure.TableStale = nil, true
 		return []Effect{Note{Text: "orders dropped: data centre evacuated", Replica: id}}
@@ -65,6 +66,9 @@
 		e.Reading = true
 		return []Effect{ReadState{Replica: id, Address: e.Entry.Address}}
 	}
+	if suspended {
+		return nil
+	}
 	if due := e.nextOrderAt(); len(e.Queue) == 0 || e.Sending != nil || e.Running != nil || !e.Synced || now.Before(due) || now.Before(c.Tenure.OrdersAllowedAt) {
 		return nil
 	}
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -35,6 +35,7 @@
 	Node         surveyor.Node
 	LastReportAt time.Time
 	Leaving      bool
+	Partitioned  bool
 	Running      []Running
 	// Suspects are the replicas that failed the node's requests.
 	Suspects []string
@@ -158,7 +159,7 @@
 	totals.addRunning(peer.Running, -1)
 	totals.addRunning(report.Running, 1)
 	peer.Node, peer.LastReportAt, peer.Leaving, peer.Running = report.Node, now, report.Leaving, report.Running
-	peer.Suspects, peer.Sequence = report.Suspects, report.Sequence
+	peer.Suspects, peer.Sequence, peer.Partitioned = report.Suspects, report.Sequence, report.Partitioned
 	for _, spent := range report.Spent {
 		consumed := spent.Consumed(report.UsageEpoch, c.Tenure.ID)
 		totals.Consumed[spent.Workspace] += consumed - peer.Consumed[spent.Workspace]
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -17,6 +17,9 @@
 	Sequence uint64
 	// Leaving is set if the node accepts no new callers.
 	Leaving bool
+	// Partitioned is set if the node sends its requests through other nodes, because it does
+	// not reach the replicas itself.
+	Partitioned bool `json:",omitempty"`
 	// Epoch and Version identify the state of the fleet that the node has.
 	Epoch, Version uint64
 	// NeedsView is set if the node has had no answer of a holder for some time.
@@ -186,6 +189,9 @@
 	// longest of the remaining times. Replicas that have announced that they leave are marked
 	// in the table.
 	Closed map[string]time.Duration `json:",omitempty"`
+	// Partitioned are the nodes that do not reach the replicas and must not take the lease,
+	// sorted.
+	Partitioned []string `json:",omitempty"`
 	// Suspects counts the live nodes that suspect a replica.
 	Suspects map[string]int `json:",omitempty"`
 	// Prompts are the parts of prompts that crash replicas.
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -97,6 +97,7 @@
 		Version:          t.Version,
 		Spent:            make([]float64, len(t.Workspaces)),
 		Active:           make([]int, len(t.Table.Entries)),
+		Partitioned:      c.partitionedNodes(now),
 		Suspects:         c.suspectCounts(now),
 		Prompts:          t.Prompts.Publish(now),
 		Versions:         c.Versions.Publish(now, max(len(c.Nodes), t.MinRegistered)),
--- a/internal/planner/task.go
+++ b/internal/planner/task.go
@@ -41,6 +41,9 @@
 	// not block.
 	StoreVersions func([]resumer.Service)
 	Log           func(Note)
+	// HandOver releases the lease, and RegainCandidacy makes this node a candidate again.
+	// They must not block.
+	HandOver, RegainCandidacy func()
 }
 
 // Task runs a Controller and performs its effects.
@@ -101,6 +104,10 @@
 		})
 	case StoreVersions:
 		t.settings.StoreVersions(effect.Services)
+	case HandOver:
+		t.settings.HandOver()
+	case RegainCandidacy:
+		t.settings.RegainCandidacy()
 	case Note:
 		t.settings.Log(effect)
 	}
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -91,6 +91,7 @@
 func (c *Controller) endTenure() {
 	if c.Tenure != nil && !c.Tenure.Acting {
 		c.Previous = c.Tenure
+		c.Contact.AnswersBefore, c.Contact.HandOverAt = nil, time.Time{}
 	}
 	c.Tenure = nil
 }
@@ -98,10 +99,15 @@
 // handleLeaseHeld renews the current tenure, resumes the previous one or starts a
 // new one.
 func (c *Controller) handleLeaseHeld(now time.Time, message LeaseHeld) []Effect {
+	if c.Contact.Epoch == message.Epoch {
+		// A renewal that was under way when this node handed the lease over.
+		return nil
+	}
 	if c.Tenure != nil && c.Tenure.Epoch == message.Epoch {
 		c.Tenure.Until = message.Until
 		return nil
 	}
+	c.Contact = Contact{}
 	if c.Previous != nil && c.Previous.Epoch+1 == message.Epoch {
 		// The epochs are consecutive, so no other node held the lease in between.
 		c.Tenure, c.Previous = c.Previous, nil
--- a/internal/soaker/deployment_test.go
+++ b/internal/soaker/deployment_test.go
@@ -89,17 +89,10 @@
 // in 127.0.network+1.
 func newDeployment(ctx context.Context, t *testing.T, binary string, network, count int) *deployment {
 	d := &deployment{t: t, dir: t.TempDir(), binary: binary, keys: []string{"key-a", "key-b"}}
-	clock := clockwork.NewRealClock()
-	d.store = emulator.NewFleetStore(ctx, clock)
+	d.store = emulator.NewFleetStore(ctx, clockwork.NewRealClock())
 	d.storeProxy = d.serveBehindProxy(ctx, d.store)
 	for i := range 5 {
-		settings := emulator.FleetReplicaSettings{
-			ID: fmt.Sprintf("i-%d", i), Service: engineService, Zone: "z1", Slots: 8, MemoryMB: engineMemoryMB,
-			AnswerTime: 15 * time.Millisecond, EventsPerStream: eventsPerStream, LoadTime: 300 * time.Millisecond, ModelSizesMB: map[string]float64{}, Clock: clock,
-		}
-		for _, model := range modelNames {
-			settings.ModelSizesMB[model] = modelMB
-		}
+		settings := engineSettings(fmt.Sprintf("i-%d", i))
 		if i >= 3 {
 			settings.Service, settings.ModelSizesMB = plainService, nil
 		}
@@ -112,6 +105,19 @@
 	return d
 }
 
+// engineSettings returns the settings of an engine with all models.
+func engineSettings(id string) emulator.FleetReplicaSettings {
+	settings := emulator.FleetReplicaSettings{
+		ID: id, Service: engineService, Zone: "z1", Slots: 8, MemoryMB: engineMemoryMB,
+		AnswerTime: 15 * time.Millisecond, EventsPerStream: eventsPerStream, LoadTime: 300 * time.Millisecond,
+		ModelSizesMB: map[string]float64{}, Clock: clockwork.NewRealClock(),
+	}
+	for _, model := range modelNames {
+		settings.ModelSizesMB[model] = modelMB
+	}
+	return settings
+}
+
 // serveBehindProxy serves a handler on a loopback address behind a new proxy.
 func (d *deployment) serveBehindProxy(ctx context.Context, handler http.Handler) *proxy {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/soaker/partition_test.go
+++ b/internal/soaker/partition_test.go
@@ -73,7 +73,8 @@
 	for i, n := range d.nodes {
 		callerGroup.Go(func() { d.runNodeCaller(callersCtx, n, i, results) })
 	}
-	time.Sleep(3 * time.Second)
+	d.awaitOrder()
+	time.Sleep(time.Second)
 	for _, n := range partitioned {
 		d.partition(n, variant)
 	}
--- a/internal/syncer/candidates.go
+++ b/internal/syncer/candidates.go
@@ -23,13 +23,14 @@
 )
 
 // candidateNames returns the names of the nodes that may hold the lease, highest
-// rank first: maxCandidates of the capable nodes and, without a holder for longer
-// than noHolderTimeout, twice as many after each wideningInterval, which may
-// include all nodes.
+// rank first: maxCandidates of the capable nodes that are not partitioned and, without
+// a holder for longer than noHolderTimeout, twice as many after each
+// wideningInterval, which may include all nodes.
 func (c *Controller) candidateNames(now time.Time) []string {
 	ranked := ranker.Rank(c.Lease, nodeNames(surveyor.CapableNodes(c.Nodes)))
 	count := maxCandidates
-	if waited := now.Sub(later(c.HolderExchangeAt, c.NodesKnownAt)); !c.Holding && !c.NodesKnownAt.IsZero() && waited > noHolderTimeout {
+	waited := now.Sub(later(c.HolderExchangeAt, c.NodesKnownAt))
+	if !c.Holding && !c.NodesKnownAt.IsZero() && waited > noHolderTimeout {
 		for ; waited > noHolderTimeout && count < len(c.Nodes)+1; waited -= wideningInterval {
 			count *= 2
 		}
@@ -38,6 +39,8 @@
 			others = append(others, c.Node)
 		}
 		ranked = append(ranked, ranker.Rank(c.Lease, others)...)
+	} else {
+		ranked = c.withoutPartitioned(ranked)
 	}
 	if len(ranked) == 0 {
 		return []string{c.Node}
@@ -45,6 +48,15 @@
 	return ranked[:min(count, len(ranked))]
 }
 
+// withoutPartitioned returns the nodes that reach the replicas, or all if none does.
+func (c *Controller) withoutPartitioned(ranked []string) []string {
+	reaching := slices.DeleteFunc(slices.Clone(ranked), func(name string) bool { return slices.Contains(c.Partitioned, name) })
+	if len(reaching) == 0 {
+		return ranked
+	}
+	return reaching
+}
+
 func nodeNames(nodes []surveyor.Node) []string {
 	names := make([]string, 0, len(nodes))
 	for _, node := range nodes {
--- a/internal/syncer/controller.go
+++ b/internal/syncer/controller.go
@@ -39,8 +39,10 @@
 	FailedAttempts, Unanswered int
 	// Fleet is the state of the fleet that this node has.
 	Fleet Fleet
-	// Registered is the number of registered nodes.
-	Registered int
+	// Registered is the number of registered nodes. Partitioned are those that must not take the
+	// lease, according to the last holder.
+	Registered  int
+	Partitioned []string
 	// Sequence is the number of the last report. Reports are those that the
 	// holder's state may yet contain.
 	Sequence uint64
@@ -93,6 +95,10 @@
 	case SetHolding:
 		c.Holding = message.Holding
 		c.DueAt = now
+		if !c.Holding && slices.Contains(c.Partitioned, c.Node) {
+			// The lease was handed over. This node must not act for the next holder.
+			c.Holder = ""
+		}
 		if c.Holding && c.Acting {
 			c.Acting = false
 			effects = append(effects, SetActing{})
@@ -200,6 +206,9 @@
 	c.FailedAttempts, c.Unanswered = 0, 0
 	c.HolderExchangeAt = message.StartedAt
 	c.applyState(answer.State)
+	if !answer.Acting {
+		c.Partitioned = answer.State.Partitioned
+	}
 	c.DueAt = message.StartedAt.Add(c.interval())
 	switch {
 	case c.ExchangeRequested:
