Do not quarantine requests while no replica answers the holder

The node reports the attempts that broke off; the holder reads the state of their replicas, gets no answer, and after 1.5 s, while other nodes are answered, quarantines a part of a prompt at all nodes for ten minutes.

Cause: that a replica does not answer a read counts as a sign of its crash, whether or not the holder reaches any replica.

While several replicas and no other do not answer the holder, so that it sends no orders either, it does not judge the evidence. Replicas that have crashed end that with the read of another one, which takes milliseconds; of those that have not, the evidence is dropped when they answer this holder or the next one.

The planner script out_of_reach_prompts failed before (part a quarantined).

--- a/internal/planner/prompts.go
+++ b/internal/planner/prompts.go
@@ -11,7 +11,12 @@
 // finds out whether the replicas that broke off suspect requests still run.
 func (c *Controller) reviewPrompts(now time.Time) []Effect {
 	var effects []Effect
-	for _, verdict := range c.Tenure.Prompts.Review(now) {
+	var verdicts []screener.Verdict
+	if c.Tenure.Acting || !c.isSuspended() {
+		// Otherwise it does not count against replicas that they do not answer.
+		verdicts = c.Tenure.Prompts.Review(now)
+	}
+	for _, verdict := range verdicts {
 		text, kind, id := "prompt part found to crash replicas", "part", verdict.Trait
 		if fingerprint, ok := screener.RequestFingerprint(verdict.Trait); ok {
 			text, kind, id = "request found to crash replicas", "request", fingerprint
