Judge by time and certain failures whether the holder reaches the replicas

Only reads that are not answered and connections that fail count now; lost answers lead to reads. Orders stop, and the handover is considered, after 0.4 s without any answer; in that time others are read. A new holder now reads some replicas at once. What it reads is evidence of its way only: states are read again when the spacing is almost over.

Planner scripts out_of_reach_unanswered and out_of_reach_new failed before; the scripts acting and evacuated_takeover got an answer to the early read.

--- a/internal/planner/contact.go
+++ b/internal/planner/contact.go
@@ -11,8 +11,12 @@
 
 const (
 	// suspendingReplicas is the number of replicas that must not answer the holder, while no
-	// other does, for it to send no orders and to read the state of further replicas.
+	// other does, for it to read the state of further replicas and, after quietTime, to send no
+	// orders.
 	suspendingReplicas = 2
+	// quietTime is the time without an answer of any replica after which the holder may be the
+	// cause. If some replicas are lost, others are read and answer in it.
+	quietTime = 400 * time.Millisecond
 	// unreachedReplicas is the number from which on the holder is the likely cause.
 	unreachedReplicas = 4
 	// furtherReads is the number of other replicas that are then read at a time.
@@ -32,8 +36,11 @@
 // Contact is what is known of this node's own way to the replicas of engines. Orders and reads
 // of states do not lead through other nodes.
 type Contact struct {
-	// Silent holds the replicas that have not answered a call since any replica has.
+	// Silent holds the replicas that have not answered a call since any replica has. The value
+	// is false if it was only an order, whose answer may have been lost.
 	Silent map[string]bool
+	// AnsweredAt is when a replica last answered a call.
+	AnsweredAt time.Time
 	// ReadAt is when replicas were last read to find out whether they are reached.
 	ReadAt time.Time
 	// AnswersBefore holds the number of answers that each node had had when the replicas were
@@ -49,14 +56,15 @@
 }
 
 // recordContact records whether a replica has answered a call of this node.
-func (c *Controller) recordContact(message Message) {
+func (c *Controller) recordContact(now time.Time, message Message) {
 	contact := &c.Contact
-	replica, answered := "", false
+	replica, answered, mayBeLost := "", false, false
 	switch message := message.(type) {
 	case StateRead:
 		replica, answered = message.Replica, !message.Failed
 	case OrderResult:
 		replica, answered = message.Replica, message.Outcome != Unanswered && message.Outcome != Unsent
+		mayBeLost = message.Outcome == Unanswered
 	default:
 		return
 	}
@@ -65,36 +73,46 @@
 		if contact.Silent == nil {
 			contact.Silent = map[string]bool{}
 		}
-		contact.Silent[replica] = true
+		contact.Silent[replica] = contact.Silent[replica] || !mayBeLost
 	default:
-		contact.Silent = nil
+		contact.Silent, contact.AnsweredAt = nil, now
 		if contact.Answering != nil {
 			contact.Answering[replica] = true
 		}
 	}
 }
 
-// silentReplicas returns the number of listed replicas that do not answer this node, while no
-// other does.
-func (c *Controller) silentReplicas() int {
+// silentReplicas returns the number of listed replicas that do not answer reads of this node, or
+// to which it cannot connect, while no other answers. It is 0 if one has answered within quietTime.
+func (c *Controller) silentReplicas(now time.Time) int {
 	count := 0
-	for id := range c.Contact.Silent {
-		if c.Tenure.Endpoints[id] != nil {
+	if now.Sub(c.Contact.AnsweredAt) < quietTime {
+		return 0
+	}
+	for id, certain := range c.Contact.Silent {
+		if certain && c.Tenure.Endpoints[id] != nil {
 			count++
 		}
 	}
 	return count
 }
 
+func (c *Controller) isSilent(id string) bool {
+	_, silent := c.Contact.Silent[id]
+	return silent
+}
+
 // isSuspended reports whether the holder sends no orders because several replicas do not answer
 // it.
-func (c *Controller) isSuspended() bool { return c.silentReplicas() >= suspendingReplicas }
+func (c *Controller) isSuspended(now time.Time) bool {
+	return c.silentReplicas(now) >= suspendingReplicas
+}
 
 // isUnreached reports whether this node is likely to have lost its way to the replicas. If it
 // knows from its requests that other nodes reach them, one replica that does not answer is
 // enough.
 func (c *Controller) isUnreached(now time.Time) bool {
-	silent := c.silentReplicas()
+	silent := c.silentReplicas(now)
 	return silent > 0 && c.isPartitioned(now, c.Settings.Node) || silent >= max(suspendingReplicas, min(unreachedReplicas, len(c.Tenure.Endpoints)))
 }
 
@@ -135,7 +153,7 @@
 		contact.AnswersBefore, contact.HandOverAt = nil, time.Time{}
 	case contact.AnswersBefore == nil:
 		contact.AnswersBefore = c.countAnswers()
-		effects = append(effects, Note{Text: "no replica answers the holder", Reason: strconv.Itoa(c.silentReplicas()) + " asked"})
+		effects = append(effects, Note{Text: "no replica answers the holder", Reason: strconv.Itoa(c.silentReplicas(now)) + " asked"})
 	case contact.HandOverAt.IsZero():
 		if name := c.findSuccessor(now); name != "" {
 			contact.HandOverAt = now.Add(handOverDelay)
@@ -199,9 +217,12 @@
 }
 
 // readFurther reads the states of silent replicas again, and of some others, to find out whether
-// this node or the replicas are the cause.
+// this node or the replicas are the cause. A new holder does so before it reads the states that it
+// plans with, since the lease may have come from a holder that had lost its way as well.
 func (c *Controller) readFurther(now time.Time) []Effect {
-	if !c.isSuspended() && !c.isPartitioned(now, c.Settings.Node) || now.Sub(c.Contact.ReadAt) < readRetryInterval {
+	isNew := c.awaitsOrders(now) && !c.Contact.AnsweredAt.After(c.Tenure.Since)
+	needed := isNew || len(c.Contact.Silent) >= suspendingReplicas || c.isPartitioned(now, c.Settings.Node)
+	if !needed || now.Sub(c.Contact.ReadAt) < readRetryInterval {
 		return nil
 	}
 	c.Contact.ReadAt = now
@@ -209,9 +230,9 @@
 	for _, id := range c.endpointIDs() {
 		e := c.Tenure.Endpoints[id]
 		switch {
-		case e.Evacuated || e.Reading || !e.Synced:
+		case e.Evacuated || e.Reading || !e.Synced && !c.awaitsOrders(now):
 			// Replicas whose state is not known are read in any case.
-		case c.Contact.Silent[id]:
+		case c.isSilent(id):
 			silent = append(silent, id)
 		default:
 			others = append(others, id)
@@ -225,6 +246,12 @@
 	return effects
 }
 
+// awaitsOrders reports whether the spacing of orders after another holder has not passed at a
+// time. States that are read before may change.
+func (c *Controller) awaitsOrders(at time.Time) bool {
+	return at.Before(c.Tenure.OrdersAllowedAt.Add(-stateReadLead))
+}
+
 // spread returns up to count of the names, from all parts of the list. Replicas with successive
 // names may be lost together.
 func spread(names []string, count int) []string {
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -99,7 +99,7 @@
 			wake = candidate
 		}
 	}
-	suspended := c.isSuspended()
+	suspended := c.isSuspended(c.Tenure.AdvancedAt)
 	for _, endpoint := range c.Tenure.Endpoints {
 		orderAt := endpoint.nextOrderAt()
 		switch {
@@ -126,7 +126,7 @@
 		// The process may have been paused until after its lease expired.
 		c.endTenure()
 	}
-	c.recordContact(message)
+	c.recordContact(now, message)
 	var effects []Effect
 	switch message := message.(type) {
 	case Tick:
@@ -188,7 +188,7 @@
 		c.Tenure.PlannedAt = now
 		effects = append(effects, c.plan(now)...)
 	}
-	suspended := c.isSuspended()
+	suspended := c.isSuspended(now)
 	for _, id := range ids {
 		effects = append(effects, c.sendNext(now, id, c.Tenure.Endpoints[id], suspended)...)
 	}
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -257,8 +257,11 @@
 	}
 	c.recordOwnNotice(e, message.State.Leaving && message.State.StartedMS == e.Entry.StartedMS)
 	e.Reading = false
-	e.ReadAt = now.Add(readRetryInterval)
 	effects := e.noteRead(message.Failed)
+	if c.awaitsOrders(message.RequestedAt) {
+		return effects
+	}
+	e.ReadAt = now.Add(readRetryInterval)
 	switch {
 	case message.Failed, message.Busy && !e.Synced, message.State.StartedMS != 0 && message.State.StartedMS != e.Entry.StartedMS:
 		return effects
--- a/internal/planner/prompts.go
+++ b/internal/planner/prompts.go
@@ -12,7 +12,7 @@
 func (c *Controller) reviewPrompts(now time.Time) []Effect {
 	var effects []Effect
 	var verdicts []screener.Verdict
-	if c.Tenure.Acting || !c.isSuspended() {
+	if c.Tenure.Acting || !c.isSuspended(now) {
 		// Otherwise it does not count against replicas that they do not answer.
 		verdicts = c.Tenure.Prompts.Review(now)
 	}
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -107,7 +107,7 @@
 		c.Tenure.Until = message.Until
 		return nil
 	}
-	c.Contact = Contact{}
+	c.Contact = Contact{AnsweredAt: now}
 	if c.Previous != nil && c.Previous.Epoch+1 == message.Epoch {
 		// The epochs are consecutive, so no other node held the lease in between.
 		c.Tenure, c.Previous = c.Previous, nil
