--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -72,12 +72,8 @@
 		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, unlimitedHolders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
 		saturated: map[saturationKey]bool{}, unlimited: map[location]bool{}, saturatedIn: map[ModelKey]DataCentres{},
 	}
-	for _, peer := range c.Tenure.Peers {
-		if now.Sub(peer.LastReportAt) < peerReportTimeout {
-			for _, id := range peer.Suspects {
-				index.suspects[id] = true
-			}
-		}
+	for id := range c.Tenure.SuspectedBy {
+		index.suspects[id] = true
 	}
 	for id := range c.closedReplicas(now) {
 		index.suspects[id] = true
@@ -122,12 +118,12 @@
 // plan queues the orders that meet the demand and, at longer intervals, loads of
 // extra replicas and prefetches.
 func (c *Controller) plan(now time.Time) []Effect {
+	effects := c.noteSuspects(c.suspectedBy(now))
 	c.index = c.buildIndex(now)
 	c.expireDemand(now)
 	for key := range c.Tenure.Demand {
 		c.index.demanded[key.ModelKey] = true
 	}
-	var effects []Effect
 	for _, key := range c.sortedDemands(now) {
 		if key.Adapter != "" {
 			effects = append(effects, c.planAdapter(now, key)...)
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -65,6 +65,9 @@
 	SaturatedAt map[saturationKey]time.Time
 	// Unmet holds the demands that the last plans have left without a load.
 	Unmet map[ModelKey]*unmet
+	// SuspectedBy holds the names of the live nodes that suspect a replica, by its ID, as of
+	// the last planning pass.
+	SuspectedBy map[string][]string
 	// Prompts is the evidence against parts of prompts that crash replicas.
 	Prompts *screener.Evidence
 	// Notices holds what replicas have announced, by ID.
@@ -90,6 +93,7 @@
 func (c *Controller) endTenure() {
 	if c.Tenure != nil && !c.Tenure.Acting {
 		c.Previous = c.Tenure
+		c.Contact.AnswersBefore, c.Contact.HandOverAt = nil, time.Time{}
 	}
 	c.Tenure = nil
 }
@@ -97,10 +101,15 @@
 // handleLeaseHeld renews the current tenure, resumes the previous one or starts a
 // new one.
 func (c *Controller) handleLeaseHeld(now time.Time, message LeaseHeld) []Effect {
+	if c.Contact.Epoch == message.Epoch {
+		// A renewal that was under way when this node handed the lease over.
+		return nil
+	}
 	if c.Tenure != nil && c.Tenure.Epoch == message.Epoch {
 		c.Tenure.Until = message.Until
 		return nil
 	}
+	c.Contact = Contact{AnsweredAt: now}
 	if c.Previous != nil && c.Previous.Epoch+1 == message.Epoch {
 		// The epochs are consecutive, so no other node held the lease in between.
 		c.Tenure, c.Previous = c.Previous, nil
