Open connections to replicas through other nodes

A node whose direct connects to replicas fail or take over 100 ms opens them through a peer (POST /peer/v1/relay, upgraded). Two replicas that are reached through peers only make the node partitioned: it then opens all connections through peers and probes the direct way each second.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -87,6 +87,9 @@
 	return a.failing.Load() || until != nil && a.settings.Clock.Now().Before(*until)
 }
 
+// Capacity returns the number of connections that all listeners hold.
+func (a *Acceptor) Capacity() int { return a.capacity }
+
 // Connections returns the number of open connections.
 func (a *Acceptor) Connections() int {
 	a.mutex.Lock()
--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -253,6 +253,14 @@
 	return nil
 }
 
+// SetLinger lets a relayed connection be reset instead of closed.
+func (c *connection) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return merry.Errorf("connection of type %T has no option for lingering", c.Conn)
+}
+
 // describe returns what the controller needs to know.
 func (c *connection) describe(now time.Time) Connection {
 	c.mutex.Lock()
--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -52,6 +52,7 @@
 		n.logPostError("balancer", n.balancer.Post(balancer.SetReplicas{Replicas: effect.Replicas}))
 		configuration, _ := n.view.Configuration()
 		n.setCacheReplicas(configuration, effect.Replicas)
+		n.setRelayedReplicas(effect.Replicas)
 	case surveyor.PublishNodes:
 		n.setNodes(effect)
 	case surveyor.StoreRestored:
@@ -242,6 +243,7 @@
 	n.applyVersions(effect)
 	n.setCacheNodes(effect.Callers)
 	n.setBalancerNodes(effect)
+	n.setRelayPeers(effect.Callers)
 	n.view.directory.Store(n.view.directory.Load().update(effect.Callers, state.Callers, effect.AsOf))
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
 		Active:          effect.Others.Active,
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -210,6 +210,15 @@
 		{"toucanhitch.connections", "Open connections of callers and other nodes.", func() float64 {
 			return float64(n.acceptor.Connections())
 		}},
+		{"toucanhitch.partitioned", "1 while the node reaches replicas through other nodes only.", func() float64 {
+			if n.relayer.Partitioned() {
+				return 1
+			}
+			return 0
+		}},
+		{"toucanhitch.connections.carried", "Connections between other nodes and replicas that lead through this node.", func() float64 {
+			return float64(n.carrier.Open())
+		}},
 		{"toucanhitch.head.bytes", "Memory that the heads of requests hold, in bytes.", func() float64 {
 			return float64(n.acceptor.HeadBytes())
 		}},
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -22,6 +22,7 @@
 	"toucanhitch.example/toucanhitch/internal/meter"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/rationer"
+	"toucanhitch.example/toucanhitch/internal/relayer"
 	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
@@ -95,12 +96,15 @@
 	planner  *planner.Task
 	balancer *balancer.Task
 	cacher   cacheReader
+	relays   relayLists
 	rationer *rationer.Task
 	screener *screener.Task
 	resumer  *resumer.Task
 	syncer   *syncer.Task
 	leaser   *leaser.Task
 	peers    *messenger.Client
+	relayer  *relayer.Task
+	carrier  *relayer.Carrier
 	pool     *forwarder.Pool
 	budgets  *forwarder.Budgets
 	// durations are those of the answers to callers.
@@ -167,9 +171,10 @@
 	engines, closeEngines := platform.NewEngineClient(n.settings.Node, dialer)
 	peers, closePeers := messenger.NewClientWithDialer(n.clock, dialer)
 	n.peers = peers
-	pool, closePool := forwarder.NewPool(dialer, n.clock, bufferBytes(n.settings.MemoryMB))
+	closeCarrier := n.createRelayer(dialer)
+	pool, closePool := forwarder.NewPool(n.relayer, n.clock, bufferBytes(n.settings.MemoryMB))
 	n.pool = pool
-	n.cleanUps = append(n.cleanUps, closeStore, closeEngines, closePeers, closePool)
+	n.cleanUps = append(n.cleanUps, closeStore, closeEngines, closePeers, closePool, closeCarrier)
 	n.createTasks(engines)
 	return n.openListeners(ctx)
 }
@@ -311,6 +316,7 @@
 	messenger.HandleReport(mux, n.handleReport)
 	messenger.HandleStreams(mux, n.rememberStreams, n.resumer.LookUp)
 	messenger.HandleExplain(mux, n.explain)
+	messenger.HandleRelay(mux, n.carrier)
 	mux.Handle("GET /metrics", n.meter.Handler())
 	return mux
 }
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -188,6 +188,8 @@
 		c.boundWaits()
 	case Explain:
 		return []Effect{AnswerExplain{message.Call, c.explain(now, message.Need)}}
+	case AdmitRelay:
+		return []Effect{c.admitRelay(now, message)}
 	case CacheEvents:
 		c.recordEvents(now, message)
 	case Collect:
--- a/internal/balancer/task.go
+++ b/internal/balancer/task.go
@@ -80,6 +80,8 @@
 		t.settings.Log(effect)
 	case AnswerCollect:
 		handle.Reply(effect.Call, effect)
+	case AnswerAdmitRelay:
+		handle.Reply(effect.Call, effect.Reason)
 	case AnswerExplain:
 		handle.Reply(effect.Call, effect.Explanation)
 	}
--- a/internal/forwarder/end.go
+++ b/internal/forwarder/end.go
@@ -18,7 +18,7 @@
 	if errors.Is(err, ErrCallerGone) {
 		return balancer.Abandoned
 	}
-	if errors.Is(err, ErrShutdown) {
+	if errors.Is(err, ErrShutdown) || errors.Is(err, ErrPartitioned) {
 		j.possibleRuns++
 		j.log("attempt failed", placement, 0, 0, err)
 		return balancer.Abandoned
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -45,12 +45,13 @@
 	// writeResult receives the result of a write that runs while the response
 	// is read. It is nil if the request was written before.
 	writeResult chan error
+	silence     silenceWatch
 }
 
 // open sends an attempt and reads the head of its response. It returns ErrNotSent
 // if nothing reached the replica. After any other error the request may run.
 func (p *Pool) open(ctx context.Context, codec Codec, attempt Attempt, timeout time.Duration) (*exchange, error) {
-	conn, err := p.get(ctx, attempt.Address, attempt.Forward.Attempt)
+	conn, err := p.get(ctx, attempt.Replica, attempt.Address, attempt.Forward.Attempt)
 	if err != nil {
 		return nil, err
 	}
@@ -60,6 +61,7 @@
 		e.timedOut.Store(true)
 		conn.Close()
 	})
+	e.watchSilence()
 	if err := e.send(codec.EncodeHead(attempt), attempt.Forward.Body); err != nil {
 		e.close()
 		return nil, err
@@ -86,6 +88,8 @@
 	switch {
 	case err != nil && n == 0 && !e.conn.reused:
 		return merry.Wrap(ErrNotSent, merry.AppendMessagef("%v", err))
+	case err != nil && e.failedWhilePartitioned():
+		return merry.Wrap(ErrPartitioned, merry.AppendMessagef("write: %v", err))
 	case err != nil:
 		return merry.Wrap(ErrTruncated, merry.AppendMessagef("write: %v", err))
 	}
@@ -128,13 +132,15 @@
 }
 
 // classifyError returns the error of a failed read: ErrShutdown, ErrCallerGone,
-// ErrReadTimeout, ErrInvalidResponse, ErrEventOrder, ErrNoBuffer or ErrTruncated.
+// ErrPartitioned, ErrReadTimeout, ErrInvalidResponse, ErrEventOrder, ErrNoBuffer or ErrTruncated.
 func (e *exchange) classifyError(ctx context.Context, err error) error {
 	switch {
 	case errors.Is(context.Cause(ctx), ErrShutdown):
 		return merry.Wrap(ErrShutdown, merry.AppendMessagef("%v", err))
 	case ctx.Err() != nil:
 		return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", context.Cause(ctx)))
+	case e.failedWhilePartitioned():
+		return merry.Wrap(ErrPartitioned, merry.AppendMessagef("%v", err))
 	case e.timedOut.Load():
 		return merry.Wrap(ErrReadTimeout, merry.AppendMessagef("%v", err))
 	case errors.Is(err, ErrInvalidResponse), errors.Is(err, ErrEventOrder), errors.Is(err, ErrNoBuffer):
@@ -149,6 +155,7 @@
 // close ends the exchange and closes its connection.
 func (e *exchange) close() {
 	e.watchdog.Stop()
+	e.silence.stop()
 	e.stopCallerWatch()
 	e.conn.Close()
 }
@@ -157,6 +164,7 @@
 // be reused, and closes it otherwise.
 func (e *exchange) finish() {
 	stopped := e.watchdog.Stop()
+	e.silence.stop()
 	if !e.stopCallerWatch() || !stopped || e.head.CloseConnection || !e.isRequestWritten() {
 		e.conn.Close()
 		return
@@ -249,9 +257,11 @@
 			e.watchdog.Stop()
 		}
 		if isNew {
+			e.silence.pause()
 			if err := write(event); err != nil {
 				return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", err))
 			}
+			e.silence.resume()
 			events.Passed++
 		}
 		if numbered {
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -26,19 +26,34 @@
 	keepAliveMargin = 600 * time.Millisecond
 	// maxIdleConnsPerAddress bounds the idle connections to a replica.
 	maxIdleConnsPerAddress = 16
-	// dialTimeout is far above the time that it takes to open a connection, and
-	// below the time after which a lost SYN packet is retransmitted.
-	dialTimeout = 350 * time.Millisecond
 	// maxUnserved bounds the requests that a connection remembers. A replica with so many
 	// refusals gets a new connection.
 	maxUnserved = 8
 )
 
+// Connector opens connections to replicas. internal/relayer implements it.
+type Connector interface {
+	// Connect opens a connection to a replica. relayed reports that it leads through another
+	// node. Nothing has reached the replica after an error.
+	Connect(ctx context.Context, replica, address string) (conn net.Conn, relayed bool, err error)
+	// Relayed reports whether the replica at an address is reached through other nodes only,
+	// and Partitioned whether all replicas are.
+	Relayed(address string) bool
+	Partitioned() bool
+	// RecordRead records that a replica has sent something on a direct connection, and
+	// QuietFor returns the time since then.
+	RecordRead()
+	QuietFor() time.Duration
+	// RecordSilence reports a replica that owes an answer on a direct connection and has sent
+	// nothing for silenceTime. It must not block.
+	RecordSilence(address string)
+}
+
 // Pool keeps idle connections to replicas. A connection has one owner at a
 // time: an attempt, or the channel that holds it while it is idle.
 type Pool struct {
-	dialer *net.Dialer
-	clock  clockwork.Clock
+	connector Connector
+	clock     clockwork.Clock
 	// idle maps an address to a channel of idle connections.
 	idle sync.Map
 	// buffers bounds what all attempts together hold of responses.
@@ -51,6 +66,10 @@
 	// reader buffers what is read through limited.
 	reader  *bufio.Reader
 	limited *limitedReader
+	// relayed is set if the connection leads through another node.
+	relayed bool
+	// lastRead is when bytes were last received or the response was begun to be awaited.
+	lastRead activity
 	// reused reports whether an earlier attempt has used the connection.
 	reused bool
 	// closeAt is the time from which an idle connection is not used any more.
@@ -64,8 +83,8 @@
 
 // NewPool returns an empty pool and a function that closes its idle connections.
 // All attempts together hold at most bufferBytes of large responses.
-func NewPool(dialer *net.Dialer, clock clockwork.Clock, bufferBytes int64) (*Pool, func()) {
-	pool := &Pool{dialer: dialer, clock: clock, buffers: NewBufferBudget(bufferBytes)}
+func NewPool(connector Connector, clock clockwork.Clock, bufferBytes int64) (*Pool, func()) {
+	pool := &Pool{connector: connector, clock: clock, buffers: NewBufferBudget(bufferBytes)}
 	return pool, pool.closeIdle
 }
 
@@ -80,25 +99,31 @@
 
 // get returns an idle connection on which nothing has been received and that has not
 // carried the request before, or a new one. Its errors wrap ErrNotSent.
-func (p *Pool) get(ctx context.Context, address, request string) (*connection, error) {
+func (p *Pool) get(ctx context.Context, replica, address, request string) (*connection, error) {
 	for {
 		idle := p.pop(address)
 		if idle == nil {
 			break
 		}
-		if p.clock.Now().Before(idle.closeAt) && !slices.Contains(idle.unserved, request) && idle.hasNoInput() {
+		if p.isUsable(idle, address) && !slices.Contains(idle.unserved, request) && idle.hasNoInput() {
 			return idle, nil
 		}
 		idle.Close()
 	}
-	ctx, cancel := clockwork.WithTimeout(ctx, p.clock, dialTimeout)
-	defer cancel()
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	conn, relayed, err := p.connector.Connect(ctx, replica, address)
 	if err != nil {
 		return nil, merry.Wrap(ErrNotSent, merry.AppendMessagef("%v", err))
 	}
-	limited := &limitedReader{source: conn}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
+	result := &connection{Conn: conn, relayed: relayed, lastRead: activity{clock: p.clock, since: p.clock.Now()}}
+	result.limited = &limitedReader{source: &observedReader{connection: result, connector: p.connector}}
+	result.reader = bufio.NewReaderSize(result.limited, readBufferBytes)
+	return result, nil
+}
+
+// isUsable reports whether an idle connection is not too old and of the way that new ones to
+// its replica would take. Connections of another way may be silent.
+func (p *Pool) isUsable(idle *connection, address string) bool {
+	return p.clock.Now().Before(idle.closeAt) && idle.relayed == p.connector.Relayed(address)
 }
 
 func (p *Pool) pop(address string) *connection {
@@ -137,6 +162,30 @@
 	}
 }
 
+// CloseUnusable closes the idle connections that are too old or not of the way that new ones
+// would take.
+func (p *Pool) CloseUnusable() {
+	p.idle.Range(func(key, _ any) bool {
+		address := key.(string)
+		for range maxIdleConnsPerAddress {
+			idle := p.pop(address)
+			if idle == nil {
+				break
+			}
+			if !p.isUsable(idle, address) {
+				idle.Close()
+				continue
+			}
+			select {
+			case p.idleConnections(address) <- idle:
+			default:
+				idle.Close()
+			}
+		}
+		return true
+	})
+}
+
 func (p *Pool) closeIdle() {
 	p.idle.Range(func(address, _ any) bool {
 		p.closeIdleTo(address.(string))
--- /dev/null
+++ b/internal/forwarder/silence.go
@@ -0,0 +1,129 @@
+package forwarder
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// silenceTime is how long a replica sends nothing on a direct connection before the ways
+	// to the replicas are checked. Most answers begin sooner.
+	silenceTime = 300 * time.Millisecond
+	// partitionSilence is how long a direct connection, and all others, must have been silent
+	// for an attempt to end early while the node is partitioned. Connections may also outlive
+	// the beginning of a partition.
+	partitionSilence = 700 * time.Millisecond
+)
+
+// ErrPartitioned reports an attempt on a direct connection that failed while the node was
+// partitioned from the replicas. It shows nothing about the replica, which may run the request.
+var ErrPartitioned = merry.Sentinel("node is partitioned from the replicas")
+
+// activity is when something last happened.
+type activity struct {
+	clock clockwork.Clock
+	since time.Time
+	// last is the time of the last activity after since, in nanoseconds.
+	last atomic.Int64
+}
+
+func (a *activity) record() { a.last.Store(int64(a.clock.Since(a.since))) }
+
+// age returns the time since the last activity.
+func (a *activity) age() time.Duration {
+	return a.clock.Since(a.since) - time.Duration(a.last.Load())
+}
+
+// observedReader records when something is received on a connection.
+type observedReader struct {
+	connection *connection
+	connector  Connector
+}
+
+// Read implements io.Reader.
+func (r *observedReader) Read(buffer []byte) (int, error) {
+	n, err := r.connection.Conn.Read(buffer)
+	if n > 0 {
+		r.connection.lastRead.record()
+		if !r.connection.relayed {
+			r.connector.RecordRead()
+		}
+	}
+	return n, err
+}
+
+// silenceWatch watches the silence of one attempt.
+type silenceWatch struct {
+	mutex   sync.Mutex
+	timer   clockwork.Timer
+	stopped bool
+	// paused is set while nothing is read because the caller takes its time, and resumed
+	// after that until the next check.
+	paused, resumed atomic.Bool
+}
+
+func (w *silenceWatch) schedule(clock clockwork.Clock, after time.Duration, check func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.stopped {
+		w.timer = clock.AfterFunc(after, check)
+	}
+}
+
+func (w *silenceWatch) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+func (w *silenceWatch) pause() { w.paused.Store(true) }
+
+func (w *silenceWatch) resume() {
+	w.resumed.Store(true)
+	w.paused.Store(false)
+}
+
+// watchSilence begins to watch the silence of the replica.
+func (e *exchange) watchSilence() {
+	if e.conn.relayed {
+		return
+	}
+	e.conn.lastRead.record()
+	e.silence.schedule(e.pool.clock, silenceTime, e.checkSilence)
+}
+
+// checkSilence reports a replica that is silent. If the node is partitioned and its direct
+// connections are silent, it ends an attempt that may be repeated.
+func (e *exchange) checkSilence() {
+	connector, quiet := e.pool.connector, e.conn.lastRead.age()
+	switch {
+	case e.silence.paused.Load(), e.silence.resumed.Swap(false):
+		quiet = 0
+	case quiet < silenceTime:
+	case connector.Partitioned():
+		if e.attempt.Forward.Route.Repeatable() && quiet >= partitionSilence && connector.QuietFor() >= partitionSilence {
+			e.conn.Close()
+			return
+		}
+	default:
+		connector.RecordSilence(e.attempt.Address)
+	}
+	next := silenceTime
+	if quiet < silenceTime {
+		next = silenceTime - quiet
+	}
+	e.silence.schedule(e.pool.clock, next, e.checkSilence)
+}
+
+// failedWhilePartitioned reports whether the attempt failed on a direct connection of a
+// partitioned node.
+func (e *exchange) failedWhilePartitioned() bool {
+	return !e.conn.relayed && e.pool.connector.Partitioned()
+}
--- /dev/null
+++ b/internal/messenger/relay.go
@@ -0,0 +1,131 @@
+package messenger
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/ansel1/merry/v2"
+
+	"toucanhitch.example/toucanhitch/internal/encoder"
+	"toucanhitch.example/toucanhitch/internal/relayer"
+)
+
+const (
+	relayPath = "/peer/v1/relay"
+	// relayProtocol is what a connection becomes once the peer has connected to the replica.
+	relayProtocol = "toucanhitch-relay"
+	// relayHeadBytes fits the head and the refusal of a peer.
+	relayHeadBytes = 1 << 10
+)
+
+type relayRequest struct{ Replica, Address string }
+
+type relayRefusal struct {
+	// ReplicaUnreachable is set if the peer cannot connect to the replica.
+	ReplicaUnreachable bool `json:",omitempty"`
+	Detail             string
+}
+
+// Relay opens a connection to a replica through a peer. Its errors wrap
+// relayer.ErrReplicaUnreachable, relayer.ErrPeerRefused or ErrUnreachable. Nothing has reached
+// the replica after an error.
+func (c *Client) Relay(ctx context.Context, peer string, replica relayer.Replica) (net.Conn, error) {
+	conn, err := c.transport.DialContext(ctx, "tcp", peer)
+	if err != nil {
+		return nil, merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s: %v", peer, err))
+	}
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	err = requestRelay(conn, peer, replica)
+	if !stop() && err == nil {
+		err = merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s: %v", peer, context.Cause(ctx)))
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// requestRelay asks the peer on a new connection to connect it to a replica.
+func requestRelay(conn net.Conn, peer string, replica relayer.Replica) error {
+	body := encoder.Encode(relayRequest{replica.ID, replica.Address})
+	request, err := http.NewRequest(http.MethodPost, "http://"+peer+relayPath, bytes.NewReader(body))
+	if err != nil {
+		return merry.Wrap(ErrRefused, merry.AppendMessagef("address %q: %v", peer, err))
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Connection", "Upgrade")
+	request.Header.Set("Upgrade", relayProtocol)
+	if err := request.Write(conn); err != nil {
+		return merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s: %v", peer, err))
+	}
+	reader := bufio.NewReaderSize(conn, relayHeadBytes)
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		return merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s: %v", peer, err))
+	}
+	defer response.Body.Close()
+	switch {
+	case response.StatusCode == http.StatusSwitchingProtocols && reader.Buffered() == 0:
+		return nil
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return merry.Wrap(relayer.ErrPeerRefused, merry.AppendMessagef("%s: %d bytes before the request", peer, reader.Buffered()))
+	}
+	refusal, err := encoder.DecodeFrom[relayRefusal](response.Body, relayHeadBytes)
+	switch {
+	case err != nil:
+		return merry.Wrap(relayer.ErrPeerRefused, merry.AppendMessagef("%s: %s", peer, response.Status))
+	case refusal.ReplicaUnreachable:
+		return merry.Wrap(relayer.ErrReplicaUnreachable, merry.AppendMessagef("%s: %s", peer, refusal.Detail))
+	}
+	return merry.Wrap(relayer.ErrPeerRefused, merry.AppendMessagef("%s: %s", peer, refusal.Detail))
+}
+
+// Carrier connects other nodes with replicas.
+type Carrier interface {
+	Connect(ctx context.Context, replica relayer.Replica) (net.Conn, func(), error)
+	Carry(node, replica net.Conn)
+}
+
+// HandleRelay registers the handler of relayed connections.
+func HandleRelay(mux *http.ServeMux, carrier Carrier) {
+	mux.HandleFunc("POST "+relayPath, func(w http.ResponseWriter, r *http.Request) {
+		request, err := encoder.DecodeFrom[relayRequest](r.Body, relayHeadBytes)
+		if err != nil || r.Header.Get("Upgrade") != relayProtocol {
+			http.Error(w, "relay: an upgrade to "+relayProtocol+" with a replica is required", http.StatusBadRequest)
+			return
+		}
+		replica, release, err := carrier.Connect(r.Context(), relayer.Replica{ID: request.Replica, Address: request.Address})
+		if err != nil {
+			refuseRelay(w, err)
+			return
+		}
+		defer release()
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			refuseRelay(w, err)
+			return
+		}
+		defer conn.Close()
+		if buffered.Reader.Buffered() > 0 {
+			return
+		}
+		if _, err := conn.Write([]byte(relayAccepted)); err == nil {
+			carrier.Carry(conn, replica)
+		}
+	})
+}
+
+const relayAccepted = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + relayProtocol + "\r\n\r\n"
+
+func refuseRelay(w http.ResponseWriter, err error) {
+	refusal := relayRefusal{ReplicaUnreachable: errors.Is(err, relayer.ErrReplicaUnreachable), Detail: err.Error()}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = w.Write(encoder.Encode(refusal))
+}
