--- a/internal/relayer/carrier.go
+++ b/internal/relayer/carrier.go
@@ -137,11 +137,14 @@
 		return
 	}
 	go func() {
-		_ = copyBytes(replica, node)
+		// After a failed write the node is read on: its close ends the connection, and until
+		// then the answer of a replica that reads no more is passed on.
+		if copyBytes(replica, node) != nil {
+			_ = copyBytes(io.Discard, node)
+		}
 		_ = replica.Close()
 	}()
-	err := copyBytes(node, replica)
-	if errors.Is(err, io.EOF) {
+	if copyBytes(node, replica) == nil {
 		_ = resetOnClose(node, false)
 	}
 }
@@ -159,7 +162,7 @@
 	return merry.Wrap(lingerer.SetLinger(seconds))
 }
 
-// copyBytes copies until an error. It uses a buffer of its own: io.Copy between TCP connections
+// copyBytes copies until the end, for which it returns nil. It uses a buffer of its own: io.Copy between TCP connections
 // takes a pipe of the kernel, and with it two more descriptors, for each direction.
 func copyBytes(to io.Writer, from io.Reader) error {
 	buffer := make([]byte, carryBuffer)
@@ -170,7 +173,10 @@
 				return merry.Wrap(err)
 			}
 		}
-		if err != nil {
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
 			return merry.Wrap(err)
 		}
 	}
--- a/internal/relayer/connect.go
+++ b/internal/relayer/connect.go
@@ -78,7 +78,7 @@
 	select {
 	case result := <-direct:
 		if result.err == nil {
-			t.post(Reached{target.Address, startedAt})
+			t.post(Reached{target.Address})
 			return result.conn, false, nil
 		}
 		direct, directErr = nil, result.err
@@ -97,7 +97,7 @@
 		case result := <-direct:
 			if result.err == nil {
 				discard(relay)
-				t.post(Reached{target.Address, startedAt})
+				t.post(Reached{target.Address})
 				return result.conn, false, nil
 			}
 			direct, directErr = nil, result.err
--- a/internal/relayer/controller.go
+++ b/internal/relayer/controller.go
@@ -18,10 +18,13 @@
 	probeInterval   = time.Second
 	confirmInterval = 100 * time.Millisecond
 	// checkInterval is the least time between two checks of suspected replicas.
-	checkInterval = 400 * time.Millisecond
+	checkInterval = 500 * time.Millisecond
 	// quietTime is how long no replica has sent anything before silence alone is a reason
 	// for a check.
 	quietTime = 300 * time.Millisecond
+	// maxConnectTime is above the time that a connect takes in a process that is not suspended
+	// meanwhile.
+	maxConnectTime = time.Second
 	// unreachableTime is how long peers are not asked again for a replica that they do not
 	// reach.
 	unreachableTime = time.Second
@@ -50,12 +53,14 @@
 // ReplicaState is what is known of the ways to a replica.
 type ReplicaState struct {
 	Replica
-	// RelayedAt is when the replica was last reached through a peer and not directly, zero
-	// if it was reached directly since.
-	RelayedAt time.Time
+	// FailedAt is when a direct connect or probe last failed of a replica that is reached
+	// through peers. It is zero if the replica was reached directly since.
+	FailedAt time.Time
 	// ReachedAt is when the replica was last reached directly, zero if a connect has failed
-	// since.
-	ReachedAt time.Time
+	// since, and RelayedAt when it was last reached through a peer.
+	ReachedAt, RelayedAt time.Time
+	// ProbedAt is when the replica was last probed.
+	ProbedAt time.Time
 	// UnreachableUntil is the time until which peers are not asked for the replica.
 	UnreachableUntil time.Time
 }
@@ -85,7 +90,7 @@
 		return c.recordRelayed(now, message)
 	case Unreachable:
 		if replica := c.Replicas[message.Address]; replica != nil {
-			replica.UnreachableUntil = now.Add(unreachableTime)
+			replica.UnreachableUntil, replica.RelayedAt = now.Add(unreachableTime), time.Time{}
 		}
 	case PeerFailed:
 		c.recordPeer(message.Peer, PeerState{AvoidUntil: now.Add(peerAvoidance)})
@@ -117,7 +122,7 @@
 		listed[replica.Address] = state
 	}
 	for address, state := range c.Replicas {
-		relayedGone = relayedGone || listed[address] == nil && !state.RelayedAt.IsZero()
+		relayedGone = relayedGone || listed[address] == nil && !state.FailedAt.IsZero()
 	}
 	c.Replicas = listed
 	if relayedGone {
@@ -132,14 +137,15 @@
 	if replica == nil {
 		return nil
 	}
-	replica.ReachedAt, replica.UnreachableUntil = now, time.Time{}
-	if c.Partitioned {
+	direct := replica.FailedAt.IsZero()
+	replica.ReachedAt, replica.FailedAt, replica.UnreachableUntil = now, time.Time{}, time.Time{}
+	switch {
+	case c.Partitioned:
 		return c.endPartition(now)
-	}
-	if replica.RelayedAt.IsZero() {
+	case direct:
 		return nil
 	}
-	replica.RelayedAt = time.Time{}
+	c.ProbesAt = earlier(c.ProbesAt, now.Add(confirmInterval))
 	return []Effect{c.routes(), CloseIdle{}}
 }
 
@@ -149,43 +155,56 @@
 	if replica == nil {
 		return nil
 	}
-	replica.UnreachableUntil = time.Time{}
-	if !message.DirectFailed || message.StartedAt.Before(replica.ReachedAt) {
-		return nil
+	replica.RelayedAt, replica.UnreachableUntil = now, time.Time{}
+	direct := replica.FailedAt.IsZero()
+	if message.DirectFailed && !message.StartedAt.Before(replica.ReachedAt) && now.Sub(message.StartedAt) <= maxConnectTime {
+		replica.FailedAt, replica.ReachedAt = now, time.Time{}
+		if c.ProbesAt.IsZero() {
+			c.ProbesAt = now.Add(probeInterval)
+		}
 	}
-	known := !replica.RelayedAt.IsZero()
-	replica.RelayedAt, replica.ReachedAt = now, time.Time{}
-	if c.ProbesAt.IsZero() {
-		c.ProbesAt = now.Add(probeInterval)
+	if effects := c.beginPartition(now); effects != nil {
+		return effects
 	}
-	if evidence := c.evidence(now); !c.Partitioned && len(evidence) >= c.needed() {
-		c.Partitioned, c.PartitionedAt = true, now
-		c.ProbesAt = now.Add(probeInterval)
-		return []Effect{c.routes(), CloseIdle{}, Note{Text: "partitioned from the replicas", Replicas: evidence}}
+	if direct && !replica.FailedAt.IsZero() {
+		return []Effect{c.routes()}
 	}
-	if known {
+	return nil
+}
+
+// beginPartition turns to connections through peers if there is evidence enough.
+func (c *Controller) beginPartition(now time.Time) []Effect {
+	evidence := c.evidence(now)
+	if c.Partitioned || len(evidence) < c.needed() {
 		return nil
 	}
-	return []Effect{c.routes()}
+	c.Partitioned, c.PartitionedAt, c.ProbesAt = true, now, now.Add(probeInterval)
+	return []Effect{c.routes(), CloseIdle{}, Note{Text: "partitioned from the replicas", Replicas: evidence}}
 }
 
-// evidence returns the replicas that were reached through peers and not directly, as long as
-// no other replica was reached directly.
+// evidence returns the replicas that were reached through peers and not directly, unless any
+// replica was reached directly since.
 func (c *Controller) evidence(now time.Time) []string {
 	var addresses []string
 	for _, address := range c.sortedAddresses() {
 		replica := c.Replicas[address]
-		if replica.RelayedAt.After(c.ReachedAt) && now.Sub(replica.RelayedAt) < evidenceLifetime {
+		if replica.FailedAt.After(c.ReachedAt) && now.Sub(replica.FailedAt) < evidenceLifetime && replica.isRelayed(now) {
 			addresses = append(addresses, address)
 		}
 	}
 	return addresses
 }
 
+// isRelayed reports whether the replica was reached through a peer lately.
+func (r *ReplicaState) isRelayed(now time.Time) bool {
+	return !r.RelayedAt.IsZero() && now.Sub(r.RelayedAt) < evidenceLifetime
+}
+
 // needed returns the number of replicas that are evidence enough.
 func (c *Controller) needed() int { return max(1, min(evidenceReplicas, len(c.Replicas))) }
 
-// endPartition returns to direct connections once enough replicas were reached.
+// endPartition returns to direct connections once enough replicas were reached. Those that
+// were not reached directly before are reached through peers until a probe succeeds.
 func (c *Controller) endPartition(now time.Time) []Effect {
 	var reached []string
 	for _, address := range c.sortedAddresses() {
@@ -197,68 +216,80 @@
 		c.ProbesAt = earlier(c.ProbesAt, now.Add(confirmInterval))
 		return nil
 	}
-	c.Partitioned, c.ProbesAt = false, time.Time{}
-	for _, replica := range c.Replicas {
-		replica.RelayedAt = time.Time{}
-	}
+	c.Partitioned, c.ProbesAt = false, now.Add(confirmInterval)
 	return []Effect{c.routes(), CloseIdle{}, Note{Text: "replicas reached again", Replicas: reached, Lasted: now.Sub(c.PartitionedAt)}}
 }
 
 func (c *Controller) recordProbe(now time.Time, message ProbeDone) []Effect {
 	if message.Reached {
-		return c.recordReached(now, Reached{message.Address, message.StartedAt})
+		return c.recordReached(now, Reached{message.Address})
 	}
-	if replica := c.Replicas[message.Address]; replica != nil {
-		replica.ReachedAt = time.Time{}
+	replica := c.Replicas[message.Address]
+	if replica == nil {
+		return nil
 	}
-	return nil
+	replica.ReachedAt = time.Time{}
+	if !replica.FailedAt.IsZero() {
+		replica.FailedAt = now
+	}
+	return c.beginPartition(now)
 }
 
-// probe tries the direct way to some of the replicas that are reached through peers. Those
-// that a probe has reached come last.
+// probe tries the direct way to some of the replicas that are reached through peers. Those that
+// peers have reached lately come first, since they have not crashed, and then those that were
+// probed longest ago. Those that a probe has reached are tried beside them.
 func (c *Controller) probe(now time.Time) []Effect {
 	if c.ProbesAt.IsZero() || now.Before(c.ProbesAt) {
 		return nil
 	}
-	var candidates, confirmed []string
+	var groups [3][]string
 	for _, address := range c.sortedAddresses() {
 		replica := c.Replicas[address]
 		switch {
-		case !c.Partitioned && replica.RelayedAt.IsZero():
-		case replica.ReachedAt.IsZero():
-			candidates = append(candidates, address)
+		case c.Partitioned && !replica.ReachedAt.Before(c.PartitionedAt):
+			groups[2] = append(groups[2], address)
+		case !c.Partitioned && replica.FailedAt.IsZero():
+		case replica.isRelayed(now):
+			groups[0] = append(groups[0], address)
 		default:
-			confirmed = append(confirmed, address)
+			groups[1] = append(groups[1], address)
 		}
 	}
-	c.Random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	candidates = append(candidates, confirmed...)
-	if len(candidates) == 0 && !c.Partitioned {
-		c.ProbesAt = time.Time{}
-		return nil
+	for _, group := range groups {
+		c.Random.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+		slices.SortStableFunc(group, func(a, b string) int { return c.Replicas[a].ProbedAt.Compare(c.Replicas[b].ProbedAt) })
 	}
+	others := append(groups[0], groups[1]...)
+	others, reached := others[:min(evidenceReplicas, len(others))], groups[2][:min(evidenceReplicas, len(groups[2]))]
 	c.ProbesAt = now.Add(probeInterval)
+	if len(others) == 0 && !c.Partitioned {
+		c.ProbesAt = time.Time{}
+	}
 	var effects []Effect
-	for _, address := range candidates[:min(evidenceReplicas, len(candidates))] {
+	for _, address := range slices.Concat(others, reached) {
+		c.Replicas[address].ProbedAt = now
 		effects = append(effects, Probe{address})
 	}
 	return effects
 }
 
-// check connects to a suspected replica and to another one. A replica that only works slowly
-// costs a connect in checkInterval.
+// check connects to a silent replica and to another one, or to two others if a connect has
+// failed: that replica may have crashed, and asking peers for it would make them check it too.
 func (c *Controller) check(now time.Time, message Suspected) []Effect {
-	if c.Partitioned || c.Checks > 0 || now.Sub(c.CheckedAt) < checkInterval || !message.Failed && message.QuietFor < quietTime {
+	switch {
+	case c.Partitioned, c.Checks > 0, now.Sub(c.CheckedAt) < checkInterval, now.Sub(c.ReachedAt) < quietTime:
 		return nil
-	}
-	suspect := c.Replicas[message.Address]
-	if suspect == nil || !suspect.RelayedAt.IsZero() {
+	case !message.Failed && message.QuietFor < quietTime:
 		return nil
 	}
-	effects := []Effect{Check{suspect.Replica}}
 	addresses := slices.DeleteFunc(c.sortedAddresses(), func(address string) bool { return address == message.Address })
-	if len(addresses) > 0 {
-		effects = append(effects, Check{c.Replicas[addresses[c.Random.IntN(len(addresses))]].Replica})
+	c.Random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	if !message.Failed && c.Replicas[message.Address] != nil {
+		addresses = slices.Insert(addresses, 0, message.Address)
+	}
+	var effects []Effect
+	for _, address := range addresses[:min(evidenceReplicas, len(addresses))] {
+		effects = append(effects, Check{c.Replicas[address].Replica})
 	}
 	c.Checks, c.CheckedAt = len(effects), now
 	return effects
@@ -268,7 +299,7 @@
 func (c *Controller) routes() Effect {
 	relayed := map[string]bool{}
 	for address, replica := range c.Replicas {
-		if !replica.RelayedAt.IsZero() {
+		if !replica.FailedAt.IsZero() {
 			relayed[address] = true
 		}
 	}
--- a/internal/relayer/message.go
+++ b/internal/relayer/message.go
@@ -24,11 +24,8 @@
 // SetPeers replaces the nodes that may relay. Self is not among them.
 type SetPeers struct{ Peers []Peer }
 
-// Reached reports a direct connection that was begun at StartedAt.
-type Reached struct {
-	Address   string
-	StartedAt time.Time
-}
+// Reached reports a direct connection.
+type Reached struct{ Address string }
 
 // Relayed reports a connection through a peer. DirectFailed is set if a direct connect that
 // was begun at StartedAt has failed or was still not done.
@@ -56,9 +53,8 @@
 
 // ProbeDone reports the result of a Probe for one replica.
 type ProbeDone struct {
-	Address   string
-	StartedAt time.Time
-	Reached   bool `json:",omitempty"`
+	Address string
+	Reached bool `json:",omitempty"`
 }
 
 // CheckDone reports that a Check has ended.
--- a/internal/relayer/task.go
+++ b/internal/relayer/task.go
@@ -132,10 +132,9 @@
 }
 
 func (t *Task) probe(ctx context.Context, address string) Message {
-	startedAt := t.settings.Clock.Now()
 	conn, err := t.dial(ctx, address)
 	if err == nil {
 		_ = conn.Close()
 	}
-	return ProbeDone{Address: address, StartedAt: startedAt, Reached: err == nil}
+	return ProbeDone{Address: address, Reached: err == nil}
 }
