--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -139,6 +139,8 @@
 		return merry.Wrap(ErrShutdown, merry.AppendMessagef("%v", err))
 	case ctx.Err() != nil:
 		return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", context.Cause(ctx)))
+	case e.failedWhilePartitioned() && e.timedOut.Load():
+		return merry.Wrap(ErrPartitioned, merry.WithCause(ErrReadTimeout), merry.AppendMessagef("%v", err))
 	case e.failedWhilePartitioned():
 		return merry.Wrap(ErrPartitioned, merry.AppendMessagef("%v", err))
 	case e.timedOut.Load():
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -68,7 +68,7 @@
 	limited *limitedReader
 	// relayed is set if the connection leads through another node.
 	relayed bool
-	// lastRead is when bytes were last received or the response was begun to be awaited.
+	// lastRead is when bytes were last received.
 	lastRead activity
 	// reused reports whether an earlier attempt has used the connection.
 	reused bool
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -31,7 +31,13 @@
 	last atomic.Int64
 }
 
-func (a *activity) record() { a.last.Store(int64(a.clock.Since(a.since))) }
+// record records an activity. Without a clock, the activity is not of interest.
+func (a *activity) record() {
+	if a.clock == nil {
+		return
+	}
+	a.last.Store(int64(a.clock.Since(a.since)))
+}
 
 // age returns the time since the last activity.
 func (a *activity) age() time.Duration {
@@ -61,9 +67,10 @@
 	mutex   sync.Mutex
 	timer   clockwork.Timer
 	stopped bool
-	// paused is set while nothing is read because the caller takes its time, and resumed
-	// after that until the next check.
-	paused, resumed atomic.Bool
+	// paused is set while nothing is read because the caller takes its time. The last such
+	// time ended with the activity of resumed.
+	paused  atomic.Bool
+	resumed activity
 }
 
 func (w *silenceWatch) schedule(clock clockwork.Clock, after time.Duration, check func()) {
@@ -86,7 +93,7 @@
 func (w *silenceWatch) pause() { w.paused.Store(true) }
 
 func (w *silenceWatch) resume() {
-	w.resumed.Store(true)
+	w.resumed.record()
 	w.paused.Store(false)
 }
 
@@ -95,16 +102,16 @@
 	if e.conn.relayed {
 		return
 	}
-	e.conn.lastRead.record()
+	e.silence.resumed.clock, e.silence.resumed.since = e.pool.clock, e.pool.clock.Now()
 	e.silence.schedule(e.pool.clock, silenceTime, e.checkSilence)
 }
 
 // checkSilence reports a replica that is silent. If the node is partitioned and its direct
 // connections are silent, it ends an attempt that may be repeated.
 func (e *exchange) checkSilence() {
-	connector, quiet := e.pool.connector, e.conn.lastRead.age()
+	connector, quiet := e.pool.connector, min(e.conn.lastRead.age(), e.silence.resumed.age())
 	switch {
-	case e.silence.paused.Load(), e.silence.resumed.Swap(false):
+	case e.silence.paused.Load():
 		quiet = 0
 	case quiet < silenceTime:
 	case connector.Partitioned():
--- /dev/null
+++ b/internal/messenger/relay_test.go
@@ -0,0 +1,214 @@
+package messenger
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"toucanhitch.example/toucanhitch/internal/acceptor"
+	"toucanhitch.example/toucanhitch/internal/relayer"
+)
+
+// relayTestTimeout fails a test whose connection stays open.
+const relayTestTimeout = 5 * time.Second
+
+// startRelayPeer serves relayed connections like a node, and returns its address and a function
+// that closes the connections. The peer refuses replicas for which admit returns an error.
+func startRelayPeer(t *testing.T, admit func(relayer.Replica) error) (string, func()) {
+	t.Helper()
+	clock := clockwork.NewRealClock()
+	dialer := &net.Dialer{}
+	ways := relayer.New(relayer.Settings{Clock: clock, LogError: func(error) {}})
+	carrier, closeCarrier := relayer.NewCarrier(relayer.CarrierSettings{
+		Clock: clock, Ways: ways, Dial: dialer.DialContext, Count: func(string) {},
+		Admit: func(_ context.Context, replica relayer.Replica) error { return admit(replica) },
+	})
+	connections := acceptor.New(acceptor.Settings{
+		Clock: clock, Limits: func() acceptor.Limits { return acceptor.Limits{} }, Count: func(acceptor.Reason) {}, Log: func(acceptor.Note) {},
+	})
+	mux := http.NewServeMux()
+	HandleRelay(mux, carrier)
+	server := &http.Server{Handler: mux}
+	connections.Attach(server)
+	listener := listenLoopback(t)
+	go func() { _ = server.Serve(connections.Listen(listener, acceptor.Peers)) }()
+	t.Cleanup(func() { closeCarrier(); server.Close() })
+	return listener.Addr().String(), closeCarrier
+}
+
+func listenLoopback(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return listener
+}
+
+// startReplica runs a function on each connection to a replica.
+func startReplica(t *testing.T, run func(*net.TCPConn)) relayer.Replica {
+	t.Helper()
+	listener := listenLoopback(t)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go run(conn.(*net.TCPConn))
+		}
+	}()
+	return relayer.Replica{ID: "r1", Address: listener.Addr().String()}
+}
+
+func admitAll(relayer.Replica) error { return nil }
+
+// relay opens a connection through the peer.
+func relay(t *testing.T, peer string, replica relayer.Replica) net.Conn {
+	t.Helper()
+	client, closeClient := NewClient(clockwork.NewRealClock())
+	t.Cleanup(closeClient)
+	conn, err := client.Relay(t.Context(), peer, replica)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(relayTestTimeout))
+	return conn
+}
+
+// TestRelayedConnectionEndsLikeTheReplicas guards against an answer without a length that looks
+// complete although the replica has reset its connection or the peer has ended.
+func TestRelayedConnectionEndsLikeTheReplicas(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		end      func(*net.TCPConn)
+		complete bool
+	}{
+		{"replica closes", func(conn *net.TCPConn) { conn.Close() }, true},
+		{"replica resets", func(conn *net.TCPConn) { _ = conn.SetLinger(0); conn.Close() }, false},
+		{"peer ends", nil, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			received := make(chan struct{})
+			replica := startReplica(t, func(conn *net.TCPConn) {
+				_, _ = io.ReadFull(conn, make([]byte, 4))
+				_, _ = conn.Write([]byte("answer"))
+				<-received
+				if test.end != nil {
+					test.end(conn)
+				}
+			})
+			peer, endPeer := startRelayPeer(t, admitAll)
+			conn := relay(t, peer, replica)
+			if _, err := conn.Write([]byte("ask\n")); err != nil {
+				t.Fatal(err)
+			}
+			answer := make([]byte, 6)
+			if _, err := io.ReadFull(conn, answer); err != nil || string(answer) != "answer" {
+				t.Fatalf("%q, %v", answer, err)
+			}
+			close(received)
+			if test.end == nil {
+				endPeer()
+			}
+			_, err := conn.Read(make([]byte, 1))
+			if complete := errors.Is(err, io.EOF); complete != test.complete || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("the connection ends with %v, complete should be %v", err, test.complete)
+			}
+		})
+	}
+}
+
+// TestLeavingNodeClosesTheReplicasConnection guards against a replica that goes on with a request
+// whose caller has gone, also while it sends its answer.
+func TestLeavingNodeClosesTheReplicasConnection(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		closed := make(chan error, 1)
+		replica := startReplica(t, func(conn *net.TCPConn) {
+			_, _ = io.ReadFull(conn, make([]byte, len("request")))
+			for answers {
+				if _, err := conn.Write(make([]byte, 1<<10)); err != nil {
+					closed <- nil
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(relayTestTimeout))
+			_, err := io.Copy(io.Discard, conn)
+			closed <- err
+		})
+		peer, _ := startRelayPeer(t, admitAll)
+		conn := relay(t, peer, replica)
+		if _, err := conn.Write([]byte("request")); err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+		select {
+		case err := <-closed:
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("the replica's connection stays open (answers: %v)", answers)
+			}
+		case <-time.After(relayTestTimeout):
+			t.Errorf("the replica can write on (answers: %v)", answers)
+		}
+	}
+}
+
+// TestPeerRefusesToRelay guards against a peer that is an open proxy, that relays without bound,
+// or that does not tell a replica that it cannot reach from a refusal.
+func TestPeerRefusesToRelay(t *testing.T) {
+	replica := startReplica(t, func(conn *net.TCPConn) { _, _ = io.Copy(io.Discard, conn); conn.Close() })
+	gone := listenLoopback(t)
+	gone.Close()
+	crashed := relayer.Replica{ID: "crashed", Address: gone.Addr().String()}
+	peer, _ := startRelayPeer(t, func(asked relayer.Replica) error {
+		if asked != replica && asked != crashed {
+			return errors.New("not listed")
+		}
+		return nil
+	})
+	client, closeClient := NewClient(clockwork.NewRealClock())
+	defer closeClient()
+	_, err := client.Relay(t.Context(), peer, relayer.Replica{ID: "r2", Address: replica.Address})
+	if !errors.Is(err, relayer.ErrPeerRefused) {
+		t.Errorf("a replica that is not listed: %v", err)
+	}
+	if _, err := client.Relay(t.Context(), peer, crashed); !errors.Is(err, relayer.ErrReplicaUnreachable) {
+		t.Errorf("a replica that has crashed: %v", err)
+	}
+	if _, err := client.Relay(t.Context(), gone.Addr().String(), replica); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("a peer that has crashed: %v", err)
+	}
+	var open []net.Conn
+	for err = nil; err == nil && len(open) < 100; {
+		var conn net.Conn
+		if conn, err = client.Relay(t.Context(), peer, replica); err == nil {
+			open = append(open, conn)
+		}
+	}
+	if !errors.Is(err, relayer.ErrPeerRefused) {
+		t.Fatalf("after %d connections: %v", len(open), err)
+	}
+	for _, conn := range open {
+		conn.Close()
+	}
+	for deadline := time.Now().Add(relayTestTimeout); ; time.Sleep(time.Millisecond) {
+		conn, err := client.Relay(t.Context(), peer, replica)
+		if err == nil {
+			conn.Close()
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("connections that were closed still count: %v", err)
+		}
+	}
+}
--- a/internal/relayer/fuzz_test.go
+++ b/internal/relayer/fuzz_test.go
@@ -143,9 +143,11 @@
 		w.step(SetReplicas{replicas})
 		w.step(SetPeers{peers})
 		t.Repeat(map[string]func(*rapid.T){
-			"cut":   func(*rapid.T) { w.partitioned, w.wasPartitioned = true, true },
-			"heal":  func(*rapid.T) { w.partitioned = false },
-			"pause": func(t *rapid.T) { w.now = w.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond) },
+			"cut":  func(*rapid.T) { w.partitioned, w.wasPartitioned = true, true },
+			"heal": func(*rapid.T) { w.partitioned = false },
+			"pause": func(t *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
 			"wait": func(t *rapid.T) {
 				w.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 			},
