--- a/internal/balancer/script_test.go
+++ b/internal/balancer/script_test.go
@@ -14,7 +14,7 @@
 		New: func(*testing.T, []byte) tester.Controller[Message, Effect] {
 			return NewController(1)
 		},
-		Messages: []Message{SetReplicas{}, SetPeerState{}, Place{}, Cancel{}, AttemptEnded{}, Leave{}, Collect{}, NoticeReceived{}, UsageUpdate{}, SetBeginning{}, AnswerBegun{}, AnswerProgressed{}, SetModels{}, SetColdRules{}, SetNodes{}, Explain{}, CacheEvents{}},
+		Messages: []Message{SetReplicas{}, SetPeerState{}, Place{}, Cancel{}, AttemptEnded{}, Leave{}, Collect{}, NoticeReceived{}, UsageUpdate{}, SetBeginning{}, AnswerBegun{}, AnswerProgressed{}, SetModels{}, SetColdRules{}, SetNodes{}, Explain{}, CacheEvents{}, AdmitRelay{}},
 		Tick:     Tick{},
 	})
 }
