Keep what a replica sends before it has read a relayed request

The head of the peer's answer is now read byte by byte. A connect that is tried both ways takes no longer than a direct one may.

--- a/internal/messenger/relay.go
+++ b/internal/messenger/relay.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 
@@ -63,17 +64,13 @@
 	if err := request.Write(conn); err != nil {
 		return merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s: %v", peer, err))
 	}
-	reader := bufio.NewReaderSize(conn, relayHeadBytes)
-	response, err := http.ReadResponse(reader, request)
+	response, err := http.ReadResponse(bufio.NewReaderSize(byteReader{conn}, relayHeadBytes), request)
 	if err != nil {
 		return merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s: %v", peer, err))
 	}
 	defer response.Body.Close()
-	switch {
-	case response.StatusCode == http.StatusSwitchingProtocols && reader.Buffered() == 0:
+	if response.StatusCode == http.StatusSwitchingProtocols {
 		return nil
-	case response.StatusCode == http.StatusSwitchingProtocols:
-		return merry.Wrap(relayer.ErrPeerRefused, merry.AppendMessagef("%s: %d bytes before the request", peer, reader.Buffered()))
 	}
 	refusal, err := encoder.DecodeFrom[relayRefusal](response.Body, relayHeadBytes)
 	switch {
@@ -85,6 +82,15 @@
 	return merry.Wrap(relayer.ErrPeerRefused, merry.AppendMessagef("%s: %s", peer, refusal.Detail))
 }
 
+// byteReader reads single bytes, so that nothing beyond the head of the answer is read: a replica
+// may send its answer before it has read the request.
+type byteReader struct{ reader io.Reader }
+
+// Read implements io.Reader.
+func (r byteReader) Read(buffer []byte) (int, error) {
+	return r.reader.Read(buffer[:min(1, len(buffer))])
+}
+
 // Carrier connects other nodes with replicas.
 type Carrier interface {
 	Connect(ctx context.Context, replica relayer.Replica) (net.Conn, func(), error)
--- a/internal/relayer/connect.go
+++ b/internal/relayer/connect.go
@@ -63,10 +63,11 @@
 	return t.connectEither(ctx, target)
 }
 
-// connectEither connects directly and, if that fails or takes long, through a peer.
+// connectEither connects directly and, if that fails or takes long, through a peer. Both together
+// take no longer than a direct connect may.
 func (t *Task) connectEither(ctx context.Context, target Replica) (net.Conn, bool, error) {
 	startedAt := t.settings.Clock.Now()
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := clockwork.WithTimeout(ctx, t.settings.Clock, dialTimeout)
 	defer cancel()
 	direct := start(func() opened {
 		conn, err := t.dial(ctx, target.Address)
