Answer in time for a replica that a peer does not reach

A peer spent 250 ms on a connect to a replica that has crashed silently, and the asking node gave up at the same moment: it never learnt that the replica was unreachable, asked peers with each connect, and avoided them for a second. TestSilentReplicaIsNotAskedFor failed before.

--- a/internal/relayer/carrier.go
+++ b/internal/relayer/carrier.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// carryTimeout is the time limit of a connect for another node. It leaves that node time to
-	// ask a third one.
-	carryTimeout = 250 * time.Millisecond
+	// carryTimeout is the time limit of a connect for another node. The answer must arrive before
+	// that node gives up, also if it has first tried to connect directly.
+	carryTimeout = 150 * time.Millisecond
 	// carryBuffer is the number of bytes that are read at once. A relayed connection has one
 	// buffer for each direction.
 	carryBuffer = 8 << 10
--- a/internal/relayer/connect.go
+++ b/internal/relayer/connect.go
@@ -133,7 +133,7 @@
 	results := make(chan opened, len(peers))
 	asked, pending := 0, 0
 	answered := map[string]bool{}
-	var unreachable []string
+	var unreachable, silent []string
 	lastErr := ErrNoPeer
 	for asked < len(peers) || pending > 0 {
 		if asked < len(peers) {
@@ -167,13 +167,18 @@
 			if len(unreachable) == maxUnreachable {
 				peers = peers[:asked]
 			}
+		case ctx.Err() != nil:
+			silent = append(silent, result.peer)
 		default:
 			t.avoid([]string{result.peer})
 		}
 		lastErr = result.err
 	}
 	if len(unreachable) > 0 {
+		// Those that have not answered yet wait for the same replica.
 		t.post(Unreachable{target.Address})
+	} else {
+		t.avoid(silent)
 	}
 	t.settings.Count(resultFailed)
 	return nil, merry.Wrap(lastErr)
--- a/internal/relayer/connect_test.go
+++ b/internal/relayer/connect_test.go
@@ -131,6 +131,31 @@
 	}
 }
 
+// TestSilentReplicaIsNotAskedFor guards against connects to a replica that has crashed without
+// closing its connections, each of which asks peers and takes them for silent.
+func TestSilentReplicaIsNotAskedFor(t *testing.T) {
+	slow := func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(carryTimeout):
+			return ErrReplicaUnreachable
+		}
+	}
+	n := &network{direct: swallow, peers: map[string]func(context.Context) error{"n1": slow, "n2": slow, "n3": slow, "n4": slow}}
+	task := n.start(t)
+	_, _ = n.connect(t, task, "1:1")
+	asked := n.asked.Load()
+	_, _ = n.connect(t, task, "1:1")
+	if n.asked.Load() != asked || asked == 0 {
+		t.Errorf("peers were asked %d times and then %d times more", asked, n.asked.Load()-asked)
+	}
+	_, _ = n.connect(t, task, "2:1")
+	if n.asked.Load() == asked {
+		t.Error("peers were not asked for another replica")
+	}
+}
+
 // TestLeavingCallerEndsConnect guards against a connect that outlives its caller.
 func TestLeavingCallerEndsConnect(t *testing.T) {
 	n := &network{direct: swallow, peers: map[string]func(context.Context) error{"n1": swallow}}
