--- a/internal/relayer/controller.go
+++ b/internal/relayer/controller.go
@@ -32,9 +32,10 @@
 
 // Controller decides whether the replicas are reached directly or through peers.
 type Controller struct {
-	// Replicas are the listed replicas by address.
-	Replicas map[string]*ReplicaState
-	Peers    []Peer
+	// Replicas are the listed replicas by address, and Addresses their sorted addresses.
+	Replicas  map[string]*ReplicaState
+	Addresses []string
+	Peers     []Peer
 	// PeerStates holds what is known of peers by address.
 	PeerStates map[string]PeerState
 	// Partitioned is set while no replica is reached directly, since PartitionedAt.
@@ -124,7 +125,7 @@
 	for address, state := range c.Replicas {
 		relayedGone = relayedGone || listed[address] == nil && !state.FailedAt.IsZero()
 	}
-	c.Replicas = listed
+	c.Replicas, c.Addresses = listed, slices.Sorted(maps.Keys(listed))
 	if relayedGone {
 		return []Effect{c.routes()}
 	}
@@ -174,8 +175,11 @@
 
 // beginPartition turns to connections through peers if there is evidence enough.
 func (c *Controller) beginPartition(now time.Time) []Effect {
+	if c.Partitioned {
+		return nil
+	}
 	evidence := c.evidence(now)
-	if c.Partitioned || len(evidence) < c.needed() {
+	if len(evidence) < c.needed() {
 		return nil
 	}
 	c.Partitioned, c.PartitionedAt, c.ProbesAt = true, now, now.Add(probeInterval)
@@ -186,7 +190,7 @@
 // replica was reached directly since.
 func (c *Controller) evidence(now time.Time) []string {
 	var addresses []string
-	for _, address := range c.sortedAddresses() {
+	for _, address := range c.Addresses {
 		replica := c.Replicas[address]
 		if replica.FailedAt.After(c.ReachedAt) && now.Sub(replica.FailedAt) < evidenceLifetime && replica.isRelayed(now) {
 			addresses = append(addresses, address)
@@ -207,7 +211,7 @@
 // were not reached directly before are reached through peers until a probe succeeds.
 func (c *Controller) endPartition(now time.Time) []Effect {
 	var reached []string
-	for _, address := range c.sortedAddresses() {
+	for _, address := range c.Addresses {
 		if at := c.Replicas[address].ReachedAt; !at.IsZero() && !at.Before(c.PartitionedAt) && now.Sub(at) < evidenceLifetime {
 			reached = append(reached, address)
 		}
@@ -243,7 +247,7 @@
 		return nil
 	}
 	var groups [3][]string
-	for _, address := range c.sortedAddresses() {
+	for _, address := range c.Addresses {
 		replica := c.Replicas[address]
 		switch {
 		case c.Partitioned && !replica.ReachedAt.Before(c.PartitionedAt):
@@ -282,7 +286,7 @@
 	case !message.Failed && message.QuietFor < quietTime:
 		return nil
 	}
-	addresses := slices.DeleteFunc(c.sortedAddresses(), func(address string) bool { return address == message.Address })
+	addresses := slices.DeleteFunc(slices.Clone(c.Addresses), func(address string) bool { return address == message.Address })
 	c.Random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	if !message.Failed && c.Replicas[message.Address] != nil {
 		addresses = slices.Insert(addresses, 0, message.Address)
@@ -306,8 +310,6 @@
 	return PublishRoutes{Routes{Partitioned: c.Partitioned, Relayed: relayed}}
 }
 
-func (c *Controller) sortedAddresses() []string { return slices.Sorted(maps.Keys(c.Replicas)) }
-
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/relayer/peers.go
+++ b/internal/relayer/peers.go
@@ -1,7 +1,7 @@
 package relayer
 
 import (
-	"slices"
+	"math/rand/v2"
 	"time"
 )
 
@@ -23,19 +23,16 @@
 
 func (c *Controller) setPeers(message SetPeers) {
 	c.Peers = message.Peers
-	states := make(map[string]PeerState, len(c.PeerStates))
+	states := make(map[string]PeerState, len(c.Peers))
 	for _, peer := range c.Peers {
-		if state, known := c.PeerStates[peer.Address]; known {
-			states[peer.Address] = state
-		}
+		states[peer.Address] = c.PeerStates[peer.Address]
 	}
 	c.PeerStates = states
 }
 
-// recordPeer records how a peer relays. Peers that were removed meanwhile are ignored, so that
-// the states do not outgrow the list.
+// recordPeer records how a peer relays. Peers that were removed meanwhile are ignored.
 func (c *Controller) recordPeer(address string, state PeerState) {
-	if slices.ContainsFunc(c.Peers, func(peer Peer) bool { return peer.Address == address }) {
+	if _, listed := c.PeerStates[address]; listed {
 		c.PeerStates[address] = state
 	}
 }
@@ -47,7 +44,7 @@
 	if replica == nil || now.Before(replica.UnreachableUntil) {
 		return nil
 	}
-	var groups [4][]string
+	var groups [4]sample
 	for _, peer := range c.Peers {
 		state := c.PeerStates[peer.Address]
 		if now.Before(state.AvoidUntil) {
@@ -60,12 +57,29 @@
 		if !state.Relays {
 			group++
 		}
-		groups[group] = append(groups[group], peer.Address)
+		groups[group].add(c.Random, peer.Address)
 	}
 	var peers []string
 	for _, group := range groups {
-		c.Random.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
-		peers = append(peers, group...)
+		c.Random.Shuffle(len(group.addresses), func(i, j int) {
+			group.addresses[i], group.addresses[j] = group.addresses[j], group.addresses[i]
+		})
+		peers = append(peers, group.addresses...)
 	}
 	return peers[:min(maxPeers, len(peers))]
 }
+
+// sample is a random sample of up to maxPeers of the addresses that were added.
+type sample struct {
+	added     int
+	addresses []string
+}
+
+func (s *sample) add(random *rand.Rand, address string) {
+	s.added++
+	if len(s.addresses) < maxPeers {
+		s.addresses = append(s.addresses, address)
+	} else if i := random.IntN(s.added); i < maxPeers {
+		s.addresses[i] = address
+	}
+}
