Close silent relayed connections when the relaying node is partitioned

A node whose relaying node was partitioned as well lost a request on each idle connection through it. The relaying node now resets those on which the replica was the last to send something and has been silent for 0.3 s.

--- a/internal/assembler/relay.go
+++ b/internal/assembler/relay.go
@@ -28,7 +28,7 @@
 		Seed:      seed(n.self.RunID),
 		Dial:      dialer.DialContext,
 		DialPeer:  n.peers.Relay,
-		CloseIdle: func() { n.pool.CloseUnusable() },
+		CloseIdle: n.closeIdle,
 		Count:     n.countRelay,
 		Log:       n.logRelayerNote,
 		LogError:  func(err error) { n.logPostError("relayer", err) },
@@ -45,6 +45,15 @@
 	return closeCarrier
 }
 
+// closeIdle closes the connections that are not of the current routes, among them those of other
+// nodes to replicas that this one does not reach any more.
+func (n *Node) closeIdle() {
+	n.pool.CloseUnusable()
+	if n.relayer.Partitioned() {
+		n.carrier.CloseSilent()
+	}
+}
+
 // admitRelay returns an error if this node must not connect another one with the replica.
 func (n *Node) admitRelay(ctx context.Context, replica relayer.Replica) error {
 	if n.draining.Load() {
--- a/internal/messenger/relay_test.go
+++ b/internal/messenger/relay_test.go
@@ -22,6 +22,12 @@
 // startRelayPeer serves relayed connections like a node, and returns its address and a function
 // that closes the connections. The peer refuses replicas for which admit returns an error.
 func startRelayPeer(t *testing.T, admit func(relayer.Replica) error) (string, func()) {
+	t.Helper()
+	_, peer, closeCarrier := newRelayPeer(t, admit)
+	return peer, closeCarrier
+}
+
+func newRelayPeer(t *testing.T, admit func(relayer.Replica) error) (*relayer.Carrier, string, func()) {
 	t.Helper()
 	clock := clockwork.NewRealClock()
 	dialer := &net.Dialer{}
@@ -40,7 +46,7 @@
 	listener := listenLoopback(t)
 	go func() { _ = server.Serve(connections.Listen(listener, acceptor.Peers)) }()
 	t.Cleanup(func() { closeCarrier(); server.Close() })
-	return listener.Addr().String(), closeCarrier
+	return carrier, listener.Addr().String(), closeCarrier
 }
 
 func listenLoopback(t *testing.T) net.Listener {
@@ -163,6 +169,39 @@
 	}
 }
 
+// TestPartitionedPeerClosesSilentConnections guards against idle connections through a peer that
+// is partitioned as well, on which requests are lost, and against the end of those on which a
+// request waits for its answer.
+func TestPartitionedPeerClosesSilentConnections(t *testing.T) {
+	replica := startReplica(t, func(conn *net.TCPConn) {
+		_, _ = io.ReadFull(conn, make([]byte, 4))
+		_, _ = conn.Write([]byte("answer"))
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	carrier, peer, _ := newRelayPeer(t, admitAll)
+	idle, waiting := relay(t, peer, replica), relay(t, peer, replica)
+	for _, conn := range []net.Conn{idle, waiting} {
+		_, _ = conn.Write([]byte("ask\n"))
+		if _, err := io.ReadFull(conn, make([]byte, 6)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	carrier.CloseSilent()
+	time.Sleep(400 * time.Millisecond)
+	if _, err := waiting.Write([]byte("ask\n")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	carrier.CloseSilent()
+	if _, err := idle.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the idle connection stays open: %v", err)
+	}
+	_ = waiting.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := waiting.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection on which a request waits ends: %v", err)
+	}
+}
+
 // TestPeerRefusesToRelay guards against a peer that is an open proxy, that relays without bound,
 // or that does not tell a replica that it cannot reach from a refusal.
 func TestPeerRefusesToRelay(t *testing.T) {
--- a/internal/relayer/carrier.go
+++ b/internal/relayer/carrier.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,9 @@
 	carryBuffer = 8 << 10
 	// carryShare is the part of the connections that a node accepts that may be relayed ones.
 	carryShare = 4
+	// carriedSilence is how long a replica has sent nothing more on a carried connection before
+	// the connection is closed because this node is partitioned.
+	carriedSilence = 300 * time.Millisecond
 	// minCarried is the smallest limit of relayed connections.
 	minCarried = 8
 )
@@ -58,13 +62,26 @@
 	open     atomic.Int64
 	// closed ends when the carrier closes its connections.
 	closed context.Context
+
+	mutex   sync.Mutex
+	carried map[*carriedConnection]struct{}
+}
+
+// carriedConnection is a connection between a node and a replica.
+type carriedConnection struct {
+	node, replica net.Conn
+	clock         clockwork.Clock
+	startedAt     time.Time
+	// fromNode and fromReplica are when each last sent something, in nanoseconds since
+	// startedAt.
+	fromNode, fromReplica atomic.Int64
 }
 
 // NewCarrier returns a carrier and a function that closes its connections.
 func NewCarrier(settings CarrierSettings) (*Carrier, func()) {
 	closed, closeAll := context.WithCancel(context.Background())
 	limit := int64(max(minCarried, settings.Connections/carryShare))
-	return &Carrier{settings: settings, limit: limit, closed: closed}, closeAll
+	return &Carrier{settings: settings, limit: limit, closed: closed, carried: map[*carriedConnection]struct{}{}}, closeAll
 }
 
 // Open returns the number of connections that are carried.
@@ -125,13 +142,11 @@
 // Otherwise, also if this process is killed, it is reset: an answer without a length ends with
 // its connection, and would look complete.
 func (c *Carrier) Carry(node, replica net.Conn) {
-	stop := context.AfterFunc(c.closed, func() {
-		_ = node.Close()
-		_ = replica.Close()
-	})
+	carried := &carriedConnection{node: node, replica: replica, clock: c.settings.Clock, startedAt: c.settings.Clock.Now()}
+	defer c.track(carried)()
+	stop := context.AfterFunc(c.closed, carried.close)
 	defer stop()
-	defer node.Close()
-	defer replica.Close()
+	defer carried.close()
 	if err := resetOnClose(node, true); err != nil {
 		c.settings.Count(brokenConnections)
 		return
@@ -139,16 +154,49 @@
 	go func() {
 		// After a failed write the node is read on: its close ends the connection, and until
 		// then the answer of a replica that reads no more is passed on.
-		if copyBytes(replica, node) != nil {
-			_ = copyBytes(io.Discard, node)
+		if carried.copyBytes(replica, node, &carried.fromNode) != nil {
+			_ = carried.copyBytes(io.Discard, node, &carried.fromNode)
 		}
 		_ = replica.Close()
 	}()
-	if copyBytes(node, replica) == nil {
+	if carried.copyBytes(node, replica, &carried.fromReplica) == nil {
 		_ = resetOnClose(node, false)
 	}
 }
 
+// track adds a connection to those that CloseSilent considers, and returns the function that
+// removes it.
+func (c *Carrier) track(carried *carriedConnection) func() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.carried[carried] = struct{}{}
+	return func() {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		delete(c.carried, carried)
+	}
+}
+
+// CloseSilent closes the connections on which the replica was the last to send something and
+// has been silent since. It is called when this node is partitioned: they are idle, and would
+// swallow a request, or an answer has stopped.
+func (c *Carrier) CloseSilent() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for carried := range c.carried {
+		fromReplica := carried.fromReplica.Load()
+		silence := carried.clock.Since(carried.startedAt) - time.Duration(fromReplica)
+		if fromReplica > carried.fromNode.Load() && silence >= carriedSilence {
+			carried.close()
+		}
+	}
+}
+
+func (c *carriedConnection) close() {
+	_ = c.node.Close()
+	_ = c.replica.Close()
+}
+
 // resetOnClose sets whether a connection is reset when it is closed.
 func resetOnClose(conn net.Conn, reset bool) error {
 	seconds := -1
@@ -162,13 +210,15 @@
 	return merry.Wrap(lingerer.SetLinger(seconds))
 }
 
-// copyBytes copies until the end, for which it returns nil. It uses a buffer of its own: io.Copy between TCP connections
-// takes a pipe of the kernel, and with it two more descriptors, for each direction.
-func copyBytes(to io.Writer, from io.Reader) error {
+// copyBytes copies until the end, for which it returns nil, and records when it has read. It uses
+// a buffer of its own: io.Copy between TCP connections takes a pipe of the kernel, and with it
+// two more descriptors, for each direction.
+func (c *carriedConnection) copyBytes(to io.Writer, from io.Reader, lastRead *atomic.Int64) error {
 	buffer := make([]byte, carryBuffer)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			lastRead.Store(int64(c.clock.Since(c.startedAt)))
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return merry.Wrap(err)
 			}
