Merge branch 'relay': open connections to replicas through other nodes

Both branches watch the silence of a replica: silence.go decides whether a silent replica of a stream is given up, partition.go whether the node has lost its ways to the replicas.

--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -46,18 +46,21 @@
 	// writeResult receives the result of a write that runs while the response
 	// is read. It is nil if the request was written before.
 	writeResult chan error
+	// partition watches for silence that shows that the node is partitioned.
+	partition partitionWatch
 }
 
 // open sends an attempt and reads the head of its response. It returns ErrNotSent
 // if nothing reached the replica. After any other error the request may run.
 func (p *Pool) open(ctx context.Context, codec Codec, attempt Attempt, timeout time.Duration) (*exchange, error) {
-	conn, err := p.get(ctx, attempt.Address, attempt.Forward.Attempt)
+	conn, err := p.get(ctx, attempt.Replica, attempt.Address, attempt.Forward.Attempt)
 	if err != nil {
 		return nil, err
 	}
 	e := &exchange{pool: p, attempt: attempt, conn: conn}
 	e.stopCallerWatch = context.AfterFunc(ctx, func() { conn.Close() })
 	e.watchdog = p.clock.AfterFunc(timeout, e.expire)
+	e.watchPartition()
 	if err := e.send(codec.EncodeHead(attempt), attempt.Forward.Body); err != nil {
 		e.close()
 		return nil, err
@@ -84,6 +87,8 @@
 	switch {
 	case err != nil && n == 0 && !e.conn.reused:
 		return merry.Wrap(ErrNotSent, merry.AppendMessagef("%v", err))
+	case err != nil && e.failedWhilePartitioned():
+		return merry.Wrap(ErrPartitioned, merry.AppendMessagef("write: %v", err))
 	case err != nil:
 		return merry.Wrap(ErrTruncated, merry.AppendMessagef("write: %v", err))
 	}
@@ -126,13 +131,17 @@
 }
 
 // classifyError returns the error of a failed read: ErrShutdown, ErrCallerGone,
-// ErrReadTimeout, ErrInvalidResponse, ErrEventOrder, ErrNoBuffer or ErrTruncated.
+// ErrPartitioned, ErrReadTimeout, ErrInvalidResponse, ErrEventOrder, ErrNoBuffer or ErrTruncated.
 func (e *exchange) classifyError(ctx context.Context, err error) error {
 	switch {
 	case errors.Is(context.Cause(ctx), ErrShutdown):
 		return merry.Wrap(ErrShutdown, merry.AppendMessagef("%v", err))
 	case ctx.Err() != nil:
 		return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", context.Cause(ctx)))
+	case e.failedWhilePartitioned() && e.timedOut.Load():
+		return merry.Wrap(ErrPartitioned, merry.WithCause(ErrReadTimeout), merry.AppendMessagef("%v", err))
+	case e.failedWhilePartitioned():
+		return merry.Wrap(ErrPartitioned, merry.AppendMessagef("%v", err))
 	case e.timedOut.Load():
 		return merry.Wrap(ErrReadTimeout, merry.AppendMessagef("%v", err))
 	case errors.Is(err, ErrInvalidResponse), errors.Is(err, ErrEventOrder), errors.Is(err, ErrNoBuffer):
@@ -151,6 +160,7 @@
 func (e *exchange) close() {
 	e.endSilence()
 	e.watchdog.Stop()
+	e.partition.stop()
 	e.stopCallerWatch()
 	e.conn.Close()
 }
@@ -160,6 +170,7 @@
 func (e *exchange) finish() {
 	e.endSilence()
 	stopped := e.watchdog.Stop()
+	e.partition.stop()
 	if !e.stopCallerWatch() || !stopped || e.head.CloseConnection || !e.isRequestWritten() {
 		e.conn.Close()
 		return
@@ -252,9 +263,11 @@
 			e.watchdog.Stop()
 		}
 		if isNew {
+			e.partition.pause()
 			if err := write(event); err != nil {
 				return merry.Wrap(ErrCallerGone, merry.AppendMessagef("%v", err))
 			}
+			e.partition.resume()
 			events.Passed++
 		}
 		if numbered {
--- a/internal/forwarder/silence_standins_test.go
+++ b/internal/forwarder/silence_standins_test.go
@@ -210,3 +210,18 @@
 	defer w.mutex.Unlock()
 	return fmt.Sprintf("begun: %v\nevents: %q\n", w.begun, w.events)
 }
+
+// relayedConnector opens connections that count as relayed, of which the ways to the replicas are
+// not watched, so that the clock has the timers of the silence only.
+type relayedConnector struct{ net.Dialer }
+
+func (c *relayedConnector) Connect(ctx context.Context, _, address string) (net.Conn, bool, error) {
+	conn, err := c.DialContext(ctx, "tcp", address)
+	return conn, true, err
+}
+
+func (*relayedConnector) Relayed(string) bool     { return true }
+func (*relayedConnector) Partitioned() bool       { return false }
+func (*relayedConnector) RecordRead()             {}
+func (*relayedConnector) QuietFor() time.Duration { return 0 }
+func (*relayedConnector) RecordSilence(string)    {}
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -92,7 +91,7 @@
 			replicas["replica-1"].awaitClose()
 		}
 	}
-	pool, closePool := NewPool(&net.Dialer{}, clock, 1<<20)
+	pool, closePool := NewPool(&relayedConnector{}, clock, 1<<20)
 	defer closePool()
 	dispatch := &Dispatch{
 		Pool: pool, Codec: codec, Placer: placer, Screen: quietScreen{suspect: setup.Suspect}, Streams: quietStreams{}, View: oldView{}, Clock: clock,
