--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -148,20 +148,21 @@
 		return planner.Report{}, err
 	}
 	return planner.Report{
-		Node:       n.self,
-		Leaving:    n.draining.Load(),
-		Running:    activity.Running,
-		Suspects:   activity.Suspects,
-		Demands:    activity.Demands,
-		Uses:       activity.Uses,
-		Spent:      append(usage.Spent, activity.Sent...),
-		UsageEpoch: usage.Epoch,
-		RateLimits: activity.RateLimits,
-		Notices:    activity.Notices,
-		Prompts:    prompts,
-		Speeds:     activity.Speeds,
-		Paces:      activity.Paces,
-		Cached:     activity.Cached,
+		Node:        n.self,
+		Leaving:     n.draining.Load(),
+		Partitioned: n.relayer.Partitioned(),
+		Running:     activity.Running,
+		Suspects:    activity.Suspects,
+		Demands:     activity.Demands,
+		Uses:        activity.Uses,
+		Spent:       append(usage.Spent, activity.Sent...),
+		UsageEpoch:  usage.Epoch,
+		RateLimits:  activity.RateLimits,
+		Notices:     activity.Notices,
+		Prompts:     prompts,
+		Speeds:      activity.Speeds,
+		Paces:       activity.Paces,
+		Cached:      activity.Cached,
 	}, nil
 }
 
