Choose a replica also if the only one in time costs much

A node ended with a panic in drawCandidate (slice bounds out of range [:-1]) when every candidate lost: the cheap one because it was late, and the only one in time because it cost over three times as much, as one that names a limit or fails requests does. Costs are now compared among the candidates that are not late, so that one of them is always good.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -158,20 +158,24 @@
 // compareCandidates moves the good candidates to the front and sets why the others lose. It
 // returns the number of good ones and the sum of their weights.
 func (c *Controller) compareCandidates(lateIn time.Duration) (int, float64) {
-	lowest, inTime := math.Inf(1), false
-	for _, one := range c.candidates {
-		lowest = min(lowest, one.readCost)
-		inTime = inTime || one.estimate.FirstEvent <= lateIn
+	inTime := slices.ContainsFunc(c.candidates, func(one candidate) bool { return one.estimate.FirstEvent <= lateIn })
+	isLate := func(one *candidate) bool { return inTime && one.estimate.Known && one.estimate.FirstEvent > lateIn }
+	// Costs are compared with those of the candidates that are not late, one of which is good.
+	lowest := math.Inf(1)
+	for i := range c.candidates {
+		if one := &c.candidates[i]; !isLate(one) {
+			lowest = min(lowest, one.readCost)
+		}
 	}
 	bound := goodCostFactor*lowest + float64(goodCostMargin)
 	total, good := 0.0, 0
 	for i := range c.candidates {
 		one := &c.candidates[i]
 		switch {
+		case isLate(one):
+			one.lost = TooLate
 		case one.cost > bound:
 			one.lost = TooCostly
-		case inTime && one.estimate.Known && one.estimate.FirstEvent > lateIn:
-			one.lost = TooLate
 		default:
 			if good != i {
 				c.candidates[good], c.candidates[i] = c.candidates[i], c.candidates[good]
