--- a/internal/relayer/connect.go
+++ b/internal/relayer/connect.go
@@ -19,8 +19,9 @@
 	ErrReplicaUnreachable = merry.Sentinel("replica is not reached")
 	// ErrPeerRefused reports that a peer does not relay to the replica now.
 	ErrPeerRefused = merry.Sentinel("peer does not relay")
-	// ErrNoPeer reports that there is no peer to ask.
-	ErrNoPeer = merry.Sentinel("no peer to relay")
+	// ErrNoPeer reports that there is no peer to ask, or that none is asked because they did not reach
+	// the replica just before.
+	ErrNoPeer = merry.Sentinel("there is no peer to ask for the replica")
 )
 
 const (
