--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -46,6 +46,10 @@
 	waited     time.Duration
 	// successor is reserved for the rest of a stream whose replica was given up.
 	successor *balancer.Placement
+	// result is that of the latest attempt. giveUpAt is set while the request has a replica
+	// but no permit: it is then not given more time to wait.
+	result   balancer.Result
+	giveUpAt time.Time
 	// observed is what the latest attempt shows about the speed of its replica.
 	observed observation
 }
@@ -65,7 +69,7 @@
 	if j.successor != nil {
 		placement := *j.successor
 		j.successor = nil
-		return j.attempt(ctx, placement)
+		return j.attemptWithPermit(ctx, placement, time.Time{})
 	}
 	now := j.Clock.Now()
 	left := j.request.Deadline.Sub(now)
@@ -75,14 +79,18 @@
 	if !j.pay() {
 		return j.end(filter.Overloaded, "no budget for another attempt")
 	}
-	placement, err := j.place(ctx, j.placementNeed(now, left))
+	need := j.placementNeed(now, left)
+	if !j.giveUpAt.IsZero() {
+		need.GiveUpAt = j.giveUpAt
+	}
+	placement, err := j.place(ctx, need)
 	if err != nil {
 		return j.end(filter.Overloaded, err.Error())
 	}
 	if placement.Refused != nil {
 		return j.placementRefused(*placement.Refused)
 	}
-	return j.attempt(ctx, placement)
+	return j.attemptWithPermit(ctx, placement, need.GiveUpAt)
 }
 
 // placementNeed returns the requirements of the request for its placement.
--- a/internal/planner/limits.go
+++ b/internal/planner/limits.go
@@ -70,6 +70,7 @@
 		known, namedAt := c.Tenure.noticeOf(limit.Replica, limit.StartedMS), now.Add(-limit.Age)
 		if known != nil && namedAt.After(known.NamedAt) {
 			known.Rate, known.NamedAt = limit.Rate, namedAt
+			known.Brittle, known.MaxRefusals = limit.Brittle, limit.MaxRefusals
 		}
 	}
 }
@@ -97,3 +98,20 @@
 	}
 	return limits
 }
+
+// brittleReplicas returns the brittle replicas of the table with the requests that each can
+// turn away in a second, nil if there are none.
+func (c *Controller) brittleReplicas(table []surveyor.Replica) map[string]int {
+	var brittle map[string]int
+	for _, replica := range table {
+		known := c.Tenure.Notices[replica.ID]
+		if known == nil || !known.Brittle || known.StartedMS != replica.StartedMS {
+			continue
+		}
+		if brittle == nil {
+			brittle = map[string]int{}
+		}
+		brittle[replica.ID] = known.MaxRefusals
+	}
+	return brittle
+}
--- a/internal/planner/notices.go
+++ b/internal/planner/notices.go
@@ -22,6 +22,9 @@
 	// nothing is known of a limit.
 	Rate    float64
 	NamedAt time.Time
+	// Brittle and MaxRefusals are as the same answer named them.
+	Brittle     bool
+	MaxRefusals int
 	// Leaving is set if the replica has announced that it leaves, and ClosedUntil is the end
 	// of the longest time for which it wants no requests of a node.
 	Leaving     bool
