--- a/internal/planner/contact.go
+++ b/internal/planner/contact.go
@@ -68,17 +68,16 @@
 	default:
 		return
 	}
-	switch {
-	case !answered:
+	if !answered {
 		if contact.Silent == nil {
 			contact.Silent = map[string]bool{}
 		}
 		contact.Silent[replica] = contact.Silent[replica] || !mayBeLost
-	default:
-		contact.Silent, contact.AnsweredAt = nil, now
-		if contact.Answering != nil {
-			contact.Answering[replica] = true
-		}
+		return
+	}
+	contact.Silent, contact.AnsweredAt = nil, now
+	if contact.Answering != nil {
+		contact.Answering[replica] = true
 	}
 }
 
