Let rare models have the place of spare copies at replicas with a limit

Requests for a rare model found no room while busy models were held back at the limits of their replicas, although several such replicas had the same busy models and one could have given up its copy.

Cause: since replicas at their limits do not meet a demand, the demand stays and protects all copies of its model from being unloaded, also the spare ones at replicas with a limit, which do not relieve it.

A demand that only replicas without a limit relieve protects the copies there. At replicas with a limit, one copy is kept while the model is busy, and the others may be unloaded if nothing else has room.

--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -44,8 +44,9 @@
 	// suspects are the replicas that live nodes suspect or that want no requests of
 	// some node.
 	suspects map[string]bool
-	// demanded are the models that requests wait for.
-	demanded map[ModelKey]bool
+	// demanded are the models that requests wait for, and heldBack those of them that only
+	// replicas without a limit relieve.
+	demanded, heldBack map[ModelKey]bool
 	// holders is the number of replicas that hold or will hold each model, unlimitedHolders
 	// the number of those without a limit, and wanted the number that a busy model needs.
 	holders, unlimitedHolders, wanted map[ModelKey]int
@@ -69,7 +70,7 @@
 
 func (c *Controller) buildIndex(now time.Time) planIndex {
 	index := planIndex{
-		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, unlimitedHolders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
+		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, heldBack: map[ModelKey]bool{}, holders: map[ModelKey]int{}, unlimitedHolders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
 		saturated: map[saturationKey]bool{}, unlimited: map[location]bool{}, saturatedIn: map[ModelKey]DataCentres{},
 	}
 	for _, peer := range c.Tenure.Peers {
@@ -125,7 +126,11 @@
 	c.index = c.buildIndex(now)
 	c.expireDemand(now)
 	for key := range c.Tenure.Demand {
-		c.index.demanded[key.ModelKey] = true
+		if c.needsUnlimited(key) {
+			c.index.heldBack[key.ModelKey] = true
+		} else {
+			c.index.demanded[key.ModelKey] = true
+		}
 	}
 	var effects []Effect
 	for _, key := range c.sortedDemands(now) {
--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -119,7 +119,7 @@
 	if now.Sub(e.Models[name].LoadedAt) < minResidency {
 		return true
 	}
-	if c.index.demanded[key] {
+	if c.index.demanded[key] || c.index.heldBack[key] && !c.hasLimit(e) {
 		return true
 	}
 	if evictSpares {
