--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -52,6 +52,7 @@
 		n.logPostError("balancer", n.balancer.Post(balancer.SetReplicas{Replicas: effect.Replicas}))
 		configuration, _ := n.view.Configuration()
 		n.setCacheReplicas(configuration, effect.Replicas)
+		n.setRelayedReplicas(effect.Replicas)
 	case surveyor.PublishNodes:
 		n.setNodes(effect)
 	case surveyor.StoreRestored:
@@ -147,20 +148,21 @@
 		return planner.Report{}, err
 	}
 	return planner.Report{
-		Node:       n.self,
-		Leaving:    n.draining.Load(),
-		Running:    activity.Running,
-		Suspects:   activity.Suspects,
-		Demands:    activity.Demands,
-		Uses:       activity.Uses,
-		Spent:      append(usage.Spent, activity.Sent...),
-		UsageEpoch: usage.Epoch,
-		RateLimits: activity.RateLimits,
-		Notices:    activity.Notices,
-		Prompts:    prompts,
-		Speeds:     activity.Speeds,
-		Paces:      activity.Paces,
-		Cached:     activity.Cached,
+		Node:        n.self,
+		Leaving:     n.draining.Load(),
+		Partitioned: n.relayer.Partitioned(),
+		Running:     activity.Running,
+		Suspects:    activity.Suspects,
+		Demands:     activity.Demands,
+		Uses:        activity.Uses,
+		Spent:       append(usage.Spent, activity.Sent...),
+		UsageEpoch:  usage.Epoch,
+		RateLimits:  activity.RateLimits,
+		Notices:     activity.Notices,
+		Prompts:     prompts,
+		Speeds:      activity.Speeds,
+		Paces:       activity.Paces,
+		Cached:      activity.Cached,
 	}, nil
 }
 
@@ -242,6 +244,7 @@
 	n.applyVersions(effect)
 	n.setCacheNodes(effect.Callers)
 	n.setBalancerNodes(effect)
+	n.setRelayPeers(effect.Callers)
 	n.view.directory.Store(n.view.directory.Load().update(effect.Callers, state.Callers, effect.AsOf))
 	n.logPostError("balancer", n.balancer.Post(balancer.SetPeerState{
 		Active:          effect.Others.Active,
--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -56,6 +56,7 @@
 		if len(event.Forward.SharedParts) > 0 {
 			fields["SharedParts"] = strings.Join(event.Forward.SharedParts, " ")
 			fields["EventsPassed"] = event.EventsPassed
+			fields["SilentMs"] = event.Silence.Milliseconds()
 		}
 	}
 	n.logger.WithFields(fields).Info(event.Text)
@@ -175,6 +176,7 @@
 		"Model":   note.Model,
 		"Reason":  note.Reason,
 		"Age":     logger.FormatAge(note.Age),
+		"Waiting": note.Waiting,
 	}).Info(note.Text)
 	n.meter.RecordChange("planner", note.Text)
 }
@@ -214,6 +216,15 @@
 		{"toucanhitch.connections", "Open connections of callers and other nodes.", func() float64 {
 			return float64(n.acceptor.Connections())
 		}},
+		{"toucanhitch.partitioned", "1 while the node reaches replicas through other nodes only.", func() float64 {
+			if n.relayer.Partitioned() {
+				return 1
+			}
+			return 0
+		}},
+		{"toucanhitch.connections.carried", "Connections between other nodes and replicas that lead through this node.", func() float64 {
+			return float64(n.carrier.Open())
+		}},
 		{"toucanhitch.head.bytes", "Memory that the heads of requests hold, in bytes.", func() float64 {
 			return float64(n.acceptor.HeadBytes())
 		}},
--- a/internal/balancer/availability.go
+++ b/internal/balancer/availability.go
@@ -14,10 +14,10 @@
 }
 
 // isLoading reports whether a load of the model or adapter that the request
-// needs is in progress.
+// needs is in progress, on a replica of a version that may run it.
 func (c *Controller) isLoading(need Need) bool {
 	for _, replica := range c.Replicas {
-		if need.allows(replica.Description) && !replica.isExcluded() {
+		if need.allows(replica.Description) && !replica.isExcluded() && c.fits(need, replica.Description.Version) {
 			if _, ok := replica.loadEndsAt(modelKey{need.Model, need.Adapter}); ok {
 				return true
 			}
@@ -30,7 +30,7 @@
 // that the request needs and takes requests before it is given up.
 func (c *Controller) isLoaded(need Need) bool {
 	for _, replica := range c.Replicas {
-		if need.allows(replica.Description) && !replica.isExcluded() && !replica.isClosed(need.GiveUpAt) && replica.Description.Has(need.Model, need.Adapter) {
+		if need.allows(replica.Description) && !replica.isExcluded() && !replica.isClosed(need.GiveUpAt) && c.fits(need, replica.Description.Version) && replica.Description.Has(need.Model, need.Adapter) {
 			return true
 		}
 	}
@@ -53,9 +53,9 @@
 	return found
 }
 
-// canContinue reports whether a replica of the version that began a stream has its model or
-// is loading it. No model is loaded for the rest of a stream, but what only evacuated
-// replicas hold is loaded elsewhere in any case.
+// canContinue reports whether a replica of the version that began a stream has its model, is
+// loading it or can be ordered to load it in time. What only evacuated replicas hold is loaded
+// elsewhere in any case.
 func (c *Controller) canContinue(now time.Time, need Need) bool {
 	key := modelKey{need.Model, need.Adapter}
 	evacuated, elsewhere := false, false
@@ -72,7 +72,7 @@
 			return true
 		}
 	}
-	return evacuated && elsewhere && c.ordersAllowed(now)
+	return elsewhere && (evacuated && c.ordersAllowed(now) || c.canOrderInTime(now, need))
 }
 
 // ordersAllowed reports whether the holder may order loads now.
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -76,6 +76,9 @@
 	DrainDeadline time.Time
 	// CheckedAt is when the waiting requests were last checked.
 	CheckedAt time.Time
+	// FailedAlone holds the IDs of the replicas that have failed attempts since any replica
+	// answered one.
+	FailedAlone map[string]bool
 	// Beginning holds the software versions that may begin streams, by service.
 	Beginning map[string][]string
 	// BrittleServices holds when a replica of a service was last known to be brittle.
@@ -97,6 +100,7 @@
 		Replicas:    map[string]*Replica{},
 		Notices:     map[replicaStart]*Notice{},
 		Assignments: map[runner.Call]*assignment{},
+		FailedAlone: map[string]bool{},
 		Uses:        map[useKey]*planner.Use{},
 		Estimator:   estimator.New(),
 		Caches:      newCaches(),
@@ -168,6 +172,8 @@
 		c.boundWaits()
 	case Explain:
 		return []Effect{AnswerExplain{message.Call, c.explain(now, message.Need)}}
+	case AdmitRelay:
+		return []Effect{c.admitRelay(now, message)}
 	case CacheEvents:
 		c.recordEvents(now, message)
 	case Collect:
@@ -255,7 +261,7 @@
 	if !waiter.lane.Blocked {
 		c.hasRoom(now, waiter) // records when the lane must be checked
 	}
-	if message.Need.Model != "" && !message.Need.Continued && !c.isLoading(message.Need) {
+	if message.Need.Model != "" && !c.isLoading(message.Need) {
 		effects = append(effects, NewDemand{})
 	}
 	return effects
@@ -279,7 +285,7 @@
 	case c.evacuated(need) != nil:
 		return c.evacuated(need)
 	case need.Continued && !c.canContinue(now, need):
-		return &Refusal{Reason: "no replica of the version that began the stream has the model"}
+		return &Refusal{Reason: "no replica of the version that began the stream has the model", RetryAfter: typicalLoadTime}
 	}
 	if refusal := c.unavailable(now, need); refusal != nil {
 		return refusal
@@ -319,6 +325,7 @@
 		c.denyPermit(now, ended, message.RetryAfter)
 	}
 	replica.recordResult(now, ended.need, message)
+	c.recordContact(replica.Description.ID, message.Result)
 	effects := c.recordEnd(now, ended, message)
 	suspect := replica.failures(now) >= suspectThreshold
 	if suspect == replica.SuspicionLogged {
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -44,6 +44,8 @@
 	notice     Notice
 	candidates int
 	waited     time.Duration
+	// successor is reserved for the rest of a stream whose replica was given up.
+	successor *balancer.Placement
 	// result is that of the latest attempt. giveUpAt is set while the request has a replica
 	// but no permit: it is then not given more time to wait.
 	result   balancer.Result
@@ -64,45 +66,31 @@
 
 // tryReplica makes one attempt. It returns nil if another one may follow.
 func (j *job) tryReplica(ctx context.Context) filter.Verdict {
+	if j.successor != nil {
+		placement := *j.successor
+		j.successor = nil
+		return j.attemptWithPermit(ctx, placement, time.Time{})
+	}
 	now := j.Clock.Now()
 	left := j.request.Deadline.Sub(now)
 	if left < minTimeLeft {
 		return j.end(filter.DeadlinePassed, "the time is over")
 	}
-	// An attempt that does not reach a replica, such as one to a closed port, costs the
-	// replicas nothing.
-	if j.arrivals > 0 && !j.paid {
-		if !j.budget.Spend() {
-			return j.end(filter.Overloaded, "no budget for another attempt")
-		}
-		j.paid = true
+	if !j.pay() {
+		return j.end(filter.Overloaded, "no budget for another attempt")
 	}
 	need := j.placementNeed(now, left)
 	if !j.giveUpAt.IsZero() {
 		need.GiveUpAt = j.giveUpAt
 	}
-	placement, err := j.Placer.Place(ctx, need)
+	placement, err := j.place(ctx, need)
 	if err != nil {
 		return j.end(filter.Overloaded, err.Error())
 	}
-	j.candidates, j.waited = placement.Candidates, j.waited+placement.Waited
-	j.Observe(Wait{For: waitForReplica, Rank: j.forward.Rank(), Refused: placement.Refused != nil, Duration: placement.Waited})
 	if placement.Refused != nil {
 		return j.placementRefused(*placement.Refused)
 	}
-	if placement.Permit == nil {
-		return j.attempt(ctx, placement)
-	}
-	permit := j.newPermit(placement)
-	if retryAfter, granted := j.acquire(ctx, permit, placement); !granted {
-		j.giveUpAt = need.GiveUpAt
-		_ = j.Placer.Post(balancer.AttemptEnded{PlacementID: placement.ID, Result: balancer.NotPermitted, RetryAfter: retryAfter})
-		return nil
-	}
-	j.giveUpAt, j.result = time.Time{}, balancer.Abandoned
-	sentBefore := j.attemptsSent
-	defer func() { j.release(permit, placement, j.attemptsSent > sentBefore) }()
-	return j.attempt(ctx, placement)
+	return j.attemptWithPermit(ctx, placement, need.GiveUpAt)
 }
 
 // placementNeed returns the requirements of the request for its placement.
@@ -117,7 +105,8 @@
 	}
 	need.Deadline, need.Excluded = j.request.Deadline, j.excluded
 	if j.origin != nil {
-		need.Continued, need.Version = true, j.origin.Version
+		// The first event has come in time. What matters now is when the caller gives up.
+		need.Continued, need.Version, need.LateAt = true, j.origin.Version, need.GiveUpAt
 	}
 	return need
 }
--- a/internal/forwarder/permit.go
+++ b/internal/forwarder/permit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/balancer"
+	"toucanhitch.example/toucanhitch/internal/filter"
 	"toucanhitch.example/toucanhitch/internal/permitter"
 )
 
@@ -25,6 +26,25 @@
 	Release(granter string, release permitter.Release)
 }
 
+// attemptWithPermit makes an attempt, for which a brittle replica needs a permit. Without one the
+// request returns to the queue, where it is given up at giveUpAt, or after the usual time if that
+// is zero.
+func (j *job) attemptWithPermit(ctx context.Context, placement balancer.Placement, giveUpAt time.Time) filter.Verdict {
+	if placement.Permit == nil {
+		return j.attempt(ctx, placement)
+	}
+	permit := j.newPermit(placement)
+	if retryAfter, granted := j.acquire(ctx, permit, placement); !granted {
+		j.giveUpAt = giveUpAt
+		_ = j.Placer.Post(balancer.AttemptEnded{PlacementID: placement.ID, Result: balancer.NotPermitted, RetryAfter: retryAfter})
+		return nil
+	}
+	j.giveUpAt, j.result = time.Time{}, balancer.Abandoned
+	sentBefore := j.attemptsSent
+	defer func() { j.release(permit, placement, j.attemptsSent > sentBefore) }()
+	return j.attempt(ctx, placement)
+}
+
 func (j *job) newPermit(placement balancer.Placement) permitter.Permit {
 	return permitter.Permit{
 		ID:      fmt.Sprintf("%s/%d", j.forward.Attempt, placement.ID),
--- a/internal/planner/orders.go
+++ b/internal/planner/orders.go
@@ -55,8 +55,9 @@
 	return e.ReadAt
 }
 
-// sendNext starts the next state read or order of an endpoint if one is due.
-func (c *Controller) sendNext(now time.Time, id string, e *Endpoint) []Effect {
+// sendNext starts the next state read or order of an endpoint if one is due. While orders are
+// suspended, only states are read.
+func (c *Controller) sendNext(now time.Time, id string, e *Endpoint, suspended bool) []Effect {
 	if e.Evacuated && len(e.Queue) > 0 {
 		e.Queue, c.Tenure.TableStale = nil, true
 		return []Effect{Note{Text: "orders dropped: data centre evacuated", Replica: id}}
@@ -65,6 +66,9 @@
 		e.Reading = true
 		return []Effect{ReadState{Replica: id, Address: e.Entry.Address}}
 	}
+	if suspended {
+		return nil
+	}
 	if due := e.nextOrderAt(); len(e.Queue) == 0 || e.Sending != nil || e.Running != nil || !e.Synced || now.Before(due) || now.Before(c.Tenure.OrdersAllowedAt) {
 		return nil
 	}
@@ -253,18 +257,22 @@
 	}
 	c.recordOwnNotice(e, message.State.Leaving && message.State.StartedMS == e.Entry.StartedMS)
 	e.Reading = false
+	effects := e.noteRead(message.Failed)
+	if c.awaitsOrders(message.RequestedAt) {
+		return effects
+	}
 	e.ReadAt = now.Add(readRetryInterval)
 	switch {
 	case message.Failed, message.Busy && !e.Synced, message.State.StartedMS != 0 && message.State.StartedMS != e.Entry.StartedMS:
-		return nil
+		return effects
 	case e.Synced:
-		return c.confirmLoad(now, message, e)
+		return append(effects, c.confirmLoad(now, message, e)...)
 	case message.RequestedAt.Sub(e.ChangedAt) < maxReportAge || message.State.Sequence < e.Sequence:
-		return nil
+		return effects
 	}
 	c.Tenure.TableStale = true
 	e.applyState(now, c.engine(e.Entry.Service), message.State)
-	return []Effect{Note{Text: "replica state read", Replica: message.Replica, Reason: modelNames(message.State)}}
+	return append(effects, Note{Text: "replica state read", Replica: message.Replica, Reason: modelNames(message.State)})
 }
 
 // confirmLoad completes a load that the replica's report shows as complete, or
--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -35,6 +35,7 @@
 	Node         surveyor.Node
 	LastReportAt time.Time
 	Leaving      bool
+	Partitioned  bool
 	Running      []Running
 	// Suspects are the replicas that failed the node's requests.
 	Suspects []string
@@ -158,7 +159,7 @@
 	totals.addRunning(peer.Running, -1)
 	totals.addRunning(report.Running, 1)
 	peer.Node, peer.LastReportAt, peer.Leaving, peer.Running = report.Node, now, report.Leaving, report.Running
-	peer.Suspects, peer.Sequence = report.Suspects, report.Sequence
+	peer.Suspects, peer.Sequence, peer.Partitioned = report.Suspects, report.Sequence, report.Partitioned
 	for _, spent := range report.Spent {
 		consumed := spent.Consumed(report.UsageEpoch, c.Tenure.ID)
 		totals.Consumed[spent.Workspace] += consumed - peer.Consumed[spent.Workspace]
@@ -215,7 +216,7 @@
 }
 
 func (c *Controller) recordDemand(now time.Time, demand Demand) {
-	key := DemandKey{ModelKey{demand.Service, demand.Model}, demand.Adapter, joinDataCentres(demand.DataCentres)}
+	key := demand.key()
 	if demand.ReplicasFull {
 		c.recordSaturation(now, key)
 	}
--- a/internal/planner/plan.go
+++ b/internal/planner/plan.go
@@ -44,11 +44,16 @@
 	// suspects are the replicas that live nodes suspect or that want no requests of
 	// some node.
 	suspects map[string]bool
-	// demanded are the models that requests wait for.
-	demanded map[ModelKey]bool
-	// holders is the number of replicas that hold or will hold each model, and
-	// wanted the number that a busy model needs.
-	holders, wanted map[ModelKey]int
+	// demanded are the models that requests wait for, and heldBack those of them that only
+	// replicas without a limit relieve.
+	demanded, heldBack map[ModelKey]bool
+	// holders is the number of replicas that hold or will hold each model, unlimitedHolders
+	// the number of those without a limit, and wanted the number that a busy model needs.
+	holders, unlimitedHolders, wanted map[ModelKey]int
+	// saturated are the models whose replicas are all full or at their limits.
+	saturated map[saturationKey]bool
+	// unlimited are the locations with replicas that have no limit and take requests.
+	unlimited map[location]bool
 	// saturatedIn holds the data centres in which full replicas of a model need another
 	// one. It allows all if one of the demands does.
 	saturatedIn map[ModelKey]DataCentres
@@ -65,28 +70,33 @@
 
 func (c *Controller) buildIndex(now time.Time) planIndex {
 	index := planIndex{
-		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, holders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
-		saturatedIn: map[ModelKey]DataCentres{},
+		suspects: map[string]bool{}, demanded: map[ModelKey]bool{}, heldBack: map[ModelKey]bool{}, holders: map[ModelKey]int{}, unlimitedHolders: map[ModelKey]int{}, wanted: map[ModelKey]int{},
+		saturated: map[saturationKey]bool{}, unlimited: map[location]bool{}, saturatedIn: map[ModelKey]DataCentres{},
 	}
-	for _, peer := range c.Tenure.Peers {
-		if now.Sub(peer.LastReportAt) < peerReportTimeout {
-			for _, id := range peer.Suspects {
-				index.suspects[id] = true
-			}
-		}
+	for id := range c.Tenure.SuspectedBy {
+		index.suspects[id] = true
 	}
 	for id := range c.closedReplicas(now) {
 		index.suspects[id] = true
 	}
-	for key := range c.Tenure.Demand {
-		index.demanded[key.ModelKey] = true
-	}
 	for _, e := range c.Tenure.Endpoints {
-		if !e.Synced || e.isExcluded() {
+		if e.isExcluded() {
 			continue
 		}
+		unlimited := !c.hasLimit(e)
+		if !e.Synced {
+			continue
+		}
+		if unlimited && !index.suspects[e.Entry.ID] {
+			index.unlimited[location{e.Entry.Service, e.Entry.DataCentre}] = true
+			index.unlimited[location{Service: e.Entry.Service}] = true
+		}
 		for _, name := range e.heldModels() {
-			index.holders[ModelKey{e.Entry.Service, name}]++
+			key := ModelKey{e.Entry.Service, name}
+			index.holders[key]++
+			if unlimited {
+				index.unlimitedHolders[key]++
+			}
 		}
 	}
 	for key := range c.Tenure.Rates {
@@ -97,6 +107,7 @@
 	for key, at := range c.Tenure.SaturatedAt {
 		if now.Sub(at) < saturationLifetime {
 			index.wanted[key.ModelKey] = max(index.wanted[key.ModelKey], index.holders[key.ModelKey]+1)
+			index.saturated[key] = true
 			index.restrict(key)
 		} else {
 			delete(c.Tenure.SaturatedAt, key)
@@ -108,9 +119,16 @@
 // plan queues the orders that meet the demand and, at longer intervals, loads of
 // extra replicas and prefetches.
 func (c *Controller) plan(now time.Time) []Effect {
-	c.expireDemand(now)
+	effects := c.noteSuspects(c.suspectedBy(now))
 	c.index = c.buildIndex(now)
-	var effects []Effect
+	c.expireDemand(now)
+	for key := range c.Tenure.Demand {
+		if c.needsUnlimited(key) {
+			c.index.heldBack[key.ModelKey] = true
+		} else {
+			c.index.demanded[key.ModelKey] = true
+		}
+	}
 	for _, key := range c.sortedDemands(now) {
 		if key.Adapter != "" {
 			effects = append(effects, c.planAdapter(now, key)...)
@@ -122,6 +140,7 @@
 		return effects
 	}
 	c.Tenure.CopiesPlannedAt = now
+	c.forgetUnmet(now)
 	effects = append(effects, c.planEvacuated(now)...)
 	effects = append(effects, c.planExtraReplicas(now)...)
 	return append(effects, c.planPrefetch(now)...)
@@ -139,7 +158,7 @@
 // requests wait for.
 func (c *Controller) satisfied(key DemandKey) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || !key.DataCentres.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !key.allows(e) || e.isExcluded() || !e.Synced || c.index.suspects[id] || c.holdsBack(e, key) {
 			continue
 		}
 		if resident := e.Models[key.Model]; resident != nil && !e.unloading(key.Model) {
@@ -167,7 +186,7 @@
 	}
 	slices.SortFunc(keys, func(a, b DemandKey) int {
 		return cmp.Or(cmp.Compare(late(a), late(b)), c.Tenure.Demand[a].LateAt.Compare(c.Tenure.Demand[b].LateAt),
-			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.DataCentres, b.DataCentres))
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter), cmp.Compare(a.DataCentres, b.DataCentres), cmp.Compare(a.Version, b.Version))
 	})
 	return keys
 }
@@ -176,7 +195,7 @@
 func (c *Controller) planModel(now time.Time, demand DemandKey) []Effect {
 	choice := c.chooseLoad(now, demand)
 	if choice.obstacle != "" {
-		return nil
+		return c.noteUnmet(now, demand.ModelKey, choice.obstacle)
 	}
 	return c.queueLoad(choice.endpoint, choice.victims, choice.model, "requests wait")
 }
@@ -192,27 +211,32 @@
 
 // chooseLoad chooses the load of a model that no healthy replica holds or loads.
 func (c *Controller) chooseLoad(now time.Time, demand DemandKey) loadChoice {
-	key, in := demand.ModelKey, demand.DataCentres
+	key := demand.ModelKey
 	engine := c.engine(key.Service)
 	if engine == nil {
 		return loadChoice{obstacle: NoEngine}
 	}
 	model, ok := engine.Models[key.Model]
-	switch {
-	case !ok:
+	if !ok {
 		return loadChoice{obstacle: UnknownModel}
-	case c.hasHealthyHolder(key, in):
+	}
+	readyIn, held := c.holderReadyIn(now, demand, model)
+	if held && readyIn <= model.DiskLoadTime {
 		return loadChoice{obstacle: HasReplica}
 	}
-	best, victims := c.cheapestReplica(now, key, engine, model, loadRule{DataCentres: in})
-	if best == nil && c.filledByBusyModels(key, in, engine, model) {
-		best, victims = c.cheapestReplica(now, key, engine, model, loadRule{EvictSpares: true, DataCentres: in})
+	rule := loadRule{Scope: demand.Scope, AvoidLimits: c.needsUnlimited(demand)}
+	best, victims := c.cheapestReplica(now, key, engine, model, rule)
+	if best == nil && c.filledByBusyModels(key, rule, engine, model) {
+		rule.EvictSpares = true
+		best, victims = c.cheapestReplica(now, key, engine, model, rule)
 	}
 	switch {
+	case held && (best == nil || best.tier(model.Name) == FromStore || loadTime(model, best.tier(model.Name)) >= readyIn):
+		return loadChoice{obstacle: HasReplica}
 	case best == nil:
 		return loadChoice{obstacle: NoRoom}
 	case best.tier(model.Name) != FromStore:
-	case c.hasLocalCopy(now, key, in, engine, model):
+	case c.hasLocalCopy(now, key, rule, engine, model):
 		return loadChoice{obstacle: CopyElsewhere}
 	case c.countStoreLoads() >= c.storeConcurrency():
 		return loadChoice{obstacle: StoreBusy}
@@ -221,30 +245,34 @@
 }
 
 // hasLocalCopy reports whether some replica has a copy of the model in host memory
-// or on disk and can soon load it. If that replica executes an order, waiting for it takes
-// less time than a load from the weight store. One that busy models fill may never have
-// room.
-func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, in DataCentres, engine *resolver.Engine, model resolver.Model) bool {
+// or on disk and can load it sooner than the weight store. One that busy models fill may never
+// have room.
+func (c *Controller) hasLocalCopy(now time.Time, key ModelKey, rule loadRule, engine *resolver.Engine, model resolver.Model) bool {
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service != key.Service || !in.allows(e) || e.isExcluded() || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
+		if e.Entry.Service != key.Service || !c.meets(e, rule) || e.isExcluded() || !e.Synced || e.tier(key.Model) == FromStore || c.index.suspects[id] {
+			continue
+		}
+		if _, _, hasRoom := c.selectVictims(now.Add(minResidency), e, engine, model, false); !hasRoom && e.idle() {
 			continue
 		}
-		if _, _, hasRoom := c.selectVictims(now.Add(minResidency), e, engine, model, false); hasRoom || !e.idle() {
+		if e.busyFor(now)+loadTime(model, e.tier(key.Model)) <= model.StoreLoadTime {
 			return true
 		}
 	}
 	return false
 }
 
-// hasHealthyHolder reports whether a replica that is not suspected holds or loads
-// a model.
-func (c *Controller) hasHealthyHolder(key ModelKey, in DataCentres) bool {
+// holderReadyIn returns the time until a replica that is not suspected, nor at its limit while
+// others have none, has what a demand is for, and false if none holds or loads it. The time is 0
+// unless all of them load it from the weight store.
+func (c *Controller) holderReadyIn(now time.Time, demand DemandKey, model resolver.Model) (time.Duration, bool) {
+	readyIn, held := time.Duration(math.MaxInt64), false
 	for id, e := range c.Tenure.Endpoints {
-		if e.Entry.Service == key.Service && in.allows(e) && e.Synced && !e.isExcluded() && e.holdsOrLoads(key.Model) && !c.index.suspects[id] {
-			return true
+		if e.Entry.Service == demand.Service && demand.allows(e) && e.Synced && !e.isExcluded() && e.holdsOrLoads(demand.Model) && !c.index.suspects[id] && !c.holdsBack(e, demand) {
+			readyIn, held = min(readyIn, e.storeLoadEndsIn(now, model)), true
 		}
 	}
-	return false
+	return readyIn, held
 }
 
 // wantedReplicas returns the number of replicas that a busy model needs, or 0 if
--- a/internal/planner/state.go
+++ b/internal/planner/state.go
@@ -97,6 +97,7 @@
 		Version:          t.Version,
 		Spent:            make([]float64, len(t.Workspaces)),
 		Active:           make([]int, len(t.Table.Entries)),
+		Partitioned:      c.partitionedNodes(now),
 		Suspects:         c.suspectCounts(now),
 		Prompts:          t.Prompts.Publish(now),
 		Versions:         c.Versions.Publish(now, max(len(c.Nodes), t.MinRegistered)),
@@ -192,12 +193,8 @@
 // suspectCounts returns the number of live nodes that suspect each replica.
 func (c *Controller) suspectCounts(now time.Time) map[string]int {
 	counts := map[string]int{}
-	for _, peer := range c.Tenure.Peers {
-		if now.Sub(peer.LastReportAt) < peerReportTimeout {
-			for _, id := range peer.Suspects {
-				counts[id]++
-			}
-		}
+	for id, names := range c.suspectedBy(now) {
+		counts[id] = len(names)
 	}
 	return counts
 }
--- a/internal/planner/tenure.go
+++ b/internal/planner/tenure.go
@@ -63,6 +63,11 @@
 	AdapterRates map[DemandKey]*Rate
 	// SaturatedAt is when a node last reported all replicas of a model as full.
 	SaturatedAt map[saturationKey]time.Time
+	// Unmet holds the demands that the last plans have left without a load.
+	Unmet map[ModelKey]*unmet
+	// SuspectedBy holds the names of the live nodes that suspect a replica, by its ID, as of
+	// the last planning pass.
+	SuspectedBy map[string][]string
 	// Prompts is the evidence against parts of prompts that crash replicas.
 	Prompts *screener.Evidence
 	// Notices holds what replicas have announced, by ID.
@@ -88,6 +93,7 @@
 func (c *Controller) endTenure() {
 	if c.Tenure != nil && !c.Tenure.Acting {
 		c.Previous = c.Tenure
+		c.Contact.AnswersBefore, c.Contact.HandOverAt = nil, time.Time{}
 	}
 	c.Tenure = nil
 }
@@ -95,10 +101,15 @@
 // handleLeaseHeld renews the current tenure, resumes the previous one or starts a
 // new one.
 func (c *Controller) handleLeaseHeld(now time.Time, message LeaseHeld) []Effect {
+	if c.Contact.Epoch == message.Epoch {
+		// A renewal that was under way when this node handed the lease over.
+		return nil
+	}
 	if c.Tenure != nil && c.Tenure.Epoch == message.Epoch {
 		c.Tenure.Until = message.Until
 		return nil
 	}
+	c.Contact = Contact{AnsweredAt: now}
 	if c.Previous != nil && c.Previous.Epoch+1 == message.Epoch {
 		// The epochs are consecutive, so no other node held the lease in between.
 		c.Tenure, c.Previous = c.Previous, nil
@@ -146,6 +157,7 @@
 		Rates:            map[ModelKey]*Rate{},
 		AdapterRates:     map[DemandKey]*Rate{},
 		SaturatedAt:      map[saturationKey]time.Time{},
+		Unmet:            map[ModelKey]*unmet{},
 		Prompts:          screener.NewEvidence(),
 		Notices:          map[string]*notice{},
 		TableStale:       true,
