Test the draw of a candidate once

TestSomeCandidateIsDrawn keeps the check that the drawn candidate is a good one from TestEveryDrawFindsACandidate; its cases include those of the other, and cached beginnings.

--- a/internal/balancer/draw_test.go
+++ b/internal/balancer/draw_test.go
@@ -31,7 +31,9 @@
 			})
 		}
 		lateIn := time.Duration(rapid.SampledFrom([]int{50, 25, 100, -100, 500}).Draw(t, "late in")) * time.Millisecond
-		c.drawCandidate(lateIn)
+		if drawn := c.drawCandidate(lateIn); drawn.lost != "" {
+			t.Fatalf("the drawn candidate %+v is not a good one", drawn)
+		}
 		good, _ := c.compareCandidates(lateIn)
 		inTime := false
 		for _, one := range c.candidates[:good] {
