--- a/internal/balancer/contact.go
+++ b/internal/balancer/contact.go
@@ -21,7 +21,7 @@
 }
 
 // isAlone reports whether attempts fail at several replicas and none answers. Then the
-// failures say nothing about the replicas.
+// failures are no evidence against the replicas.
 func (c *Controller) isAlone() bool {
 	return len(c.FailedAlone) >= max(minFailedAlone, min(maxFailedAlone, len(c.Replicas)))
 }
--- a/internal/relayer/connect_test.go
+++ b/internal/relayer/connect_test.go
@@ -11,7 +11,7 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// network is a node's network without sockets. direct and peers say what becomes of connects.
+// network is a node's network without sockets. direct and peers determine the results of connects.
 type network struct {
 	direct func(ctx context.Context) error
 	peers  map[string]func(ctx context.Context) error
--- a/internal/relayer/message.go
+++ b/internal/relayer/message.go
@@ -84,7 +84,7 @@
 // PublishRoutes replaces the routes by which connections are opened.
 type PublishRoutes struct{ Routes Routes }
 
-// Routes says how replicas are reached. It is never modified once it is published.
+// Routes holds how replicas are reached. It is never modified once it is published.
 type Routes struct {
 	// Partitioned is set if no replica is reached directly.
 	Partitioned bool `json:",omitempty"`
