Answer a report that comes as the lease is handed over

Found by the review of the handover.

The report is answered like any other at a node without the lease.

--- a/internal/planner/peers.go
+++ b/internal/planner/peers.go
@@ -135,6 +135,10 @@
 	if now.Sub(c.Tenure.AdvancedAt) >= minPlanInterval {
 		effects = append(effects, c.advance(now)...)
 	}
+	if c.Tenure == nil {
+		// The lease has been handed over.
+		return append(effects, AnswerReport{Call: message.Call, Answer: c.viewAnswer(now, report)})
+	}
 	return append(effects, AnswerReport{Call: message.Call, Answer: c.stateAnswer(now, peer, report)})
 }
 
