Leave the connections of ended exchanges to their successors

The check for a partition could begin as its exchange ended and then close the connection, which may belong to the next exchange: that request would have lost its answer. The close takes the lock under which an exchange ends. TestCheckAfterEndKeepsConnection fails without it.

--- a/internal/forwarder/partition.go
+++ b/internal/forwarder/partition.go
@@ -116,7 +116,7 @@
 	case quiet < silenceTime:
 	case connector.Partitioned():
 		if e.attempt.Forward.Route.Repeatable() && quiet >= partitionSilence && connector.QuietFor() >= partitionSilence {
-			e.conn.Close()
+			e.abort()
 			return
 		}
 	default:
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// abort closes the connection, unless the exchange has ended and it may belong to another one.
+func (e *exchange) abort() {
+	e.silence.mutex.Lock()
+	defer e.silence.mutex.Unlock()
+	if !e.silence.ended {
+		e.conn.Close()
+	}
+}
+
 // watchSilence ends the timeout of the first byte. From then on givesUp is called when the
 // replica has been silent for the read timeout, and the exchange goes on unless it returns
 // true. watchSilence returns ErrReadTimeout if the timer has fired and the connection is
