Do not take a lease again while shutting down

Found by the review. A node that was handing the lease over and was to become a candidate again, and was told to shut down meanwhile, took the lease as soon as it was free and did not release it: no node planned loads until the lease had expired. Script resumed_shutdown read the lease again before.

--- a/internal/leaser/release.go
+++ b/internal/leaser/release.go
@@ -6,7 +6,12 @@
 // longer acts on the lease when the next holder starts.
 func (c *Controller) release(now time.Time, message Release) []Effect {
 	entry := c.entry(message.Name)
-	if entry == nil || entry.Release != nil {
+	if entry == nil {
+		return []Effect{AnswerRelease{Call: message.Call}}
+	}
+	if entry.Release != nil {
+		// A node that shuts down must not become a candidate again.
+		entry.Release.Resume = false
 		return []Effect{AnswerRelease{Call: message.Call}}
 	}
 	entry.Release = &ReleaseState{Call: message.Call, Deadline: now.Add(entry.Timing.Duration)}
