Close carried connections when they are idle, and finish the others

A node that relays and finds itself partitioned closed the connections that it carries once, if their replica had been silent for 0.3 s: it cut answers that paused, and connections that became idle afterwards stayed open and swallowed the next request.

Connections are closed each second while the node is partitioned, if the replica has been silent for 1 s, which is above the pauses of streams. A node that shuts down closes them likewise and waits for the others until the end of its shutdown time.

--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -37,6 +37,9 @@
 	// accepts new requests, since callers may use their last address answer
 	// for that long.
 	acceptShare = 0.75
+	// carriedCheckInterval is the time between two looks for connections of other nodes that
+	// have become idle.
+	carriedCheckInterval = 200 * time.Millisecond
 	// queueShare is the fraction of the shutdown time during which requests
 	// may wait for a replica. After it they are refused as not run, while
 	// callers still have time to retry at another node.
@@ -147,9 +150,26 @@
 		n.logger.WithError(err).Warn("running requests were terminated at the end of the shutdown time")
 		_ = server.Close()
 	}
+	n.finishCarried(ctx)
 	return nil
 }
 
+// finishCarried waits until ctx ends for the requests of other nodes on connections that this
+// node carries, and closes those connections that are idle.
+func (n *Node) finishCarried(ctx context.Context) {
+	for {
+		n.carrier.CloseSilent()
+		if n.carrier.Open() == 0 {
+			return
+		}
+		select {
+		case <-n.clock.After(carriedCheckInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // shutdownTimes returns the times of the node's shutdown, or the zero value if it is not
 // shutting down.
 func (n *Node) shutdownTimes() forwarder.Shutdown {
--- a/internal/relayer/carrier.go
+++ b/internal/relayer/carrier.go
@@ -23,8 +23,9 @@
 	// carryShare is the part of the connections that a node accepts that may be relayed ones.
 	carryShare = 4
 	// carriedSilence is how long a replica has sent nothing more on a carried connection before
-	// the connection is closed because this node is partitioned.
-	carriedSilence = 300 * time.Millisecond
+	// the connection is closed because this node is partitioned or shuts down. Streams pause for
+	// up to 0.6 s.
+	carriedSilence = time.Second
 	// minCarried is the smallest limit of relayed connections.
 	minCarried = 8
 )
@@ -178,8 +179,8 @@
 }
 
 // CloseSilent closes the connections on which the replica was the last to send something and
-// has been silent since. It is called when this node is partitioned: they are idle, and would
-// swallow a request, or an answer has stopped.
+// has been silent since. It is called while this node is partitioned or shuts down: they are idle, and
+// would swallow a request, or an answer has stopped.
 func (c *Carrier) CloseSilent() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/relayer/controller.go
+++ b/internal/relayer/controller.go
@@ -270,6 +270,10 @@
 		c.ProbesAt = time.Time{}
 	}
 	var effects []Effect
+	if c.Partitioned {
+		// Connections become idle after the partition was found as well.
+		effects = append(effects, CloseIdle{})
+	}
 	for _, address := range slices.Concat(others, reached) {
 		c.Replicas[address].ProbedAt = now
 		effects = append(effects, Probe{address})
