Frame what replicas send on relayed connections

The carrier sends frames, and a last one only if the replica has closed its connection in order. Without it a read ends with io.ErrUnexpectedEOF.

--- a/internal/messenger/relay.go
+++ b/internal/messenger/relay.go
@@ -48,7 +48,7 @@
 		conn.Close()
 		return nil, err
 	}
-	return conn, nil
+	return relayer.Unframe(conn), nil
 }
 
 // requestRelay asks the peer on a new connection to connect it to a replica.
--- a/internal/relayer/carrier.go
+++ b/internal/relayer/carrier.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -139,9 +140,9 @@
 type Lingerer interface{ SetLinger(seconds int) error }
 
 // Carry copies bytes between a node and a replica until either closes its connection, and
-// closes both. The node's connection is closed in order only if the replica has done so.
-// Otherwise, also if this process is killed, it is reset: an answer without a length ends with
-// its connection, and would look complete.
+// closes both. The bytes of the replica are framed, and the last frame is sent only if the
+// replica has closed its connection in order. Otherwise, also if this process is killed, the
+// node's connection is reset.
 func (c *Carrier) Carry(node, replica net.Conn) {
 	carried := &carriedConnection{node: node, replica: replica, clock: c.settings.Clock, startedAt: c.settings.Clock.Now()}
 	defer c.track(carried)()
@@ -155,13 +156,15 @@
 	go func() {
 		// After a failed write the node is read on: its close ends the connection, and until
 		// then the answer of a replica that reads no more is passed on.
-		if carried.copyBytes(replica, node, &carried.fromNode) != nil {
-			_ = carried.copyBytes(io.Discard, node, &carried.fromNode)
+		if carried.copyBytes(replica, node, &carried.fromNode, 0) != nil {
+			_ = carried.copyBytes(io.Discard, node, &carried.fromNode, 0)
 		}
 		_ = replica.Close()
 	}()
-	if carried.copyBytes(node, replica, &carried.fromReplica) == nil {
-		_ = resetOnClose(node, false)
+	if carried.copyBytes(node, replica, &carried.fromReplica, frameHeadBytes) == nil {
+		if _, err := node.Write(make([]byte, frameHeadBytes)); err == nil {
+			_ = resetOnClose(node, false)
+		}
 	}
 }
 
@@ -213,14 +216,18 @@
 
 // copyBytes copies until the end, for which it returns nil, and records when it has read. It uses
 // a buffer of its own: io.Copy between TCP connections takes a pipe of the kernel, and with it
-// two more descriptors, for each direction.
-func (c *carriedConnection) copyBytes(to io.Writer, from io.Reader, lastRead *atomic.Int64) error {
+// two more descriptors, for each direction. If headBytes is not 0, it writes frames with heads of
+// that size.
+func (c *carriedConnection) copyBytes(to io.Writer, from io.Reader, lastRead *atomic.Int64, headBytes int) error {
 	buffer := make([]byte, carryBuffer)
 	for {
-		n, err := from.Read(buffer)
+		n, err := from.Read(buffer[headBytes:])
 		if n > 0 {
 			lastRead.Store(int64(c.clock.Since(c.startedAt)))
-			if _, err := to.Write(buffer[:n]); err != nil {
+			if headBytes > 0 {
+				binary.BigEndian.PutUint16(buffer, uint16(n))
+			}
+			if _, err := to.Write(buffer[:headBytes+n]); err != nil {
 				return merry.Wrap(err)
 			}
 		}
