Finish requests when a task of their node panics

Callers saw connections that were closed while a replica answered their request. A panic in any task, or in a call that it has started, ended the process with all requests that the node had read.

A task now ends at its panic and returns it. The node goes on with the other tasks for as long as its requests last: it takes no more connections, refuses as not run what needs the ended task, releases the lease, and ends with the error, so that it is started again. The other failures of a node's servers and loops end it in the same way, also on the product's own path. The state of the controller that has panicked is not used again. The log has the panic with its stack, which was plain text on the standard error before.

--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -81,6 +81,8 @@
 	// startedAt is when the node was created.
 	startedAt time.Time
 	draining  atomic.Bool
+	// failure is the error of the first task or server that has failed, nil if none has.
+	failure atomic.Pointer[error]
 	// acceptor bounds the connections of callers and other nodes.
 	acceptor *acceptor.Acceptor
 	// shutdown is nil before the node shuts down.
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -48,25 +48,42 @@
 
 // Run runs the node until ctx ends and then shuts it down: the node is removed
 // from the address answers, keeps serving while callers may still use its
-// address, finishes the requests that it has accepted, and Run returns.
+// address, finishes the requests that it has accepted, and Run returns. A node of which a
+// task or a server fails ends in the same way, but takes no more connections, and Run
+// returns the error.
 func (n *Node) Run(ctx context.Context) error {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	onFailure := func(err error) {
+		runner.LogFailure(n.logger, err)
+		n.meter.RecordChange("node", "failed")
+		n.failure.CompareAndSwap(nil, &err)
+		end()
+	}
 	group := &run.Group{}
 	for _, task := range []runner.Runnable{
 		n.surveyor, n.planner, n.balancer, n.cacher, n.rationer, n.screener, n.resumer, n.permitter, n.syncer, n.leaser, n.acceptor, n.relayer,
 	} {
-		runner.Add(taskCtx, group, task)
+		runner.AddGuarded(taskCtx, group, task, onFailure)
+	}
+	for _, runnable := range []runFunc{
+		n.serve(n.listeners.peers, n.peerHandler()),
+		n.serve(n.listeners.readiness, platform.ReadinessHandler(n.ready)),
+		n.serve(n.listeners.directory, platform.DirectoryHandler(n.addresses)),
+		n.register,
+		n.watchSettings,
+	} {
+		runner.AddGuarded(taskCtx, group, runnable, onFailure)
 	}
-	n.serve(taskCtx, group, n.listeners.peers, n.peerHandler())
-	n.serve(taskCtx, group, n.listeners.readiness, platform.ReadinessHandler(n.ready))
-	n.serve(taskCtx, group, n.listeners.directory, platform.DirectoryHandler(n.addresses))
-	runner.Add(taskCtx, group, runFunc(n.register))
-	runner.Add(taskCtx, group, runFunc(n.watchSettings))
-	runner.Add(ctx, group, runFunc(n.serveCallers))
+	runner.Add(ctx, group, runFunc(func(ctx context.Context) error { return n.serveCallers(ctx, onFailure) }))
 	n.logger.WithFields(logrus.Fields{"Run": n.self.RunID, "FirstStart": n.settings.FirstStart}).Info("node started")
 	err := group.Run()
 	n.logger.Info("node stopped")
+	if failure := n.failure.Load(); failure != nil {
+		return *failure
+	}
 	return err
 }
 
@@ -76,20 +93,20 @@
 // Run implements runner.Runnable.
 func (r runFunc) Run(ctx context.Context) error { return r(ctx) }
 
-// serve adds an HTTP server for a listener to the group.
-func (n *Node) serve(ctx context.Context, group *run.Group, listener net.Listener, handler http.Handler) {
+// serve returns an HTTP server for a listener.
+func (n *Node) serve(listener net.Listener, handler http.Handler) runFunc {
 	server := &http.Server{Handler: handler}
 	n.acceptor.Attach(server)
-	runner.Add(ctx, group, runFunc(func(ctx context.Context) error {
+	return func(ctx context.Context) error {
 		stopped := context.AfterFunc(ctx, func() { _ = server.Close() })
 		defer stopped()
 		return server.Serve(listener)
-	}))
+	}
 }
 
-// serveCallers serves callers until ctx ends and then drains the node. Its
-// return ends the group.
-func (n *Node) serveCallers(ctx context.Context) error {
+// serveCallers serves callers until ctx ends or connections cannot be accepted any more, and
+// then drains the node. Its return ends the group.
+func (n *Node) serveCallers(ctx context.Context, onFailure func(error)) error {
 	requests, endRequests := context.WithCancelCause(context.Background())
 	defer endRequests(nil)
 	server := &http.Server{
@@ -108,7 +125,7 @@
 	go func() { serveDone <- server.Serve(n.listeners.callers) }()
 	select {
 	case err := <-serveDone:
-		return err
+		onFailure(err)
 	case <-ctx.Done():
 	}
 	return n.drain(server, endRequests)
@@ -141,6 +158,10 @@
 		n.logger.WithError(err).Warn("node entry was not removed from the store")
 	}
 	acceptTime := time.Duration(acceptShare*float64(grace)) - n.clock.Since(startedAt)
+	if n.failure.Load() != nil {
+		// The node cannot serve new requests. The sooner it has ended, the sooner it starts again.
+		acceptTime = 0
+	}
 	select {
 	case <-n.clock.After(acceptTime):
 	case <-ctx.Done():
--- a/internal/runner/group.go
+++ b/internal/runner/group.go
@@ -20,3 +20,22 @@
 		func(error) { cancel() },
 	)
 }
+
+// AddGuarded adds a runnable to a group like Add, but the group goes on if the runnable fails.
+// onFailure, which must not block, gets the error of one that returns before its context
+// ends, and decides how the others end.
+func AddGuarded(ctx context.Context, group *run.Group, runnable Runnable, onFailure func(error)) {
+	Add(ctx, group, runnableFunc(func(ctx context.Context) error {
+		err := runnable.Run(ctx)
+		if ctx.Err() == nil {
+			onFailure(err)
+		}
+		<-ctx.Done()
+		return nil
+	}))
+}
+
+type runnableFunc func(ctx context.Context) error
+
+// Run implements Runnable.
+func (r runnableFunc) Run(ctx context.Context) error { return r(ctx) }
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -73,6 +73,7 @@
 	settings Settings[M, E]
 	inbox    chan envelope[M]
 	results  chan envelope[M]
+	failures chan error
 	done     chan struct{}
 	nextCall atomic.Uint64
 	workers  sync.WaitGroup
@@ -103,6 +104,7 @@
 		settings: settings,
 		inbox:    make(chan envelope[M], max(1, settings.InboxSize)),
 		results:  make(chan envelope[M]),
+		failures: make(chan error),
 		done:     make(chan struct{}),
 	}
 }
@@ -181,7 +183,9 @@
 }
 
 // Run passes messages to the controller until ctx ends. It then waits for the
-// goroutines that effects started, and returns nil.
+// goroutines that effects started, and returns nil. If the controller, an effect or such
+// a goroutine panics, Run ends and returns ErrPanicked: the state of the controller may be
+// inconsistent.
 func (t *Task[M, E]) Run(ctx context.Context) error {
 	ctx, stop := context.WithCancel(ctx)
 	loop := loop[M, E]{task: t, pending: map[Call]chan any{}}
@@ -190,11 +194,11 @@
 		Reply:   loop.reply,
 		Start:   func(work func(context.Context) M) { t.start(ctx, work) },
 	}
-	loop.run(ctx)
+	err := loop.run(ctx)
 	close(t.done)
 	stop()
 	t.workers.Wait()
-	return nil
+	return err
 }
 
 // start runs work and delivers its result on the unbuffered results channel.
@@ -202,10 +206,28 @@
 // buffer is needed.
 func (t *Task[M, E]) start(ctx context.Context, work func(context.Context) M) {
 	t.workers.Go(func() {
-		t.deliver(envelope[M]{message: work(ctx)})
+		message, err := callWork(ctx, t.settings.Name, work)
+		if err != nil {
+			t.fail(err)
+			return
+		}
+		t.deliver(envelope[M]{message: message})
 	})
 }
 
+func callWork[M any](ctx context.Context, task string, work func(context.Context) M) (message M, err error) {
+	defer RecoverPanic(task, &err)
+	return work(ctx), nil
+}
+
+// fail ends the task with an error, unless it has ended already.
+func (t *Task[M, E]) fail(err error) {
+	select {
+	case t.failures <- err:
+	case <-t.done:
+	}
+}
+
 // loop is the state of a running task. Only the task's goroutine uses it.
 type loop[M, E any] struct {
 	task    *Task[M, E]
@@ -213,7 +235,8 @@
 	pending map[Call]chan any
 }
 
-func (l *loop[M, E]) run(ctx context.Context) {
+func (l *loop[M, E]) run(ctx context.Context) (err error) {
+	defer RecoverPanic(l.task.settings.Name, &err)
 	clock := l.task.settings.Clock
 	timer := clock.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -226,7 +249,9 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return nil
+		case err := <-l.task.failures:
+			return err
 		case e := <-l.task.inbox:
 			l.handleEnvelope(e)
 		case e := <-l.task.results:
--- a/internal/runner/task_test.go
+++ b/internal/runner/task_test.go
@@ -145,3 +145,49 @@
 		}
 	})
 }
+
+// panics is a message at which panicController panics.
+type panics struct{}
+
+// work is a message that starts work which panics.
+type work struct{}
+
+type panicController struct{}
+
+func (panicController) Wake() time.Time { return time.Time{} }
+
+func (panicController) Step(_ time.Time, message any) []any {
+	switch message.(type) {
+	case panics:
+		panic("fault in a controller")
+	case work:
+		return []any{message}
+	}
+	return nil
+}
+
+// TestPanicEndsTask guards against a panic of one task that ends the process, and against
+// callers that wait for a task which has panicked.
+func TestPanicEndsTask(t *testing.T) {
+	for name, message := range map[string]any{"controller": panics{}, "work": work{}} {
+		t.Run(name, func(t *testing.T) {
+			task := runner.New(runner.Settings[any, any]{
+				Name: "failing", Clock: clockwork.NewRealClock(), Controller: panicController{}, Tick: tick{}, InboxSize: 1,
+				Perform: func(handle runner.Handle[any], _ any) {
+					handle.Start(func(context.Context) any { panic("fault in work") })
+				},
+			})
+			done := make(chan error, 1)
+			go func() { done <- task.Run(context.Background()) }()
+			_, err := runner.Ask[string](t.Context(), task, func(runner.Call) any { return message }, nil)
+			if !errors.Is(err, runner.ErrStopped) {
+				t.Errorf("ask: %v, want %v", err, runner.ErrStopped)
+			}
+			err = <-done
+			var panicked *runner.Panic
+			if !errors.Is(err, runner.ErrPanicked) || !errors.As(err, &panicked) || panicked.Source != "failing" || panicked.Stack == "" {
+				t.Errorf("run: %v, want %v of the task with its stack", err, runner.ErrPanicked)
+			}
+		})
+	}
+}
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -41,6 +41,8 @@
 	settings Settings
 	clock    clockwork.Clock
 	logger   logrus.FieldLogger
+	// failure is the error of the first task or server that has failed, nil if none has.
+	failure atomic.Pointer[error]
 
 	// acceptor bounds the connections of callers and other nodes.
 	acceptor       *acceptor.Acceptor
--- a/internal/supervisor/run.go
+++ b/internal/supervisor/run.go
@@ -32,21 +32,33 @@
 
 // Run runs the node until ctx ends and then shuts it down: the node is removed
 // from the address answers, finishes the requests that it has accepted, hands
-// over its leases, and Run returns nil.
+// over its leases, and Run returns nil. A node of which a task or a server fails
+// ends in the same way, but takes no more connections, and Run returns the error.
 func (n *Node) Run(ctx context.Context) error {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
 	// The tasks run until the shutdown is complete, not only until ctx ends.
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	onFailure := func(err error) {
+		runner.LogFailure(n.logger, err)
+		n.failure.CompareAndSwap(nil, &err)
+		end()
+	}
 	group := &run.Group{}
 	for _, task := range n.tasks() {
-		runner.Add(taskCtx, group, task)
+		runner.AddGuarded(taskCtx, group, task, onFailure)
 	}
-	runner.Add(taskCtx, group, runFunc(func(ctx context.Context) error {
+	runner.AddGuarded(taskCtx, group, runFunc(func(ctx context.Context) error {
 		return server.ServeBounded(ctx, n.clock, n.acceptor, n.peerListener, n.peerHandler(), peerShutdownTimeout)
-	}))
-	runner.Add(taskCtx, group, runFunc(n.publishLoads))
+	}), onFailure)
+	runner.AddGuarded(taskCtx, group, runFunc(n.publishLoads), onFailure)
 	runner.Add(ctx, group, runFunc(n.serveCallers))
-	return group.Run()
+	err := group.Run()
+	if failure := n.failure.Load(); failure != nil {
+		return *failure
+	}
+	return err
 }
 
 // runFunc is a function that runs until its context ends.
@@ -79,7 +91,9 @@
 	n.logger.Info("shutting down: removed from the address answers")
 	n.draining.Store(true)
 	n.publishLoad(n.nodeLoad())
-	<-n.clock.After(tracker.AddressLifetime + addressAnswerMargin)
+	if n.failure.Load() == nil {
+		<-n.clock.After(tracker.AddressLifetime + addressAnswerMargin)
+	}
 	n.logger.Info("shutting down: waiting for running requests")
 	n.postWithRetry("scheduler", func() error { return n.scheduler.Post(scheduler.Drain{}) })
 	stop()
