Answer a request for which a filter panics

Callers would see a closed connection without an answer: net/http recovers from a panic of a handler and closes the connection, and the log has no line for the request.

The chain refuses the request with an unknown outcome (502), and the log names the request with the stack.

--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -10,6 +10,7 @@
 	"toucanhitch.example/toucanhitch/internal/forwarder"
 	"toucanhitch.example/toucanhitch/internal/logger"
 	"toucanhitch.example/toucanhitch/internal/planner"
+	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/sequencer"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
@@ -99,7 +100,7 @@
 	duration := n.clock.Since(request.Arrived)
 	if refused, ok := verdict.(filter.Refuse); ok {
 		reason = refused.Refusal.Reason
-		n.logger.WithFields(logrus.Fields{
+		entry := n.logger.WithFields(logrus.Fields{
 			"Request":      forward.Attempt,
 			"Route":        forward.Route.Name,
 			"Workspace":    request.Workspace,
@@ -107,7 +108,11 @@
 			"Run":          refused.Refusal.Run,
 			"RetryAfterMs": refused.Refusal.RetryAfter.Milliseconds(),
 			"TookMs":       duration.Milliseconds(),
-		}).Info("refused: " + refused.Refusal.Detail)
+		})
+		if refused.Cause != nil {
+			entry = runner.WithError(entry, refused.Cause)
+		}
+		entry.Info("refused: " + refused.Refusal.Detail)
 	}
 	n.meter.Ended(filter.Class(forward.Route.Kind), reason, duration)
 }
--- a/internal/filter/chain.go
+++ b/internal/filter/chain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+
+	"toucanhitch.example/toucanhitch/internal/runner"
 )
 
 // Filter makes one decision about a request.
@@ -38,6 +40,21 @@
 	return refuse(NoEndpoint, "no filter answered the request")
 }
 
+// RunGuarded runs the filters like Run and refuses a request for which a filter panics. The
+// request may have run. The cause of the refusal is a runner.Panic.
+func (c Chain) RunGuarded(ctx context.Context, request *Request) (verdict Verdict) {
+	var err error
+	defer func() {
+		if err != nil {
+			refused := refuse(OutcomeUnknown, "the node failed internally")
+			refused.Refusal.Run, refused.Cause = Unknown, err
+			verdict = refused
+		}
+	}()
+	defer runner.RecoverPanic("request "+request.Identity, &err)
+	return c.Run(ctx, request)
+}
+
 func outcomeOf(verdict Verdict) Outcome {
 	switch verdict := verdict.(type) {
 	case Accept:
--- a/internal/runner/panic.go
+++ b/internal/runner/panic.go
@@ -35,12 +35,17 @@
 	}
 }
 
-// LogFailure logs that a task or a server of a node has failed, and the stack of a panic.
+// LogFailure logs that a task or a server of a node has failed.
 func LogFailure(logger logrus.FieldLogger, err error) {
+	WithError(logger, err).Error("a part of the node has failed: it finishes its requests and ends")
+}
+
+// WithError returns an entry with an error and, if that is a panic, with its stack.
+func WithError(logger logrus.FieldLogger, err error) *logrus.Entry {
 	entry := logger.WithError(err)
 	var panicked *Panic
 	if errors.As(err, &panicked) {
 		entry = entry.WithFields(logrus.Fields{"Source": panicked.Source, "Stack": panicked.Stack})
 	}
-	entry.Error("a part of the node has failed: it finishes its requests and ends")
+	return entry
 }
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -13,6 +13,7 @@
 	"toucanhitch.example/toucanhitch/internal/acceptor"
 	"toucanhitch.example/toucanhitch/internal/encoder"
 	"toucanhitch.example/toucanhitch/internal/filter"
+	"toucanhitch.example/toucanhitch/internal/runner"
 	"toucanhitch.example/toucanhitch/internal/tracker"
 	"toucanhitch.example/toucanhitch/pkg/releaser"
 )
@@ -75,7 +76,7 @@
 
 // runChain runs a request through the chain, and logs and records its outcome.
 func (h *Callers) runChain(r *http.Request, request *filter.Request) filter.Verdict {
-	verdict := h.chain.Run(r.Context(), request)
+	verdict := h.chain.RunGuarded(r.Context(), request)
 	refused, _ := verdict.(filter.Refuse) // the zero value if the request was answered
 	h.recordOutcome(request, refused)
 	return verdict
@@ -97,7 +98,7 @@
 		return
 	}
 	if refused.Cause != nil {
-		entry = entry.WithError(refused.Cause)
+		entry = runner.WithError(entry, refused.Cause)
 	}
 	entry.WithFields(logrus.Fields{"Reason": refusal.Reason, "Run": refusal.Run}).Info("request refused: " + refusal.Detail)
 }
