Do not run a request whose connection was closed for others

Callers could see a closed connection although a replica ran their request. Where memory or connections run short, the acceptor closes connections that are still sending a body. If the whole body was already in the buffer of net/http, the handler read it to its end without an error and the request was passed on, with nobody to answer.

The end of such a body is now an error, and the request does not run.

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -133,13 +133,18 @@
 	return c.hold(headCost(bytes, lines))
 }
 
-// completeBody records that the body of the request has been read.
-func (c *connection) completeBody() {
+// completeBody records that the body of the request has been read. It reports false if the
+// connection is being closed, so that the request could not be answered.
+func (c *connection) completeBody() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.phase == readingBody && c.closing != "" {
+		return false
+	}
 	if c.phase == readingBody {
 		c.phase = answering
 	}
+	return true
 }
 
 // end records that a request has been answered.
--- a/internal/acceptor/handler.go
+++ b/internal/acceptor/handler.go
@@ -45,11 +45,12 @@
 	connection *connection
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns ErrRefused and no bytes at the end of a body whose
+// connection is being closed: the rest may have been in a buffer, and the request must not run.
 func (b *body) Read(buffer []byte) (int, error) {
 	n, err := b.ReadCloser.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		b.connection.completeBody()
+	if errors.Is(err, io.EOF) && !b.connection.completeBody() {
+		return 0, ErrRefused
 	}
 	return n, err
 }
