Let requests wait for the first list of replicas after a start

Callers were refused with 503 by nodes that had just started: a node takes requests as soon as it knows the configuration, and refused them with "service has no replicas" until the first list came.

Requests that arrive within 0.5 s of the start wait for the list, and are refused then if it has not come.

--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -41,7 +41,11 @@
 
 // Controller chooses replicas for one node.
 type Controller struct {
-	Replicas map[string]*Replica
+	// StartedAt is the time of the first message.
+	StartedAt time.Time
+	Replicas  map[string]*Replica
+	// ReplicasListed is set once a list of replicas was received.
+	ReplicasListed bool
 	// Notices holds what replicas have announced. It outlasts the entries of
 	// Replicas, and a list that shows an earlier start.
 	Notices map[replicaStart]*Notice
@@ -133,9 +137,13 @@
 // Step handles one message and returns the resulting effects.
 func (c *Controller) Step(now time.Time, message Message) []Effect {
 	c.noteChange(message)
+	if c.StartedAt.IsZero() {
+		c.StartedAt = now
+	}
 	switch message := message.(type) {
 	case Tick:
 	case SetReplicas:
+		c.ReplicasListed = true
 		return append(c.setReplicas(now, message), c.serveWaiters(now)...)
 	case SetColdRules:
 		c.Cold.Rules = message.Rules
@@ -280,6 +288,8 @@
 	switch {
 	case !now.Before(need.GiveUpAt):
 		return &Refusal{Reason: "no replica in time", RetryAfter: c.roomDelay(now, need)}
+	case !c.hasService(need) && c.awaitsReplicas(now):
+		return nil
 	case !c.hasService(need):
 		return &Refusal{Reason: c.noReplicas(need), RetryAfter: overloadRetryAfter}
 	case c.evacuated(need) != nil:
--- a/internal/balancer/region.go
+++ b/internal/balancer/region.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
@@ -23,3 +24,12 @@
 	}
 	return "service has no replicas"
 }
+
+// replicasWait is the time after the start of a node in which new requests wait for the first
+// list of replicas. It comes with the answer to the first report, or from the store.
+const replicasWait = 500 * time.Millisecond
+
+// awaitsReplicas reports whether a node that has just started expects its first list.
+func (c *Controller) awaitsReplicas(now time.Time) bool {
+	return !c.ReplicasListed && now.Sub(c.StartedAt) < replicasWait
+}
