Read the nodes again once a node that has restarted is registered

Nodes that had restarted gracefully refused requests for two seconds. Their first list of nodes lacks their entry, which they had removed, and a list without the own entry is not used; the next one was read 2 s later, and only then did the node look for the holder, whose answers have the replicas, the usage of workspaces and the software versions.

At the first start of the whole system the list would lack nodes that are about to register, so that nothing changes there. Script registered.

--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -13,6 +13,7 @@
 	"toucanhitch.example/toucanhitch/internal/forwarder"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/surveyor"
 	"toucanhitch.example/toucanhitch/internal/syncer"
 	"toucanhitch.example/toucanhitch/platform"
 )
@@ -228,6 +229,7 @@
 		if err == nil {
 			registeredAt = startedAt
 			n.logger.Info("node registered")
+			n.requestNodes()
 			continue
 		}
 		n.logger.WithError(err).Warn("node not registered; will retry")
@@ -240,6 +242,15 @@
 	}
 }
 
+// requestNodes requests the list of nodes that contains this one, without which the node does not
+// look for the holder. When the whole system starts for the first time, the list would lack the
+// nodes that have not registered yet.
+func (n *Node) requestNodes() {
+	if !n.settings.FirstStart {
+		n.logPostError("surveyor", n.surveyor.Post(surveyor.NodeRegistered{}))
+	}
+}
+
 // registrationIsDue reports whether the node's entry may be written again after it was
 // last written at the given time, the zero time for never.
 func (n *Node) registrationIsDue(registeredAt time.Time) bool {
--- a/internal/surveyor/controller.go
+++ b/internal/surveyor/controller.go
@@ -86,6 +86,9 @@
 	// StartedAt is when the controller handled its first message.
 	StartedAt time.Time
 
+	// NodesOutdated is set while the list of nodes must be read again, because it lacks the
+	// entry of this node.
+	NodesOutdated bool
 	// FirstStart is set if the whole system starts for the first time, so that the store
 	// cannot have been restored before.
 	FirstStart bool
@@ -143,7 +146,7 @@
 	wake := c.configurationDueAt()
 	for _, due := range []time.Time{
 		c.replicasDueAt(),
-		c.dueAt(c.NodeSource, c.maxNodesAge()),
+		c.nodesDueAt(),
 		c.evacuationsDueAt(),
 		c.replicasReleasedAt(),
 	} {
@@ -169,6 +172,8 @@
 		c.Acting = message.Acting
 	case SetCandidate:
 		c.Candidate = message.Candidate
+	case NodeRegistered:
+		c.NodesOutdated = true
 	case ConfigurationRead:
 		effects = c.handleConfigurationRead(now, message)
 	case ReplicasRead:
@@ -198,8 +203,9 @@
 	if c.ReplicaSource.startIfDue(now, c.replicasDueAt()) {
 		effects = append(effects, ReadReplicas{})
 	}
-	if c.NodeSource.startIfDue(now, c.dueAt(c.NodeSource, c.maxNodesAge())) {
-		effects = append(effects, ReadNodes{AllowStale: !c.Holding})
+	if c.NodeSource.startIfDue(now, c.nodesDueAt()) {
+		effects = append(effects, ReadNodes{AllowStale: !c.Holding && !c.NodesOutdated})
+		c.NodesOutdated = false
 	}
 	if c.Evacuations.startIfDue(now, c.evacuationsDueAt()) {
 		effects = append(effects, ReadEvacuations{})
--- a/internal/surveyor/message.go
+++ b/internal/surveyor/message.go
@@ -25,6 +25,10 @@
 // ask candidates for their view while there is no holder.
 type SetCandidate struct{ Candidate bool }
 
+// NodeRegistered reports that the entry of this node was written, which the last list of nodes
+// lacks.
+type NodeRegistered struct{}
+
 // ConfigurationRead is the result of a ReadConfiguration. Configuration is nil
 // if the revision in the store is the known one.
 type ConfigurationRead struct {
@@ -118,6 +122,7 @@
 
 func (Tick) isMessage()              {}
 func (SetHolding) isMessage()        {}
+func (NodeRegistered) isMessage()    {}
 func (ConfigurationRead) isMessage() {}
 func (ReplicasRead) isMessage()      {}
 func (NodesRead) isMessage()         {}
--- a/internal/surveyor/script_test.go
+++ b/internal/surveyor/script_test.go
@@ -22,7 +22,7 @@
 			}
 			return controller
 		},
-		Messages: []Message{SetHolding{}, ConfigurationRead{}, ReplicasRead{}, NodesRead{}, HolderUpdate{}, SetActing{}, SetCandidate{}, ViewUpdate{}, EvacuationsRead{}},
+		Messages: []Message{SetHolding{}, NodeRegistered{}, ConfigurationRead{}, ReplicasRead{}, NodesRead{}, HolderUpdate{}, SetActing{}, SetCandidate{}, ViewUpdate{}, EvacuationsRead{}},
 		Tick:     Tick{},
 	})
 }
--- a/internal/surveyor/source.go
+++ b/internal/surveyor/source.go
@@ -55,6 +55,14 @@
 	return followerMaxNodesAge
 }
 
+// nodesDueAt returns when the list of nodes is next read.
+func (c *Controller) nodesDueAt() time.Time {
+	if c.NodesOutdated && !c.NodeSource.Reading {
+		return c.StartedAt
+	}
+	return c.dueAt(c.NodeSource, c.maxNodesAge())
+}
+
 // replicasDueAt returns when the replicas are next read. A node that has just
 // started leaves that to the holder and the candidates for a while. While the store
 // does not answer, a node on which no other relies reads only the configuration.
