Add a failing test of evicted connections whose request is run

A node that is short of memory or connections closes connections whose request is not complete. If the whole body has already arrived in the buffer of the server, the handler reads it after the close without an error, and the request goes through the filter chain. The caller gets neither an answer nor a refusal.

Cause: connection.evict closes while the phase is readingBody, and completeBody does not look at why the connection is being closed.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -290,6 +290,31 @@
 	}
 }
 
+// TestEvictedConnectionRunsNoRequest guards against a request whose connection is closed for
+// others after its head was handled and before its body is read, although all of it has
+// arrived: it enters the filter chain, may be run, and gets neither an answer nor a refusal.
+func TestEvictedConnectionRunsNoRequest(t *testing.T) {
+	started, evicted, read := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-evicted
+		_, err := io.Copy(io.Discard, r.Body)
+		read <- err
+	})
+	a, address := serve(t, Settings{Limits: func() Limits { return Limits{} }}, handler)
+	conn, _ := dial(t, address)
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabcdefghij"); err != nil {
+		t.Fatal(err)
+	}
+	<-started
+	a.FreeBodies(1 << 20)
+	awaitClosed(t, a)
+	close(evicted)
+	if err := <-read; err == nil {
+		t.Error("the body of a request whose connection is closed was read, so that it may be run")
+	}
+}
+
 // FuzzHead compares the end of a head, read in parts of any size, with the position of the
 // first empty line after another.
 func FuzzHead(f *testing.F) {
