Add a failing test of a service that is withdrawn during an evacuation

The holder of the placement lease ends, and with it every request that the node has read, when a new configuration no longer has a service, or its engine, while a data centre is evacuated and the service's replicas there are still listed.

Cause: planEvacuated reads the models of the engine without checking that the configuration in force has one. The endpoints of the service are removed only with the next list of replicas.

--- a/internal/planner/script_test.go
+++ b/internal/planner/script_test.go
@@ -21,3 +21,17 @@
 		Tick: Tick{},
 	})
 }
+
+// TestWithdrawnServices replays scripts in which a configuration withdraws a service whose
+// replicas are still listed. It guards against a holder that ends then, and with it all
+// requests that it has read.
+func TestWithdrawnServices(t *testing.T) {
+	tester.Replay(t, tester.Suite[Message, Effect]{
+		Directory: "testdata/withdrawn",
+		New: func(*testing.T, []byte) tester.Controller[Message, Effect] {
+			return NewController(Settings{Node: "n1", OrderSpacing: 3 * time.Second, MinTakeoverDelay: 360 * time.Millisecond})
+		},
+		Messages: []Message{LeaseHeld{}, ConfigurationChanged{}, ReplicasListed{}, EvacuationsListed{}, StateRead{}},
+		Tick:     Tick{},
+	})
+}
