--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -292,7 +292,7 @@
 
 // TestEvictedConnectionRunsNoRequest guards against a request whose connection is closed for
 // others after its head was handled and before its body is read, although all of it has
-// arrived: it is run and gets neither an answer nor a refusal.
+// arrived: it enters the filter chain, may be run, and gets neither an answer nor a refusal.
 func TestEvictedConnectionRunsNoRequest(t *testing.T) {
 	started, evicted, read := make(chan struct{}), make(chan struct{}), make(chan error, 1)
 	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -311,7 +311,7 @@
 	awaitClosed(t, a)
 	close(evicted)
 	if err := <-read; err == nil {
-		t.Error("the body of a request whose connection is closed was read, so that it is run")
+		t.Error("the body of a request whose connection is closed was read, so that it may be run")
 	}
 }
 
