Plan no loads for a service that the configuration has withdrawn

The process of the lease's holder ended by a nil pointer, and with it the requests that it had read, when a configuration withdrew a service, or its engine, while a data centre was evacuated and the service's replicas there were still listed.

Loads for such a service are not planned, and its models count as not listed. TestWithdrawnServices panicked before.

--- a/internal/planner/evacuation.go
+++ b/internal/planner/evacuation.go
@@ -65,6 +65,9 @@
 	var effects []Effect
 	for _, item := range items[:min(len(items), maxEvacuatedVisits/max(1, count))] {
 		engine := c.engine(item.Service)
+		if engine == nil {
+			continue
+		}
 		switch model, ok := engine.Models[item.Model]; {
 		case !ok:
 		case item.Adapter == "":
--- a/internal/planner/room.go
+++ b/internal/planner/room.go
@@ -92,8 +92,12 @@
 	return victims, loss, free >= model.MemoryMB
 }
 
-// isListed reports whether the configuration lists a model.
+// isListed reports whether the configuration lists a model. The engine is nil if the
+// configuration does not list the service, of which replicas may remain for a while.
 func isListed(engine *resolver.Engine, name string) bool {
+	if engine == nil {
+		return false
+	}
 	_, ok := engine.Models[name]
 	return ok
 }
