Give up a begun stream of a partitioned node only for a successor

Callers of a partitioned node saw streams that broke off after 0.7 s without an event. Kept connections may live on in a partition, so that this also hit sound replicas that were silent for a second.

Cause: the check for a partition closed the connection of each attempt on a route that may be repeated, and only then it was known whether an attempt, budget or a replica was left for the rest.

The check now interrupts the read of a begun answer, and the reading goroutine reserves a successor first, every 0.3 s, as for other silent replicas. An attempt whose answer has not begun ends as before: the caller gets a status and can repeat the request elsewhere.

TestSilence/partitioned_last_attempt, partitioned_no_budget and partitioned_moved_later failed before; partitioned_moved guards the move.

--- a/internal/forwarder/partition.go
+++ b/internal/forwarder/partition.go
@@ -107,7 +107,9 @@
 }
 
 // checkPartition reports a replica that is silent. If the node is partitioned and its direct
-// connections are silent, it ends an attempt that may be repeated.
+// connections are silent, it ends an attempt that may be repeated, once the answer has begun only
+// if another replica is reserved for the rest. Kept connections may live on in a partition, and a
+// sound replica may be silent for a second.
 func (e *exchange) checkPartition() {
 	connector, quiet := e.pool.connector, min(e.conn.lastRead.age(), e.partition.resumed.age())
 	switch {
@@ -117,7 +119,6 @@
 	case connector.Partitioned():
 		if e.attempt.Forward.Route.Repeatable() && quiet >= partitionSilence && connector.QuietFor() >= partitionSilence {
 			e.abort()
-			return
 		}
 	default:
 		connector.RecordSilence(e.attempt.Address)
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -22,6 +22,9 @@
 	// answering is set once the answer has begun, and ended at the end of the exchange,
 	// when the connection may belong to another one.
 	answering, ended bool
+	// interrupted is set while the reading goroutine is to decide although the read timeout
+	// is not over.
+	interrupted bool
 }
 
 // expire is called when the read timeout is over.
@@ -38,15 +41,32 @@
 	}
 }
 
-// abort closes the connection, unless the exchange has ended and it may belong to another one.
+// abort closes the connection, unless the answer has begun, of which the goroutine that reads
+// decides, or the exchange has ended and the connection may belong to another one.
 func (e *exchange) abort() {
 	e.silence.mutex.Lock()
 	defer e.silence.mutex.Unlock()
-	if !e.silence.ended {
+	switch {
+	case e.silence.ended:
+	case e.silence.answering:
+		e.silence.interrupted = true
+		_ = e.conn.SetReadDeadline(time.Unix(1, 0))
+	default:
 		e.conn.Close()
 	}
 }
 
+// resumeRead allows reads after an interruption, and reports whether abort was called since the
+// last one.
+func (e *exchange) resumeRead() bool {
+	e.silence.mutex.Lock()
+	defer e.silence.mutex.Unlock()
+	interrupted := e.silence.interrupted
+	e.silence.interrupted = false
+	_ = e.conn.SetReadDeadline(time.Time{})
+	return interrupted
+}
+
 // watchSilence ends the timeout of the first byte. From then on givesUp is called when the
 // replica has been silent for the read timeout, and the exchange goes on unless it returns
 // true. watchSilence returns ErrReadTimeout if the timer has fired and the connection is
@@ -59,8 +79,7 @@
 	e.silence.answering = true
 	e.silence.mutex.Unlock()
 	e.conn.limited.onTimeout = func() bool {
-		_ = e.conn.SetReadDeadline(time.Time{})
-		if e.pool.clock.Now().Before(e.silence.until) {
+		if !e.resumeRead() && e.pool.clock.Now().Before(e.silence.until) {
 			return true // an event arrived while the timer fired
 		}
 		e.timedOut.Store(givesUp())
--- a/internal/forwarder/silence_standins_test.go
+++ b/internal/forwarder/silence_standins_test.go
@@ -225,3 +225,15 @@
 func (*relayedConnector) RecordRead()             {}
 func (*relayedConnector) QuietFor() time.Duration { return 0 }
 func (*relayedConnector) RecordSilence(string)    {}
+
+// keptConnector opens direct connections that are open while the node is partitioned.
+type keptConnector struct{ relayedConnector }
+
+func (c *keptConnector) Connect(ctx context.Context, replica, address string) (net.Conn, bool, error) {
+	conn, _, err := c.relayedConnector.Connect(ctx, replica, address)
+	return conn, false, err
+}
+
+func (*keptConnector) Relayed(string) bool     { return false }
+func (*keptConnector) Partitioned() bool       { return true }
+func (*keptConnector) QuietFor() time.Duration { return time.Hour }
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -27,7 +27,7 @@
 // files hold the events that were passed on, the results of the placements and the verdict.
 //
 // The file setup holds the budget, the attempts of the route, and whether the request is
-// suspect. The file placements names the replica of each placement, or "none". The lines of
+// suspect or the node partitioned. The file placements names the replica of each placement, or "none". The lines of
 // script are "replica-1 accept", "replica-1 send <Go string>", "replica-1 gone" (the node
 // closes the connection), "replica-1 open" (it does not), "headed" (events are awaited),
 // "passed <n>" (the caller has n events), "placed <n>" (n placements were asked for, the last
@@ -64,6 +64,9 @@
 		Attempts int
 		// Suspect is set if replicas may crash on the request.
 		Suspect bool
+		// Partitioned is set if the connections are direct ones that are open while the node
+		// is partitioned.
+		Partitioned bool
 	}
 	if err := json.Unmarshal(tester.File(archive, "setup"), &setup); err != nil {
 		t.Fatal(err)
@@ -91,7 +94,11 @@
 			replicas["replica-1"].awaitClose()
 		}
 	}
-	pool, closePool := NewPool(&relayedConnector{}, clock, 1<<20)
+	var connector Connector = &relayedConnector{}
+	if setup.Partitioned {
+		connector = &keptConnector{}
+	}
+	pool, closePool := NewPool(connector, clock, 1<<20)
 	defer closePool()
 	dispatch := &Dispatch{
 		Pool: pool, Codec: codec, Placer: placer, Screen: quietScreen{suspect: setup.Suspect}, Streams: quietStreams{}, View: oldView{}, Clock: clock,
