Read a silent replica while another one is reserved

Callers saw streams that stopped for up to 1.5 s although their replica had gone on, and that then moved to another replica without need.

Cause: the goroutine that reads a stream waited for the placement of a successor, and gave the silent replica up if it got one, whatever had arrived meanwhile.

The reservation now runs beside the read. An event of the replica withdraws it; a result interrupts the read.

TestSilence/returned_waiting failed before ("not reached: passed 2").

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -76,6 +76,9 @@
 func (j *job) forwardStream(ctx context.Context, e *exchange, recordBegun func()) (filter.Verdict, error) {
 	begun := false
 	write := func(event []byte) error {
+		if _, numbered := eventID(event); numbered {
+			j.cancelReservation(e)
+		}
 		j.observeEvent(event)
 		if !begun {
 			begun = true
@@ -94,6 +97,7 @@
 	if err == nil {
 		err = e.forwardEvents(ctx, &j.events, j.eventTimeout(), write)
 	}
+	j.cancelReservation(e)
 	e.release(err)
 	if err != nil {
 		return nil, err
--- a/internal/forwarder/job.go
+++ b/internal/forwarder/job.go
@@ -46,6 +46,8 @@
 	waited     time.Duration
 	// successor is reserved for the rest of a stream whose replica was given up.
 	successor *balancer.Placement
+	// reservation is the search for a successor while the replica is silent.
+	reservation *reservation
 	// result is that of the latest attempt. giveUpAt is set while the request has a replica
 	// but no permit: it is then not given more time to wait.
 	result   balancer.Result
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -49,15 +50,28 @@
 	switch {
 	case e.silence.ended:
 	case e.silence.answering:
-		e.silence.interrupted = true
-		_ = e.conn.SetReadDeadline(time.Unix(1, 0))
+		e.interruptLocked()
 	default:
 		e.conn.Close()
 	}
 }
 
-// resumeRead allows reads after an interruption, and reports whether abort was called since the
-// last one.
+// interrupt interrupts the read of an answer, unless the exchange has ended.
+func (e *exchange) interrupt() {
+	e.silence.mutex.Lock()
+	defer e.silence.mutex.Unlock()
+	if !e.silence.ended {
+		e.interruptLocked()
+	}
+}
+
+func (e *exchange) interruptLocked() {
+	e.silence.interrupted = true
+	_ = e.conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// resumeRead allows reads after an interruption, and reports whether the reading goroutine is to
+// decide before the read timeout is over.
 func (e *exchange) resumeRead() bool {
 	e.silence.mutex.Lock()
 	defer e.silence.mutex.Unlock()
@@ -96,18 +110,40 @@
 	e.conn.limited.onTimeout = nil
 }
 
+// reservation is the search for another replica for the rest of a stream. The silent replica is
+// read meanwhile, because it may go on.
+type reservation struct {
+	cancel context.CancelFunc
+	// ready is set when there is a result, before the read is interrupted. done is closed after
+	// that, and then placement and err are set.
+	ready     atomic.Bool
+	done      chan struct{}
+	placement balancer.Placement
+	err       error
+}
+
 // givesUp reports whether to give up the replica of a stream that has been silent: when the
 // time of the request is over, or when another replica is reserved for the rest. A stream
 // that nobody else can go on with stays, because its replica may still go on.
 func (j *job) givesUp(ctx context.Context, e *exchange) bool {
-	if j.request.Deadline.Sub(j.Clock.Now()) < minTimeLeft || j.reserveSuccessor(ctx, e) {
+	switch {
+	case j.request.Deadline.Sub(j.Clock.Now()) < minTimeLeft:
 		return true
+	case j.reservation != nil && !j.reservation.ready.Load():
+		return false
+	case j.reservation != nil:
+		if j.takeReservation() {
+			return true
+		}
+	case j.reserveSuccessor(ctx, e):
+		return false
 	}
 	e.resetTimeout(j.eventTimeout())
 	return false
 }
 
-// reserveSuccessor reserves another replica for the rest of a stream.
+// reserveSuccessor begins to reserve another replica for the rest of a stream, and reports
+// whether it has. The read is interrupted when that is done.
 func (j *job) reserveSuccessor(ctx context.Context, e *exchange) bool {
 	route := j.forward.Route
 	if !route.Repeatable() || j.possibleRuns+1 >= route.MaxAttempts || j.attemptsSent >= maxAttemptsSent || !j.pay() {
@@ -116,14 +152,48 @@
 	now := j.Clock.Now()
 	need := j.placementNeed(now, j.request.Deadline.Sub(now))
 	need.Excluded = append(slices.Clone(j.excluded), e.attempt.Replica)
-	placement, err := j.place(ctx, need)
-	if err != nil || placement.Refused != nil {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &reservation{cancel: cancel, done: make(chan struct{})}
+	j.reservation = r
+	go func() {
+		defer close(r.done)
+		r.placement, r.err = j.Placer.Place(ctx, need)
+		r.ready.Store(true)
+		e.interrupt()
+	}()
+	return true
+}
+
+// takeReservation ends a reservation that is ready, and reports whether there is a successor.
+func (j *job) takeReservation() bool {
+	r := j.reservation
+	j.reservation = nil
+	<-r.done
+	r.cancel()
+	if r.err != nil {
 		return false
 	}
-	j.successor = &placement
+	j.recordPlacement(r.placement)
+	if r.placement.Refused != nil {
+		return false
+	}
+	j.successor = &r.placement
 	return true
 }
 
+// cancelReservation ends a reservation that is not needed, because the replica has gone on or
+// the answer has ended. It is called before the end of the exchange.
+func (j *job) cancelReservation(e *exchange) {
+	if j.reservation == nil {
+		return
+	}
+	j.reservation.cancel()
+	if j.takeReservation() {
+		j.releaseSuccessor()
+	}
+	e.resumeRead()
+}
+
 // releaseSuccessor returns a reserved replica that is not used.
 func (j *job) releaseSuccessor() {
 	if j.successor != nil {
@@ -138,9 +208,13 @@
 	if err != nil {
 		return placement, err
 	}
+	j.recordPlacement(placement)
+	return placement, nil
+}
+
+func (j *job) recordPlacement(placement balancer.Placement) {
 	j.candidates, j.waited = placement.Candidates, j.waited+placement.Waited
 	j.Observe(Wait{For: waitForReplica, Rank: j.forward.Rank(), Refused: placement.Refused != nil, Duration: placement.Waited})
-	return placement, nil
 }
 
 // pay takes the next attempt from the budget, unless that was done or is not needed. An
--- a/internal/forwarder/silence_standins_test.go
+++ b/internal/forwarder/silence_standins_test.go
@@ -126,20 +126,27 @@
 }
 
 // listedPlacer places requests on the replicas in order. The replica "none" stands for a
-// refusal, and so does the end of the list.
+// refusal, and so does the end of the list. At "wait", the request waits until it is withdrawn.
 type listedPlacer struct {
 	replicas []balancer.Placement
 	order    []string
 	asked    atomic.Int64
+	// waiting counts the requests that have begun to wait.
+	waiting atomic.Int64
 
 	mutex sync.Mutex
 	// ended holds the results of the placements by their numbers.
 	ended map[runner.Call]balancer.Result
 }
 
-func (p *listedPlacer) Place(context.Context, balancer.Need) (balancer.Placement, error) {
+func (p *listedPlacer) Place(ctx context.Context, _ balancer.Need) (balancer.Placement, error) {
 	defer p.asked.Add(1)
 	if asked := int(p.asked.Load()); asked < len(p.order) {
+		if p.order[asked] == "wait" {
+			p.waiting.Add(1)
+			<-ctx.Done()
+			return balancer.Placement{}, ctx.Err()
+		}
 		for _, placement := range p.replicas {
 			if placement.Replica == p.order[asked] {
 				placement.ID = runner.Call(asked + 1)
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -31,7 +31,7 @@
 // script are "replica-1 accept", "replica-1 send <Go string>", "replica-1 gone" (the node
 // closes the connection), "replica-1 open" (it does not), "headed" (events are awaited),
 // "passed <n>" (the caller has n events), "placed <n>" (n placements were asked for, the last
-// in vain), and "advance <duration>". The file head-delay holds the time that passes between
+// in vain), "waiting <n>" (n placements have begun to wait), and "advance <duration>". The file head-delay holds the time that passes between
 // the arrival of the first head and its handling.
 func TestSilence(t *testing.T) {
 	paths, err := filepath.Glob("testdata/silence/*.txtar")
@@ -127,6 +127,8 @@
 		case "passed":
 			await(t, line, func() bool { return writer.count() >= count })
 			awaitTimer(t, clock)
+		case "waiting":
+			await(t, line, func() bool { return int(placer.waiting.Load()) >= count })
 		case "placed":
 			await(t, line, func() bool { return int(placer.asked.Load()) >= count })
 			awaitTimer(t, clock)
