Keep carried connections while an answer pauses

Callers of a node whose connections lead through another one saw streams cut, and requests that may run once answered with 502, when a sound replica was silent for a second in the middle of its answer while that other node was partitioned or shut down.

Cause: such a node reset each carried connection on which the replica was the last to send something and had been silent for 1 s, to free idle connections, and cannot tell these from paused answers.

It now asks the other node, which can, for no other request on the connection, by a frame of a length that is not used otherwise, and resets the connection after 2.5 s. Nodes that do not announce with Relay-Notices that they take such frames get none, and keep the limit of 1 s: they would use the connection.

TestPartitionedPeerRetiresConnections takes the place of TestPartitionedPeerClosesSilentConnections: an idle connection must be unusable at once, and be closed within 2.6 s, and a paused answer must go on. With the old limit it fails ("an answer ends in the middle: ... connection reset by peer").

--- a/internal/assembler/relay.go
+++ b/internal/assembler/relay.go
@@ -50,7 +50,7 @@
 func (n *Node) closeIdle() {
 	n.pool.CloseUnusable()
 	if n.relayer.Partitioned() {
-		n.carrier.CloseSilent()
+		n.carrier.Retire()
 	}
 }
 
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -158,7 +158,7 @@
 // node carries, and closes those connections that are idle.
 func (n *Node) finishCarried(ctx context.Context) {
 	for {
-		n.carrier.CloseSilent()
+		n.carrier.Retire()
 		if n.carrier.Open() == 0 {
 			return
 		}
--- a/internal/forwarder/partition_test.go
+++ b/internal/forwarder/partition_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"bufio"
 	"net"
 	"testing"
 	"time"
@@ -41,3 +42,27 @@
 		t.Errorf("the connection of the next exchange: %v", err)
 	}
 }
+
+// retiredConn leads through a node that takes no other request on it.
+type retiredConn struct{ net.Conn }
+
+func (retiredConn) Retired() bool { return true }
+
+// TestRetiredConnectionIsNotReused guards against a request that is sent through a node that is
+// partitioned or shuts down, and is lost with the connection.
+func TestRetiredConnectionIsNotReused(t *testing.T) {
+	for _, retired := range []bool{false, true} {
+		conn, replica := net.Pipe()
+		defer replica.Close()
+		pool, closePool := NewPool(&relayedConnector{}, clockwork.NewFakeClock(), 1<<20)
+		defer closePool()
+		kept := &connection{Conn: conn, reader: bufio.NewReader(conn)}
+		if retired {
+			kept.Conn = retiredConn{conn}
+		}
+		pool.put("10.0.0.1:1", kept, 0)
+		if reused := pool.pop("10.0.0.1:1") != nil; reused == retired {
+			t.Errorf("retired: %v, reused: %v", retired, reused)
+		}
+	}
+}
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -141,7 +141,7 @@
 		keepAlive = defaultKeepAlive
 	}
 	keepAlive -= keepAliveMargin
-	if keepAlive <= 0 || len(conn.unserved) > maxUnserved || conn.reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
+	if keepAlive <= 0 || conn.isRetired() || len(conn.unserved) > maxUnserved || conn.reader.Buffered() > 0 || conn.SetDeadline(time.Time{}) != nil {
 		conn.Close()
 		return
 	}
@@ -193,6 +193,13 @@
 	})
 }
 
+// isRetired reports whether the node through which the connection leads takes no other request
+// on it.
+func (c *connection) isRetired() bool {
+	retirable, ok := c.Conn.(interface{ Retired() bool })
+	return ok && retirable.Retired()
+}
+
 // hasNoInput reports whether nothing has been received on an idle connection:
 // neither its end nor an unsolicited response.
 func (c *connection) hasNoInput() bool {
--- a/internal/messenger/relay.go
+++ b/internal/messenger/relay.go
@@ -19,6 +19,9 @@
 	relayPath = "/peer/v1/relay"
 	// relayProtocol is what a connection becomes once the peer has connected to the replica.
 	relayProtocol = "toucanhitch-relay"
+	// relayNotices is a header of nodes that understand a retirement. Those of an older version
+	// would take it for a frame.
+	relayNotices = "Relay-Notices"
 	// relayHeadBytes fits the head and the refusal of a peer.
 	relayHeadBytes = 1 << 10
 )
@@ -61,6 +64,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Connection", "Upgrade")
 	request.Header.Set("Upgrade", relayProtocol)
+	request.Header.Set(relayNotices, "1")
 	if err := request.Write(conn); err != nil {
 		return merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s: %v", peer, err))
 	}
@@ -94,7 +98,7 @@
 // Carrier connects other nodes with replicas.
 type Carrier interface {
 	Connect(ctx context.Context, replica relayer.Replica) (net.Conn, func(), error)
-	Carry(node, replica net.Conn)
+	Carry(node, replica net.Conn, takesNotices bool)
 }
 
 // HandleRelay registers the handler of relayed connections.
@@ -121,7 +125,7 @@
 			return
 		}
 		if _, err := conn.Write([]byte(relayAccepted)); err == nil {
-			carrier.Carry(conn, replica)
+			carrier.Carry(conn, replica, r.Header.Get(relayNotices) != "")
 		}
 	})
 }
--- a/internal/messenger/relay_test.go
+++ b/internal/messenger/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -169,30 +170,47 @@
 	}
 }
 
-// TestPartitionedPeerClosesSilentConnections guards against idle connections through a peer that
-// is partitioned as well, on which requests are lost, and against the end of those on which a
-// request waits for its answer.
-func TestPartitionedPeerClosesSilentConnections(t *testing.T) {
+// TestPartitionedPeerRetiresConnections guards against idle connections through a peer that is
+// partitioned as well, on which requests are lost, and against the end of those on which a request
+// waits for its answer, or on which a sound replica is silent for 1.5 s in the middle of an answer.
+func TestPartitionedPeerRetiresConnections(t *testing.T) {
+	goOn := make(chan struct{})
 	replica := startReplica(t, func(conn *net.TCPConn) {
-		_, _ = io.ReadFull(conn, make([]byte, 4))
+		request := make([]byte, 4)
+		_, _ = io.ReadFull(conn, request)
 		_, _ = conn.Write([]byte("answer"))
+		if string(request) == "half" {
+			<-goOn
+			_, _ = conn.Write([]byte("second"))
+		}
 		_, _ = io.Copy(io.Discard, conn)
 	})
 	carrier, peer, _ := newRelayPeer(t, admitAll)
-	idle, waiting := relay(t, peer, replica), relay(t, peer, replica)
-	for _, conn := range []net.Conn{idle, waiting} {
-		_, _ = conn.Write([]byte("ask\n"))
+	idle, waiting, paused := relay(t, peer, replica), relay(t, peer, replica), relay(t, peer, replica)
+	for conn, request := range map[net.Conn]string{idle: "ask\n", waiting: "ask\n", paused: "half"} {
+		_, _ = io.WriteString(conn, request)
 		if _, err := io.ReadFull(conn, make([]byte, 6)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	carrier.CloseSilent()
-	time.Sleep(1100 * time.Millisecond)
+	carrier.Retire()
+	awaitInput(t, idle)
+	for range 3 {
+		time.Sleep(500 * time.Millisecond)
+		carrier.Retire()
+	}
+	close(goOn)
+	if _, err := io.ReadFull(paused, make([]byte, 6)); err != nil {
+		t.Errorf("an answer ends in the middle: %v", err)
+	}
+	if retirable, ok := paused.(interface{ Retired() bool }); !ok || !retirable.Retired() {
+		t.Error("the connection may be used for another request after its answer")
+	}
 	if _, err := waiting.Write([]byte("ask\n")); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(50 * time.Millisecond)
-	carrier.CloseSilent()
+	time.Sleep(1100 * time.Millisecond)
+	carrier.Retire()
 	if _, err := idle.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("the idle connection stays open: %v", err)
 	}
@@ -202,6 +220,71 @@
 	}
 }
 
+// awaitInput waits until an idle connection has input, with which no request is sent on it.
+func awaitInput(t *testing.T, conn net.Conn) {
+	t.Helper()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(relayTestTimeout / 10); ; time.Sleep(time.Millisecond) {
+		var n int
+		_ = raw.Control(func(fd uintptr) {
+			n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+		if n > 0 {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Error("a request may still be sent on the idle connection")
+			return
+		}
+	}
+}
+
+// TestPeerClosesIdleConnectionsOfOlderNodes guards against a retirement that a node of an older
+// version takes for a frame, and against an idle connection of such a node, on which its next
+// request would be lost.
+func TestPeerClosesIdleConnectionsOfOlderNodes(t *testing.T) {
+	clock := clockwork.NewRealClock()
+	carrier, closeCarrier := relayer.NewCarrier(relayer.CarrierSettings{
+		Clock: clock, Ways: relayer.New(relayer.Settings{Clock: clock, LogError: func(error) {}}), Count: func(string) {},
+	})
+	defer closeCarrier()
+	replica := startReplica(t, func(conn *net.TCPConn) {
+		_, _ = conn.Write([]byte("answer"))
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	accepted := make(chan net.Conn, 1)
+	listener := listenLoopback(t)
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	node, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	toReplica, err := net.Dial("tcp", replica.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go carrier.Carry(<-accepted, toReplica, false)
+	_ = node.SetDeadline(time.Now().Add(relayTestTimeout))
+	received := make([]byte, 8)
+	if _, err := io.ReadFull(node, received); err != nil || string(received) != "\x00\x06answer" {
+		t.Fatalf("%q, %v", received, err)
+	}
+	carrier.Retire()
+	time.Sleep(1100 * time.Millisecond)
+	carrier.Retire()
+	if n, err := node.Read(received); n > 0 || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%q, %v; want the end of the connection", received[:n], err)
+	}
+}
+
 // TestPeerRefusesToRelay guards against a peer that is an open proxy, that relays without bound,
 // or that does not tell a replica that it cannot reach from a refusal.
 func TestPeerRefusesToRelay(t *testing.T) {
--- a/internal/relayer/carrier.go
+++ b/internal/relayer/carrier.go
@@ -24,9 +24,12 @@
 	// carryShare is the part of the connections that a node accepts that may be relayed ones.
 	carryShare = 4
 	// carriedSilence is how long a replica has sent nothing more on a carried connection before
-	// the connection is closed because this node is partitioned or shuts down. Streams pause for
-	// up to 0.6 s.
-	carriedSilence = time.Second
+	// the connection is closed because this node is partitioned or shuts down. A sound replica
+	// may be silent for over a second in the middle of an answer.
+	carriedSilence = 2500 * time.Millisecond
+	// unnoticedSilence is the same for connections of nodes that take no notices, which would
+	// use them for another request meanwhile.
+	unnoticedSilence = time.Second
 	// minCarried is the smallest limit of relayed connections.
 	minCarried = 8
 )
@@ -77,6 +80,9 @@
 	// fromNode and fromReplica are when each last sent something, in nanoseconds since
 	// startedAt.
 	fromNode, fromReplica atomic.Int64
+	// takesNotices is set if the node understands a retirement, and retired once it was sent.
+	takesNotices bool
+	retired      atomic.Bool
 }
 
 // NewCarrier returns a carrier and a function that closes its connections.
@@ -142,9 +148,9 @@
 // Carry copies bytes between a node and a replica until either closes its connection, and
 // closes both. The bytes of the replica are framed, and the last frame is sent only if the
 // replica has closed its connection in order. Otherwise, also if this process is killed, the
-// node's connection is reset.
-func (c *Carrier) Carry(node, replica net.Conn) {
-	carried := &carriedConnection{node: node, replica: replica, clock: c.settings.Clock, startedAt: c.settings.Clock.Now()}
+// node's connection is reset. takesNotices is set if the node understands a retirement.
+func (c *Carrier) Carry(node, replica net.Conn, takesNotices bool) {
+	carried := &carriedConnection{node: node, replica: replica, takesNotices: takesNotices, clock: c.settings.Clock, startedAt: c.settings.Clock.Now()}
 	defer c.track(carried)()
 	stop := context.AfterFunc(c.closed, carried.close)
 	defer stop()
@@ -168,7 +174,7 @@
 	}
 }
 
-// track adds a connection to those that CloseSilent considers, and returns the function that
+// track adds a connection to those that Retire considers, and returns the function that
 // removes it.
 func (c *Carrier) track(carried *carriedConnection) func() {
 	c.mutex.Lock()
@@ -181,21 +187,36 @@
 	}
 }
 
-// CloseSilent closes the connections on which the replica was the last to send something and
-// has been silent since. It is called while this node is partitioned or shuts down: they are idle, and
-// would swallow a request, or an answer has stopped.
-func (c *Carrier) CloseSilent() {
+// Retire asks the nodes to send no other request on their connections, and closes those on which
+// the replica was the last to send something and has been silent since. It is called while this
+// node is partitioned or shuts down: they are idle, and would swallow a request, or an answer has
+// stopped.
+func (c *Carrier) Retire() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for carried := range c.carried {
+		limit := unnoticedSilence
+		if carried.takesNotices {
+			limit = carriedSilence
+			carried.retire()
+		}
 		fromReplica := carried.fromReplica.Load()
 		silence := carried.clock.Since(carried.startedAt) - time.Duration(fromReplica)
-		if fromReplica > carried.fromNode.Load() && silence >= carriedSilence {
+		if fromReplica > carried.fromNode.Load() && silence >= limit {
 			carried.close()
 		}
 	}
 }
 
+// retire sends a retirement to the node, once. It does not block: a node that reads slowly lets
+// the write wait until the connection ends.
+func (c *carriedConnection) retire() {
+	if c.retired.Swap(true) {
+		return
+	}
+	go func() { _, _ = c.node.Write(binary.BigEndian.AppendUint16(nil, retirement)) }()
+}
+
 func (c *carriedConnection) close() {
 	_ = c.node.Close()
 	_ = c.replica.Close()
--- a/internal/relayer/frame.go
+++ b/internal/relayer/frame.go
@@ -13,6 +13,10 @@
 // frameHeadBytes is the size of the length, in big endian, before the bytes of a frame.
 const frameHeadBytes = 2
 
+// retirement is the length, above that of any frame, which tells the node to send no other request
+// on the connection. No bytes follow it.
+const retirement = 1<<16 - 1
+
 // Unframe returns a connection that reads what a replica sends from the frames of a carrier. Its
 // reads end with io.EOF only if the replica has ended its connection, and with
 // io.ErrUnexpectedEOF if the carrier has: an answer without a length would look complete. Writes
@@ -26,9 +30,13 @@
 	// headBytes is the number of bytes of the head that were read, and remaining that of the
 	// frame that were not.
 	headBytes, remaining int
-	ended                bool
+	ended, retired       bool
 }
 
+// Retired reports whether the carrier has asked for no other request on the connection. A
+// retirement that has not been read yet is input on an idle connection.
+func (c *framedConn) Retired() bool { return c.retired }
+
 // Read implements net.Conn.
 func (c *framedConn) Read(buffer []byte) (int, error) {
 	for c.remaining == 0 {
@@ -54,6 +62,10 @@
 		}
 	}
 	c.headBytes, c.remaining = 0, int(binary.BigEndian.Uint16(c.head[:]))
+	if c.remaining == retirement {
+		c.remaining, c.retired = 0, true
+		return nil
+	}
 	c.ended = c.remaining == 0
 	return nil
 }
