Give up a silent replica before its answer only for a successor

Callers got 504 after 0.3 s or more, with most of their time left, from sound replicas that were silent for a second, when no budget or no replica was left for another attempt.

Cause: the first-byte time limit closed the connection, and only then it was known whether another attempt was possible.

The time limit now interrupts the read. As for begun streams, a successor and its budget are reserved first, beside the read; without one the replica keeps the request until its deadline, and is reconsidered once in a latency objective.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -24,7 +24,7 @@
 		hold := BufferHold{Budget: e.pool.buffers}
 		_, err := e.readAll(ctx, &hold)
 		hold.Release()
-		e.release(err)
+		j.endExchange(e, err)
 		return nil, nil
 	case !head.Authentic, head.Encoded:
 		e.close()
@@ -38,7 +38,7 @@
 	// The body is held until the caller has read it.
 	j.forward.Releases = append(j.forward.Releases, hold.Release)
 	body, err := e.readAll(ctx, hold)
-	e.release(err)
+	j.endExchange(e, err)
 	if err != nil {
 		return nil, err
 	}
@@ -63,8 +63,10 @@
 	return nil, nil
 }
 
-// release returns the connection to the pool, or closes it after an error.
-func (e *exchange) release(err error) {
+// endExchange returns the connection to the pool, or closes it after an error. A successor that
+// is being reserved is not needed any more.
+func (j *job) endExchange(e *exchange, err error) {
+	j.cancelReservation(e)
 	if err != nil {
 		e.close()
 		return
@@ -93,12 +95,9 @@
 		}
 		return j.forward.Writer.Write(event)
 	}
-	err := e.watchSilence(func() bool { return j.givesUp(ctx, e) })
-	if err == nil {
-		err = e.forwardEvents(ctx, &j.events, j.eventTimeout(), write)
-	}
-	j.cancelReservation(e)
-	e.release(err)
+	e.beginAnswer()
+	err := e.forwardEvents(ctx, &j.events, j.eventTimeout(), write)
+	j.endExchange(e, err)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -206,6 +206,13 @@
 	if !errors.Is(err, ErrNotSent) {
 		j.arrivals, j.paid = j.arrivals+1, false
 	}
+	if err == nil {
+		err = exchange.awaitHead(ctx, j.Codec, func() bool { return j.givesUp(ctx, exchange) })
+		j.cancelReservation(exchange)
+		if err != nil {
+			exchange.close()
+		}
+	}
 	if err != nil {
 		result = j.recordFailure(placement, err)
 		j.reportBreak(placement, err, startedAt, false)
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -50,8 +50,8 @@
 	partition partitionWatch
 }
 
-// open sends an attempt and reads the head of its response. It returns ErrNotSent
-// if nothing reached the replica. After any other error the request may run.
+// open sends an attempt. It returns ErrNotSent if nothing reached the replica. After any other
+// error the request may run. The replica counts as silent after the timeout.
 func (p *Pool) open(ctx context.Context, codec Codec, attempt Attempt, timeout time.Duration) (*exchange, error) {
 	conn, err := p.get(ctx, attempt.Replica, attempt.Address, attempt.Forward.Attempt)
 	if err != nil {
@@ -59,17 +59,24 @@
 	}
 	e := &exchange{pool: p, attempt: attempt, conn: conn}
 	e.stopCallerWatch = context.AfterFunc(ctx, func() { conn.Close() })
+	e.silence.until = p.clock.Now().Add(timeout)
 	e.watchdog = p.clock.AfterFunc(timeout, e.expire)
 	e.watchPartition()
 	if err := e.send(codec.EncodeHead(attempt), attempt.Forward.Body); err != nil {
 		e.close()
 		return nil, err
 	}
+	return e, nil
+}
+
+// awaitHead reads the head of the response. givesUp is called when the replica is silent, then
+// and while its answer is read, and the exchange goes on unless it returns true.
+func (e *exchange) awaitHead(ctx context.Context, codec Codec, givesUp func() bool) error {
+	e.watchSilence(givesUp)
 	if err := e.readHead(codec); err != nil {
-		e.close()
-		return nil, e.classifyError(ctx, err)
+		return e.classifyError(ctx, err)
 	}
-	return e, nil
+	return nil
 }
 
 // send writes a request. The body is not copied, since requests hold theirs until they end.
--- a/internal/forwarder/limit.go
+++ b/internal/forwarder/limit.go
@@ -43,8 +43,10 @@
 	// lines is the number of lines that may still be read.
 	lines int
 	// onTimeout, unless nil, is called when a read has reached its deadline. The reader
-	// reads on if it returns true.
+	// reads on if it returns true. Otherwise failed is set, and all later reads fail too: the
+	// parser of heads ignores the first error within a line.
 	onTimeout func() bool
+	failed    error
 }
 
 // limitHead allows the bytes and lines of a head to be read. The lines of a body that
@@ -73,12 +75,16 @@
 
 // readOn reads from the source, after a time-out again if onTimeout allows it.
 func (r *limitedReader) readOn(buffer []byte) (int, error) {
-	for {
+	for r.failed == nil {
 		n, err := r.source.Read(buffer)
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || r.onTimeout == nil || !r.onTimeout() {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
+		if r.onTimeout == nil || !r.onTimeout() {
+			r.failed = err
+		}
 	}
+	return 0, r.failed
 }
 
 // BufferBudget bounds the bytes that all requests of a node hold together, of their bodies
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -7,14 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/ansel1/merry/v2"
-
 	"toucanhitch.example/toucanhitch/internal/balancer"
 )
 
-// silence is what an exchange does about a replica that sends nothing for its read timeout.
-// Before the answer has begun, the connection is closed. Afterwards the read is interrupted,
-// and the goroutine that reads decides whether to go on.
+// silence is what an exchange does about a replica that sends nothing for its read timeout: the
+// read is interrupted, and the goroutine that reads decides whether to go on.
 type silence struct {
 	// until is when the replica counts as silent. Only the reading goroutine uses it.
 	until time.Time
@@ -32,13 +29,8 @@
 func (e *exchange) expire() {
 	e.silence.mutex.Lock()
 	defer e.silence.mutex.Unlock()
-	switch {
-	case e.silence.ended:
-	case e.silence.answering:
+	if !e.silence.ended {
 		_ = e.conn.SetReadDeadline(time.Unix(1, 0))
-	default:
-		e.timedOut.Store(true)
-		e.conn.Close()
 	}
 }
 
@@ -81,25 +73,23 @@
 	return interrupted
 }
 
-// watchSilence ends the timeout of the first byte. From then on givesUp is called when the
-// replica has been silent for the read timeout, and the exchange goes on unless it returns
-// true. watchSilence returns ErrReadTimeout if the timer has fired and the connection is
-// closed: events that arrived before must not begin an answer that nothing can complete.
-func (e *exchange) watchSilence(givesUp func() bool) error {
-	if !e.watchdog.Stop() {
-		return merry.Wrap(ErrReadTimeout, merry.AppendMessage("the first event came with the time-out"))
-	}
-	e.silence.mutex.Lock()
-	e.silence.answering = true
-	e.silence.mutex.Unlock()
+// watchSilence calls givesUp when the replica has been silent for the read timeout. The exchange
+// goes on unless it returns true.
+func (e *exchange) watchSilence(givesUp func() bool) {
 	e.conn.limited.onTimeout = func() bool {
 		if !e.resumeRead() && e.pool.clock.Now().Before(e.silence.until) {
-			return true // an event arrived while the timer fired
+			return true // something arrived while the timer fired
 		}
 		e.timedOut.Store(givesUp())
 		return !e.timedOut.Load()
 	}
-	return nil
+}
+
+// beginAnswer records that the answer of a stream begins.
+func (e *exchange) beginAnswer() {
+	e.silence.mutex.Lock()
+	defer e.silence.mutex.Unlock()
+	e.silence.answering = true
 }
 
 // endSilence makes a timer that has fired ineffective.
@@ -110,8 +100,8 @@
 	e.conn.limited.onTimeout = nil
 }
 
-// reservation is the search for another replica for the rest of a stream. The silent replica is
-// read meanwhile, because it may go on.
+// reservation is the search for another replica. The silent replica is read meanwhile, because it
+// may go on.
 type reservation struct {
 	cancel context.CancelFunc
 	// ready is set when there is a result, before the read is interrupted. done is closed after
@@ -122,9 +112,9 @@
 	err       error
 }
 
-// givesUp reports whether to give up the replica of a stream that has been silent: when the
-// time of the request is over, or when another replica is reserved for the rest. A stream
-// that nobody else can go on with stays, because its replica may still go on.
+// givesUp reports whether to give up a replica that has been silent: when the time of the
+// request is over, or when another replica is reserved for it, or for the rest of its stream. A
+// request that nobody else can take stays, because its replica may still go on.
 func (j *job) givesUp(ctx context.Context, e *exchange) bool {
 	switch {
 	case j.request.Deadline.Sub(j.Clock.Now()) < minTimeLeft:
@@ -138,12 +128,21 @@
 	case j.reserveSuccessor(ctx, e):
 		return false
 	}
-	e.resetTimeout(j.eventTimeout())
+	e.resetTimeout(j.silenceTimeout(e))
 	return false
 }
 
-// reserveSuccessor begins to reserve another replica for the rest of a stream, and reports
-// whether it has. The read is interrupted when that is done.
+// silenceTimeout returns the time after which a replica that was not given up counts as silent
+// again.
+func (j *job) silenceTimeout(e *exchange) time.Duration {
+	if e.head.Status != 0 {
+		return j.eventTimeout()
+	}
+	left := max(minTimeLeft, j.request.Deadline.Sub(j.Clock.Now()))
+	return min(left, max(minFirstByteTimeout, j.forward.Route.Objective))
+}
+
+// reserveSuccessor begins to reserve another replica, and reports whether it has. The read is interrupted when that is done.
 func (j *job) reserveSuccessor(ctx context.Context, e *exchange) bool {
 	route := j.forward.Route
 	if !route.Repeatable() || j.possibleRuns+1 >= route.MaxAttempts || j.attemptsSent >= maxAttemptsSent || !j.pay() {
