Test that a refused successor leaves a stream with its replica

Callers see a stream break off when its replica is silent, another one is reserved for the rest, and that one refuses it without budget for a third attempt, although the first one goes on.

The silent replica is given up when the successor is reserved.

--- a/internal/forwarder/silence_standins_test.go
+++ b/internal/forwarder/silence_standins_test.go
@@ -89,8 +89,8 @@
 	}
 }
 
-// delayingCodec sends one line for a request and reads answers of HTTP. It calls delay after
-// the first head.
+// delayingCodec sends one line for a request and reads answers of HTTP: streams, and refusals with
+// status 503. It calls delay after the first head.
 type delayingCodec struct {
 	delay func()
 	// reading is set once the body of an answer is read, and with it the timer of its events.
@@ -120,7 +120,8 @@
 		c.delay = nil
 	}
 	return ResponseHead{
-		Attempt: "a1", Status: response.StatusCode, Header: response.Header, ContentLength: -1, Authentic: true, Stream: true,
+		Attempt: "a1", Status: response.StatusCode, Header: response.Header, ContentLength: -1,
+		Authentic: true, Stream: response.StatusCode == http.StatusOK, NotRun: response.StatusCode == http.StatusServiceUnavailable,
 		Body: startedBody{response.Body, &c.reading},
 	}, nil
 }
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -33,8 +33,15 @@
 // "passed <n>" (the caller has n events), "placed <n>" (n placements were asked for, the last
 // in vain), "waiting <n>" (n placements have begun to wait), and "advance <duration>". The file head-delay holds the time that passes between
 // the arrival of the first head and its handling.
-func TestSilence(t *testing.T) {
-	paths, err := filepath.Glob("testdata/silence/*.txtar")
+func TestSilence(t *testing.T) { replaySilences(t, "testdata/silence") }
+
+// TestRefusedSuccessorKeepsStream replays scripts of the same kind. It guards against a stream
+// that is broken off because the replica that was reserved for its rest refuses it, although its
+// own replica goes on.
+func TestRefusedSuccessorKeepsStream(t *testing.T) { replaySilences(t, "testdata/silence_refused") }
+
+func replaySilences(t *testing.T, dir string) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*.txtar"))
 	if err != nil || len(paths) == 0 {
 		t.Fatalf("no scripts: %v", err)
 	}
@@ -46,7 +53,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			goldie.New(t, goldie.WithFixtureDir("testdata/silence")).Assert(t, name, replaySilence(t, archive))
+			goldie.New(t, goldie.WithFixtureDir(dir)).Assert(t, name, replaySilence(t, archive))
 		})
 	}
 }
