Count carried connections that are closed for silence

A node whose connection leads through another one logs a reset by that node; the other one showed nothing. It now counts "carried connection closed: silent" under part relayer of toucanhitch_changes_total. docs/protocols.md has the frame that retires a connection.

--- a/internal/messenger/relay_test.go
+++ b/internal/messenger/relay_test.go
@@ -246,9 +246,9 @@
 // version takes for a frame, and against an idle connection of such a node, on which its next
 // request would be lost.
 func TestPeerClosesIdleConnectionsOfOlderNodes(t *testing.T) {
-	clock := clockwork.NewRealClock()
+	clock, counted := clockwork.NewRealClock(), make(chan string, 1)
 	carrier, closeCarrier := relayer.NewCarrier(relayer.CarrierSettings{
-		Clock: clock, Ways: relayer.New(relayer.Settings{Clock: clock, LogError: func(error) {}}), Count: func(string) {},
+		Clock: clock, Ways: relayer.New(relayer.Settings{Clock: clock, LogError: func(error) {}}), Count: func(result string) { counted <- result },
 	})
 	defer closeCarrier()
 	replica := startReplica(t, func(conn *net.TCPConn) {
@@ -283,6 +283,14 @@
 	if n, err := node.Read(received); n > 0 || err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("%q, %v; want the end of the connection", received[:n], err)
 	}
+	select {
+	case result := <-counted:
+		if result != "carried connection closed: silent" {
+			t.Errorf("the end is counted as %q", result)
+		}
+	default:
+		t.Error("the end is not counted")
+	}
 }
 
 // TestPeerRefusesToRelay guards against a peer that is an open proxy, that relays without bound,
--- a/internal/relayer/carrier.go
+++ b/internal/relayer/carrier.go
@@ -42,6 +42,7 @@
 	carryFull         = "not carried: too many connections"
 	carryPartitioned  = "not carried: partitioned"
 	brokenConnections = "carried connection broken"
+	retiredSilent     = "carried connection closed: silent"
 )
 
 // CarrierSettings configures a node's carrier.
@@ -83,6 +84,8 @@
 	// takesNotices is set if the node understands a retirement, and retired once it was sent.
 	takesNotices bool
 	retired      atomic.Bool
+	// closed is set once the connection was closed because of silence.
+	closed atomic.Bool
 }
 
 // NewCarrier returns a carrier and a function that closes its connections.
@@ -202,7 +205,8 @@
 		}
 		fromReplica := carried.fromReplica.Load()
 		silence := carried.clock.Since(carried.startedAt) - time.Duration(fromReplica)
-		if fromReplica > carried.fromNode.Load() && silence >= limit {
+		if fromReplica > carried.fromNode.Load() && silence >= limit && !carried.closed.Swap(true) {
+			c.settings.Count(retiredSilent)
 			carried.close()
 		}
 	}
