Add a failing test of a silent stream that is given up for its own replica

A stream whose replica is silent for 2.5 s is given up if another replica is reserved for the rest. The reserved replica may be the silent one: its connection is closed although it may go on, it answers the repeated request with 503 or starts again, and the node may break the stream off.

Cause: reserveSuccessor excludes the silent replica, but the balancer places requests at excluded replicas after avoidanceTimeout (0.9 s), and a successor is waited for up to 1.5 s. In the traces the silence lasts 3.4 s or more, which is 2.5 s and 0.9 s.

--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -33,8 +33,15 @@
 // "passed <n>" (the caller has n events), "placed <n>" (n placements were asked for, the last
 // in vain), and "advance <duration>". The file head-delay holds the time that passes between
 // the arrival of the first head and its handling.
-func TestSilence(t *testing.T) {
-	paths, err := filepath.Glob("testdata/silence/*.txtar")
+func TestSilence(t *testing.T) { runSilenceScripts(t, "testdata/silence") }
+
+// TestSuccessorIsAnotherReplica replays scripts in which the placement for the rest of a
+// silent stream is the silent replica. It guards against a stream that is given up, and then
+// broken off, in favour of the replica that it is at.
+func TestSuccessorIsAnotherReplica(t *testing.T) { runSilenceScripts(t, "testdata/successor") }
+
+func runSilenceScripts(t *testing.T, directory string) {
+	paths, err := filepath.Glob(filepath.Join(directory, "*.txtar"))
 	if err != nil || len(paths) == 0 {
 		t.Fatalf("no scripts: %v", err)
 	}
@@ -46,7 +53,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			goldie.New(t, goldie.WithFixtureDir("testdata/silence")).Assert(t, name, replaySilence(t, archive))
+			goldie.New(t, goldie.WithFixtureDir(directory)).Assert(t, name, replaySilence(t, archive))
 		})
 	}
 }
