--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -40,6 +40,11 @@
 // own replica goes on.
 func TestRefusedSuccessorKeepsStream(t *testing.T) { replaySilences(t, "testdata/silence_refused") }
 
+// TestSuccessorIsAnotherReplica replays scripts in which the placement for the rest of a
+// silent stream is the silent replica. It guards against a stream that is given up, and then
+// broken off, in favour of the replica that it is at.
+func TestSuccessorIsAnotherReplica(t *testing.T) { replaySilences(t, "testdata/successor") }
+
 func replaySilences(t *testing.T, dir string) {
 	paths, err := filepath.Glob(filepath.Join(dir, "*.txtar"))
 	if err != nil || len(paths) == 0 {
