--- a/internal/assembler/logs.go
+++ b/internal/assembler/logs.go
@@ -9,6 +9,7 @@
 	"toucanhitch.example/toucanhitch/internal/filter"
 	"toucanhitch.example/toucanhitch/internal/forwarder"
 	"toucanhitch.example/toucanhitch/internal/logger"
+	"toucanhitch.example/toucanhitch/internal/messenger"
 	"toucanhitch.example/toucanhitch/internal/planner"
 	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/sequencer"
@@ -245,3 +246,11 @@
 	}
 	return nil
 }
+
+// logFormUse counts the messages of nodes of other builds, and logs the first of a kind.
+func (n *Node) logFormUse(use messenger.FormUse) {
+	n.meter.RecordChange("messenger", use.Text)
+	if use.First {
+		n.logger.WithFields(logrus.Fields{"Peer": use.Peer, "Path": use.Path}).Warn(use.Text)
+	}
+}
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -175,6 +175,7 @@
 	n.store = store
 	engines, closeEngines := platform.NewEngineClient(n.settings.Node, dialer)
 	peers, closePeers := messenger.NewClientWithDialer(n.clock, dialer)
+	peers.Observe = n.logFormUse
 	n.peers = peers
 	closeCarrier := n.createRelayer(dialer)
 	pool, closePool := forwarder.NewPool(n.relayer, n.clock, bufferBytes(n.settings.MemoryMB))
@@ -328,11 +329,12 @@
 // peerHandler handles requests of other nodes and of monitoring.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	messenger.HandleReport(mux, n.handleReport)
+	messenger.HandleReport(mux, messenger.ReportSettings{Answer: n.handleReport, Observe: n.logFormUse})
 	messenger.HandleStreams(mux, n.rememberStreams, n.resumer.LookUp)
 	messenger.HandleExplain(mux, n.explain)
 	messenger.HandleRelay(mux, n.carrier)
 	messenger.HandlePermits(mux, n.permitter.Acquire, func(release permitter.Release) error { return n.permitter.Post(release) })
+	messenger.HandleUnknown(mux, n.logFormUse)
 	mux.Handle("GET /metrics", n.meter.Handler())
 	return mux
 }
--- a/internal/encoder/json.go
+++ b/internal/encoder/json.go
@@ -71,6 +71,16 @@
 	return Decode[T](data)
 }
 
+// DecodeLenientFrom is like DecodeFrom but ignores unknown fields.
+func DecodeLenientFrom[T any](r io.Reader, limit int64) (T, error) {
+	data, err := Read(r, limit)
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	return DecodeLenient[T](data)
+}
+
 // Encode returns the JSON encoding of value. It panics if value cannot be
 // encoded.
 func Encode(value any) []byte {
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -21,6 +21,9 @@
 	// ErrRefused reports that the peer answered with an error, or that the
 	// address is invalid: the message was not processed.
 	ErrRefused = merry.Sentinel("peer refused the message")
+	// ErrUnknownMessage reports that the peer does not know the message or its form, because
+	// it is of another build. It is an ErrRefused as well.
+	ErrUnknownMessage = merry.Wrap(merry.Sentinel("peer does not know the message"), merry.WithCause(ErrRefused))
 )
 
 const (
@@ -40,6 +43,11 @@
 	clock     clockwork.Clock
 	transport *http.Transport
 	timeout   time.Duration
+	// Observe gets the messages in an earlier form. It must not block, and be set before the
+	// first message is sent.
+	Observe     func(FormUse)
+	reportForms []Form
+	forms       peerForms
 }
 
 // NewClient returns a client and a function that closes its connections.
@@ -55,7 +63,7 @@
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    2,
 	}
-	client := &Client{clock: clock, transport: transport, timeout: exchangeTimeout}
+	client := &Client{clock: clock, transport: transport, timeout: exchangeTimeout, Observe: func(FormUse) {}, reportForms: reportForms}
 	return client, transport.CloseIdleConnections
 }
 
@@ -81,9 +89,13 @@
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		detail, _ := encoder.Read(response.Body, 1<<10)
-		return zero, merry.Wrap(ErrRefused, merry.AppendMessagef("%s%s: %s: %s", address, path, response.Status, detail))
+		refusal := ErrRefused
+		if response.StatusCode == http.StatusNotFound {
+			refusal = ErrUnknownMessage
+		}
+		return zero, merry.Wrap(refusal, merry.AppendMessagef("%s%s: %s: %s", address, path, response.Status, detail))
 	}
-	answer, err := encoder.DecodeFrom[R](response.Body, maxMessageBytes)
+	answer, err := encoder.DecodeLenientFrom[R](response.Body, maxMessageBytes)
 	if err != nil {
 		c.transport.CloseIdleConnections()
 		return zero, merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s%s: %v", address, path, err))
@@ -92,11 +104,11 @@
 }
 
 // Handle returns a handler that decodes the request and responds with the result
-// of answer. It responds with 400 to a malformed request, and with 503 and the
+// of answer. Fields that it does not know are ignored: later builds add fields. It responds with 400 to a malformed request, and with 503 and the
 // error text if answer fails.
 func Handle[Q, R any](answer func(context.Context, Q) (R, error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		request, err := encoder.DecodeFrom[Q](r.Body, maxMessageBytes)
+		request, err := encoder.DecodeLenientFrom[Q](r.Body, maxMessageBytes)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
--- a/internal/messenger/relay.go
+++ b/internal/messenger/relay.go
@@ -72,7 +72,7 @@
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		return nil
 	}
-	refusal, err := encoder.DecodeFrom[relayRefusal](response.Body, relayHeadBytes)
+	refusal, err := encoder.DecodeLenientFrom[relayRefusal](response.Body, relayHeadBytes)
 	switch {
 	case err != nil:
 		return merry.Wrap(relayer.ErrPeerRefused, merry.AppendMessagef("%s: %s", peer, response.Status))
@@ -100,7 +100,7 @@
 // HandleRelay registers the handler of relayed connections.
 func HandleRelay(mux *http.ServeMux, carrier Carrier) {
 	mux.HandleFunc("POST "+relayPath, func(w http.ResponseWriter, r *http.Request) {
-		request, err := encoder.DecodeFrom[relayRequest](r.Body, relayHeadBytes)
+		request, err := encoder.DecodeLenientFrom[relayRequest](r.Body, relayHeadBytes)
 		if err != nil || r.Header.Get("Upgrade") != relayProtocol {
 			http.Error(w, "relay: an upgrade to "+relayProtocol+" with a replica is required", http.StatusBadRequest)
 			return
--- a/internal/messenger/report_test.go
+++ b/internal/messenger/report_test.go
@@ -48,7 +48,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			mux := http.NewServeMux()
-			HandleReport(mux, func(context.Context, planner.Report) (planner.Answer, error) { return test.answer, nil })
+			HandleReport(mux, ReportSettings{Answer: func(context.Context, planner.Report) (planner.Answer, error) { return test.answer, nil }})
 			size := 0
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				recorder := httptest.NewRecorder()
--- a/internal/messenger/shared.go
+++ b/internal/messenger/shared.go
@@ -45,7 +45,7 @@
 	if len(encoded) == 0 {
 		return nil, nil
 	}
-	value, err := encoder.Decode[V](encoded)
+	value, err := encoder.DecodeLenient[V](encoded)
 	if err != nil {
 		return nil, err
 	}
@@ -56,6 +56,8 @@
 // It recognizes a value by its address and keeps the last maxSharedEncodings
 // encodings.
 type sharedEncoder[V any] struct {
+	// restrict returns what of a value is encoded. If it is nil, everything is.
+	restrict   func(V) V
 	mutex      sync.Mutex
 	encoded    map[*V]sharedPart
 	compressor *flate.Writer
@@ -74,7 +76,11 @@
 	if s.encoded == nil || len(s.encoded) >= maxSharedEncodings {
 		s.encoded = map[*V]sharedPart{}
 	}
-	part := sharedPart{Plain: encoder.Encode(value)}
+	encoded := *value
+	if s.restrict != nil {
+		encoded = s.restrict(encoded)
+	}
+	part := sharedPart{Plain: encoder.Encode(encoded)}
 	if len(part.Plain) >= minCompressedBytes {
 		part = sharedPart{Compressed: s.compress(part.Plain)}
 	}
