Grant own permits where the granter is of a build without them

A node requests the permit of itself after a 404, which a granter that has the message does not answer. The first use is logged for each granter, and all are counted.

--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -98,20 +98,21 @@
 	balancer *balancer.Task
 	// permitter grants permits for brittle replicas, and granters holds the peer addresses
 	// of the nodes that do, by their addresses for callers.
-	permitter *permitter.Task
-	granters  atomic.Pointer[map[string]string]
-	cacher    cacheReader
-	relays    relayLists
-	rationer  *rationer.Task
-	screener  *screener.Task
-	resumer   *resumer.Task
-	syncer    *syncer.Task
-	leaser    *leaser.Task
-	peers     *messenger.Client
-	relayer   *relayer.Task
-	carrier   *relayer.Carrier
-	pool      *forwarder.Pool
-	budgets   *forwarder.Budgets
+	permitter  *permitter.Task
+	granters   atomic.Pointer[map[string]string]
+	ownPermits ownPermits
+	cacher     cacheReader
+	relays     relayLists
+	rationer   *rationer.Task
+	screener   *screener.Task
+	resumer    *resumer.Task
+	syncer     *syncer.Task
+	leaser     *leaser.Task
+	peers      *messenger.Client
+	relayer    *relayer.Task
+	carrier    *relayer.Carrier
+	pool       *forwarder.Pool
+	budgets    *forwarder.Budgets
 	// durations are those of the answers to callers.
 	durations *forwarder.Durations
 
--- a/internal/assembler/permits.go
+++ b/internal/assembler/permits.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -10,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanhitch.example/toucanhitch/internal/balancer"
+	"toucanhitch.example/toucanhitch/internal/messenger"
 	"toucanhitch.example/toucanhitch/internal/permitter"
 	"toucanhitch.example/toucanhitch/internal/planner"
 )
@@ -36,12 +39,29 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, n.clock, permitTimeout)
 	defer cancel()
-	return n.peers.AcquirePermit(ctx, address, request)
+	decision, err := n.peers.AcquirePermit(ctx, address, request)
+	if errors.Is(err, messenger.ErrUnknownMessage) {
+		return p.acquireOwn(ctx, address, request)
+	}
+	return decision, err
+}
+
+// acquireOwn requests a permit of this node, because the granter is of a build without permits.
+// Nodes of that build send requests without one.
+func (p permits) acquireOwn(ctx context.Context, granter string, request permitter.Request) (permitter.Decision, error) {
+	n := p.node
+	n.logFormUse(messenger.FormUse{Text: "granter of permits is of a build without them", Peer: granter, First: n.ownPermits.replaceGranter(granter)})
+	request.CountActive = true
+	decision, err := n.permitter.Acquire(ctx, request)
+	if decision.Granted {
+		n.ownPermits.add(request.Permit)
+	}
+	return decision, err
 }
 
 func (p permits) Release(granter string, release permitter.Release) {
 	n := p.node
-	if granter == n.self.CallerAddress {
+	if n.ownPermits.remove(release.Permit) || granter == n.self.CallerAddress {
 		n.logPostError("permitter", n.permitter.Post(release))
 		return
 	}
@@ -50,6 +70,44 @@
 	}
 }
 
+// ownPermits are the permits in use that this node has granted itself in place of another
+// granter.
+type ownPermits struct {
+	mutex    sync.Mutex
+	permits  map[permitter.Permit]bool
+	granters map[string]bool
+}
+
+// replaceGranter reports whether this node replaces the granter for the first time.
+func (o *ownPermits) replaceGranter(granter string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.granters == nil {
+		o.granters = map[string]bool{}
+	}
+	first := !o.granters[granter]
+	o.granters[granter] = true
+	return first
+}
+
+func (o *ownPermits) add(permit permitter.Permit) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.permits == nil {
+		o.permits = map[permitter.Permit]bool{}
+	}
+	o.permits[permit] = true
+}
+
+// remove removes a permit and reports whether it was there.
+func (o *ownPermits) remove(permit permitter.Permit) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	found := o.permits[permit]
+	delete(o.permits, permit)
+	return found
+}
+
 // peerAddress returns the address for other nodes of a node that callers may use.
 func (n *Node) peerAddress(callerAddress string) (string, bool) {
 	granters := n.granters.Load()
--- a/internal/permitter/controller.go
+++ b/internal/permitter/controller.go
@@ -121,7 +121,7 @@
 		return Decision{RetryAfter: pause + c.retryAfter(replica)}
 	}
 	used := len(replica.Permits)
-	if now.Sub(replica.Since) < settleTime {
+	if request.CountActive || now.Sub(replica.Since) < settleTime {
 		used = max(used, request.Active)
 	}
 	if used >= replica.limit(now, request.Capacity) {
--- a/internal/permitter/message.go
+++ b/internal/permitter/message.go
@@ -26,6 +26,9 @@
 	// Capacity is the number of requests that the replica may run, and Active the number
 	// of those that the node knows of.
 	Capacity, Active int
+	// CountActive is set if other nodes send requests to the replica without a permit of the
+	// same granter, so that Active must be counted as well. It is not sent to other nodes.
+	CountActive bool `json:",omitempty"`
 	// MaxRefusals is the number of requests that the replica can turn away in a second.
 	MaxRefusals int `json:",omitempty"`
 	// TTL is the time after which the permit expires if it is not released.
