Ignore unknown fields in objects of later builds

A field that a later build adds to a lease, a placement, a segment or a pushed item made the whole object unreadable for the builds before, as they decode it strictly. An unreadable lease was left alone without any log line: the node looked like one whose store does not answer.

Objects and items of other nodes are decoded like their messages: unknown fields are ignored. A lease that cannot be decoded at all is still neither taken nor followed; its first read is logged and all are counted. A peer that does not know relayed connections is logged once as well.

--- a/internal/assembler/lease.go
+++ b/internal/assembler/lease.go
@@ -21,3 +21,13 @@
 		n.logPostError("leaser", n.leaser.Resume(placementLease))
 	}
 }
+
+// logUnreadableLease counts the reads of a lease that this build cannot decode, and logs the
+// first. The lease is neither taken nor followed meanwhile.
+func (n *Node) logUnreadableLease(lease string, err error) {
+	const text = "lease of an unknown form is left alone"
+	n.meter.RecordChange("leaser", text)
+	if n.leaseUnreadable.CompareAndSwap(false, true) {
+		n.logger.WithField("Lease", lease).WithError(err).Error(text)
+	}
+}
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -122,6 +122,8 @@
 	// versionsInLease are the software versions that this node has last stored in the
 	// placement lease, nil if none.
 	versionsInLease atomic.Pointer[[]resumer.Service]
+	// leaseUnreadable is set once a lease could not be decoded.
+	leaseUnreadable atomic.Bool
 	// registration signals that the node's entry must be written.
 	registration chan struct{}
 	listeners    listeners
@@ -260,6 +262,8 @@
 		FirstStart: n.settings.FirstStart,
 		Timing:     leaseTiming,
 		Publish:    n.applyLeaseEvent,
+
+		LogUnreadable: n.logUnreadableLease,
 	})
 	n.durations = &forwarder.Durations{Clock: n.clock}
 	n.budgets = &forwarder.Budgets{Clock: n.clock, Settings: dispatcher.BudgetSettings{
--- a/internal/leaser/task.go
+++ b/internal/leaser/task.go
@@ -47,6 +47,9 @@
 	// Publish receives events in order, on the task's goroutine. It must not
 	// block.
 	Publish func(Event)
+	// LogUnreadable receives each read of a lease that cannot be decoded, as after a build of a
+	// later form has written it. It must not block.
+	LogUnreadable func(lease string, err error)
 }
 
 // Task acquires, renews and releases a node's leases.
@@ -132,6 +135,7 @@
 	lease, err := decodeLease(object.Data)
 	if err != nil {
 		// A lease that cannot be decoded must not be acted on.
+		t.settings.LogUnreadable(effect.Name, err)
 		return ReadDone{Name: effect.Name, Outcome: Unavailable}
 	}
 	return ReadDone{Name: effect.Name, Outcome: Done, Era: object.Era, Version: object.Version, Lease: lease}
--- a/internal/leaser/task_test.go
+++ b/internal/leaser/task_test.go
@@ -18,8 +18,9 @@
 	*leaser.Task
 	stop func()
 
-	mutex sync.Mutex
-	event leaser.Event
+	mutex      sync.Mutex
+	event      leaser.Event
+	unreadable error
 }
 
 const regionalLease = "Placement/north"
@@ -37,6 +38,11 @@
 			defer m.mutex.Unlock()
 			m.event = event
 		},
+		LogUnreadable: func(_ string, err error) {
+			m.mutex.Lock()
+			defer m.mutex.Unlock()
+			m.unreadable = err
+		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -143,3 +149,38 @@
 		}
 	})
 }
+
+// laterStore holds a lease of a later form. It fails the test when the lease is written.
+type laterStore struct {
+	storer.Store
+	t *testing.T
+}
+
+func (s laterStore) Get(context.Context, storer.ID) (storer.Object, error) {
+	return storer.Object{Version: 3, Data: []byte(`["Holder","n1"]`)}, nil
+}
+
+func (s laterStore) Put(context.Context, storer.ID, uint64, []byte) (storer.Object, error) {
+	s.t.Error("a lease of an unknown form was written")
+	return storer.Object{}, storer.ErrUnavailable
+}
+
+// TestLeaseOfALaterForm guards against a node that takes the lease from a holder of a later
+// build because it cannot read it, and against one that leaves it alone without a word.
+func TestLeaseOfALaterForm(t *testing.T) {
+	m := startMember(t, laterStore{t: t}, "n2")
+	if err := m.SetNodes([]string{"n2"}); err != nil {
+		t.Fatal(err)
+	}
+	unreadable := func() error {
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		return m.unreadable
+	}
+	for deadline := time.Now().Add(10 * time.Second); unreadable() == nil; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("nothing was logged")
+		}
+	}
+	m.stop()
+}
--- a/internal/leaser/wire.go
+++ b/internal/leaser/wire.go
@@ -25,7 +25,7 @@
 }
 
 func decodeLease(data []byte) (Lease, error) {
-	wire, err := encoder.Decode[wireLease](data)
+	wire, err := encoder.DecodeLenient[wireLease](data)
 	if err != nil {
 		return Lease{}, err
 	}
--- a/internal/limiter/owner_task.go
+++ b/internal/limiter/owner_task.go
@@ -122,7 +122,7 @@
 	if len(data) == 0 || string(data) == "null" {
 		return LeaseData{}, nil
 	}
-	decoded, err := encoder.Decode[leaseData](data)
+	decoded, err := encoder.DecodeLenient[leaseData](data)
 	if err != nil {
 		return LeaseData{}, merry.Wrap(ErrLeaseData, merry.AppendMessagef("%v", err))
 	}
--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -48,6 +48,7 @@
 	Observe     func(FormUse)
 	reportForms []Form
 	forms       peerForms
+	uses        seenUses
 }
 
 // NewClient returns a client and a function that closes its connections.
@@ -93,7 +94,7 @@
 		if response.StatusCode == http.StatusNotFound {
 			refusal = ErrUnknownMessage
 		}
-		return zero, merry.Wrap(refusal, merry.AppendMessagef("%s%s: %s: %s", address, path, response.Status, detail))
+		return zero, merry.Wrap(refusal, merry.AppendMessagef("%s%s: %s: %s", address, path, response.Status, bytes.TrimSpace(detail)))
 	}
 	answer, err := encoder.DecodeLenientFrom[R](response.Body, maxMessageBytes)
 	if err != nil {
--- a/internal/messenger/forms.go
+++ b/internal/messenger/forms.go
@@ -98,6 +98,7 @@
 	sentNewest      = "sends reports in the newest form again"
 	receivedEarlier = "received a report in an earlier form"
 	noCommonForm    = "no form of reports in common with a node"
+	noRelay         = "a node does not know relayed connections"
 	unknownMessage  = "refused a message of an unknown form"
 )
 
--- a/internal/messenger/recorded_test.go
+++ b/internal/messenger/recorded_test.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
@@ -73,7 +71,7 @@
 	if recorder.Code != http.StatusOK || request == nil {
 		t.Fatalf("the recorded request is answered with %d: %s", recorder.Code, recorder.Body)
 	}
-	checkFields(t, "answer", recorder.Body.Bytes(), r.answer)
+	tester.CheckFields(t, "answer", expand(t, recorder.Body.Bytes()), expand(t, r.answer))
 	return request
 }
 
@@ -99,7 +97,7 @@
 	if err != nil {
 		t.Fatalf("the recorded answer is not read: %v", err)
 	}
-	checkFields(t, "request", body, r.request)
+	tester.CheckFields(t, "request", body, r.request)
 	return answer
 }
 
@@ -108,63 +106,23 @@
 
 func (testClock) Now() time.Time { return demandClock.Now() }
 
-// checkFields reports the fields that a message has and the recorded one has not, or that have
-// another type. The recorded build refuses them.
-func checkFields(t *testing.T, what string, message, recorded []byte) {
+// expand replaces the compressed parts of an answer by plain ones.
+func expand(t *testing.T, answer []byte) []byte {
 	t.Helper()
-	known := fields(t, recorded)
-	for _, field := range slices.Sorted(maps.Keys(fields(t, message))) {
-		if !known[field] {
-			t.Errorf("the %s has %s, which the recorded one has not", what, field)
-		}
-	}
-}
-
-// fields returns the paths and types of all fields in a message.
-func fields(t *testing.T, message []byte) map[string]bool {
-	t.Helper()
-	value, err := encoder.Decode[any](message)
+	value, err := encoder.Decode[map[string]json.RawMessage](answer)
 	if err != nil {
 		t.Fatal(err)
 	}
-	found := map[string]bool{}
-	collectFields(t, found, "", value)
-	return found
-}
-
-func collectFields(t *testing.T, found map[string]bool, path string, value any) {
-	t.Helper()
-	switch value := value.(type) {
-	case map[string]any:
-		if compressed, ok := value["Compressed"].(string); ok {
-			value = map[string]any{"Plain": inflate(t, compressed)}
-		}
-		for name, field := range value {
-			collectFields(t, found, path+"."+name, field)
+	for name, field := range value {
+		part, err := encoder.Decode[sharedPart](field)
+		if err != nil || len(part.Compressed) == 0 {
+			continue
 		}
-	case []any:
-		for _, entry := range value {
-			collectFields(t, found, path+"[]", entry)
+		plain, err := decodeShared[json.RawMessage](part)
+		if err != nil {
+			t.Fatal(err)
 		}
-	default:
-		found[fmt.Sprintf("%s of type %T", path, value)] = true
-	}
-}
-
-// inflate returns what a compressed part of an answer contains.
-func inflate(t *testing.T, compressed string) any {
-	t.Helper()
-	part, err := encoder.Decode[sharedPart](encoder.Encode(map[string]any{"Compressed": compressed}))
-	if err != nil {
-		t.Fatal(err)
-	}
-	value, err := decodeShared[json.RawMessage](part)
-	if err != nil {
-		t.Fatal(err)
-	}
-	plain, err := encoder.Decode[any](*value)
-	if err != nil {
-		t.Fatal(err)
+		value[name] = encoder.Encode(sharedPart{Plain: *plain})
 	}
-	return plain
+	return encoder.Encode(value)
 }
--- a/internal/messenger/relay.go
+++ b/internal/messenger/relay.go
@@ -32,8 +32,8 @@
 }
 
 // Relay opens a connection to a replica through a peer. Its errors wrap
-// relayer.ErrReplicaUnreachable, relayer.ErrPeerRefused or ErrUnreachable. Nothing has reached
-// the replica after an error.
+// relayer.ErrReplicaUnreachable, relayer.ErrPeerRefused or ErrUnreachable. A peer of a build
+// that does not relay is an ErrPeerRefused. Nothing has reached the replica after an error.
 func (c *Client) Relay(ctx context.Context, peer string, replica relayer.Replica) (net.Conn, error) {
 	conn, err := c.transport.DialContext(ctx, "tcp", peer)
 	if err != nil {
@@ -46,6 +46,9 @@
 	}
 	if err != nil {
 		conn.Close()
+		if errors.Is(err, ErrUnknownMessage) {
+			c.Observe(FormUse{Text: noRelay, Peer: peer, Path: relayPath, First: c.uses.first(peer + relayPath)})
+		}
 		return nil, err
 	}
 	return relayer.Unframe(conn), nil
@@ -69,8 +72,11 @@
 		return merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s: %v", peer, err))
 	}
 	defer response.Body.Close()
-	if response.StatusCode == http.StatusSwitchingProtocols {
+	switch response.StatusCode {
+	case http.StatusSwitchingProtocols:
 		return nil
+	case http.StatusNotFound:
+		return merry.Wrap(relayer.ErrPeerRefused, merry.WithCause(ErrUnknownMessage), merry.AppendMessage(peer))
 	}
 	refusal, err := encoder.DecodeLenientFrom[relayRefusal](response.Body, relayHeadBytes)
 	switch {
--- a/internal/messenger/relay_test.go
+++ b/internal/messenger/relay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -251,3 +252,23 @@
 		}
 	}
 }
+
+// TestPeerWithoutRelays guards against a peer of a build without relayed connections that
+// ends the search for another one, and of which the log says nothing.
+func TestPeerWithoutRelays(t *testing.T) {
+	server := httptest.NewServer(http.NotFoundHandler())
+	defer server.Close()
+	client, closeClient := NewClient(clockwork.NewRealClock())
+	defer closeClient()
+	var uses []FormUse
+	client.Observe = func(use FormUse) { uses = append(uses, use) }
+	for range 2 {
+		_, err := client.Relay(t.Context(), server.Listener.Addr().String(), relayer.Replica{ID: "r1", Address: "127.0.0.1:1"})
+		if !errors.Is(err, relayer.ErrPeerRefused) {
+			t.Fatalf("got %v, want %v", err, relayer.ErrPeerRefused)
+		}
+	}
+	if len(uses) != 2 || !uses[0].First || uses[1].First {
+		t.Errorf("observed %+v", uses)
+	}
+}
--- a/internal/placer/codec.go
+++ b/internal/placer/codec.go
@@ -71,7 +71,7 @@
 // Decode reads the JSON form of a placement. Its errors wrap
 // encoder.ErrMalformed.
 func Decode(data []byte) (Placement, error) {
-	object, err := encoder.Decode[placementObject](data)
+	object, err := encoder.DecodeLenient[placementObject](data)
 	if err != nil {
 		return Placement{}, err
 	}
--- a/internal/recorder/task.go
+++ b/internal/recorder/task.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return BucketFailed{Bucket: bucket, Detail: err.Error()}
 	}
-	wire, err := encoder.Decode[contentWire](object.Data)
+	wire, err := encoder.DecodeLenient[contentWire](object.Data)
 	if err != nil {
 		return BucketFailed{Bucket: bucket, Detail: err.Error()}
 	}
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wire, err := encoder.Decode[[]recordWire](object.Data)
+	wire, err := encoder.DecodeLenient[[]recordWire](object.Data)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/supervisor/items.go
+++ b/internal/supervisor/items.go
@@ -169,7 +169,7 @@
 }
 
 func deliverDecoded[T any](item spreader.Item, deliver func(T) error) error {
-	value, err := encoder.Decode[T](item.Value)
+	value, err := encoder.DecodeLenient[T](item.Value)
 	if err != nil {
 		return err
 	}
--- a/internal/supervisor/node.go
+++ b/internal/supervisor/node.go
@@ -203,6 +203,9 @@
 		Store:   n.store,
 		Clock:   n.clock,
 		Publish: n.leaseChanged,
+		LogUnreadable: func(lease string, err error) {
+			n.logger.WithField("Lease", lease).WithError(err).Error("lease of an unknown form is left alone")
+		},
 	})
 	n.scheduler = scheduler.NewAtLocation(
 		router.Location{Region: n.settings.Region, DataCentre: n.settings.DataCentre}, seed,
