--- a/internal/soaker/deployment_test.go
+++ b/internal/soaker/deployment_test.go
@@ -45,13 +45,16 @@
 
 // deployment consists of node processes, a store and replicas.
 type deployment struct {
-	t          *testing.T
-	dir        string
-	binary     string
-	store      *emulator.FleetStore
-	storeProxy *proxy
-	replicas   []*replica
-	nodes      []*node
+	t      *testing.T
+	dir    string
+	binary string
+	// otherBinary is the program of another build that nodes run in turn with binary, "" for
+	// none.
+	otherBinary string
+	store       *emulator.FleetStore
+	storeProxy  *proxy
+	replicas    []*replica
+	nodes       []*node
 	// configuration guards the fields that determine the configuration in the store.
 	configuration sync.Mutex
 	version       int
@@ -74,6 +77,7 @@
 // node is a node process.
 type node struct {
 	name, ip string
+	index    int
 	command  *exec.Cmd
 	// environment replaces that of the test, nil for no change.
 	environment []string
@@ -100,7 +104,7 @@
 	}
 	d.configure(func() {})
 	for i := range count {
-		d.nodes = append(d.nodes, &node{name: fmt.Sprintf("node-%d", i), ip: fmt.Sprintf("127.0.%d.%d", network+1, i+1), logs: &bytes.Buffer{}})
+		d.nodes = append(d.nodes, &node{name: fmt.Sprintf("node-%d", i), index: i, ip: fmt.Sprintf("127.0.%d.%d", network+1, i+1), logs: &bytes.Buffer{}})
 	}
 	return d
 }
@@ -258,7 +262,7 @@
 	if err := os.WriteFile(settingsPath, []byte(settings), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
-	n.command = exec.Command(d.binary, "serve", "--settings", settingsPath)
+	n.command = exec.Command(d.binaryOf(n), "serve", "--settings", settingsPath)
 	n.command.Stdout, n.command.Stderr, n.command.Env = n.logs, n.logs, n.environment
 	if err := n.command.Start(); err != nil {
 		d.t.Fatal(err)
--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -67,7 +67,7 @@
 	for i, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, binary, seed, i%maxParallelSeeds)
+			runSeed(t, binary, "", seed, i%maxParallelSeeds)
 		})
 	}
 }
@@ -82,11 +82,12 @@
 }
 
 // runSeed runs the faults and callers of one seed in a network of its own and checks the
-// results.
-func runSeed(t *testing.T, binary string, seed uint64, network int) {
+// results. The nodes run the two programs in turn if there is another one.
+func runSeed(t *testing.T, binary, other string, seed uint64, network int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d := newDeployment(ctx, t, binary, network, *nodeCount)
+	d.otherBinary = other
 	engines := d.addVersionedEngines(ctx)
 	for _, n := range d.nodes {
 		d.start(n)
