Test that nodes of two builds name each other to callers

Nodes of side by side named only nodes of their own build to callers; at the end of a roll these were nodes that leave. TestTwoBuildsShareNodes starts two nodes of each build and waits until each names all four. With reports of the other build in form 5 and of this one in form 6 only, as in these two builds, it fails: each names two.

--- a/internal/soaker/two_builds_test.go
+++ b/internal/soaker/two_builds_test.go
@@ -1,13 +1,16 @@
 package soaker
 
 import (
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
+	"time"
 )
 
 var (
@@ -36,6 +39,51 @@
 	}
 }
 
+// TestTwoBuildsShareNodes guards against nodes of two builds that do not hear each other: each
+// names only nodes of its own build to callers then, at the end of an upgrade only nodes that
+// leave.
+func TestTwoBuildsShareNodes(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := newDeployment(ctx, t, buildBinary(t), twoBuildsNetwork+20, 4)
+	if d.otherBinary = *otherBinary; d.otherBinary == "" {
+		d.otherBinary = buildEarlierForm(t)
+	}
+	for _, n := range d.nodes {
+		d.start(n)
+		defer n.stop()
+	}
+	d.awaitReady()
+	for _, n := range d.nodes {
+		for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+			named := d.namedNodes(n)
+			if len(named) == len(d.nodes) {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Errorf("%s names %v to callers, want %d nodes", n.name, named, len(d.nodes))
+				break
+			}
+		}
+	}
+}
+
+// namedNodes returns the addresses for callers that a node names.
+func (d *deployment) namedNodes(n *node) []string {
+	response, err := http.Get("http://" + n.address(directoryPort) + "/toucanhitch/resolve?name=" + soakHost + "&region=r1&zone=z1")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		d.t.Fatal(err)
+	}
+	return answer.Addresses
+}
+
 // buildEarlierForm builds the program with reports in the form of 6c37a91 only.
 func buildEarlierForm(t *testing.T) string {
 	dir := t.TempDir()
