Keep brittle replicas apart from reports that cannot know them

The messenger marks limits in reports and states of form 5. The holder adopts their rate only, and a node keeps what the replicas told it, and keeps the assumption about new starts of the same service.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -251,6 +251,7 @@
 		Suspects:        effect.Others.Suspects,
 		RateLimits:      effect.Others.RateLimits,
 		Brittle:         brittleReplicas(effect.Others.Brittle),
+		BrittleUnknown:  effect.Others.BrittleUnknown,
 		Closed:          state.Closed,
 		OrdersAllowedIn: state.OrdersAllowedIn,
 		Speeds:          state.Speeds,
--- a/internal/balancer/brittle.go
+++ b/internal/balancer/brittle.go
@@ -66,7 +66,8 @@
 // brittle together, and a replica that has started again has not said so yet.
 func (c *Controller) isBrittle(now time.Time, replica *Replica) bool {
 	notice := replica.Notice
-	if notice.Brittle || !notice.NamedAt.IsZero() || notice.PublishedLimit != 0 {
+	published := notice.PublishedLimit != 0 && !notice.BrittleUnpublished
+	if notice.Brittle || !notice.NamedAt.IsZero() || published {
 		return notice.Brittle
 	}
 	seenAt, seen := c.BrittleServices[replica.Description.Service]
--- a/internal/balancer/controller.go
+++ b/internal/balancer/controller.go
@@ -194,7 +194,7 @@
 		if slices.Contains(message.Suspects, id) {
 			replica.SuspectedUntil = now.Add(peerSuspicionTTL)
 		}
-		effects = append(effects, replica.Notice.applyPublished(now, id, message.RateLimits[id], message.Brittle[id])...)
+		effects = append(effects, replica.Notice.applyPublished(now, id, message)...)
 		c.noteBrittle(now, replica)
 		replica.Notice.ClosedElsewhereUntil = now.Add(message.Closed[id])
 		effects = append(effects, replica.noteSpeed()...)
--- a/internal/balancer/limit.go
+++ b/internal/balancer/limit.go
@@ -40,7 +40,11 @@
 
 // applyPublished adopts the limit and the brittleness that the holder has published, unless
 // the holder does not know them or an answer to this node has named others since.
-func (n *Notice) applyPublished(now time.Time, replica string, rate float64, state Brittleness) []Effect {
+func (n *Notice) applyPublished(now time.Time, replica string, message SetPeerState) []Effect {
+	rate, state := message.RateLimits[replica], message.Brittle[replica]
+	if n.BrittleUnpublished = message.BrittleUnknown; n.BrittleUnpublished {
+		state = n.Brittleness
+	}
 	n.PublishedLimit, n.PublishedBrittle = rate, state
 	if rate == 0 || !n.NamedAt.IsZero() && now.Sub(n.NamedAt) < ownLimitTime {
 		return nil
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -32,6 +32,8 @@
 	RateLimits map[string]float64 `json:",omitempty"`
 	// Brittle holds the brittle replicas, as far as RateLimits knows the replicas.
 	Brittle map[string]Brittleness `json:",omitempty"`
+	// BrittleUnknown is set if the holder does not recognize brittle replicas.
+	BrittleUnknown bool `json:",omitempty"`
 	// Closed holds the replicas that want no requests of a node, with the longest of the
 	// remaining times.
 	Closed map[string]time.Duration `json:",omitempty"`
--- a/internal/balancer/notice.go
+++ b/internal/balancer/notice.go
@@ -31,6 +31,8 @@
 	// PublishedLimit.
 	Brittleness
 	PublishedBrittle Brittleness
+	// BrittleUnpublished is set if the holder publishes limits without the brittleness.
+	BrittleUnpublished bool
 	// ThrottledUntil is when this node may next try to take a request of the limit.
 	ThrottledUntil time.Time
 	// Leaving is set once an answer to this node has announced that the replica leaves.
--- a/internal/messenger/forms.go
+++ b/internal/messenger/forms.go
@@ -31,20 +31,41 @@
 // restrictReport returns the report with the fields of the form only. Another node treats a
 // report that lacks a field like one of the build that did not have it.
 func (f Form) restrictReport(report planner.Report) planner.Report {
-	if f != FormV5 {
-		return report
+	report.RateLimits = mapEach(report.RateLimits, func(limit planner.RateLimit) planner.RateLimit {
+		limit.BrittleUnknown = false
+		if f == FormV5 {
+			limit.Brittle, limit.MaxRefusals = false, 0
+		}
+		return limit
+	})
+	if f == FormV5 {
+		report.Partitioned = false
+		report.Demands = mergeVersions(report.Demands)
 	}
-	report.Partitioned = false
+	return report
+}
+
+// completeReport sets in a report that was received what the absence of fields in the form
+// means, where that differs from their zero values.
+func (f Form) completeReport(report planner.Report) planner.Report {
 	report.RateLimits = mapEach(report.RateLimits, func(limit planner.RateLimit) planner.RateLimit {
-		limit.Brittle, limit.MaxRefusals = false, 0
+		limit.BrittleUnknown = f == FormV5
 		return limit
 	})
-	report.Demands = mergeVersions(report.Demands)
 	return report
 }
 
+// completeState is like completeReport for a state.
+func (f Form) completeState(state *planner.State) *planner.State {
+	if state != nil {
+		state.BrittleUnknown = f == FormV5
+	}
+	return state
+}
+
 // restrictState returns the state with the fields of the form only.
 func (f Form) restrictState(state planner.State) planner.State {
+	state.BrittleUnknown = false
 	if f == FormV5 {
 		state.Brittle, state.Partitioned = nil, nil
 	}
--- a/internal/messenger/forms_test.go
+++ b/internal/messenger/forms_test.go
@@ -113,12 +113,12 @@
 func TestReportsBetweenForms(t *testing.T) {
 	earlierReport, earlierAnswer := fullReport(), fullAnswer()
 	earlierReport.Partitioned = false
-	earlierReport.RateLimits = []planner.RateLimit{{Replica: "i-1", Rate: 4}}
+	earlierReport.RateLimits = []planner.RateLimit{{Replica: "i-1", Rate: 4, BrittleUnknown: true}}
 	earlierReport.Demands = []planner.Demand{
 		{Service: "s", Model: "m", Waiting: 3, TimeToDeadline: 7, TimeToLate: 9, ReplicasFull: true},
 		{Service: "s", Model: "m", Waiting: 1, DataCentres: []string{"a"}},
 	}
-	earlierAnswer.State.Brittle, earlierAnswer.State.Partitioned = nil, nil
+	earlierAnswer.State.Brittle, earlierAnswer.State.Partitioned, earlierAnswer.State.BrittleUnknown = nil, nil, true
 	for _, test := range []struct {
 		name             string
 		sender, receiver []Form
--- a/internal/messenger/report.go
+++ b/internal/messenger/report.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return planner.Answer{}, merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s%s: %v", address, form.path(), err))
 	}
+	answer.State = form.completeState(answer.State)
 	return answer, nil
 }
 
@@ -101,7 +102,7 @@
 	for i, form := range forms {
 		states := sharedEncoder[planner.State]{restrict: form.restrictState}
 		mux.Handle("POST "+form.path(), Handle(func(ctx context.Context, request reportRequest) (reportAnswer, error) {
-			result, err := settings.Answer(ctx, request.Report)
+			result, err := settings.Answer(ctx, form.completeReport(request.Report))
 			if err != nil {
 				return reportAnswer{}, err
 			}
--- a/internal/planner/limits.go
+++ b/internal/planner/limits.go
@@ -70,7 +70,9 @@
 		known, namedAt := c.Tenure.noticeOf(limit.Replica, limit.StartedMS), now.Add(-limit.Age)
 		if known != nil && namedAt.After(known.NamedAt) {
 			known.Rate, known.NamedAt = limit.Rate, namedAt
-			known.Brittle, known.MaxRefusals = limit.Brittle, limit.MaxRefusals
+			if !limit.BrittleUnknown {
+				known.Brittle, known.MaxRefusals = limit.Brittle, limit.MaxRefusals
+			}
 		}
 	}
 }
--- a/internal/planner/report.go
+++ b/internal/planner/report.go
@@ -75,6 +75,9 @@
 	// away in a second.
 	Brittle     bool `json:",omitempty"`
 	MaxRefusals int  `json:",omitempty"`
+	// BrittleUnknown is set if the report is of a node that does not recognize brittle replicas.
+	// Reports between nodes do not contain it.
+	BrittleUnknown bool `json:",omitempty"`
 }
 
 // Running counts the running requests of a model on a replica. Model is empty for
@@ -195,6 +198,9 @@
 	// Brittle holds the brittle replicas of which RateLimits knows something, with the
 	// requests that each can turn away in a second.
 	Brittle map[string]int `json:",omitempty"`
+	// BrittleUnknown is set if the state is of a holder that does not recognize brittle
+	// replicas. States between nodes do not contain it.
+	BrittleUnknown bool `json:",omitempty"`
 	// Closed holds the replicas that want no requests of at least one node, with the
 	// longest of the remaining times. Replicas that have announced that they leave are marked
 	// in the table.
--- a/internal/syncer/fleet.go
+++ b/internal/syncer/fleet.go
@@ -35,6 +35,8 @@
 	// Brittle holds the brittle replicas, with the requests that each can turn away in a
 	// second.
 	Brittle map[string]int `json:",omitempty"`
+	// BrittleUnknown is set if the holder does not recognize brittle replicas.
+	BrittleUnknown bool `json:",omitempty"`
 	// Spent counts units consumed in the holder's epoch, by workspace.
 	Spent []planner.Spent
 }
@@ -87,7 +89,7 @@
 // itself has reported. The report is the one that the state contains; it is empty
 // if the state contains none.
 func (f *Fleet) usageOfOthers(state *planner.State, own planner.Report) Usage {
-	usage := Usage{Active: map[string]int{}, Brittle: state.Brittle}
+	usage := Usage{Active: map[string]int{}, Brittle: state.Brittle, BrittleUnknown: state.BrittleUnknown}
 	for i, count := range state.Active {
 		if i < len(f.ReplicaIDs) && count > 0 {
 			usage.Active[f.ReplicaIDs[i]] = count
