--- a/internal/messenger/messages_test.go
+++ b/internal/messenger/messages_test.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"hash/fnv"
 	"net/http"
-	"reflect"
-	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -21,6 +17,7 @@
 	"toucanhitch.example/toucanhitch/internal/recorder"
 	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/spreader"
+	"toucanhitch.example/toucanhitch/internal/tester"
 )
 
 // message is a message between nodes with all its fields set.
@@ -44,11 +41,11 @@
 		func(mux *http.ServeMux, got func(any)) {
 			HandlePermits(mux, func(_ context.Context, request permitter.Request) (permitter.Decision, error) {
 				got(request)
-				return full[permitter.Decision](), nil
+				return tester.Full[permitter.Decision](), nil
 			}, func(permitter.Release) error { return nil })
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
-			return client.AcquirePermit(ctx, address, full[permitter.Request]())
+			return client.AcquirePermit(ctx, address, tester.Full[permitter.Request]())
 		},
 	},
 	{
@@ -60,7 +57,7 @@
 			})
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
-			return nil, client.ReleasePermit(ctx, address, full[permitter.Release]())
+			return nil, client.ReleasePermit(ctx, address, tester.Full[permitter.Release]())
 		},
 	},
 	{
@@ -72,7 +69,7 @@
 			}, nil)
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
-			return nil, client.RememberStreams(ctx, address, full[[]resumer.Record]())
+			return nil, client.RememberStreams(ctx, address, tester.Full[[]resumer.Record]())
 		},
 	},
 	{
@@ -80,7 +77,7 @@
 		func(mux *http.ServeMux, got func(any)) {
 			HandleStreams(mux, nil, func(_ context.Context, stream string) (resumer.Origin, bool, error) {
 				got(stream)
-				return full[resumer.Origin](), true, nil
+				return tester.Full[resumer.Origin](), true, nil
 			})
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
@@ -93,11 +90,11 @@
 		func(mux *http.ServeMux, got func(any)) {
 			HandleExplain(mux, func(_ context.Context, question explainer.Question) (explainer.Answer, error) {
 				got(question)
-				return full[explainer.Answer](), nil
+				return tester.Full[explainer.Answer](), nil
 			})
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
-			return client.Explain(ctx, address, full[explainer.Question]())
+			return client.Explain(ctx, address, tester.Full[explainer.Question]())
 		},
 	},
 	{
@@ -109,7 +106,7 @@
 			})
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
-			items := full[[]spreader.Item]()
+			items := tester.Full[[]spreader.Item]()
 			items[0].Value = []byte(`{"A":1}`)
 			return nil, client.Push(ctx, address, items)
 		},
@@ -119,7 +116,7 @@
 		func(mux *http.ServeMux, got func(any)) {
 			HandlePull(mux, func(_ context.Context, version uint64) (configurer.Answer, error) {
 				got(version)
-				return configurer.Answer{Version: 8, Ages: full[map[configurer.Source]time.Duration]()}, nil
+				return configurer.Answer{Version: 8, Ages: tester.Full[map[configurer.Source]time.Duration]()}, nil
 			})
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
@@ -131,12 +128,12 @@
 		func(mux *http.ServeMux, got func(any)) {
 			HandleIntents(mux, func(_ context.Context, operation recorder.Operation) (recorder.Result, error) {
 				got(operation)
-				return recorder.Done{Record: filter.Known{Reply: full[filter.Reply]()}}, nil
+				return recorder.Done{Record: filter.Known{Reply: tester.Full[filter.Reply]()}}, nil
 			})
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
 			return client.SendOperation(ctx, address, recorder.Operation{
-				Key: full[recorder.Key](), ID: "id", Digest: "digest", Action: recorder.Finish{Reply: full[filter.Reply]()},
+				Key: tester.Full[recorder.Key](), ID: "id", Digest: "digest", Action: recorder.Finish{Reply: tester.Full[filter.Reply]()},
 			})
 		},
 	},
@@ -145,13 +142,13 @@
 		func(mux *http.ServeMux, got func(any)) {
 			HandleLimits(mux, func(_ context.Context, exchange limiter.Exchange) (limiter.Answer, error) {
 				got(exchange)
-				answer := full[limiter.Answer]()
+				answer := tester.Full[limiter.Answer]()
 				answer.Standing = limiter.StandingKept
 				return answer, nil
 			})
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
-			return client.ExchangeLimits(ctx, address, full[limiter.Exchange]())
+			return client.ExchangeLimits(ctx, address, tester.Full[limiter.Exchange]())
 		},
 	},
 	{
@@ -179,7 +176,7 @@
 			HandleReport(mux, ReportSettings{
 				Answer: func(_ context.Context, report planner.Report) (planner.Answer, error) {
 					got(report)
-					answer := full[planner.Answer]()
+					answer := tester.Full[planner.Answer]()
 					prepare(&answer)
 					return answer, nil
 				},
@@ -187,58 +184,7 @@
 			})
 		},
 		func(ctx context.Context, client *Client, address string) (any, error) {
-			return client.Report(ctx, address, full[planner.Report]())
+			return client.Report(ctx, address, tester.Full[planner.Report]())
 		},
 	}
 }
-
-// full returns a value with all exported fields set. A field's value follows from its name, so
-// that it does not depend on the other fields.
-func full[V any]() V {
-	var value V
-	fill(reflect.ValueOf(&value).Elem(), "value")
-	return value
-}
-
-func fill(value reflect.Value, name string) {
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(name))
-	number := 1 + int64(hash.Sum32()%100)
-	switch value.Kind() {
-	case reflect.Bool:
-		value.SetBool(true)
-	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
-		if value.Type() == reflect.TypeFor[time.Duration]() {
-			number *= int64(time.Millisecond)
-		}
-		value.SetInt(number)
-	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
-		value.SetUint(uint64(number))
-	case reflect.Float32, reflect.Float64:
-		value.SetFloat(float64(number) + 0.5)
-	case reflect.String:
-		value.SetString(strings.ToLower(name))
-	case reflect.Pointer:
-		value.Set(reflect.New(value.Type().Elem()))
-		fill(value.Elem(), name)
-	case reflect.Slice:
-		if value.Type() == reflect.TypeFor[json.RawMessage]() {
-			value.SetBytes([]byte(`{"A":1}`))
-			return
-		}
-		value.Set(reflect.MakeSlice(value.Type(), 1, 1))
-		fill(value.Index(0), name)
-	case reflect.Map:
-		key, entry := reflect.New(value.Type().Key()).Elem(), reflect.New(value.Type().Elem()).Elem()
-		fill(key, name)
-		fill(entry, name)
-		value.Set(reflect.MakeMap(value.Type()))
-		value.SetMapIndex(key, entry)
-	case reflect.Struct:
-		for i := range value.NumField() {
-			if field := value.Type().Field(i); field.IsExported() {
-				fill(value.Field(i), field.Name)
-			}
-		}
-	}
-}
