Keep what a slow peer refused when an exchange ends between two forms

A holder of an earlier build that answers slowly was never heard: the time for an exchange ended after its 404 to the newest form, the failure reset what was known of the peer, and the next exchange started with the newest form again. A failure resets it only if the same exchange learnt nothing. TestSlowPeer failed before: it started with form 7 each time.

--- a/internal/messenger/forms.go
+++ b/internal/messenger/forms.go
@@ -189,7 +189,7 @@
 }
 
 // reset makes the next report to the peer start with the newest form, because another build may
-// answer at the address.
+// answer at the address after a failure.
 func (p *peerForms) reset(address string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/messenger/forms_test.go
+++ b/internal/messenger/forms_test.go
@@ -24,6 +24,8 @@
 	// handler is nil while the node answers nothing.
 	handler http.Handler
 	answer  planner.Answer
+	// limit is the number of requests that it answers between two calls of takePaths, 0 for all.
+	limit int
 	// reports are the reports that it has processed, paths the requests that it got, and uses
 	// what it observed.
 	reports []planner.Report
@@ -39,7 +41,7 @@
 		peer.mutex.Lock()
 		defer peer.mutex.Unlock()
 		peer.paths = append(peer.paths, r.URL.Path)
-		if peer.handler == nil {
+		if peer.handler == nil || peer.limit > 0 && len(peer.paths) > peer.limit {
 			panic(http.ErrAbortHandler)
 		}
 		peer.handler.ServeHTTP(w, r)
@@ -213,6 +215,24 @@
 	}
 }
 
+// TestSlowPeer guards against a node that never hears a peer of an earlier build, because the time
+// for one exchange ends between two forms and the next exchange starts with the newest again.
+func TestSlowPeer(t *testing.T) {
+	peer := startFormPeer(t, FormV5)
+	client, _ := newFormClient(t, clockwork.NewFakeClock(), reportForms...)
+	peer.limit = 1
+	for _, want := range []string{"/peer/v7/report /peer/v6/report", "/peer/v6/report /peer/v5/report", "/peer/v5/report"} {
+		_, err := client.Report(t.Context(), peer.address, fullReport())
+		got := peer.takePaths()
+		if got != want {
+			t.Errorf("requests to %s, want %s", got, want)
+		}
+		if wantErr := strings.Contains(want, " "); errors.Is(err, ErrUnreachable) != wantErr {
+			t.Errorf("requests to %s: error %v", got, err)
+		}
+	}
+}
+
 // TestNoCommonForm guards against a node of a build without a common form that is asked over
 // and over, or whose messages are misread.
 func TestNoCommonForm(t *testing.T) {
--- a/internal/messenger/report.go
+++ b/internal/messenger/report.go
@@ -33,7 +33,7 @@
 // the holder takes. A form that the holder does not know is answered with 404 and has not been
 // processed, so that the same report is sent in the next.
 func (c *Client) Report(ctx context.Context, address string, report planner.Report) (planner.Answer, error) {
-	for {
+	for learnt := false; ; learnt = true {
 		index := c.forms.choose(c.clock.Now(), address)
 		if index >= len(c.reportForms) {
 			c.observeForm(address, "", noCommonForm, index)
@@ -45,7 +45,7 @@
 		case errors.Is(err, ErrUnknownMessage):
 			c.forms.recordUnknown(c.clock.Now(), address, index)
 			continue
-		case errors.Is(err, ErrUnreachable):
+		case errors.Is(err, ErrUnreachable) && !learnt:
 			c.forms.reset(address)
 		case err == nil && index > 0:
 			c.observeForm(address, form.path(), sentEarlier, index)
