--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -100,20 +100,21 @@
 	balancer *balancer.Task
 	// permitter grants permits for brittle replicas, and granters holds the peer addresses
 	// of the nodes that do, by their addresses for callers.
-	permitter *permitter.Task
-	granters  atomic.Pointer[map[string]string]
-	cacher    cacheReader
-	relays    relayLists
-	rationer  *rationer.Task
-	screener  *screener.Task
-	resumer   *resumer.Task
-	syncer    *syncer.Task
-	leaser    *leaser.Task
-	peers     *messenger.Client
-	relayer   *relayer.Task
-	carrier   *relayer.Carrier
-	pool      *forwarder.Pool
-	budgets   *forwarder.Budgets
+	permitter  *permitter.Task
+	granters   atomic.Pointer[map[string]string]
+	ownPermits ownPermits
+	cacher     cacheReader
+	relays     relayLists
+	rationer   *rationer.Task
+	screener   *screener.Task
+	resumer    *resumer.Task
+	syncer     *syncer.Task
+	leaser     *leaser.Task
+	peers      *messenger.Client
+	relayer    *relayer.Task
+	carrier    *relayer.Carrier
+	pool       *forwarder.Pool
+	budgets    *forwarder.Budgets
 	// durations are those of the answers to callers.
 	durations *forwarder.Durations
 
@@ -123,6 +124,8 @@
 	// versionsInLease are the software versions that this node has last stored in the
 	// placement lease, nil if none.
 	versionsInLease atomic.Pointer[[]resumer.Service]
+	// leaseUnreadable is set once a lease could not be decoded.
+	leaseUnreadable atomic.Bool
 	// registration signals that the node's entry must be written.
 	registration chan struct{}
 	listeners    listeners
@@ -177,6 +180,7 @@
 	n.store = store
 	engines, closeEngines := platform.NewEngineClient(n.settings.Node, dialer)
 	peers, closePeers := messenger.NewClientWithDialer(n.clock, dialer)
+	peers.Observe = n.logFormUse
 	n.peers = peers
 	closeCarrier := n.createRelayer(dialer)
 	pool, closePool := forwarder.NewPool(n.relayer, n.clock, bufferBytes(n.settings.MemoryMB))
@@ -260,6 +264,8 @@
 		FirstStart: n.settings.FirstStart,
 		Timing:     leaseTiming,
 		Publish:    n.applyLeaseEvent,
+
+		LogUnreadable: n.logUnreadableLease,
 	})
 	n.durations = &forwarder.Durations{Clock: n.clock}
 	n.budgets = &forwarder.Budgets{Clock: n.clock, Settings: dispatcher.BudgetSettings{
@@ -330,11 +336,12 @@
 // peerHandler handles requests of other nodes and of monitoring.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	messenger.HandleReport(mux, n.handleReport)
+	messenger.HandleReport(mux, messenger.ReportSettings{Answer: n.handleReport, Observe: n.logFormUse})
 	messenger.HandleStreams(mux, n.rememberStreams, n.resumer.LookUp)
 	messenger.HandleExplain(mux, n.explain)
 	messenger.HandleRelay(mux, n.carrier)
 	messenger.HandlePermits(mux, n.permitter.Acquire, func(release permitter.Release) error { return n.permitter.Post(release) })
+	messenger.HandleUnknown(mux, n.logFormUse)
 	mux.Handle("GET /metrics", n.meter.Handler())
 	return mux
 }
--- a/internal/messenger/relay.go
+++ b/internal/messenger/relay.go
@@ -35,8 +35,8 @@
 }
 
 // Relay opens a connection to a replica through a peer. Its errors wrap
-// relayer.ErrReplicaUnreachable, relayer.ErrPeerRefused or ErrUnreachable. Nothing has reached
-// the replica after an error.
+// relayer.ErrReplicaUnreachable, relayer.ErrPeerRefused or ErrUnreachable. A peer of a build
+// that does not relay is an ErrPeerRefused. Nothing has reached the replica after an error.
 func (c *Client) Relay(ctx context.Context, peer string, replica relayer.Replica) (net.Conn, error) {
 	conn, err := c.transport.DialContext(ctx, "tcp", peer)
 	if err != nil {
@@ -49,6 +49,9 @@
 	}
 	if err != nil {
 		conn.Close()
+		if errors.Is(err, ErrUnknownMessage) {
+			c.Observe(FormUse{Text: noRelay, Peer: peer, Path: relayPath, First: c.uses.first(peer + relayPath)})
+		}
 		return nil, err
 	}
 	return relayer.Unframe(conn), nil
@@ -73,10 +76,13 @@
 		return merry.Wrap(ErrUnreachable, merry.AppendMessagef("%s: %v", peer, err))
 	}
 	defer response.Body.Close()
-	if response.StatusCode == http.StatusSwitchingProtocols {
+	switch response.StatusCode {
+	case http.StatusSwitchingProtocols:
 		return nil
+	case http.StatusNotFound:
+		return merry.Wrap(relayer.ErrPeerRefused, merry.WithCause(ErrUnknownMessage), merry.AppendMessage(peer))
 	}
-	refusal, err := encoder.DecodeFrom[relayRefusal](response.Body, relayHeadBytes)
+	refusal, err := encoder.DecodeLenientFrom[relayRefusal](response.Body, relayHeadBytes)
 	switch {
 	case err != nil:
 		return merry.Wrap(relayer.ErrPeerRefused, merry.AppendMessagef("%s: %s", peer, response.Status))
@@ -104,7 +110,7 @@
 // HandleRelay registers the handler of relayed connections.
 func HandleRelay(mux *http.ServeMux, carrier Carrier) {
 	mux.HandleFunc("POST "+relayPath, func(w http.ResponseWriter, r *http.Request) {
-		request, err := encoder.DecodeFrom[relayRequest](r.Body, relayHeadBytes)
+		request, err := encoder.DecodeLenientFrom[relayRequest](r.Body, relayHeadBytes)
 		if err != nil || r.Header.Get("Upgrade") != relayProtocol {
 			http.Error(w, "relay: an upgrade to "+relayProtocol+" with a replica is required", http.StatusBadRequest)
 			return
