Replace a silent replica by another one only

Callers saw streams broken off although their replica would have gone on: a silent stream was given up for the replica that it was at. The balancer takes an excluded replica all the same once a request has waited 0.9 s for another one, and a successor may wait for 1.5 s. The node closed the connection and sent the request to the same replica again, which had no room or began anew.

The need names the replica to replace, which is never chosen; a placement at it would not be used either.

--- a/internal/balancer/lane.go
+++ b/internal/balancer/lane.go
@@ -52,7 +52,7 @@
 	case n.Stream:
 		parts[2] = "stream"
 	}
-	parts = append(parts, n.dataCentresKey())
+	parts = append(parts, n.dataCentresKey(), n.Replaced)
 	return strings.Join(append(parts, slices.Sorted(slices.Values(n.Excluded))...), "\x00")
 }
 
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -196,8 +196,12 @@
 	GiveUpAt time.Time
 	// Deadline is when the caller stops waiting for the answer, zero if that is not known.
 	Deadline time.Time `json:",omitzero"`
-	// Excluded are the replicas that have failed the request.
+	// Excluded are the replicas that have failed the request. They are avoided for
+	// avoidanceTimeout.
 	Excluded []string
+	// Replaced is the replica that has the request and is silent. It is never chosen: the
+	// request would lose it for nothing.
+	Replaced string `json:",omitempty"`
 }
 
 // Result classifies an attempt by what it shows about the replica.
--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,9 +121,10 @@
 	case j.reservation != nil && !j.reservation.ready.Load():
 		return false
 	case j.reservation != nil:
-		if j.takeReservation() {
+		if j.takeReservation() && j.successor.Replica != e.attempt.Replica {
 			return true
 		}
+		j.releaseSuccessor()
 	case j.reserveSuccessor(ctx, e):
 		return false
 	}
@@ -142,7 +142,8 @@
 	return min(left, max(minFirstByteTimeout, j.forward.Route.Objective))
 }
 
-// reserveSuccessor begins to reserve another replica, and reports whether it has. The read is interrupted when that is done.
+// reserveSuccessor begins to reserve another replica, and reports whether it has. The read is
+// interrupted when that is done.
 func (j *job) reserveSuccessor(ctx context.Context, e *exchange) bool {
 	route := j.forward.Route
 	if !route.Repeatable() || j.possibleRuns+1 >= route.MaxAttempts || j.attemptsSent >= maxAttemptsSent || !j.pay() {
@@ -150,7 +151,7 @@
 	}
 	now := j.Clock.Now()
 	need := j.placementNeed(now, j.request.Deadline.Sub(now))
-	need.Excluded = append(slices.Clone(j.excluded), e.attempt.Replica)
+	need.Replaced = e.attempt.Replica
 	ctx, cancel := context.WithCancel(ctx)
 	r := &reservation{cancel: cancel, done: make(chan struct{})}
 	j.reservation = r
