--- a/internal/messenger/exchange.go
+++ b/internal/messenger/exchange.go
@@ -105,8 +105,9 @@
 }
 
 // Handle returns a handler that decodes the request and responds with the result
-// of answer. Fields that it does not know are ignored: later builds add fields. It responds with 400 to a malformed request, and with 503 and the
-// error text if answer fails.
+// of answer. Fields that it does not know are ignored: later builds add fields.
+// It responds with 400 to a malformed request, and with 503 and the error text if
+// answer fails.
 func Handle[Q, R any](answer func(context.Context, Q) (R, error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		request, err := encoder.DecodeLenientFrom[Q](r.Body, maxMessageBytes)
