Finish requests when a loop of their node panics

Callers would see closed connections: the registration of a node, the watch of its settings and the publication of loads are no tasks, and their panic ended the process with all requests that it had read, although the failure of a runnable did not.

A guarded runnable returns its panic like a task. TestGroupOutlivesGuardedPanic: the panic ended the test's process before.

--- a/internal/runner/group.go
+++ b/internal/runner/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/oklog/run"
 )
@@ -21,12 +22,12 @@
 	)
 }
 
-// AddGuarded adds a runnable to a group like Add, but the group goes on if the runnable fails.
-// onFailure, which must not block, gets the error of one that returns before its context
-// ends, and decides how the others end.
+// AddGuarded adds a runnable to a group like Add, but the group goes on if the runnable fails
+// or panics. onFailure, which must not block, gets the error of one that returns before its
+// context ends, and decides how the others end.
 func AddGuarded(ctx context.Context, group *run.Group, runnable Runnable, onFailure func(error)) {
 	Add(ctx, group, runnableFunc(func(ctx context.Context) error {
-		err := runnable.Run(ctx)
+		err := runGuarded(ctx, runnable)
 		if ctx.Err() == nil {
 			onFailure(err)
 		}
@@ -35,6 +36,11 @@
 	}))
 }
 
+func runGuarded(ctx context.Context, runnable Runnable) (err error) {
+	defer RecoverPanic(fmt.Sprintf("%T", runnable), &err)
+	return runnable.Run(ctx)
+}
+
 type runnableFunc func(ctx context.Context) error
 
 // Run implements Runnable.
--- a/internal/runner/group_test.go
+++ b/internal/runner/group_test.go
@@ -38,3 +38,22 @@
 		t.Errorf("run: %v, want the owner to end the group", err)
 	}
 }
+
+// TestGroupOutlivesGuardedPanic guards against a process that ends with all its requests because
+// a loop that is no task panics, such as the one that registers a node.
+func TestGroupOutlivesGuardedPanic(t *testing.T) {
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	failures := make(chan error, 1)
+	group := &run.Group{}
+	runner.AddGuarded(ctx, group, runnable(func(context.Context) error { panic("fault in a loop") }), func(err error) { failures <- err })
+	runner.Add(ctx, group, runnable(func(context.Context) error {
+		if err := <-failures; !errors.Is(err, runner.ErrPanicked) {
+			t.Errorf("failure: %v, want %v", err, runner.ErrPanicked)
+		}
+		return nil
+	}))
+	if err := group.Run(); err != nil {
+		t.Errorf("run: %v, want the owner to end the group", err)
+	}
+}
