Choose a replica also long after it has failed

The process of a node ended, and with it all requests that it had read, at a request for a service of which the only usable replica had failed once and had got no request from this node for many minutes, as is usual for rarely used models.

The weight of failures stopped to halve at 0.01 and was then extrapolated linearly without a bound, so that it became negative, and with it the cost of the replica. Three times a negative cost is less than the cost itself, and no candidate was left. A weight that is this low is now zero.

--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -91,14 +91,22 @@
 // minFree is the least free capacity that is assumed of a usable replica.
 const minFree = 0.1
 
-// failures returns the weight of recent failures, decayed to the present.
+// minFailures is the weight of failures at and below which they are forgotten at the next
+// half-life.
+const minFailures = 0.01
+
+// failures returns the weight of recent failures, decayed to the present. It is never negative:
+// the costs of the candidates of a request would have no bound that the lowest of them keeps.
 func (r *Replica) failures(now time.Time) float64 {
 	if r.Failures == 0 {
 		return 0
 	}
 	age := now.Sub(r.FailedAt)
 	weight := r.Failures
-	for ; age >= failureHalfLife && weight > 0.01; age -= failureHalfLife {
+	for ; age >= failureHalfLife; age -= failureHalfLife {
+		if weight <= minFailures {
+			return 0
+		}
 		weight /= 2
 	}
 	return weight * (1 - float64(age)/float64(2*failureHalfLife))
