Step controllers through messages with missing and unusual parts

Panics of the balancer and the planner ended nodes at combinations that no script held: no candidate left, a service that is withdrawn during an evacuation, a replica that failed long ago.

--- a/internal/screener/script_test.go
+++ b/internal/screener/script_test.go
@@ -7,15 +7,24 @@
 	"toucanhitch.example/toucanhitch/internal/tester"
 )
 
+// scripts are the scripts of the controller.
+var scripts = tester.Suite[Message, Effect]{
+	Directory: "testdata/node",
+	New:       func(*testing.T, []byte) tester.Controller[Message, Effect] { return NewController("n1") },
+	Messages:  []Message{AttemptBroke{}, AnswerBegun{}, StateReceived{}, Collect{}},
+	Tick:      Tick{},
+}
+
 // TestScripts replays the scripts of a node in testdata/node. The head of each script
 // states the failure that it guards against.
 func TestScripts(t *testing.T) {
-	tester.Replay(t, tester.Suite[Message, Effect]{
-		Directory: "testdata/node",
-		New:       func(*testing.T, []byte) tester.Controller[Message, Effect] { return NewController("n1") },
-		Messages:  []Message{AttemptBroke{}, AnswerBegun{}, StateReceived{}, Collect{}},
-		Tick:      Tick{},
-	})
+	tester.Replay(t, scripts)
+}
+
+// TestDisturbedMessages guards against a panic, which ends the node, at messages with parts that
+// are missing, unknown or out of range, or that come in another order.
+func TestDisturbedMessages(t *testing.T) {
+	tester.Disturb(t, scripts, 300)
 }
 
 // TestEvidence replays the scripts of the lease holder in testdata/evidence.
