Bound the wait for a cold replica with a very low limit

The balancer of a node did not answer any more, and with it no request that needed a choice got an answer before its deadline, after a cold replica had named a limit of 0.0000000001 requests a second. The time until the next request exceeded what a duration holds and came out as negative, so that the replica was chosen and held back again without end. A task that hangs is not ended as one that panics.

The wait now ends with the cold time at the latest. Script cold_slow_limit did not end before.

--- a/internal/balancer/cold.go
+++ b/internal/balancer/cold.go
@@ -186,7 +186,11 @@
 		if cold.Level >= 1 {
 			return true
 		}
-		retryAt = now.Add(time.Duration((1-cold.Level)/rate*float64(time.Second)) + time.Microsecond)
+		retryAt = until
+		// A rate close to 0 is a wait that no time.Duration holds.
+		if wait := (1 - cold.Level) / rate * float64(time.Second); wait >= 0 && wait < float64(until.Sub(now)) {
+			retryAt = now.Add(time.Duration(wait) + time.Microsecond)
+		}
 	}
 	cold.HeldBack++
 	replica.Notice.ThrottledUntil = earlier(retryAt, until)
