Keep quarantines in the store for a loss of power on all nodes

The evidence and the quarantines lived in processes only. Nodes report them to a new holder, which does not help if no node is left.

The node that decides about quarantines now writes a record of each to the platform's store, also of requests that are only suspect after a break between head and first event that nothing has refuted for 0.6 s, and removes it at the end. All nodes read the records once, at their start; requests wait for that for at most a second from the configuration on. Quarantines are in force again at once. Suspects are held until others are answered, as after a crash of all replicas, and their next break is enough for a quarantine. A quarantine is published before its record is written, not after. A write that is repeated finds its own record; after a restoration of the store all records are written again; entries that cannot be read are skipped and replaced. Nothing is called while nothing crashes.

TestQuarantineOutlivesAllNodes failed before (7 requests reached replicas after the restart, none may) and passes now. The scripts restored, restored_alone and recorded of the screener and those of the archiver cover the decisions.

--- a/internal/assembler/connect.go
+++ b/internal/assembler/connect.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"toucanhitch.example/toucanhitch/internal/archiver"
 	"toucanhitch.example/toucanhitch/internal/balancer"
 	"toucanhitch.example/toucanhitch/internal/leaser"
 	"toucanhitch.example/toucanhitch/internal/logger"
@@ -40,6 +41,9 @@
 		if previous == nil || previous.configuration != effect.Configuration {
 			n.setColdRules(effect.Configuration)
 		}
+		if previous == nil {
+			n.logPostError("archiver", n.archiver.Post(archiver.ConfigurationKnown{}))
+		}
 		n.logPostError("planner", n.planner.Post(planner.ConfigurationChanged{Configuration: effect.Configuration, CurrentAsOf: effect.CurrentAsOf}))
 	case surveyor.PublishStoreReplicas:
 		n.logPostError("planner", n.planner.Post(planner.ReplicasListed{Replicas: effect.Replicas, Era: effect.Era, CurrentAsOf: effect.CurrentAsOf}))
@@ -58,6 +62,7 @@
 	case surveyor.StoreRestored:
 		// The node's entry may be lost, however recently it was written.
 		n.storeRestoredAt.Store(new(n.clock.Now()))
+		n.logPostError("archiver", n.archiver.Post(archiver.StoreRestored{}))
 	case surveyor.ProofDelayed:
 		n.view.proofDelayedUntil.Store(&effect.Until)
 	case surveyor.Note:
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"toucanhitch.example/toucanhitch/internal/acceptor"
+	"toucanhitch.example/toucanhitch/internal/archiver"
 	"toucanhitch.example/toucanhitch/internal/balancer"
 	"toucanhitch.example/toucanhitch/internal/dispatcher"
 	"toucanhitch.example/toucanhitch/internal/filter"
@@ -104,6 +105,7 @@
 	relays    relayLists
 	rationer  *rationer.Task
 	screener  *screener.Task
+	archiver  *archiver.Task
 	resumer   *resumer.Task
 	syncer    *syncer.Task
 	leaser    *leaser.Task
@@ -207,6 +209,7 @@
 		Replicas:      engines,
 		RemoveNode:    n.removeNode,
 		StoreVersions: n.storeVersions,
+		StoreRecords:  n.storeRecords,
 		Log:           n.logPlannerNote,
 
 		HandOver:        n.handLeaseOver,
@@ -226,6 +229,7 @@
 		Log:      n.logScreenerNote,
 		LogError: func(err error) { n.logPostError("screener", err) },
 	})
+	n.createArchiver()
 	n.resumer = resumer.New(resumer.Settings{
 		Clock:        n.clock,
 		Peers:        n.peers,
--- a/internal/assembler/run.go
+++ b/internal/assembler/run.go
@@ -54,7 +54,7 @@
 	defer stop()
 	group := &run.Group{}
 	for _, task := range []runner.Runnable{
-		n.surveyor, n.planner, n.balancer, n.cacher, n.rationer, n.screener, n.resumer, n.permitter, n.syncer, n.leaser, n.acceptor, n.relayer,
+		n.surveyor, n.planner, n.balancer, n.cacher, n.rationer, n.screener, n.archiver, n.resumer, n.permitter, n.syncer, n.leaser, n.acceptor, n.relayer,
 	} {
 		runner.Add(taskCtx, group, task)
 	}
--- a/internal/forwarder/dispatch.go
+++ b/internal/forwarder/dispatch.go
@@ -54,6 +54,9 @@
 
 // Screen knows the requests that crash replicas.
 type Screen interface {
+	// Await waits until the quarantines are known that were in force before the node started,
+	// or for a bounded time. It returns the cause if ctx ends first.
+	Await(ctx context.Context) error
 	// Quarantined returns the first trait of the request for which it may not be sent
 	// and the time for which that lasts, or "".
 	Quarantined(subject screener.Subject) (trait screener.Trait, remaining time.Duration)
--- a/internal/forwarder/filters.go
+++ b/internal/forwarder/filters.go
@@ -125,7 +125,10 @@
 type ScreenRequest struct{ Screen Screen }
 
 // Filter implements filter.Filter.
-func (f ScreenRequest) Filter(_ context.Context, request *filter.Request) filter.Verdict {
+func (f ScreenRequest) Filter(ctx context.Context, request *filter.Request) filter.Verdict {
+	if err := f.Screen.Await(ctx); err != nil {
+		return newRefusal(filter.CallerGone, filter.NotRun, 0, "the caller is gone")
+	}
 	trait, remaining := f.Screen.Quarantined(subject(request.Work.(*filter.Forward)))
 	if trait == "" {
 		return filter.Pass{}
--- a/internal/planner/controller.go
+++ b/internal/planner/controller.go
@@ -7,6 +7,7 @@
 
 	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/internal/resumer"
+	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
@@ -57,6 +58,10 @@
 	// Versions are the software versions that this node knows of.
 	Versions *resumer.Register
 
+	// StoredRecords are the records about requests that crash replicas that this node has
+	// last requested to be stored.
+	StoredRecords []screener.Record
+
 	// View is the view that this node sends to others while it does not hold the
 	// lease, as of ViewCreatedAt.
 	View          *StoreView
@@ -156,9 +161,11 @@
 	case StateRead:
 		effects = c.handleStateRead(now, message)
 	case ReportReceived:
-		return c.handleReport(now, message)
+		effects = c.handleReport(now, message)
+		return append(effects, c.releaseRecords()...)
 	}
-	return append(effects, c.advance(now)...)
+	effects = append(effects, c.advance(now)...)
+	return append(effects, c.releaseRecords()...)
 }
 
 // advance completes operations that have ended, plans, and sends due orders and
--- a/internal/planner/message.go
+++ b/internal/planner/message.go
@@ -6,6 +6,7 @@
 	"toucanhitch.example/toucanhitch/internal/resolver"
 	"toucanhitch.example/toucanhitch/internal/resumer"
 	"toucanhitch.example/toucanhitch/internal/runner"
+	"toucanhitch.example/toucanhitch/internal/screener"
 	"toucanhitch.example/toucanhitch/internal/surveyor"
 )
 
@@ -149,7 +150,7 @@
 )
 
 // Effect is an output of Controller: SendOrder, ReadState, AnswerReport,
-// RemoveNode, StoreVersions, HandOver, RegainCandidacy or Note.
+// RemoveNode, StoreVersions, StoreRecords, HandOver, RegainCandidacy or Note.
 type Effect interface{ isEffect() }
 
 // SendOrder sends an order. Its result is an OrderResult.
@@ -181,6 +182,13 @@
 // StoreVersions stores the software versions in the lease. Its result is a VersionsStored.
 type StoreVersions struct{ Services []resumer.Service }
 
+// StoreRecords makes the store contain the records about requests that crash replicas. Tenure
+// is 0 if this node no longer decides about them.
+type StoreRecords struct {
+	Tenure  uint64            `json:",omitempty"`
+	Records []screener.Record `json:",omitempty"`
+}
+
 // HandOver releases the lease, because other nodes reach the replicas and this one does not.
 // This node must not take it before RegainCandidacy.
 type HandOver struct{}
@@ -205,6 +213,7 @@
 func (AnswerReport) isEffect()    {}
 func (RemoveNode) isEffect()      {}
 func (StoreVersions) isEffect()   {}
+func (StoreRecords) isEffect()    {}
 func (HandOver) isEffect()        {}
 func (RegainCandidacy) isEffect() {}
 func (Note) isEffect()            {}
--- a/internal/planner/prompts.go
+++ b/internal/planner/prompts.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"toucanhitch.example/toucanhitch/internal/screener"
@@ -31,7 +32,31 @@
 			effects = append(effects, ReadState{Replica: replica.ID, Address: endpoint.Entry.Address})
 		}
 	}
-	return effects
+	return append(effects, c.storeRecords(now)...)
+}
+
+// storeRecords requests that the store contain what must outlive all processes, if that has
+// changed. The remaining times of records do not count as a change.
+func (c *Controller) storeRecords(now time.Time) []Effect {
+	records := c.Tenure.Prompts.Records(now)
+	if slices.EqualFunc(records, c.StoredRecords, sameRecord) {
+		return nil
+	}
+	c.StoredRecords = records
+	return []Effect{StoreRecords{Tenure: c.Tenure.ID, Records: records}}
+}
+
+// releaseRecords leaves the records in the store to the next holder when a tenure has ended.
+func (c *Controller) releaseRecords() []Effect {
+	if c.Tenure != nil || len(c.StoredRecords) == 0 {
+		return nil
+	}
+	c.StoredRecords = nil
+	return []Effect{StoreRecords{}}
+}
+
+func sameRecord(a, b screener.Record) bool {
+	return a.Trait == b.Trait && a.Quarantined == b.Quarantined
 }
 
 // recordRunning records a replica that has answered a read of its state.
--- a/internal/planner/task.go
+++ b/internal/planner/task.go
@@ -40,7 +40,9 @@
 	// StoreVersions stores software versions in the lease. Log receives the Notes. They must
 	// not block.
 	StoreVersions func([]resumer.Service)
-	Log           func(Note)
+	// StoreRecords receives the records about requests that crash replicas. It must not block.
+	StoreRecords func(StoreRecords)
+	Log          func(Note)
 	// HandOver releases the lease, and RegainCandidacy makes this node a candidate again.
 	// They must not block.
 	HandOver, RegainCandidacy func()
@@ -104,6 +106,8 @@
 		})
 	case StoreVersions:
 		t.settings.StoreVersions(effect.Services)
+	case StoreRecords:
+		t.settings.StoreRecords(effect)
 	case HandOver:
 		t.settings.HandOver()
 	case RegainCandidacy:
--- a/internal/screener/controller.go
+++ b/internal/screener/controller.go
@@ -43,6 +43,11 @@
 	// that the holder has published.
 	Quarantines map[Trait]time.Time
 	Published   map[Trait]bool
+	// RestoredQuarantines are those that this node has from the platform's store. What the
+	// holder publishes about them is newer. RestoredSuspects are the requests that the store
+	// lists as suspect, until the holder decides about them.
+	RestoredQuarantines map[Trait]bool
+	RestoredSuspects    map[Trait]*restoredSuspect
 	// Held are the published suspects that are refused until HeldUntil.
 	Held      []Hold
 	HeldUntil time.Time
@@ -63,12 +68,20 @@
 		RunningAt:   map[Process]time.Time{},
 		Suspects:    map[Trait]time.Time{},
 		Quarantines: map[Trait]time.Time{},
+
+		RestoredQuarantines: map[Trait]bool{},
+		RestoredSuspects:    map[Trait]*restoredSuspect{},
 	}
 }
 
-// Wake returns when the next quarantine ends.
+// Wake returns when the next quarantine or hold from the store ends.
 func (c *Controller) Wake() time.Time {
 	var wake time.Time
+	for _, suspect := range c.RestoredSuspects {
+		if wake.IsZero() || suspect.Until.Before(wake) {
+			wake = suspect.Until
+		}
+	}
 	for _, until := range c.Quarantines {
 		if wake.IsZero() || until.Before(wake) {
 			wake = until
@@ -88,6 +101,8 @@
 		c.recordBegun(now, message)
 	case StateReceived:
 		return c.applyState(now, message)
+	case RecordsRead:
+		return c.restore(now, message.Records)
 	case Collect:
 		effects := c.expireReplicas(now)
 		return append(effects, c.collect(now, message.Call))
@@ -119,14 +134,16 @@
 
 // endQuarantines removes the quarantines that have ended.
 func (c *Controller) endQuarantines(now time.Time) []Effect {
+	released := c.releaseSuspects(now, Published{})
 	var effects []Effect
 	for _, trait := range slices.Sorted(maps.Keys(c.Quarantines)) {
 		if !now.Before(c.Quarantines[trait]) {
 			delete(c.Quarantines, trait)
+			delete(c.RestoredQuarantines, trait)
 			effects = append(effects, Note{Text: noteText(trait, "quarantine of a request ended", "quarantine of a prompt part ended"), Trait: trait})
 		}
 	}
-	if effects == nil {
+	if effects == nil && !released {
 		return nil
 	}
 	return append(effects, c.view())
@@ -151,13 +168,17 @@
 		suspects[trait] = begunAt
 	}
 	c.Suspects = suspects
-	changed = changed || len(published.Held) > 0 || len(c.Held) > 0
+	changed = c.releaseSuspects(now, published) || changed || len(published.Held) > 0 || len(c.Held) > 0
 	c.Held, c.HeldUntil = published.Held, now.Add(holdTime)
 	c.Published = make(map[Trait]bool, len(published.Quarantines))
 	var effects []Effect
 	for _, quarantine := range published.Quarantines {
 		c.Published[quarantine.Trait] = true
 		until := now.Add(quarantine.Remaining)
+		if c.RestoredQuarantines[quarantine.Trait] {
+			delete(c.RestoredQuarantines, quarantine.Trait)
+			c.Quarantines[quarantine.Trait], changed = until, true
+		}
 		if _, ok := c.Quarantines[quarantine.Trait]; !ok {
 			text := noteText(quarantine.Trait, "request quarantined", "prompt part quarantined")
 			effects = append(effects, Note{text, quarantine.Trait, quarantine.Remaining})
@@ -187,6 +208,12 @@
 	if len(c.Held) > 0 {
 		view.HeldUntil, view.Held = c.HeldUntil, map[Trait]bool{}
 	}
+	if len(c.RestoredSuspects) > 0 {
+		view.Restored, view.ScreensRequests = map[Trait]time.Time{}, true
+	}
+	for trait, suspect := range c.RestoredSuspects {
+		view.Restored[trait] = suspect.Until
+	}
 	for _, hold := range c.Held {
 		view.Held[hold.Trait] = hold.Prober == c.Node
 		view.ScreensRequests = true
@@ -218,7 +245,7 @@
 // collect returns the node's report.
 func (c *Controller) collect(now time.Time, call runner.Call) AnswerCollect {
 	c.Breaks = slices.DeleteFunc(c.Breaks, func(broken recordedBreak) bool { return now.Sub(broken.at) > keepTime })
-	var report Report
+	report := Report{Breaks: c.reportSuspects(now)}
 	for _, broken := range c.Breaks {
 		if now.After(broken.reportUntil) {
 			continue
@@ -238,7 +265,9 @@
 		report.Running = append(report.Running, Running{replica, now.Sub(c.RunningAt[replica])})
 	}
 	for _, trait := range slices.Sorted(maps.Keys(c.Quarantines)) {
-		if !c.Published[trait] {
+		// Before the first state it is not known for how long the holder keeps a quarantine that
+		// this node has from the store. The store's time would prolong it with each restart.
+		if !c.Published[trait] && (c.Published != nil || !c.RestoredQuarantines[trait]) {
 			report.Quarantines = append(report.Quarantines, Quarantine{trait, c.Quarantines[trait].Sub(now)})
 		}
 	}
--- a/internal/screener/evidence.go
+++ b/internal/screener/evidence.go
@@ -151,6 +151,10 @@
 }
 
 func (e *Evidence) recordBreak(now time.Time, broken Break) {
+	if broken.Replica == (Process{}) {
+		e.restore(now, broken)
+		return
+	}
 	sighting := Sighting{broken.Request, broken.Replica, broken.HeadReceived, now.Add(-broken.SentAge), now.Add(-broken.Age)}
 	if len(e.Broken) < maxBroken {
 		e.Broken[broken.Request] = BrokenRequest{broken.Service, sighting.BrokenAt}
--- a/internal/screener/message.go
+++ b/internal/screener/message.go
@@ -39,6 +39,10 @@
 	Published Published
 }
 
+// RecordsRead is what the platform's store lists at the start of the node. It is empty if the
+// store has not answered in time, and comes again when it has.
+type RecordsRead struct{ Records []Record }
+
 // Collect requests the node's report.
 type Collect struct{ Call runner.Call }
 
@@ -46,14 +50,18 @@
 func (AttemptBroke) isMessage()  {}
 func (AnswerBegun) isMessage()   {}
 func (StateReceived) isMessage() {}
+func (RecordsRead) isMessage()   {}
 func (Collect) isMessage()       {}
 
-// Effect is an output of Controller: Publish, AnswerCollect or Note.
+// Effect is an output of Controller: Publish, Restored, AnswerCollect or Note.
 type Effect interface{ isEffect() }
 
 // Publish replaces the view that requests read.
 type Publish struct{ View *View }
 
+// Restored reports that requests need not wait for the records of the store any more.
+type Restored struct{}
+
 // AnswerCollect answers a Collect.
 type AnswerCollect struct {
 	Call   runner.Call
@@ -68,6 +76,7 @@
 }
 
 func (Publish) isEffect()       {}
+func (Restored) isEffect()      {}
 func (AnswerCollect) isEffect() {}
 func (Note) isEffect()          {}
 
@@ -80,6 +89,9 @@
 	// may send one request at a time.
 	HeldUntil time.Time      `json:",omitzero"`
 	Held      map[Trait]bool `json:",omitempty"`
+	// Restored holds the requests that the platform's store lists as suspect and that are
+	// refused until the given times.
+	Restored map[Trait]time.Time `json:",omitempty"`
 	// Broken holds the replicas that broke off attempts of this node a short time ago.
 	Broken map[Process]bool `json:"-"`
 	// ScreensRequests is set if a whole request is suspect or quarantined.
@@ -90,7 +102,7 @@
 // remaining time, or "". If mayProbe is set, the request may be sent all the same to find
 // out whether replicas crash on it.
 func (v *View) quarantined(now time.Time, subject Subject) (trait Trait, remaining time.Duration, mayProbe bool) {
-	if len(v.Quarantines) == 0 && len(v.Held) == 0 {
+	if len(v.Quarantines) == 0 && len(v.Held) == 0 && len(v.Restored) == 0 {
 		return "", 0, false
 	}
 	for _, trait := range v.traits(subject) {
@@ -100,6 +112,10 @@
 		if mayProbe, held := v.Held[trait]; held && now.Before(v.HeldUntil) {
 			return trait, v.HeldUntil.Sub(now), mayProbe
 		}
+		if remaining := v.Restored[trait].Sub(now); remaining > 0 {
+			// The holder decides soon.
+			return trait, min(remaining, holdTime), false
+		}
 	}
 	return "", 0, false
 }
--- /dev/null
+++ b/internal/screener/record.go
@@ -0,0 +1,141 @@
+package screener
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// MaxRecords bounds the records of a fleet in the platform's store, and MaxTraitBytes the
+	// length of their traits.
+	MaxRecords    = 64
+	MaxTraitBytes = 128
+	// reportedTime is the time after its report for which a node holds a request that the
+	// store lists as suspect, unless the holder publishes it. It covers several exchanges.
+	reportedTime = 3 * time.Second
+	// restoredTime bounds the time for which a request is held that the store lists as suspect.
+	restoredTime = 30 * time.Second
+)
+
+// Record is what the platform's store keeps about a trait, for the case that all processes of
+// the system end at the same time.
+type Record struct {
+	Trait   Trait
+	Service string `json:",omitempty"`
+	// Quarantined is not set for a request that is suspect: it broke off on a replica that had
+	// begun to answer it.
+	Quarantined bool `json:",omitempty"`
+	// Remaining is the rest of the quarantine when the record was written. Clocks of
+	// different processes are not compared, so the time since then is not known.
+	Remaining time.Duration `json:",omitempty"`
+}
+
+// Records returns what must outlive all processes: the quarantines, and the requests that broke
+// off between the head and the first event of their answer without a sign since then that they
+// are sound. A replica that crashes breaks off few sound requests there. Parts of prompts below
+// the threshold of a quarantine are not among them, because sound requests share them.
+func (e *Evidence) Records(now time.Time) []Record {
+	var records []Record
+	for _, trait := range slices.Sorted(maps.Keys(e.Quarantined)) {
+		if remaining := e.Quarantined[trait].Sub(now); remaining > 0 {
+			records = append(records, Record{Trait: trait, Quarantined: true, Remaining: remaining})
+		}
+	}
+	for _, trait := range slices.Sorted(maps.Keys(e.Suspicions)) {
+		if s := e.Suspicions[trait]; s.mustOutlive(now) {
+			records = append(records, Record{Trait: trait, Service: s.Service})
+		}
+	}
+	records = slices.DeleteFunc(records, func(record Record) bool { return len(record.Trait) > MaxTraitBytes })
+	return records[:min(MaxRecords, len(records))]
+}
+
+// mustOutlive reports whether a request that is not quarantined is recorded. An answer to a
+// sound one would have dropped the evidence by then.
+func (s *Suspicion) mustOutlive(now time.Time) bool {
+	if !s.WholeRequest || s.SuspectSince.IsZero() {
+		return false
+	}
+	return s.Restored || s.answering() > 0 && now.Sub(s.SuspectSince) >= requestSettleTime
+}
+
+// restore adopts a request that crashed a replica before all processes ended. It is held until
+// others are answered. Then its next break is enough for a quarantine.
+func (e *Evidence) restore(now time.Time, broken Break) {
+	trait := RequestTrait(broken.Fingerprint)
+	if e.Suspicions[trait] != nil || e.isQuarantined(now, trait) {
+		return
+	}
+	if len(e.Suspicions) >= maxSuspicions {
+		e.evict()
+	}
+	s := &Suspicion{Service: broken.Service, WholeRequest: true, Restored: true, RestoredAt: now, SuspectSince: now}
+	e.Suspicions[trait] = s
+	e.hold(now, s)
+}
+
+// restore adopts the records of the store. Until the holder publishes something else, they are
+// in force as they are.
+func (c *Controller) restore(now time.Time, records []Record) []Effect {
+	var effects []Effect
+	for _, record := range records {
+		if _, known := c.Quarantines[record.Trait]; known {
+			continue
+		}
+		if !record.Quarantined {
+			if isRequestTrait(record.Trait) {
+				c.RestoredSuspects[record.Trait] = &restoredSuspect{Service: record.Service, At: now, Until: now.Add(restoredTime)}
+			}
+			continue
+		}
+		remaining := min(record.Remaining, quarantineTime)
+		if remaining <= 0 {
+			continue
+		}
+		c.Quarantines[record.Trait], c.RestoredQuarantines[record.Trait] = now.Add(remaining), true
+		effects = append(effects, Note{noteText(record.Trait, "request quarantined again", "prompt part quarantined again"), record.Trait, remaining})
+	}
+	return append(effects, c.view(), Restored{})
+}
+
+// restoredSuspect is a request that the store lists as suspect. At is when the node read this,
+// and ReportedAt when it first reported it.
+type restoredSuspect struct {
+	Service               string
+	At, Until, ReportedAt time.Time
+}
+
+// releaseSuspects ends the holds that the holder has taken over, does not confirm or that have
+// lasted for too long, and reports whether there were any.
+func (c *Controller) releaseSuspects(now time.Time, published Published) bool {
+	before := len(c.RestoredSuspects)
+	maps.DeleteFunc(c.RestoredSuspects, func(trait Trait, suspect *restoredSuspect) bool {
+		return !now.Before(suspect.Until) || !suspect.ReportedAt.IsZero() && now.Sub(suspect.ReportedAt) > reportedTime ||
+			slices.Contains(published.Suspects, trait) ||
+			slices.ContainsFunc(published.Held, func(hold Hold) bool { return hold.Trait == trait }) ||
+			slices.ContainsFunc(published.Quarantines, func(quarantine Quarantine) bool { return quarantine.Trait == trait })
+	})
+	return len(c.RestoredSuspects) != before
+}
+
+// reportSuspects reports the requests that the store lists as suspect as breaks of replicas
+// that are not known any more, which holders of earlier builds accept as well.
+func (c *Controller) reportSuspects(now time.Time) []Break {
+	var breaks []Break
+	for _, trait := range slices.Sorted(maps.Keys(c.RestoredSuspects)) {
+		suspect := c.RestoredSuspects[trait]
+		if suspect.ReportedAt.IsZero() {
+			suspect.ReportedAt = now
+		}
+		fingerprint, _ := RequestFingerprint(trait)
+		breaks = append(breaks, Break{
+			Fingerprint: fingerprint, Service: suspect.Service, HeadReceived: true, SentAge: now.Sub(suspect.At), Age: now.Sub(suspect.At),
+		})
+	}
+	return breaks
+}
+
+// CompareRecords orders records by their traits.
+func CompareRecords(a, b Record) int { return cmp.Compare(a.Trait, b.Trait) }
--- a/internal/screener/report.go
+++ b/internal/screener/report.go
@@ -29,7 +29,9 @@
 	Request     string
 	Fingerprint string `json:",omitempty"`
 	Service     string `json:",omitempty"`
-	Replica     Process
+	// Replica is the zero value if the break is known from the platform's store: it was before
+	// all processes of the system ended.
+	Replica Process
 	// Parts are the shared parts of the prompt in order.
 	Parts []string
 	// HeadReceived is set if the replica had begun to answer: it had sent the head.
--- a/internal/screener/review.go
+++ b/internal/screener/review.go
@@ -179,6 +179,9 @@
 	maps.DeleteFunc(e.Broken, func(_ string, request BrokenRequest) bool { return now.Sub(request.At) > sightingLifetime })
 	maps.DeleteFunc(e.Suspicions, func(_ Trait, s *Suspicion) bool {
 		s.Sightings = slices.DeleteFunc(s.Sightings, func(sighting Sighting) bool { return now.Sub(sighting.BrokenAt) > sightingLifetime })
+		if s.Restored && now.Sub(s.RestoredAt) <= sightingLifetime {
+			return false
+		}
 		return len(s.Sightings) == 0 && now.Sub(s.BegunAt) > explainedLifetime
 	})
 }
--- a/internal/screener/script_test.go
+++ b/internal/screener/script_test.go
@@ -13,7 +13,7 @@
 	tester.Replay(t, tester.Suite[Message, Effect]{
 		Directory: "testdata/node",
 		New:       func(*testing.T, []byte) tester.Controller[Message, Effect] { return NewController("n1") },
-		Messages:  []Message{AttemptBroke{}, AnswerBegun{}, StateReceived{}, Collect{}},
+		Messages:  []Message{AttemptBroke{}, AnswerBegun{}, StateReceived{}, RecordsRead{}, Collect{}},
 		Tick:      Tick{},
 	})
 }
@@ -23,12 +23,12 @@
 	tester.Replay(t, tester.Suite[any, any]{
 		Directory: "testdata/evidence",
 		New:       func(*testing.T, []byte) tester.Controller[any, any] { return &holder{NewEvidence()} },
-		Messages:  []any{Reported{}, StillRunning{}, Reviewed{}},
+		Messages:  []any{Reported{}, StillRunning{}, Reviewed{}, Recorded{}},
 		Tick:      Reviewed{},
 	})
 }
 
-// Reported, StillRunning and Reviewed are the calls of Evidence in scripts.
+// Reported, StillRunning, Reviewed and Recorded are the calls of Evidence in scripts.
 type (
 	Reported struct {
 		Node   string
@@ -36,6 +36,7 @@
 	}
 	StillRunning struct{ Replica Process }
 	Reviewed     struct{}
+	Recorded     struct{}
 )
 
 // holder makes Evidence a controller, so that scripts can drive it.
@@ -57,6 +58,10 @@
 			effects = append(effects, replica)
 		}
 		effects = append(effects, h.evidence.Publish(now))
+	case Recorded:
+		for _, record := range h.evidence.Records(now) {
+			effects = append(effects, record)
+		}
 	}
 	return effects
 }
--- a/internal/screener/suspicion.go
+++ b/internal/screener/suspicion.go
@@ -29,6 +29,10 @@
 	HeldUntil, ReleasedAt, ProberUntil time.Time
 	Holds                              int
 	Prober                             string
+	// Restored is set if the request crashed a replica before all processes of the system
+	// ended, and no answer to it has begun since RestoredAt.
+	Restored   bool
+	RestoredAt time.Time
 }
 
 // Sighting is the break of one request with a trait.
@@ -60,7 +64,7 @@
 	if !at.After(s.BegunAt) {
 		return
 	}
-	s.BegunAt = at
+	s.BegunAt, s.Restored = at, false
 	s.Sightings = slices.DeleteFunc(s.Sightings, func(sighting Sighting) bool { return !sighting.BrokenAt.After(at) })
 }
 
@@ -106,7 +110,7 @@
 
 func (s *Suspicion) isSuspect() bool {
 	if s.WholeRequest {
-		return s.answering() >= suspectAnswers || s.requests() >= minRepetitions
+		return s.Restored || s.answering() >= suspectAnswers || s.requests() >= minRepetitions
 	}
 	return s.answering() >= suspectAnswers || s.chain() >= suspectBreaks
 }
@@ -122,6 +126,8 @@
 func (s *Suspicion) isSufficient() (sufficient, silent bool) {
 	answering, chain := s.answering(), s.chain()
 	switch {
+	case s.Restored:
+		return len(s.Sightings) > 0, answering == 0
 	case s.WholeRequest && answering >= requestBreaks:
 		return true, false
 	case s.WholeRequest:
--- a/internal/screener/task.go
+++ b/internal/screener/task.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/jonboulle/clockwork"
 
 	"toucanhitch.example/toucanhitch/internal/runner"
@@ -32,13 +33,16 @@
 	view     atomic.Pointer[View]
 	// answers counts the answers that have begun, by service.
 	answers sync.Map
+	// restored is closed when the records of the store are known or no longer waited for.
+	restored      chan struct{}
+	closeRestored sync.Once
 	// probedAt holds the time at which the request with a held trait was last sent.
 	probedAt sync.Map
 }
 
 // New returns a task that is idle until Run is called.
 func New(settings Settings) *Task {
-	t := &Task{settings: settings}
+	t := &Task{settings: settings, restored: make(chan struct{})}
 	t.view.Store(&View{})
 	t.task = runner.New(runner.Settings[Message, Effect]{
 		Name:       "screener",
@@ -57,6 +61,22 @@
 // Post delivers a message to the controller.
 func (t *Task) Post(message Message) error { return t.task.Post(message) }
 
+// Await waits until the quarantines are known that were in force before the node started, or no
+// longer waited for. It returns the cause if ctx ends first.
+func (t *Task) Await(ctx context.Context) error {
+	select {
+	case <-t.restored:
+		return nil
+	default:
+	}
+	select {
+	case <-t.restored:
+		return nil
+	case <-ctx.Done():
+		return merry.Wrap(context.Cause(ctx))
+	}
+}
+
 // Quarantined returns the first trait of the request for which it is refused and the
 // remaining time, or "".
 func (t *Task) Quarantined(subject Subject) (Trait, time.Duration) {
@@ -140,6 +160,8 @@
 	switch effect := effect.(type) {
 	case Publish:
 		t.view.Store(effect.View)
+	case Restored:
+		t.closeRestored.Do(func() { close(t.restored) })
 	case AnswerCollect:
 		handle.Reply(effect.Call, effect)
 	case Note:
