Record a request that broke off in several repetitions at once

The record of a suspect was written 0.6 s after the holder knew of it, which was too late. The delay keeps sound requests out of the store that an answer clears; several repetitions of one request with a head among them are rare among those. They are now recorded as soon as the holder knows of them, within an exchange of 0.25 s.

--- a/internal/screener/record.go
+++ b/internal/screener/record.go
@@ -33,8 +33,7 @@
 }
 
 // Records returns what must outlive all processes: the quarantines, and the requests that broke
-// off between the head and the first event of their answer without a sign since then that they
-// are sound. A replica that crashes breaks off few sound requests there. Parts of prompts below
+// off between the head and the first event of their answer. A replica that crashes breaks off few sound requests there. Parts of prompts below
 // the threshold of a quarantine are not among them, because sound requests share them.
 func (e *Evidence) Records(now time.Time) []Record {
 	var records []Record
@@ -52,13 +51,17 @@
 	return records[:min(MaxRecords, len(records))]
 }
 
-// mustOutlive reports whether a request that is not quarantined is recorded. An answer to a
-// sound one would have dropped the evidence by then.
+// mustOutlive reports whether a request that is not quarantined is recorded: at once if several
+// of its repetitions broke off, since power may be lost at any time, and otherwise when an answer
+// to a sound one would have dropped the evidence.
 func (s *Suspicion) mustOutlive(now time.Time) bool {
 	if !s.WholeRequest || s.SuspectSince.IsZero() {
 		return false
 	}
-	return s.Restored || s.answering() > 0 && now.Sub(s.SuspectSince) >= requestSettleTime
+	if s.Restored || s.answering() == 0 {
+		return s.Restored
+	}
+	return s.requests() >= minRepetitions || now.Sub(s.SuspectSince) >= requestSettleTime
 }
 
 // restore adopts a request that crashed a replica before all processes ended. It is held until
