Hold suspects from the store until a holder decides about them

After the end of all processes a node acts for the holder first, and another one takes the lease. Nodes ended their hold 3 s after they had first reported the request, when the holder had just started, or because the acting node had published it.

The hold now ends in each tenure by itself: 3 s after a report to a holder that does not confirm it, or when the holder holds the request. With a new tenure it begins again and is reported again, for 30 s from the start of the node, unless an answer to the request has begun at it.

--- a/internal/screener/controller.go
+++ b/internal/screener/controller.go
@@ -125,6 +125,7 @@
 	for _, trait := range begun.Traits {
 		if _, ok := c.Suspects[trait]; ok {
 			c.Suspects[trait] = now
+			delete(c.RestoredSuspects, trait)
 		}
 	}
 	if brokenAt, ok := c.BrokenAt[begun.Replica]; ok && begun.SentAt.After(brokenAt) && now.Sub(brokenAt) < minRestartTime {
@@ -134,7 +135,7 @@
 
 // endQuarantines removes the quarantines that have ended.
 func (c *Controller) endQuarantines(now time.Time) []Effect {
-	released := c.releaseSuspects(now, Published{})
+	released := c.reviewSuspects(now, false, Published{})
 	var effects []Effect
 	for _, trait := range slices.Sorted(maps.Keys(c.Quarantines)) {
 		if !now.Before(c.Quarantines[trait]) {
@@ -153,7 +154,8 @@
 // published. A holder that has just started publishes no quarantines yet, so those
 // that are missing stay in force, and it gets all breaks that are kept.
 func (c *Controller) applyState(now time.Time, message StateReceived) []Effect {
-	if message.Tenure != c.Tenure {
+	newTenure := message.Tenure != c.Tenure
+	if newTenure {
 		c.Tenure = message.Tenure
 		for i := range c.Breaks {
 			c.Breaks[i].reportUntil = now.Add(reportTime)
@@ -168,7 +170,7 @@
 		suspects[trait] = begunAt
 	}
 	c.Suspects = suspects
-	changed = c.releaseSuspects(now, published) || changed || len(published.Held) > 0 || len(c.Held) > 0
+	changed = c.reviewSuspects(now, newTenure, published) || changed || len(published.Held) > 0 || len(c.Held) > 0
 	c.Held, c.HeldUntil = published.Held, now.Add(holdTime)
 	c.Published = make(map[Trait]bool, len(published.Quarantines))
 	var effects []Effect
@@ -208,11 +210,14 @@
 	if len(c.Held) > 0 {
 		view.HeldUntil, view.Held = c.HeldUntil, map[Trait]bool{}
 	}
-	if len(c.RestoredSuspects) > 0 {
-		view.Restored, view.ScreensRequests = map[Trait]time.Time{}, true
-	}
 	for trait, suspect := range c.RestoredSuspects {
-		view.Restored[trait] = suspect.Until
+		if suspect.Released {
+			continue
+		}
+		if view.Restored == nil {
+			view.Restored = map[Trait]time.Time{}
+		}
+		view.Restored[trait], view.ScreensRequests = suspect.Until, true
 	}
 	for _, hold := range c.Held {
 		view.Held[hold.Trait] = hold.Prober == c.Node
--- a/internal/screener/record.go
+++ b/internal/screener/record.go
@@ -104,23 +104,35 @@
 }
 
 // restoredSuspect is a request that the store lists as suspect. At is when the node read this,
-// and ReportedAt when it first reported it.
+// and ReportedAt when it first reported it in the current tenure. Released is set when the holder
+// of that tenure has taken it over or does not confirm it.
 type restoredSuspect struct {
 	Service               string
 	At, Until, ReportedAt time.Time
+	Released              bool
 }
 
-// releaseSuspects ends the holds that the holder has taken over, does not confirm or that have
-// lasted for too long, and reports whether there were any.
-func (c *Controller) releaseSuspects(now time.Time, published Published) bool {
-	before := len(c.RestoredSuspects)
-	maps.DeleteFunc(c.RestoredSuspects, func(trait Trait, suspect *restoredSuspect) bool {
-		return !now.Before(suspect.Until) || !suspect.ReportedAt.IsZero() && now.Sub(suspect.ReportedAt) > reportedTime ||
-			slices.Contains(published.Suspects, trait) ||
-			slices.ContainsFunc(published.Held, func(hold Hold) bool { return hold.Trait == trait }) ||
-			slices.ContainsFunc(published.Quarantines, func(quarantine Quarantine) bool { return quarantine.Trait == trait })
-	})
-	return len(c.RestoredSuspects) != before
+// reviewSuspects releases the requests that the holder has taken over or does not confirm,
+// forgets those that are quarantined or were held for too long, and reports whether anything has
+// changed. A new holder decides anew: after the end of all processes a node that acts for the
+// holder may have been the first one.
+func (c *Controller) reviewSuspects(now time.Time, newTenure bool, published Published) bool {
+	changed := false
+	for trait, suspect := range c.RestoredSuspects {
+		if !now.Before(suspect.Until) || slices.ContainsFunc(published.Quarantines, func(quarantine Quarantine) bool { return quarantine.Trait == trait }) {
+			delete(c.RestoredSuspects, trait)
+			changed = true
+			continue
+		}
+		released := suspect.Released
+		if newTenure {
+			suspect.Released, suspect.ReportedAt = false, time.Time{}
+		}
+		suspect.Released = suspect.Released || slices.Contains(published.Suspects, trait) ||
+			!suspect.ReportedAt.IsZero() && now.Sub(suspect.ReportedAt) > reportedTime
+		changed = changed || suspect.Released != released
+	}
+	return changed
 }
 
 // reportSuspects reports the requests that the store lists as suspect as breaks of replicas
@@ -129,7 +141,10 @@
 	var breaks []Break
 	for _, trait := range slices.Sorted(maps.Keys(c.RestoredSuspects)) {
 		suspect := c.RestoredSuspects[trait]
-		if suspect.ReportedAt.IsZero() {
+		if suspect.Released {
+			continue
+		}
+		if c.Published != nil && suspect.ReportedAt.IsZero() {
 			suspect.ReportedAt = now
 		}
 		fingerprint, _ := RequestFingerprint(trait)
