Hold a request of which three repetitions ended with one replica

A request is quarantined after breaks on two replicas. One crash is not evidence enough for that, but it may end as many copies as rule BUDGET allows altogether, and further copies wait at the nodes for the model meanwhile.

Such a request, with a break between head and first event and nothing in its favour for 0.6 s, is now held as if nothing else were answered: as soon as others are, one node sends one at a time, and the answer or break decides.

--- a/internal/screener/evidence.go
+++ b/internal/screener/evidence.go
@@ -15,6 +15,9 @@
 	requestBreaks  = 2
 	requestChain   = 3
 	minRepetitions = 2
+	// holdRepetitions is the number of repetitions from which on a whole request is held
+	// although they broke off on one replica. After the third one few more may reach replicas.
+	holdRepetitions = 3
 	// requestSettleTime is the time for which the evidence against a whole request must
 	// last. It covers a check of the replicas.
 	requestSettleTime = 600 * time.Millisecond
--- a/internal/screener/review.go
+++ b/internal/screener/review.go
@@ -55,6 +55,9 @@
 	case s.SufficientSince.IsZero():
 		s.SufficientSince = now
 	}
+	if s.mustHold(now) {
+		e.hold(now, s)
+	}
 	if !s.HeldUntil.IsZero() && (!now.Before(s.HeldUntil) || e.isAnswering(s)) {
 		s.HeldUntil, s.ReleasedAt = time.Time{}, now
 	}
@@ -69,8 +72,15 @@
 	}
 }
 
-// hold keeps a request away from replicas although nothing is answered, so that it is not
-// known whether it is the cause. As soon as others are answered, one node at a time sends
+// mustHold reports whether a request is held although only one replica has crashed: several of
+// its repetitions were there, and more would be sent to the next replica at once.
+func (s *Suspicion) mustHold(now time.Time) bool {
+	return s.WholeRequest && s.Holds == 0 && !s.SuspectSince.IsZero() && now.Sub(s.SuspectSince) >= requestSettleTime &&
+		s.SufficientSince.IsZero() && s.answering() > 0 && s.requests() >= holdRepetitions
+}
+
+// hold keeps a request away from replicas although it is not known whether it is the cause,
+// because nothing is answered or because only one replica has crashed. As soon as others are answered, one node at a time sends
 // it, and the next answer or break decides.
 func (e *Evidence) hold(now time.Time, s *Suspicion) {
 	s.Prober = ""
