Compute the records of quarantines once for each review

The records were computed for each report of a node, which sorts all suspicions. TestRequestsAwaitTheRecords guards the wait of requests for the records. An exported function without a use goes.

--- a/internal/planner/prompts.go
+++ b/internal/planner/prompts.go
@@ -32,7 +32,11 @@
 			effects = append(effects, ReadState{Replica: replica.ID, Address: endpoint.Entry.Address})
 		}
 	}
-	return append(effects, c.storeRecords(now)...)
+	if c.Tenure.Prompts.ReviewedAt.Equal(now) {
+		// Reviews have an interval, so that the work does not grow with the reports.
+		effects = append(effects, c.storeRecords(now)...)
+	}
+	return effects
 }
 
 // storeRecords requests that the store contain what must outlive all processes, if that has
--- a/internal/screener/record.go
+++ b/internal/screener/record.go
@@ -1,7 +1,6 @@
 package screener
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -33,8 +32,9 @@
 }
 
 // Records returns what must outlive all processes: the quarantines, and the requests that broke
-// off between the head and the first event of their answer. A replica that crashes breaks off few sound requests there. Parts of prompts below
-// the threshold of a quarantine are not among them, because sound requests share them.
+// off between the head and the first event of their answer. A replica that crashes breaks off few
+// sound requests there. Parts of prompts below the threshold of a quarantine are not among them,
+// because sound requests share them.
 func (e *Evidence) Records(now time.Time) []Record {
 	var records []Record
 	for _, trait := range slices.Sorted(maps.Keys(e.Quarantined)) {
@@ -154,6 +154,3 @@
 	}
 	return breaks
 }
-
-// CompareRecords orders records by their traits.
-func CompareRecords(a, b Record) int { return cmp.Compare(a.Trait, b.Trait) }
--- a/internal/screener/review.go
+++ b/internal/screener/review.go
@@ -80,8 +80,8 @@
 }
 
 // hold keeps a request away from replicas although it is not known whether it is the cause,
-// because nothing is answered or because only one replica has crashed. As soon as others are answered, one node at a time sends
-// it, and the next answer or break decides.
+// because nothing is answered or because only one replica has crashed. As soon as others are
+// answered, one node at a time sends it, and the next answer or break decides.
 func (e *Evidence) hold(now time.Time, s *Suspicion) {
 	s.Prober = ""
 	s.HeldUntil, s.AnswersBefore = now.Add(min(maxHoldTime, minHoldTime<<s.Holds)), e.Answers[s.Service]
