--- a/internal/screener/review.go
+++ b/internal/screener/review.go
@@ -55,6 +55,9 @@
 	case s.SufficientSince.IsZero():
 		s.SufficientSince = now
 	}
+	if s.mustHold(now) {
+		e.hold(now, s)
+	}
 	if !s.HeldUntil.IsZero() && (!now.Before(s.HeldUntil) || e.isAnswering(s)) {
 		s.HeldUntil, s.ReleasedAt = time.Time{}, now
 	}
@@ -69,9 +72,16 @@
 	}
 }
 
-// hold keeps a request away from replicas although nothing is answered, so that it is not
-// known whether it is the cause. As soon as others are answered, one node at a time sends
-// it, and the next answer or break decides.
+// mustHold reports whether a request is held although only one replica has crashed: several of
+// its repetitions were there, and more would be sent to the next replica at once.
+func (s *Suspicion) mustHold(now time.Time) bool {
+	return s.WholeRequest && s.Holds == 0 && !s.SuspectSince.IsZero() && now.Sub(s.SuspectSince) >= requestSettleTime &&
+		s.SufficientSince.IsZero() && s.answering() > 0 && s.requests() >= holdRepetitions
+}
+
+// hold keeps a request away from replicas although it is not known whether it is the cause,
+// because nothing is answered or because only one replica has crashed. As soon as others are
+// answered, one node at a time sends it, and the next answer or break decides.
 func (e *Evidence) hold(now time.Time, s *Suspicion) {
 	s.Prober = ""
 	s.HeldUntil, s.AnswersBefore = now.Add(min(maxHoldTime, minHoldTime<<s.Holds)), e.Answers[s.Service]
@@ -179,6 +189,9 @@
 	maps.DeleteFunc(e.Broken, func(_ string, request BrokenRequest) bool { return now.Sub(request.At) > sightingLifetime })
 	maps.DeleteFunc(e.Suspicions, func(_ Trait, s *Suspicion) bool {
 		s.Sightings = slices.DeleteFunc(s.Sightings, func(sighting Sighting) bool { return now.Sub(sighting.BrokenAt) > sightingLifetime })
+		if s.Restored && now.Sub(s.RestoredAt) <= sightingLifetime {
+			return false
+		}
 		return len(s.Sightings) == 0 && now.Sub(s.BegunAt) > explainedLifetime
 	})
 }
--- a/internal/screener/script_test.go
+++ b/internal/screener/script_test.go
@@ -11,7 +11,7 @@
 var scripts = tester.Suite[Message, Effect]{
 	Directory: "testdata/node",
 	New:       func(*testing.T, []byte) tester.Controller[Message, Effect] { return NewController("n1") },
-	Messages:  []Message{AttemptBroke{}, AnswerBegun{}, StateReceived{}, Collect{}},
+	Messages:  []Message{AttemptBroke{}, AnswerBegun{}, StateReceived{}, RecordsRead{}, Collect{}},
 	Tick:      Tick{},
 }
 
@@ -32,12 +32,12 @@
 	tester.Replay(t, tester.Suite[any, any]{
 		Directory: "testdata/evidence",
 		New:       func(*testing.T, []byte) tester.Controller[any, any] { return &holder{NewEvidence()} },
-		Messages:  []any{Reported{}, StillRunning{}, Reviewed{}},
+		Messages:  []any{Reported{}, StillRunning{}, Reviewed{}, Recorded{}},
 		Tick:      Reviewed{},
 	})
 }
 
-// Reported, StillRunning and Reviewed are the calls of Evidence in scripts.
+// Reported, StillRunning, Reviewed and Recorded are the calls of Evidence in scripts.
 type (
 	Reported struct {
 		Node   string
@@ -45,6 +45,7 @@
 	}
 	StillRunning struct{ Replica Process }
 	Reviewed     struct{}
+	Recorded     struct{}
 )
 
 // holder makes Evidence a controller, so that scripts can drive it.
@@ -66,6 +67,10 @@
 			effects = append(effects, replica)
 		}
 		effects = append(effects, h.evidence.Publish(now))
+	case Recorded:
+		for _, record := range h.evidence.Records(now) {
+			effects = append(effects, record)
+		}
 	}
 	return effects
 }
