--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -99,8 +99,7 @@
 	surveyor *surveyor.Task
 	planner  *planner.Task
 	balancer *balancer.Task
-	// permitter grants permits for brittle replicas, and granters holds the peer addresses
-	// of the nodes that do, by their addresses for callers.
+	// granters holds the peer addresses of the nodes that grant permits, by caller address.
 	permitter  *permitter.Task
 	granters   atomic.Pointer[map[string]string]
 	ownPermits ownPermits
