--- a/internal/forwarder/silence.go
+++ b/internal/forwarder/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,7 +152,7 @@
 	}
 	now := j.Clock.Now()
 	need := j.placementNeed(now, j.request.Deadline.Sub(now))
-	need.Replaced = e.attempt.Replica
+	need.Excluded, need.Replaced = append(slices.Clone(j.excluded), e.attempt.Replica), e.attempt.Replica
 	ctx, cancel := context.WithCancel(ctx)
 	r := &reservation{cancel: cancel, done: make(chan struct{})}
 	j.reservation = r
