--- a/internal/archiver/controller.go
+++ b/internal/archiver/controller.go
@@ -201,7 +201,7 @@
 }
 
 // endWrite handles the result of a write. One from before a restoration may be lost, and one
-// of an earlier tenure says nothing about this one.
+// of an earlier tenure does not count in this one.
 func (c *Controller) endWrite(now time.Time, message WriteEnded) []Effect {
 	c.Writing = false
 	if message.Failed {
--- a/internal/forwarder/silence_test.go
+++ b/internal/forwarder/silence_test.go
@@ -31,8 +31,8 @@
 // script are "replica-1 accept", "replica-1 send <Go string>", "replica-1 gone" (the node
 // closes the connection), "replica-1 open" (it does not), "headed" (events are awaited),
 // "passed <n>" (the caller has n events), "placed <n>" (n placements were asked for, the last
-// in vain), "waiting <n>" (n placements have begun to wait), and "advance <duration>". The file head-delay holds the time that passes between
-// the arrival of the first head and its handling.
+// in vain), "waiting <n>" (n placements have begun to wait), and "advance <duration>". The file
+// head-delay holds the time that passes between the arrival of the first head and its handling.
 func TestSilence(t *testing.T) { replaySilences(t, "testdata/silence") }
 
 // TestRefusedSuccessorKeepsStream replays scripts of the same kind. It guards against a stream
--- a/internal/messenger/forms.go
+++ b/internal/messenger/forms.go
@@ -11,7 +11,7 @@
 // Form is a form of reports and of the answers to them: the number in their path.
 type Form int
 
-// The forms of reports. docs/design/upgrades.md says when one may change and when it may go.
+// The forms of reports. The rules for changing and removing one are in docs/design/upgrades.md.
 const (
 	// FormV5 is that of 6c37a91. Its receivers refuse fields that they do not know.
 	FormV5 Form = 5
@@ -106,7 +106,7 @@
 // FormUse is a report in an earlier form than the newest of this build, or a message whose form
 // only one of two nodes knows.
 type FormUse struct {
-	// Text says what was done. It is also a metric label value.
+	// Text names what was done. It is also a metric label value.
 	Text string
 	// Peer is the address or the name of the other node, and Path that of the message.
 	Peer, Path string
--- a/internal/messenger/forms_test.go
+++ b/internal/messenger/forms_test.go
@@ -215,8 +215,9 @@
 	}
 }
 
-// TestSlowPeer guards against a node that never hears a peer of an earlier build, because the time
-// for one exchange ends between two forms and the next exchange starts with the newest again.
+// TestSlowPeer guards against a node that never gets an answer from a peer of an earlier build,
+// because the time for one exchange ends between two forms and the next exchange starts with
+// the newest again.
 func TestSlowPeer(t *testing.T) {
 	peer := startFormPeer(t, FormV5)
 	client, _ := newFormClient(t, clockwork.NewFakeClock(), reportForms...)
--- a/internal/messenger/relay_test.go
+++ b/internal/messenger/relay_test.go
@@ -345,7 +345,7 @@
 }
 
 // TestPeerWithoutRelays guards against a peer of a build without relayed connections that
-// ends the search for another one, and of which the log says nothing.
+// ends the search for another one, and does not show in the log.
 func TestPeerWithoutRelays(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
 	defer server.Close()
