--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -95,12 +95,12 @@
 	meter  *meter.Meter
 	cold   coldCounts
 
-	store    *platform.Store
-	surveyor *surveyor.Task
-	planner  *planner.Task
-	balancer *balancer.Task
+	store     *platform.Store
+	surveyor  *surveyor.Task
+	planner   *planner.Task
+	balancer  *balancer.Task
+	permitter *permitter.Task
 	// granters holds the peer addresses of the nodes that grant permits, by caller address.
-	permitter  *permitter.Task
 	granters   atomic.Pointer[map[string]string]
 	ownPermits ownPermits
 	cacher     cacheReader
--- a/internal/balancer/message.go
+++ b/internal/balancer/message.go
@@ -199,8 +199,8 @@
 	// Excluded are the replicas that have failed the request. They are avoided for
 	// avoidanceTimeout.
 	Excluded []string
-	// Replaced is the replica that has the request and is silent. It is never chosen: the
-	// request would lose it for nothing.
+	// Replaced is the replica that has the request and is silent, "" for none. It is never
+	// chosen, because it may still go on.
 	Replaced string `json:",omitempty"`
 }
 
--- a/internal/balancer/region.go
+++ b/internal/balancer/region.go
@@ -11,7 +11,9 @@
 // allows reports whether a replica belongs to the service of the request, in a data centre
 // that may run it, and is not the one to replace.
 func (n Need) allows(replica surveyor.Replica) bool {
-	return replica.Service == n.Service && (n.Replaced == "" || replica.ID != n.Replaced) && (len(n.DataCentres) == 0 || slices.Contains(n.DataCentres, replica.DataCentre))
+	return replica.Service == n.Service &&
+		(n.Replaced == "" || replica.ID != n.Replaced) &&
+		(len(n.DataCentres) == 0 || slices.Contains(n.DataCentres, replica.DataCentre))
 }
 
 // dataCentresKey returns the data centres as a map key.
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -96,7 +96,8 @@
 const minFailures = 0.01
 
 // failures returns the weight of recent failures, decayed to the present. It is never negative:
-// the costs of the candidates of a request would have no bound that the lowest of them keeps.
+// a negative cost would exceed the bound on costs that is derived from it, so that no candidate
+// would remain.
 func (r *Replica) failures(now time.Time) float64 {
 	if r.Failures == 0 {
 		return 0
--- a/internal/soaker/panic_test.go
+++ b/internal/soaker/panic_test.go
@@ -107,7 +107,7 @@
 	return runs
 }
 
-// buildPanicking builds the program with tasks that panic as testdata/panic.go.txt says.
+// buildPanicking builds the program with the tasks that panic of testdata/panic.go.txt.
 func buildPanicking(t *testing.T) string {
 	return buildWith(t, "../runner/task.go", "now := l.task.settings.Clock.Now()", "panicIfPlanted(l.task.settings.Name)\n\tnow := l.task.settings.Clock.Now()", "testdata/panic.go.txt")
 }
--- a/internal/soaker/partition_test.go
+++ b/internal/soaker/partition_test.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// buildPartitionable builds the program with a dialer that fails connections to replicas as
-// testdata/partition.go.txt says. A proxy before a replica cannot refuse the connections of some
+// buildPartitionable builds the program with the dialer of testdata/partition.go.txt, which
+// fails connections to replicas. A proxy before a replica cannot refuse the connections of some
 // nodes only, since the kernel accepts them before it shows where they come from.
 func buildPartitionable(t *testing.T) string {
 	return buildWith(t, "../assembler/network.go", "func newDialer()", "func newSoundDialer()", "testdata/partition.go.txt")
