--- a/review/standins-2/joined.go
+++ b/review/standins-2/joined.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
@@ -10,6 +11,7 @@
 
 const (
 	// The store comes back from a copy that is older than the replicas of the second version.
+	joinedNodes     = 6
 	settleTime      = 4 * time.Second
 	addVersionAfter = 1 * time.Second
 	killAllAfter    = 7 * time.Second
@@ -40,7 +42,7 @@
 			MemoryMB: 200000, Held: map[string]float64{model: 42700}, silent: version == "v2",
 		})
 	}
-	fleet, err := play.NewFleet(3, replicas, streamState())
+	fleet, err := play.NewFleet(joinedNodes, replicas, streamState())
 	if err != nil {
 		play.Record.Printf("the case cannot run: %v", err)
 		return failed
@@ -125,18 +127,19 @@
 	}
 }
 
-// follow sends one request and takes its stream up again after a broken channel, and returns the
-// number of software versions of its events. Addresses that failed are used again if all have.
+// follow sends one request and takes its stream up again after a broken channel, each time at another
+// address, and returns the number of software versions of its events.
 func (c *Clients) follow(addresses []string) int {
 	deadline := time.Now().Add(streamTimeout)
 	versions := map[string]bool{}
 	origin, last, pause := "", -1, firstPause
-	for try := range patientTries {
+	order := rand.Perm(len(addresses))
+	for try := range min(patientTries, len(order)) {
 		left := time.Until(deadline)
 		if left <= 0 {
 			break
 		}
-		result := c.send(addresses[try%len(addresses)], streamPath, model, origin, last, left)
+		result := c.send(addresses[order[try]], streamPath, model, origin, last, left)
 		if result.Events > 0 && origin == "" {
 			origin = result.Attempt
 		}
--- a/review/standins-2/node.go
+++ b/review/standins-2/node.go
@@ -47,6 +47,8 @@
 	}
 	command := exec.Command(n.binary, "serve")
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + filepath.Dir(n.settings), "TOUCANHITCH_CONFIG=" + n.settings}
+	// The program starts in the root of the repository.
+	command.Dir = filepath.Dir(filepath.Dir(n.binary))
 	command.Stdout, command.Stderr = n.log, n.log
 	if err := command.Start(); err != nil {
 		return err
