--- a/review/standins-3/caller.go
+++ b/review/standins-3/caller.go
@@ -28,9 +28,6 @@
 // joined reports whether the stream holds events of two software versions.
 func (s streamResult) joined() bool { return len(s.versions) > 1 }
 
-// maxRetries is how often a caller retries, within its time limit.
-const maxRetries = 4
-
 // caller requests one stream and takes it up again after a broken channel. Each request has an
 // Attempt-Id and a channel of its own.
 type caller struct {
@@ -39,8 +36,9 @@
 	path     string
 	key      string
 	deadline time.Duration
-	// pause is the time before a stream is taken up again.
-	pause time.Duration
+	// pause is the time before a stream is taken up again, and retries how often that is done.
+	pause   time.Duration
+	retries int
 }
 
 func (c *caller) run(ctx context.Context, name string) streamResult {
@@ -48,7 +46,7 @@
 	until := time.Now().Add(c.deadline)
 	first := ""
 	var failed []*node
-	for result.requests <= maxRetries && time.Now().Before(until) && ctx.Err() == nil {
+	for result.requests <= c.retries && time.Now().Before(until) && ctx.Err() == nil {
 		n := c.choose(failed)
 		attempt := fmt.Sprintf("%s-%d", name, result.requests)
 		result.requests++
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -33,6 +33,7 @@
 
 var cases = map[string]func(context.Context, *world) (int, error){
 	"entry":    entry,
+	"silent":   silent,
 	"stopped":  stopped,
 	"upgraded": upgraded,
 }
--- a/review/standins-3/replica.go
+++ b/review/standins-3/replica.go
@@ -20,7 +20,7 @@
 	store                *store
 	record               *record
 	eventInterval        time.Duration
-	events               int
+	events, slots        int
 	// serve, unless nil, runs requests instead of answering with a stream.
 	serve func(r *replica, w http.ResponseWriter, request *http.Request, body string)
 
@@ -35,7 +35,7 @@
 }
 
 func newReplica(id, service string, s *store, r *record) *replica {
-	return &replica{id: id, service: service, store: s, record: r, eventInterval: 200 * time.Millisecond, events: 20}
+	return &replica{id: id, service: service, store: s, record: r, eventInterval: 200 * time.Millisecond, events: 20, slots: 16}
 }
 
 // trackedListener remembers the connections that it accepts.
@@ -116,7 +116,7 @@
 	defer r.mutex.Unlock()
 	r.seq++
 	r.store.put("servers", name, map[string]any{
-		"service": r.service, "address": r.address, "zone": "gdansk-a", "version": r.version, "slots": 16, "state": r.state,
+		"service": r.service, "address": r.address, "zone": "gdansk-a", "version": r.version, "slots": r.slots, "state": r.state,
 		"cold-left-ms": 0, "seq": r.seq, "born": r.born,
 	})
 }
--- a/review/standins-3/upgraded.go
+++ b/review/standins-3/upgraded.go
@@ -13,9 +13,11 @@
 	callerKey     = "i9n73hh2b9wu3fexd9dn"
 	// maxJoined is the number of streams that may hold events of two software versions.
 	maxJoined = 2
-	// downTime is how long a replica is down, and callerCount the number of callers.
+	// downTime is how long a replica is down, callerCount the number of callers, and takeUps how often
+	// each of them takes its stream up again at most.
 	downTime    = time.Second
 	callerCount = 30
+	takeUps     = 4
 )
 
 // streamConfiguration returns a desired state with one route, whose streams may be resumed.
@@ -53,7 +55,7 @@
 	results := make([]streamResult, callerCount)
 	var group sync.WaitGroup
 	for i := range results {
-		c := &caller{nodes: w.nodes, record: w.record, path: "/lohu930/2f", key: callerKey, deadline: 10 * time.Second, pause: 100 * time.Millisecond}
+		c := &caller{nodes: w.nodes, record: w.record, path: "/lohu930/2f", key: callerKey, deadline: 10 * time.Second, pause: 100 * time.Millisecond, retries: takeUps}
 		group.Go(func() { results[i] = c.run(ctx, fmt.Sprintf("s%02d", i)) })
 		time.Sleep(30 * time.Millisecond)
 	}
